Lay out the workspace, shared types, ports and the proof runner

Cause: the repository was empty; several people start at once and need one set of types. Ruled out: one package for everything, because decisions must not be able to open a socket.

--- /dev/null
+++ b/crates/mustardctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The command line of operators and experimenters.
--- /dev/null
+++ b/crates/mustardctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The `mustardctl` program; everything is in the library.
+
+fn main() {}
--- /dev/null
+++ b/crates/mustardgate-core/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! Admission and queueing of requests at one node.
--- /dev/null
+++ b/crates/mustardgate-core/src/config/mod.rs
@@ -0,0 +1,1 @@
+//! Configuration replicated from the platform's log by replay.
--- /dev/null
+++ b/crates/mustardgate-core/src/idempotency/mod.rs
@@ -0,0 +1,1 @@
+//! Keyed requests that run at most once.
--- /dev/null
+++ b/crates/mustardgate-core/src/lease/mod.rs
@@ -0,0 +1,1 @@
+//! The lease that makes one node the leader of a failure domain.
--- /dev/null
+++ b/crates/mustardgate-core/src/ledger/mod.rs
@@ -0,0 +1,1 @@
+//! The memory ledger of each accelerator.
--- /dev/null
+++ b/crates/mustardgate-core/src/lib.rs
@@ -0,0 +1,23 @@
+//! The decisions of mustardgate: configuration, leases, memory, idempotency, routing and placement.
+//!
+//! Nothing in this package opens a socket or a file. Inputs are plain values, time is handed in as
+//! [`std::time::Instant`] read from the runtime's clock, and randomness comes from a seeded generator of the caller,
+//! so that every decision can be replayed from a seed. The choices are explained in `docs/DESIGN.md`.
+
+pub mod admission;
+pub mod clock;
+pub mod config;
+pub mod idempotency;
+pub mod ids;
+pub mod leader;
+pub mod lease;
+pub mod ledger;
+pub mod log;
+pub mod membership;
+pub mod placement;
+pub mod ports;
+pub mod resources;
+pub mod retry;
+pub mod routing;
+pub mod streams;
+pub mod verdict;
--- /dev/null
+++ b/crates/mustardgate-core/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Liveness of nodes and backend servers: the platform's list merged with local suspicion.
--- /dev/null
+++ b/crates/mustardgate-core/src/placement/mod.rs
@@ -0,0 +1,17 @@
+//! Placement of models and adapters on accelerators.
+//!
+//! The interface between the domain leader, which carries moves out, and the policies, which propose them.
+
+mod view;
+
+use std::{fmt::Debug, time::Instant};
+
+pub use self::view::{
+    AcceleratorView, ArtifactDemand, BaseAssignment, DomainView, Holding, HoldingState, PlannedMove, RunnerView,
+};
+
+/// Proposes moves for one failure domain.
+pub trait PlacementPolicy: Debug + Send {
+    /// Returns the moves to begin now, the most valuable first; the leader begins those that memory and limits allow.
+    fn plan(&mut self, now: Instant, view: &DomainView) -> Vec<PlannedMove>;
+}
--- /dev/null
+++ b/crates/mustardgate-core/src/resources/model.rs
@@ -0,0 +1,51 @@
+//! Models, their versions, and adapters as operators declare them.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{MemoryMib, ModelId, VersionId};
+
+/// Specification of a model.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelSpec {
+    /// Versions that may be resident; at least one.
+    pub versions: Vec<VersionSpec>,
+    /// Version that serves requests.
+    pub serving: VersionId,
+    /// Replicas kept in each region whatever the demand.
+    #[serde(default = "default_min_replicas")]
+    pub min_replicas: u32,
+}
+
+fn default_min_replicas() -> u32 {
+    1
+}
+
+impl ModelSpec {
+    /// Returns the version that serves requests, or `None` when it is not among the versions.
+    pub fn serving_version(&self) -> Option<&VersionSpec> {
+        self.versions.iter().find(|version| version.name == self.serving)
+    }
+}
+
+/// One version of a model.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VersionSpec {
+    /// Name of the version.
+    pub name: VersionId,
+    /// Memory it takes on one accelerator.
+    pub memory_mib: MemoryMib,
+}
+
+/// Specification of an adapter.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AdapterSpec {
+    /// Model the adapter belongs to.
+    pub model: ModelId,
+    /// Version of the adapter's weights.
+    pub version: VersionId,
+    /// Memory it takes on one accelerator, beside its model.
+    pub memory_mib: MemoryMib,
+}
--- /dev/null
+++ b/crates/mustardgate-core/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retries and hedging by verdict, within a budget.
--- /dev/null
+++ b/crates/mustardgate-core/src/routing/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of the runner for an attempt.
--- /dev/null
+++ b/crates/mustardgate-core/src/streams/mod.rs
@@ -0,0 +1,1 @@
+//! Answers assembled whole, matched by request and attempt.
--- /dev/null
+++ b/crates/mustardgate/src/lib.rs
@@ -0,0 +1,1 @@
+//! The node: adapters and tasks around the decisions of `mustardgate_core`.
--- /dev/null
+++ b/crates/mustardgate/src/main.rs
@@ -0,0 +1,3 @@
+//! The `mustardgate` program; everything is in the library.
+
+fn main() {}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,7 @@
+//! Stand-ins for what mustardgate meets outside, with the proofs and experiments that run against them.
+//!
+//! Nothing here ships. The stand-ins' states are plain values, used directly by randomised proofs and, behind a small
+//! HTTP listener, by the example processes.
+
+pub mod platform;
+pub mod proof;
--- /dev/null
+++ b/crates/standins/src/proof/mod.rs
@@ -0,0 +1,65 @@
+//! Randomised proofs of what must always hold.
+//!
+//! Each promise is one scenario module of the same shape, registered in [`scenarios`]. A scenario runs the real
+//! decisions against stand-ins for one seed and judges from the outside: from what the stand-ins really did, against
+//! what was told. See `docs/PROOFS.md`.
+
+mod runner;
+
+use std::fmt::Debug;
+
+use snafu::Snafu;
+
+pub use self::runner::{ProofOptions, ProofSummary, run_all};
+
+/// Whether the guard that a scenario proves is in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GuardMode {
+    /// The product's decisions as they ship.
+    Enforced,
+    /// The guard replaced by a test-only policy that lacks it, to show that the scenario can fail.
+    Removed,
+}
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("{promise}: {detail}"))]
+pub struct PromiseViolation {
+    /// Promise that was broken.
+    pub promise: &'static str,
+    /// What was seen.
+    pub detail: String,
+}
+
+/// What one run of a scenario counted, to show that the faults really came about.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ProofFigures {
+    /// Named counts, such as faults injected and requests judged.
+    pub counts: Vec<ProofCount>,
+}
+
+/// One named count.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ProofCount {
+    /// What is counted.
+    pub name: &'static str,
+    /// How often it occurred.
+    pub value: u64,
+}
+
+/// One randomised proof.
+pub trait ProofScenario: Debug + Send + Sync {
+    /// Returns the name used on the command line and in `docs/PROOFS.md`.
+    fn name(&self) -> &'static str;
+
+    /// Runs the scenario for one seed; the same seed gives the same run.
+    ///
+    /// # Errors
+    /// The first promise that was broken.
+    fn run(&self, seed: u64, guard: GuardMode) -> Result<ProofFigures, PromiseViolation>;
+}
+
+/// Every scenario, in the order of the promises in `docs/PROOFS.md`.
+pub fn scenarios() -> Vec<Box<dyn ProofScenario>> {
+    vec![]
+}
