Record keyed requests before dispatch, and prove at most once and "not run"

Cause: a non-idempotent request with a key may come through several nodes, and may run once only, whatever freezes, dies or is lost. Ruled out: dispatching on the answer to the append (it does not say whether another claim came before), telling the verdict on a delivery instead of the key, and a record at peers while the log is away (docs/design/at-most-once.md).

--- a/crates/mustardgate-core/src/log/mod.rs
+++ b/crates/mustardgate-core/src/log/mod.rs
@@ -179,10 +179,18 @@
     pub request: RequestId,
     /// Whether the request ran.
     pub verdict: RunVerdict,
+    /// Whether a later claim may take the key; only ever set with [`RunVerdict::NotRun`].
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_released: bool,
     /// Status and body answered to the caller, when small enough to keep.
     pub answer: Option<StoredAnswer>,
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 /// An answer kept for callers who ask again.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredAnswer {
--- /dev/null
+++ b/crates/standins/src/proof/at_most_once.rs
@@ -0,0 +1,37 @@
+//! Proof that a non-idempotent request with a key runs at most once, whatever its deliveries meet.
+
+use super::{
+    GuardMode, PromiseViolation, ProofFigures, ProofScenario,
+    keyed::{KeyPolicy, KeyedWorld},
+};
+
+/// Duplicate deliveries through several nodes, with freezes between record and dispatch, kills, outages and losses.
+#[derive(Debug)]
+pub struct AtMostOnceScenario;
+
+impl ProofScenario for AtMostOnceScenario {
+    fn name(&self) -> &'static str {
+        "at_most_once"
+    }
+
+    fn run(&self, seed: u64, guard: GuardMode) -> Result<ProofFigures, PromiseViolation> {
+        let policy = KeyPolicy {
+            awaits_replay: guard == GuardMode::Enforced,
+            tells_key_verdict: true,
+        };
+        let world = KeyedWorld::run(seed, policy);
+        if let Some((id, runs)) = world.repeated_runs().first() {
+            return Err(PromiseViolation {
+                promise: "runs at most once",
+                detail: format!("the service ran {id} {runs} times"),
+            });
+        }
+        if world.violations() > 0 {
+            return Err(PromiseViolation {
+                promise: "runs at most once",
+                detail: format!("nodes refused {} steps that break an invariant", world.violations()),
+            });
+        }
+        Ok(world.figures())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/proof/keyed/world.rs
@@ -0,0 +1,274 @@
+//! The world of one run: callers that repeat their requests, faults, and the judge's records.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Instant,
+};
+
+use mustardgate_core::{
+    clock,
+    idempotency::KeyId,
+    ids::{Offset, RequestId},
+    verdict::RunVerdict,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smol_str::format_smolstr;
+
+use super::{
+    Delivery, HeardVerdict, KeyPolicy, RETENTION, STEP,
+    node::{KeyedNode, NodeContext},
+    service::FakeService,
+};
+use crate::{
+    platform::{LogFaults, MemoryLog},
+    proof::{ProofCount, ProofFigures},
+};
+
+/// Steps in which callers send and faults are injected.
+const ACTIVE_STEPS: u64 = 700;
+/// Steps after them in which everything on the way arrives.
+const DRAIN_STEPS: u64 = 150;
+/// Steps after its first use in which a caller repeats a key; with the deadline it lies inside the retention.
+const REPEAT_STEPS: u64 = 200;
+/// Number of nodes.
+const NODE_COUNT: usize = 4;
+
+/// The world of one run.
+#[derive(Debug)]
+pub(in crate::proof) struct KeyedWorld {
+    rng: ChaCha8Rng,
+    log: MemoryLog,
+    nodes: Vec<KeyedNode>,
+    service: FakeService,
+    owners: BTreeMap<RequestId, usize>,
+    heard: Vec<HeardVerdict>,
+    repeats: Vec<(u64, KeyId)>,
+    log_ends: VecDeque<Offset>,
+    policy: KeyPolicy,
+    start: Instant,
+    step: u64,
+    outage_until: u64,
+    deliveries: u64,
+    kills: u64,
+    freezes: u64,
+    outages: u64,
+    gaps: u64,
+    violations: u64,
+    dispatches: u64,
+}
+
+impl KeyedWorld {
+    /// Runs one world to its end.
+    pub fn run(seed: u64, policy: KeyPolicy) -> Self {
+        let nodes = (0..NODE_COUNT).map(|index| KeyedNode::new(format_smolstr!("n{index}"), false));
+        let mut world = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            log: MemoryLog::new(seed),
+            nodes: nodes.collect(),
+            service: FakeService::default(),
+            owners: BTreeMap::new(),
+            heard: Vec::new(),
+            repeats: Vec::new(),
+            log_ends: VecDeque::new(),
+            policy,
+            start: clock::now(),
+            step: 0,
+            outage_until: 0,
+            deliveries: 0,
+            kills: 0,
+            freezes: 0,
+            outages: 0,
+            gaps: 0,
+            violations: 0,
+            dispatches: 0,
+        };
+        while world.step < ACTIVE_STEPS + DRAIN_STEPS {
+            world.advance();
+        }
+        world.count_nodes();
+        world
+    }
+
+    /// Returns the keys that the service ran more than once.
+    pub fn repeated_runs(&self) -> Vec<(KeyId, u64)> {
+        let runs = self.service.all_runs().iter().filter(|(_, runs)| **runs > 1);
+        runs.map(|(id, runs)| (id.clone(), *runs)).collect()
+    }
+
+    /// Returns a key of which a caller heard "not run" while the service ran it.
+    pub fn false_not_run(&self) -> Option<KeyId> {
+        self.false_verdict(RunVerdict::NotRun, |runs| runs > 0)
+    }
+
+    /// Returns a key of which a caller heard "ran" while the service did not run it.
+    pub fn false_ran(&self) -> Option<KeyId> {
+        self.false_verdict(RunVerdict::Ran, |runs| runs == 0)
+    }
+
+    /// Returns how many steps the nodes refused because they would have broken an invariant.
+    pub fn violations(&self) -> u64 {
+        self.violations
+    }
+
+    /// Returns what was counted.
+    pub fn figures(&self) -> ProofFigures {
+        let told_not_run = self.heard.iter().filter(|heard| heard.verdict == RunVerdict::NotRun);
+        let counts = [
+            ("deliveries", self.deliveries),
+            ("dispatches", self.dispatches),
+            ("freezes", self.freezes),
+            ("gaps", self.gaps),
+            ("kills", self.kills),
+            ("lost_answers", self.service.lost_answers),
+            ("outages", self.outages),
+            ("runs", self.service.all_runs().values().sum()),
+            ("told", self.heard.len() as u64),
+            ("told_not_run", told_not_run.count() as u64),
+        ];
+        let counts = counts.into_iter().map(|(name, value)| ProofCount { name, value });
+        ProofFigures {
+            counts: counts.collect(),
+        }
+    }
+
+    fn false_verdict(&self, verdict: RunVerdict, is_false: impl Fn(u64) -> bool) -> Option<KeyId> {
+        let mut told = self.heard.iter().filter(|heard| heard.verdict == verdict);
+        told.find(|heard| is_false(self.service.runs(&heard.id)))
+            .map(|heard| heard.id.clone())
+    }
+
+    fn advance(&mut self) {
+        if self.step < ACTIVE_STEPS {
+            self.inject_faults();
+            self.send_requests();
+        }
+        self.set_log_faults();
+        self.trim_log();
+        for delivery in self.service.advance(self.step, &mut self.rng) {
+            let Some(index) = self.owners.get(&delivery.request).copied() else {
+                continue;
+            };
+            self.with_node(index, |node, context| node.answered(&delivery, context));
+        }
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].frozen_until <= self.step {
+                self.with_node(index, KeyedNode::advance);
+            }
+        }
+        self.step += 1;
+    }
+
+    fn with_node(&mut self, index: usize, work: impl FnOnce(&mut KeyedNode, &mut NodeContext<'_>)) {
+        let mut context = NodeContext {
+            log: &self.log,
+            service: &mut self.service,
+            heard: &mut self.heard,
+            rng: &mut self.rng,
+            policy: self.policy,
+            step: self.step,
+            now: self.start + STEP * self.step as u32,
+        };
+        work(&mut self.nodes[index], &mut context);
+    }
+
+    fn inject_faults(&mut self) {
+        if self.rng.random_bool(0.01) {
+            let index = self.rng.random_range(0..NODE_COUNT);
+            self.nodes[index].frozen_until = self.step + self.rng.random_range(1..450);
+            self.freezes += 1;
+        }
+        if self.rng.random_bool(0.004) {
+            self.kill_node();
+        }
+        if self.rng.random_bool(0.003) {
+            self.outage_until = self.step + self.rng.random_range(5..150);
+            self.outages += 1;
+        }
+    }
+
+    fn kill_node(&mut self) {
+        let index = self.rng.random_range(0..NODE_COUNT);
+        let starts_at_tail = self.rng.random_bool(0.3);
+        self.kills += 1;
+        let name = format_smolstr!("{}-{}", self.nodes[index].name(), self.kills);
+        self.count_node(index);
+        self.owners.retain(|_, owner| *owner != index);
+        self.nodes[index] = KeyedNode::new(name, starts_at_tail);
+    }
+
+    fn set_log_faults(&self) {
+        let faults = LogFaults {
+            is_down: self.step < self.outage_until,
+            lost_answer_ratio: 0.15,
+            refused_ratio: 0.1,
+            ..LogFaults::default()
+        };
+        self.log.set_faults(faults);
+    }
+
+    fn trim_log(&mut self) {
+        self.log_ends.push_back(self.log.end());
+        let kept_steps = (RETENTION.as_millis() / STEP.as_millis()) as usize;
+        if self.log_ends.len() > kept_steps
+            && let Some(earliest) = self.log_ends.pop_front()
+        {
+            self.log.trim(earliest);
+        }
+    }
+
+    fn send_requests(&mut self) {
+        let step = self.step;
+        if self.rng.random_bool(0.06) {
+            let id = KeyId {
+                tenant: "kitchen".into(),
+                key: format_smolstr!("k{step}"),
+            };
+            self.plan_repeats(&id);
+            self.deliver(&id);
+        }
+        let (due, later) = self.repeats.drain(..).partition(|(at, _)| *at <= step);
+        self.repeats = later;
+        let due: Vec<(u64, KeyId)> = due;
+        for (_, id) in due {
+            self.deliver(&id);
+        }
+    }
+
+    fn plan_repeats(&mut self, id: &KeyId) {
+        if self.rng.random_bool(0.5) {
+            self.repeats.push((self.step, id.clone()));
+        }
+        for _ in 0..self.rng.random_range(0..4) {
+            let at = self.step + self.rng.random_range(0..REPEAT_STEPS);
+            self.repeats.push((at, id.clone()));
+        }
+    }
+
+    fn deliver(&mut self, id: &KeyId) {
+        let index = self.rng.random_range(0..NODE_COUNT);
+        if self.nodes[index].frozen_until > self.step {
+            return;
+        }
+        self.deliveries += 1;
+        let delivery = Delivery {
+            id: id.clone(),
+            request: format_smolstr!("r{}", self.deliveries),
+        };
+        self.owners.insert(delivery.request.clone(), index);
+        self.with_node(index, |node, context| node.deliver(&delivery, context));
+    }
+
+    fn count_nodes(&mut self) {
+        for index in 0..self.nodes.len() {
+            self.count_node(index);
+        }
+    }
+
+    fn count_node(&mut self, index: usize) {
+        let counters = self.nodes[index].counters();
+        self.gaps += counters.gaps;
+        self.violations += counters.violations;
+        self.dispatches += counters.dispatches;
+    }
+}
--- a/crates/standins/src/proof/mod.rs
+++ b/crates/standins/src/proof/mod.rs
@@ -4,7 +4,10 @@
 //! decisions against stand-ins for one seed and judges from the outside: from what the stand-ins really did, against
 //! what was told. See `docs/PROOFS.md`.
 
+mod at_most_once;
+mod keyed;
 mod runner;
+mod told_not_run;
 
 use std::fmt::Debug;
 
@@ -61,5 +64,8 @@
 
 /// Every scenario, in the order of the promises in `docs/PROOFS.md`.
 pub fn scenarios() -> Vec<Box<dyn ProofScenario>> {
-    vec![]
+    vec![
+        Box::new(at_most_once::AtMostOnceScenario),
+        Box::new(told_not_run::ToldNotRunScenario),
+    ]
 }
--- /dev/null
+++ b/crates/standins/src/proof/told_not_run.rs
@@ -0,0 +1,37 @@
+//! Proof that a key of which a caller hears "not run" was not run, by any delivery, before or after.
+
+use super::{
+    GuardMode, PromiseViolation, ProofFigures, ProofScenario,
+    keyed::{KeyPolicy, KeyedWorld},
+};
+
+/// What callers heard about a key against what the service ran, over the whole life of the key.
+#[derive(Debug)]
+pub struct ToldNotRunScenario;
+
+impl ProofScenario for ToldNotRunScenario {
+    fn name(&self) -> &'static str {
+        "told_not_run"
+    }
+
+    fn run(&self, seed: u64, guard: GuardMode) -> Result<ProofFigures, PromiseViolation> {
+        let policy = KeyPolicy {
+            awaits_replay: true,
+            tells_key_verdict: guard == GuardMode::Enforced,
+        };
+        let world = KeyedWorld::run(seed, policy);
+        if let Some(id) = world.false_not_run() {
+            return Err(PromiseViolation {
+                promise: "told not run, was not run",
+                detail: format!("a caller heard that {id} was not run, and the service ran it"),
+            });
+        }
+        if let Some(id) = world.false_ran() {
+            return Err(PromiseViolation {
+                promise: "told ran, ran",
+                detail: format!("a caller heard that {id} ran, and the service did not run it"),
+            });
+        }
+        Ok(world.figures())
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/keys.rs
@@ -0,0 +1,29 @@
+//! Fixed seeds of the proofs on keys, answers and leaving backend servers, held with the guard and broken without it.
+
+use mustardgate_standins::proof::{GuardMode, ProofOptions, run_all, scenarios};
+
+const SCENARIOS: [&str; 2] = ["at_most_once", "told_not_run"];
+
+fn violations(name: &str, guard: GuardMode) -> u64 {
+    let scenario = scenarios().into_iter().find(|scenario| scenario.name() == name);
+    let options = ProofOptions {
+        first_seed: 1,
+        count: if guard == GuardMode::Enforced { 20 } else { 1 },
+        guard,
+    };
+    run_all(scenario.expect("the scenario is registered").as_ref(), options).violations
+}
+
+#[test]
+fn promises_hold_with_the_guard() {
+    for name in SCENARIOS {
+        assert_eq!(violations(name, GuardMode::Enforced), 0, "{name}");
+    }
+}
+
+#[test]
+fn promises_break_on_seed_1_without_the_guard() {
+    for name in SCENARIOS {
+        assert_eq!(violations(name, GuardMode::Removed), 1, "{name}");
+    }
+}
