Add the messages of the operators' resource API

Cause: the node, the configuration code and mustardctl need the same types. Ruled out: a tagged specification in PUT bodies (repeats the kind of the path); typed specifications only (a node could not answer with the field at fault).

--- a/crates/mustardgate-protocol/src/lib.rs
+++ b/crates/mustardgate-protocol/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod callers;
 pub mod engine;
+pub mod operators;
 pub mod platform;
