Replicate the configuration from the log, and validate declarations

Cause: nodes need one configuration that never goes back, settled by log order. Ruled out: checking references between resources again at replay, because nodes of two releases could then decide one record differently; the log checks versions only.

--- /dev/null
+++ b/crates/mustardgate-core/src/config/digest.rs
@@ -0,0 +1,51 @@
+//! Digest of a configuration that is updated in constant time for each change.
+
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::log::{RecentChange, SnapshotRecord, VersionedResource};
+
+/// Sum of the hashes of every resource and recent change, which does not depend on the order they were added in.
+///
+/// It finds replicas that differ through a fault of the program; it is no defence against a forged log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StateDigest(u64);
+
+impl StateDigest {
+    /// Computes the digest of the state that a snapshot describes.
+    pub fn of_snapshot(snapshot: &SnapshotRecord) -> Self {
+        let mut digest = Self::default();
+        for resource in &snapshot.resources {
+            digest.add_resource(resource);
+        }
+        for change in &snapshot.recent_changes {
+            digest.add_change(change);
+        }
+        digest
+    }
+
+    /// Adds a resource to the state.
+    pub fn add_resource(&mut self, resource: &VersionedResource) {
+        self.0 = self.0.wrapping_add(hash_of("resource", resource));
+    }
+
+    /// Removes a resource that was added before.
+    pub fn remove_resource(&mut self, resource: &VersionedResource) {
+        self.0 = self.0.wrapping_sub(hash_of("resource", resource));
+    }
+
+    /// Adds a decided change to the state.
+    pub fn add_change(&mut self, change: &RecentChange) {
+        self.0 = self.0.wrapping_add(hash_of("change", change));
+    }
+
+    /// Removes a decided change that left the window.
+    pub fn remove_change(&mut self, change: &RecentChange) {
+        self.0 = self.0.wrapping_sub(hash_of("change", change));
+    }
+}
+
+fn hash_of<T: Serialize>(label: &str, value: &T) -> u64 {
+    let bytes = serde_json::to_vec(&(label, value)).expect("specifications have no maps with keys that are not text");
+    xxh3_64(&bytes)
+}
--- a/crates/mustardgate-core/src/lib.rs
+++ b/crates/mustardgate-core/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod retry;
 pub mod routing;
 pub mod streams;
+pub mod validation;
 pub mod verdict;
