Serve the platform's stand-in over HTTP

Cause: nodes and harnesses need the log and the list of VMs as a process. Ruled out: undoing an append when its client goes away (a lost answer has taken effect); refusing appends above the rate (the service delays them). Change: listener and client shared by the stand-ins, append pacing, retention by number and age, lagging list, faults and counts by HTTP, the example.

--- /dev/null
+++ b/crates/standins/examples/platform.rs
@@ -0,0 +1,69 @@
+//! The platform's stand-in as a process: `platform --listen ADDRESS... [--seed N] [--appends-per-second N]
+//! [--keep-records N] [--keep-seconds N] [--list-lag-ms N]`.
+
+use std::{net::SocketAddr, process::ExitCode, sync::Arc, time::Duration};
+
+use lexopt::prelude::{Long, ValueExt};
+use mustardgate_standins::{
+    http::{HttpHandler, bind_all, serve_forever, wait_for_stop},
+    platform::{PlatformOptions, PlatformServer, RetentionPolicy},
+};
+
+#[derive(Debug)]
+struct Arguments {
+    listen: Vec<SocketAddr>,
+    options: PlatformOptions,
+}
+
+fn parse_arguments() -> Result<Arguments, lexopt::Error> {
+    let options = PlatformOptions {
+        seed: 1,
+        appends_per_second: 400.0,
+        retention: RetentionPolicy::default(),
+        list_lag: Duration::from_secs(1),
+    };
+    let mut arguments = Arguments {
+        listen: Vec::new(),
+        options,
+    };
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("listen") => arguments.listen.push(parser.value()?.parse()?),
+            Long("seed") => arguments.options.seed = parser.value()?.parse()?,
+            Long("appends-per-second") => arguments.options.appends_per_second = parser.value()?.parse()?,
+            Long("keep-records") => arguments.options.retention.max_records = Some(parser.value()?.parse()?),
+            Long("keep-seconds") => {
+                arguments.options.retention.max_age = Some(Duration::from_secs_f64(parser.value()?.parse()?));
+            }
+            Long("list-lag-ms") => arguments.options.list_lag = Duration::from_millis(parser.value()?.parse()?),
+            other => return Err(other.unexpected()),
+        }
+    }
+    if arguments.listen.is_empty() {
+        return Err("--listen is missing".into());
+    }
+    Ok(arguments)
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("platform: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+async fn run() -> Result<(), Box<dyn std::error::Error>> {
+    let arguments = parse_arguments()?;
+    let handler: Arc<dyn HttpHandler> = Arc::new(PlatformServer::new(arguments.options));
+    for listener in bind_all(&arguments.listen).await? {
+        println!("platform listens on {}", listener.local_addr()?);
+        tokio::spawn(serve_forever(listener, Arc::clone(&handler)));
+    }
+    wait_for_stop().await?;
+    Ok(())
+}
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -1,5 +1,18 @@
-//! Stand-in for the platform: an append-only log with retention and faults.
+//! Stand-in for the platform: an append-only log with retention and faults, and a lagging list of VMs.
 
 mod log;
+mod pacing;
+mod retention;
+mod server;
+mod vms;
 
-pub use self::log::{LogFaults, MemoryLog};
+pub use self::{
+    log::{LogFaults, MemoryLog},
+    pacing::AppendPacer,
+    retention::{RetentionPolicy, RetentionTracker},
+    server::{
+        FAULTS_PATH, ListFaults, PlatformFaults, PlatformOptions, PlatformServer, PlatformStats, STATS_PATH,
+        VMS_ADMIN_PATH,
+    },
+    vms::LaggingList,
+};
