Run a node: listeners, gateway, configuration follower, resource API, drain

Cause: the whole path needs a process between callers and backend servers. Change: settings with checked ranges, numbered events, HTTP server and client whose errors carry a verdict, adapters to the platform, engines and plain services, chat completions whole and streamed with resumption, calls to plain services retried by verdict, follower and submission tasks around the configuration decisions, resource API with watch, drain. Ruled out: the pooled client for plain calls, because a reused connection that the server closes leaves the verdict open.

--- /dev/null
+++ b/crates/mustardgate/src/cli/mod.rs
@@ -0,0 +1,107 @@
+//! Command line of the node.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use lexopt::prelude::{Long, Short, ValueExt};
+
+use crate::{
+    node::{StopOutcome, run_node},
+    settings::{NodeSettings, read_secret},
+};
+
+/// Exit code when settings or arguments are refused.
+const EXIT_USAGE: u8 = 2;
+/// Exit code when a drain was cut short.
+const EXIT_CUT: u8 = 3;
+
+const HELP: &str = "\
+mustardgate: a node of the serving system
+
+Usage: mustardgate --settings FILE [--check]
+
+  --settings FILE  settings of the node (docs/SETTINGS.md)
+  --check          check the settings and exit
+  --version        print the version
+  --help           print this text
+
+Exit codes: 0 stopped with every request finished; 1 could not start or run; 2 settings or arguments refused;
+3 stopped with requests ended early.
+";
+
+#[derive(Debug, Default)]
+struct NodeArguments {
+    settings: Option<PathBuf>,
+    is_check: bool,
+    text: Option<String>,
+}
+
+fn parse_arguments(mut parser: lexopt::Parser) -> Result<NodeArguments, lexopt::Error> {
+    let mut arguments = NodeArguments::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("settings") => arguments.settings = Some(parser.value()?.parse()?),
+            Long("check") => arguments.is_check = true,
+            Long("help") | Short('h') => arguments.text = Some(HELP.to_owned()),
+            Long("version") => arguments.text = Some(format!("mustardgate {}\n", env!("CARGO_PKG_VERSION"))),
+            other => return Err(other.unexpected()),
+        }
+    }
+    Ok(arguments)
+}
+
+/// Runs the program and returns its exit code.
+pub fn run() -> ExitCode {
+    match parse_arguments(lexopt::Parser::from_env()) {
+        Ok(NodeArguments { text: Some(text), .. }) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Ok(NodeArguments {
+            settings: Some(path),
+            is_check,
+            ..
+        }) => start(&path, is_check),
+        Ok(_) => usage_error("--settings FILE is needed"),
+        Err(error) => usage_error(&error.to_string()),
+    }
+}
+
+fn usage_error(message: &str) -> ExitCode {
+    eprintln!("mustardgate: {message}");
+    ExitCode::from(EXIT_USAGE)
+}
+
+fn start(path: &std::path::Path, is_check: bool) -> ExitCode {
+    let settings = match NodeSettings::load(path) {
+        Ok(settings) => settings,
+        Err(error) => return usage_error(&error.to_string()),
+    };
+    for key_file in [&settings.operators.key_file, &settings.peers.key_file] {
+        if let Err(error) = read_secret(key_file) {
+            return usage_error(&error.to_string());
+        }
+    }
+    if is_check {
+        println!("{}: settings are valid", path.display());
+        return ExitCode::SUCCESS;
+    }
+    run_runtime(settings)
+}
+
+fn run_runtime(settings: NodeSettings) -> ExitCode {
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("mustardgate: cannot start the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run_node(settings)) {
+        Ok(StopOutcome::Drained) => ExitCode::SUCCESS,
+        Ok(StopOutcome::Cut) => ExitCode::from(EXIT_CUT),
+        Err(error) => {
+            eprintln!("mustardgate: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardgate/src/configuration/directory.rs
@@ -0,0 +1,69 @@
+//! The configuration in force, as every task of the node reads it.
+
+use std::sync::{Arc, RwLock};
+
+use mustardgate_core::{
+    config::{ConfigReplica, ConfigView},
+    ids::Offset,
+};
+use tokio::sync::watch;
+
+/// The configuration in force, shared by all tasks of the node.
+#[derive(Debug)]
+pub struct ConfigDirectory {
+    replica: RwLock<ConfigReplica>,
+    view: RwLock<Option<Arc<ConfigView>>>,
+    applied: watch::Sender<Option<Offset>>,
+}
+
+impl ConfigDirectory {
+    /// Creates a directory that has loaded nothing.
+    pub fn new() -> Self {
+        Self {
+            replica: RwLock::new(ConfigReplica::new()),
+            view: RwLock::new(None),
+            applied: watch::Sender::new(None),
+        }
+    }
+
+    /// Returns the configuration in force.
+    ///
+    /// # Errors
+    /// The reason in words when none was loaded yet.
+    pub fn view(&self) -> Result<Arc<ConfigView>, String> {
+        let view = self.view.read().expect("no holder panics").clone();
+        view.ok_or_else(|| format!("{:?}", self.read(ConfigReplica::load_state)))
+    }
+
+    /// Reads the replica.
+    pub fn read<T>(&self, reader: impl FnOnce(&ConfigReplica) -> T) -> T {
+        reader(&self.replica.read().expect("no holder panics"))
+    }
+
+    /// Changes the replica, then publishes its view and offset.
+    pub fn update<T>(&self, change: impl FnOnce(&mut ConfigReplica) -> T) -> T {
+        let mut replica = self.replica.write().expect("no holder panics");
+        let result = change(&mut replica);
+        if replica.is_loaded() {
+            *self.view.write().expect("no holder panics") = Some(replica.view());
+        }
+        let applied = replica.applied_offset();
+        self.applied.send_if_modified(|offset| {
+            let is_new = *offset != applied;
+            *offset = applied;
+            is_new
+        });
+        result
+    }
+
+    /// Returns a receiver of the applied offset, which changes with every update.
+    pub fn watch_applied(&self) -> watch::Receiver<Option<Offset>> {
+        self.applied.subscribe()
+    }
+}
+
+impl Default for ConfigDirectory {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/mustardgate/src/events/mod.rs
@@ -0,0 +1,117 @@
+//! Numbered log events.
+//!
+//! [`ALL`] is the visible list; `docs/EVENTS.md` is its catalogue, and a test holds one against the other.
+
+use slog::{KV, Level, Logger};
+
+/// One kind of event, with a number that never changes its meaning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventKind {
+    /// Number of the event.
+    pub number: u16,
+    /// What happened, in a few words.
+    pub message: &'static str,
+    /// Severity.
+    pub level: Level,
+}
+
+const fn event(number: u16, level: Level, message: &'static str) -> EventKind {
+    EventKind { number, message, level }
+}
+
+/// The node has read its settings and begins to start.
+pub const STARTING: EventKind = event(100, Level::Info, "node starting");
+/// Every listener is open.
+pub const LISTENING: EventKind = event(101, Level::Info, "listeners open");
+/// A planned stop began.
+pub const DRAINING: EventKind = event(102, Level::Info, "drain began");
+/// The node has stopped.
+pub const STOPPED: EventKind = event(103, Level::Info, "node stopped");
+/// The drain limit or a second signal ended requests in flight.
+pub const DRAIN_CUT: EventKind = event(104, Level::Warning, "drain ended with requests in flight");
+/// A listener could not accept a connection.
+pub const ACCEPT_FAILED: EventKind = event(105, Level::Warning, "accept failed");
+/// The configuration was loaded for the first time.
+pub const CONFIG_LOADED: EventKind = event(200, Level::Info, "configuration loaded");
+/// A configuration change took effect.
+pub const CONFIG_APPLIED: EventKind = event(201, Level::Info, "configuration change in force");
+/// The platform's log did not answer.
+pub const LOG_UNAVAILABLE: EventKind = event(202, Level::Warning, "platform log unavailable");
+/// The platform's log answers again.
+pub const LOG_AVAILABLE: EventKind = event(203, Level::Info, "platform log available");
+/// The replica refused a record because an invariant would break.
+pub const CONFIG_INVARIANT: EventKind = event(204, Level::Error, "configuration invariant violated");
+/// A snapshot of the configuration was appended.
+pub const SNAPSHOT_WRITTEN: EventKind = event(205, Level::Info, "configuration snapshot written");
+/// The configuration was taken from a neighbour.
+pub const CONFIG_FROM_PEER: EventKind = event(206, Level::Info, "configuration taken from a neighbour");
+/// This node became the leader of its failure domain.
+pub const LEASE_GAINED: EventKind = event(300, Level::Info, "lease gained");
+/// This node is no longer the leader of its failure domain.
+pub const LEASE_LOST: EventKind = event(301, Level::Info, "lease lost");
+/// An order was sent to an engine.
+pub const ORDER_SENT: EventKind = event(302, Level::Info, "order sent");
+/// An order was not confirmed.
+pub const ORDER_FAILED: EventKind = event(303, Level::Warning, "order not confirmed");
+/// The memory ledger refused a step.
+pub const MEMORY_INVARIANT: EventKind = event(304, Level::Error, "memory invariant violated");
+/// A request was answered with an error.
+pub const REQUEST_FAILED: EventKind = event(400, Level::Debug, "request answered with an error");
+/// An attempt at a backend server failed.
+pub const ATTEMPT_FAILED: EventKind = event(401, Level::Debug, "attempt failed");
+/// A piece of an answer that belongs to another request or attempt was dropped.
+pub const ANSWER_DROPPED: EventKind = event(402, Level::Warning, "stray answer dropped");
+/// The platform's list of VMs did not answer.
+pub const LIST_UNAVAILABLE: EventKind = event(500, Level::Warning, "list of VMs unavailable");
+/// A peer is suspected.
+pub const PEER_SUSPECTED: EventKind = event(501, Level::Info, "peer suspected");
+/// A suspected peer answers again.
+pub const PEER_TRUSTED: EventKind = event(502, Level::Info, "peer trusted again");
+/// A peer showed no valid deployment key.
+pub const PEER_REFUSED: EventKind = event(503, Level::Warning, "peer refused");
+
+/// Every event, ordered by number.
+pub const ALL: &[EventKind] = &[
+    STARTING,
+    LISTENING,
+    DRAINING,
+    STOPPED,
+    DRAIN_CUT,
+    ACCEPT_FAILED,
+    CONFIG_LOADED,
+    CONFIG_APPLIED,
+    LOG_UNAVAILABLE,
+    LOG_AVAILABLE,
+    CONFIG_INVARIANT,
+    SNAPSHOT_WRITTEN,
+    CONFIG_FROM_PEER,
+    LEASE_GAINED,
+    LEASE_LOST,
+    ORDER_SENT,
+    ORDER_FAILED,
+    MEMORY_INVARIANT,
+    REQUEST_FAILED,
+    ATTEMPT_FAILED,
+    ANSWER_DROPPED,
+    LIST_UNAVAILABLE,
+    PEER_SUSPECTED,
+    PEER_TRUSTED,
+    PEER_REFUSED,
+];
+
+impl EventKind {
+    /// Writes the event with its number and further values.
+    pub fn write<T>(self, logger: &Logger, values: slog::OwnedKV<T>)
+    where
+        T: slog::SendSyncRefUnwindSafeKV + 'static,
+        slog::OwnedKV<T>: KV,
+    {
+        let number = self.number;
+        match self.level {
+            Level::Error | Level::Critical => slog::error!(logger, "{}", self.message; "event" => number, values),
+            Level::Warning => slog::warn!(logger, "{}", self.message; "event" => number, values),
+            Level::Info => slog::info!(logger, "{}", self.message; "event" => number, values),
+            Level::Debug | Level::Trace => slog::debug!(logger, "{}", self.message; "event" => number, values),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardgate/src/gateway/mod.rs
@@ -0,0 +1,65 @@
+//! The gateway: answers callers.
+
+mod chat;
+mod errors;
+mod models;
+mod request;
+mod services;
+mod tenants;
+
+use std::sync::Arc;
+
+use hyper::{Method, Request, Response, body::Incoming};
+use mustardgate_protocol::callers::{CHAT_PATH, MODELS_PATH, SERVICES_PREFIX};
+use slog::o;
+
+pub use self::{
+    errors::CallerError,
+    request::{bearer_digest, key_digest},
+};
+use crate::{context::NodeContext, events, http::AnswerBody};
+
+/// Answers one request of a caller; every fault becomes a typed error with its verdict.
+pub async fn answer_caller(context: Arc<NodeContext>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let flight = context.drain.enter();
+    let logger = context.logger.clone();
+    match route(context, request, flight).await {
+        Ok(response) => response,
+        Err(error) => {
+            events::REQUEST_FAILED.write(
+                &logger,
+                o!("code" => error.code(), "verdict" => error.verdict().to_string()),
+            );
+            error.to_response()
+        }
+    }
+}
+
+async fn route(
+    context: Arc<NodeContext>,
+    request: Request<Incoming>,
+    flight: crate::drain::FlightGuard,
+) -> Result<Response<AnswerBody>, CallerError> {
+    request::check_headers(request.headers(), &context.settings.callers)?;
+    let path = request.uri().path();
+    if path == CHAT_PATH {
+        require_method(request.method(), &Method::POST, "POST")?;
+        return chat::answer_chat(context, request, flight).await;
+    }
+    if path == MODELS_PATH {
+        require_method(request.method(), &Method::GET, "GET")?;
+        return models::list_models(&context, request.headers());
+    }
+    if path.starts_with(SERVICES_PREFIX) {
+        return services::answer_call(context, request).await;
+    }
+    Err(CallerError::UnknownPath)
+}
+
+fn require_method(method: &Method, allowed: &Method, name: &'static str) -> Result<(), CallerError> {
+    if method == allowed {
+        Ok(())
+    } else {
+        Err(CallerError::MethodNotAllowed { allowed: name })
+    }
+}
--- /dev/null
+++ b/crates/mustardgate/src/gateway/request.rs
@@ -0,0 +1,89 @@
+//! Reading of caller requests: limits, keys, deadlines and bodies.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::{HeaderMap, body::Incoming, header::AUTHORIZATION};
+use mustardgate_core::{clock, ids::IdempotencyKey};
+use mustardgate_protocol::callers::{DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER};
+use sha2::{Digest, Sha256};
+use smol_str::SmolStr;
+
+use super::errors::CallerError;
+use crate::{http::collect_body, settings::CallerSettings};
+
+/// Longest idempotency key in bytes.
+const MAX_KEY_BYTES: usize = 128;
+/// Longest deadline that a caller may state.
+const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
+
+/// Refuses a request with too many header fields.
+pub(super) fn check_headers(headers: &HeaderMap, settings: &CallerSettings) -> Result<(), CallerError> {
+    if headers.len() > settings.max_headers {
+        return Err(CallerError::TooManyHeaders {
+            limit: settings.max_headers,
+        });
+    }
+    Ok(())
+}
+
+/// Returns the digest of the bearer key, under which the tenant is declared.
+pub fn bearer_digest(headers: &HeaderMap) -> Option<SmolStr> {
+    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    let key = value.strip_prefix("Bearer ")?.trim();
+    (!key.is_empty()).then(|| key_digest(key))
+}
+
+/// Returns the lower-case hexadecimal SHA-256 digest of a key.
+pub fn key_digest(key: &str) -> SmolStr {
+    const HEX: &[u8; 16] = b"0123456789abcdef";
+    let mut text = String::with_capacity(64);
+    for byte in Sha256::digest(key.as_bytes()) {
+        text.push(char::from(HEX[usize::from(byte >> 4)]));
+        text.push(char::from(HEX[usize::from(byte & 15)]));
+    }
+    text.into()
+}
+
+/// Returns the moment by which the caller wants the whole answer.
+pub(super) fn read_deadline(headers: &HeaderMap, settings: &CallerSettings) -> Result<Instant, CallerError> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else {
+        return Ok(clock::now() + settings.default_deadline());
+    };
+    let invalid = |reason: &str| CallerError::InvalidHeader {
+        name: DEADLINE_HEADER,
+        reason: reason.to_owned(),
+    };
+    let text = value.to_str().map_err(|_error| invalid("it is not text"))?;
+    let millis: u64 = text
+        .parse()
+        .map_err(|_error| invalid("it is not a number of milliseconds"))?;
+    let deadline = Duration::from_millis(millis);
+    if deadline.is_zero() || deadline > MAX_DEADLINE {
+        return Err(invalid("it is not between 1 ms and 1 h"));
+    }
+    Ok(clock::now() + deadline)
+}
+
+/// Returns the caller's idempotency key, when there is one.
+pub(super) fn read_key(headers: &HeaderMap) -> Result<Option<IdempotencyKey>, CallerError> {
+    let Some(value) = headers.get(IDEMPOTENCY_KEY_HEADER) else {
+        return Ok(None);
+    };
+    let invalid = |reason: &str| CallerError::InvalidHeader {
+        name: IDEMPOTENCY_KEY_HEADER,
+        reason: reason.to_owned(),
+    };
+    let key = value.to_str().map_err(|_error| invalid("it is not visible ASCII"))?;
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        return Err(invalid("it must have 1 to 128 bytes"));
+    }
+    Ok(Some(key.into()))
+}
+
+/// Receives the body within the listener's limits.
+pub(super) async fn read_body(body: Incoming, settings: &CallerSettings) -> Result<Bytes, CallerError> {
+    collect_body(body, settings.max_body_bytes, settings.receive_timeout())
+        .await
+        .map_err(|source| CallerError::Body { source })
+}
--- /dev/null
+++ b/crates/mustardgate/src/gateway/tenants.rs
@@ -0,0 +1,73 @@
+//! Finds the tenant of a caller and what it may call.
+
+use std::{sync::Arc, time::Duration};
+
+use hyper::HeaderMap;
+use mustardgate_core::{
+    config::ConfigView,
+    ids::{ServiceId, TenantId},
+    resources::ServiceSpec,
+};
+
+use smol_str::SmolStr;
+
+use super::{errors::CallerError, request::bearer_digest};
+use crate::context::NodeContext;
+
+/// When a caller should come back while the node has no configuration.
+const NOT_READY_RETRY: Duration = Duration::from_secs(2);
+
+/// The configuration in force for one request, with the tenant that asks.
+#[derive(Clone, Debug)]
+pub(super) struct CallerScope {
+    /// The configuration in force.
+    pub view: Arc<ConfigView>,
+    /// The tenant.
+    pub tenant: TenantId,
+}
+
+/// Finds the tenant that the bearer key belongs to.
+pub(super) fn identify(context: &NodeContext, headers: &HeaderMap) -> Result<CallerScope, CallerError> {
+    let view = context.directory.view().map_err(|reason| CallerError::NotReady {
+        reason,
+        retry_after: NOT_READY_RETRY,
+    })?;
+    let digest = bearer_digest(headers).ok_or(CallerError::MissingKey)?;
+    let tenant = view.tenant_by_digest(&digest).cloned().ok_or(CallerError::WrongKey)?;
+    Ok(CallerScope { view, tenant })
+}
+
+impl CallerScope {
+    /// Returns a service that the tenant may call.
+    pub(super) fn service(&self, name: &str) -> Result<&ServiceSpec, CallerError> {
+        let spec = self
+            .view
+            .service(name)
+            .ok_or_else(|| CallerError::UnknownService { service: name.into() })?;
+        if self.may_call(name) {
+            Ok(spec)
+        } else {
+            Err(CallerError::ServiceForbidden { service: name.into() })
+        }
+    }
+
+    /// Returns the first service that uses the model and that the tenant may call.
+    pub(super) fn service_of_model(&self, model: &str) -> Result<ServiceId, CallerError> {
+        let services: Vec<&ServiceId> = self.view.services_of(&SmolStr::from(model)).collect();
+        if let Some(service) = services.iter().find(|service| self.may_call(service)) {
+            return Ok((*service).clone());
+        }
+        match services.first() {
+            Some(service) => Err(CallerError::ServiceForbidden {
+                service: (*service).clone(),
+            }),
+            None => Err(CallerError::UnknownModel { model: model.into() }),
+        }
+    }
+
+    fn may_call(&self, service: &str) -> bool {
+        self.view
+            .tenant(&self.tenant)
+            .is_some_and(|tenant| tenant.services.is_empty() || tenant.services.iter().any(|name| name == service))
+    }
+}
--- /dev/null
+++ b/crates/mustardgate/src/http/client.rs
@@ -0,0 +1,178 @@
+//! HTTP client of the adapters, whose errors say whether a request may have run.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue},
+};
+use hyper_util::{
+    client::legacy::{Client, Error as ClientError, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use mustardgate_core::verdict::RunVerdict;
+use snafu::Snafu;
+use tokio::time;
+
+use super::answer::{BodyError, collect_body};
+
+/// Idle connections are closed on our side before a server is likely to do so.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Client with pooled connections, or with a fresh connection for each call.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// Why a call got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum CallError {
+    /// No connection could be made, so no byte was sent.
+    #[snafu(display("no connection to {address}"))]
+    NotConnected {
+        /// Address of the server.
+        address: SocketAddr,
+    },
+    /// The request was sent, wholly or in part, and no answer came.
+    #[snafu(display("no answer from {address}"))]
+    Unanswered {
+        /// Address of the server.
+        address: SocketAddr,
+    },
+    /// The answer broke off or was too long.
+    #[snafu(display("broken answer from {address}"))]
+    BrokenAnswer {
+        /// Address of the server.
+        address: SocketAddr,
+    },
+}
+
+impl CallError {
+    /// Returns whether the request may have run.
+    pub fn verdict(self) -> RunVerdict {
+        match self {
+            Self::NotConnected { .. } => RunVerdict::NotRun,
+            Self::Unanswered { .. } | Self::BrokenAnswer { .. } => RunVerdict::MayHaveRun,
+        }
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct HttpReply {
+    /// Status.
+    pub status: StatusCode,
+    /// Header fields.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// An answer whose body is still to come.
+pub type StreamReply = Response<Incoming>;
+
+impl HttpClient {
+    /// Creates a client that keeps idle connections for further calls.
+    pub fn pooled(connect_timeout: Duration) -> Self {
+        Self::build(connect_timeout, usize::MAX)
+    }
+
+    /// Creates a client that makes a connection for each call: a reused one may be closed by the server while the
+    /// request is on its way, and then nobody knows whether it ran.
+    pub fn unpooled(connect_timeout: Duration) -> Self {
+        Self::build(connect_timeout, 0)
+    }
+
+    fn build(connect_timeout: Duration, max_idle: usize) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(connect_timeout));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_timer(TokioTimer::new())
+            .pool_max_idle_per_host(max_idle)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request and returns as soon as the head of the answer has come.
+    ///
+    /// # Errors
+    /// [`CallError`], whose verdict says whether the request may have run.
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<StreamReply, CallError> {
+        let (mut head, body) = request.into_parts();
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        head.uri = format!("http://{address}{path}").parse::<Uri>().unwrap_or_default();
+        let request = Request::from_parts(head, body);
+        match time::timeout(timeout, self.client.request(request)).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(error)) => Err(classify(&error, address)),
+            Err(_) => Err(CallError::Unanswered { address }),
+        }
+    }
+
+    /// Sends a request and receives the whole answer.
+    ///
+    /// # Errors
+    /// [`CallError`], whose verdict says whether the request may have run.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+        max_bytes: usize,
+    ) -> Result<HttpReply, CallError> {
+        let reply = self.open(address, request, timeout).await?;
+        let (head, body) = reply.into_parts();
+        let body = collect_body(body, max_bytes, timeout)
+            .await
+            .map_err(|error| match error {
+                BodyError::TooLong { .. } | BodyError::TooSlow { .. } | BodyError::Broken => {
+                    CallError::BrokenAnswer { address }
+                }
+            })?;
+        Ok(HttpReply {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
+    }
+}
+
+fn classify(error: &ClientError, address: SocketAddr) -> CallError {
+    if error.is_connect() {
+        CallError::NotConnected { address }
+    } else {
+        CallError::Unanswered { address }
+    }
+}
+
+/// Builds a request with a JSON body.
+pub(crate) fn json_request<T: serde::Serialize>(method: Method, path: &str, value: &T) -> Request<Full<Bytes>> {
+    let text = serde_json::to_vec(value).expect("messages have no map with keys other than text");
+    let mut request = Request::new(Full::new(Bytes::from(text)));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().expect("paths are written in the protocol package");
+    request
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    request
+}
+
+/// Builds a request without a body.
+pub(crate) fn plain_request(method: Method, path: &str) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().expect("paths are written in the protocol package");
+    request
+}
--- /dev/null
+++ b/crates/mustardgate/src/http/mod.rs
@@ -0,0 +1,14 @@
+//! HTTP plumbing shared by the listeners and the adapters.
+
+mod answer;
+mod client;
+mod server;
+
+pub(crate) use self::client::{json_request, plain_request};
+pub use self::{
+    answer::{
+        AnswerBody, BodyError, bytes_answer, collect_body, empty_answer, json_answer, streamed_answer, text_answer,
+    },
+    client::{CallError, HttpClient, HttpReply, StreamReply},
+    server::{ConnectionLimits, serve_connections},
+};
--- a/crates/mustardgate/src/lib.rs
+++ b/crates/mustardgate/src/lib.rs
@@ -1,1 +1,18 @@
 //! The node: adapters and tasks around the decisions of `mustardgate_core`.
+
+pub mod backends;
+pub mod cli;
+pub mod configuration;
+pub mod context;
+pub mod dispatch;
+pub mod drain;
+pub mod events;
+pub mod gateway;
+pub mod http;
+pub mod logging;
+pub mod node;
+pub mod operator;
+pub mod platform;
+pub mod runners;
+pub mod settings;
+pub mod telemetry;
--- a/crates/mustardgate/src/main.rs
+++ b/crates/mustardgate/src/main.rs
@@ -1,3 +1,7 @@
 //! The `mustardgate` program; everything is in the library.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    mustardgate::cli::run()
+}
--- /dev/null
+++ b/crates/mustardgate/src/node/mod.rs
@@ -0,0 +1,125 @@
+//! Starts the node's tasks and listeners, and stops them in order.
+
+mod build;
+mod stop;
+mod tasks;
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use mustardgate_core::ids::NodeId;
+use slog::o;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+pub use self::build::build_context;
+use crate::{
+    context::NodeContext,
+    events,
+    gateway::{answer_caller, key_digest},
+    http::{ConnectionLimits, serve_connections},
+    logging::build_logger,
+    operator::{OperatorContext, answer_operator},
+    settings::{NodeSettings, SettingsError, read_secret},
+    telemetry::install_recorder,
+};
+
+/// Operators' connections open at once.
+const MAX_OPERATOR_CONNECTIONS: usize = 256;
+
+/// Why a node did not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// The settings or a secret's file were refused.
+    #[snafu(display("{source}"), context(false))]
+    Settings {
+        /// Cause.
+        source: SettingsError,
+    },
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// A signal handler or the metrics recorder could not be set up.
+    #[snafu(display("cannot start: {reason}"))]
+    Environment {
+        /// What failed.
+        reason: String,
+    },
+}
+
+/// How a node stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopOutcome {
+    /// Every request in flight was finished.
+    Drained,
+    /// Requests in flight were ended with their verdicts.
+    Cut,
+}
+
+/// Runs a node until a signal stops it.
+///
+/// # Errors
+/// [`StartError`] when the node could not start.
+pub async fn run_node(settings: NodeSettings) -> Result<StopOutcome, StartError> {
+    let logger = build_logger(&settings.logging, &settings.node.name);
+    let identity: NodeId = settings.node.name.clone();
+    events::STARTING.write(&logger, o!("domain" => settings.node.domain.to_string()));
+    let metrics = install_recorder().map_err(|reason| StartError::Environment { reason })?;
+    let operator_key = read_secret(&settings.operators.key_file)?;
+    let caller_listener = listen(settings.callers.listen).await?;
+    let operator_listener = listen(settings.operators.listen).await?;
+    let node = build_context(settings, logger);
+    let operator = Arc::new(OperatorContext {
+        node: Arc::clone(&node),
+        metrics,
+        key_digest: key_digest(&operator_key),
+    });
+    let mut signals = stop::StopSignals::install()?;
+    let shutdown = CancellationToken::new();
+    let tracker = TaskTracker::new();
+    tasks::spawn_tasks(&node, &tracker, &shutdown);
+    let callers = tokio::spawn(serve_callers(Arc::clone(&node), caller_listener));
+    tracker.spawn(serve_operators(operator, operator_listener, shutdown.clone()));
+    events::LISTENING.write(&node.logger, o!("node" => identity.to_string()));
+    signals.next().await;
+    let outcome = stop::drain_node(&node, &mut signals).await;
+    // The callers' connections end by themselves once no request is in flight.
+    drop(tokio::time::timeout(stop::CLOSE_LIMIT, callers).await);
+    shutdown.cancel();
+    tracker.close();
+    drop(tokio::time::timeout(stop::CLOSE_LIMIT, tracker.wait()).await);
+    events::STOPPED.write(&node.logger, o!("outcome" => format!("{outcome:?}")));
+    Ok(outcome)
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+async fn serve_callers(node: Arc<NodeContext>, listener: TcpListener) {
+    let settings = &node.settings.callers;
+    let limits = ConnectionLimits {
+        max_connections: settings.max_connections,
+        head_timeout: settings.receive_timeout(),
+    };
+    let closing = node.drain.closing();
+    let logger = node.logger.clone();
+    let handler = move |request| answer_caller(Arc::clone(&node), request);
+    serve_connections(listener, handler, limits, closing, logger).await;
+}
+
+async fn serve_operators(operator: Arc<OperatorContext>, listener: TcpListener, shutdown: CancellationToken) {
+    let head_timeout = operator.node.settings.callers.receive_timeout();
+    let limits = ConnectionLimits {
+        max_connections: MAX_OPERATOR_CONNECTIONS,
+        head_timeout,
+    };
+    let logger = operator.node.logger.clone();
+    let handler = move |request| answer_operator(Arc::clone(&operator), request);
+    serve_connections(listener, handler, limits, shutdown, logger).await;
+}
--- /dev/null
+++ b/crates/mustardgate/src/platform/list.rs
@@ -0,0 +1,48 @@
+//! The platform's list of VMs over HTTP.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_trait::async_trait;
+use hyper::{Method, StatusCode};
+use mustardgate_core::ports::{ListError, LiveList, VmEntry};
+use mustardgate_protocol::platform::VMS_PATH;
+
+use crate::http::{HttpClient, plain_request};
+
+/// Largest list accepted, in bytes.
+const MAX_LIST_BYTES: usize = 8 << 20;
+
+/// The platform's list of VMs over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpLiveList {
+    client: HttpClient,
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+impl HttpLiveList {
+    /// Creates the adapter; nothing is sent yet.
+    pub fn new(client: HttpClient, address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            client,
+            address,
+            timeout,
+        }
+    }
+}
+
+#[async_trait]
+impl LiveList for HttpLiveList {
+    async fn fetch(&self) -> Result<Vec<VmEntry>, ListError> {
+        let request = plain_request(Method::GET, VMS_PATH);
+        let reply = self
+            .client
+            .call(self.address, request, self.timeout, MAX_LIST_BYTES)
+            .await
+            .map_err(|_error| ListError)?;
+        if reply.status != StatusCode::OK {
+            return Err(ListError);
+        }
+        serde_json::from_slice(&reply.body).map_err(|_error| ListError)
+    }
+}
--- /dev/null
+++ b/crates/mustardgate/src/platform/mod.rs
@@ -0,0 +1,6 @@
+//! Adapters to the platform's log and list of VMs over HTTP.
+
+mod list;
+mod log;
+
+pub use self::{list::HttpLiveList, log::HttpPlatformLog};
--- /dev/null
+++ b/crates/mustardgate/src/runners/board.rs
@@ -0,0 +1,100 @@
+//! The latest report of each runner, with an index by artifact.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::RwLock,
+    time::Instant,
+};
+
+use mustardgate_core::{ids::BackendId, log::Artifact, ports::EngineReport};
+
+/// The latest report of each runner, shared by all tasks of the node.
+#[derive(Debug, Default)]
+pub struct RunnerBoard {
+    state: RwLock<BoardState>,
+}
+
+#[derive(Debug, Default)]
+struct BoardState {
+    entries: BTreeMap<BackendId, BoardEntry>,
+    ready: BTreeMap<Artifact, BTreeSet<BackendId>>,
+}
+
+/// One runner's report and when it was received.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BoardEntry {
+    /// The report.
+    pub report: EngineReport,
+    /// When it was received.
+    pub received: Instant,
+}
+
+impl RunnerBoard {
+    /// Replaces the report of a runner.
+    pub fn update(&self, backend: &BackendId, report: EngineReport, received: Instant) {
+        let mut state = self.state.write().expect("no holder panics");
+        state.unlink(backend);
+        for resident in report.resident.iter().filter(|resident| resident.is_ready) {
+            state
+                .ready
+                .entry(resident.artifact.clone())
+                .or_default()
+                .insert(backend.clone());
+        }
+        state.entries.insert(backend.clone(), BoardEntry { report, received });
+    }
+
+    /// Forgets runners that are no longer declared.
+    pub fn retain(&self, is_declared: impl Fn(&BackendId) -> bool) {
+        let mut state = self.state.write().expect("no holder panics");
+        let gone: Vec<BackendId> = state
+            .entries
+            .keys()
+            .filter(|backend| !is_declared(backend))
+            .cloned()
+            .collect();
+        for backend in gone {
+            state.unlink(&backend);
+            state.entries.remove(&backend);
+        }
+    }
+
+    /// Returns the runners that answer for an artifact.
+    pub fn ready(&self, artifact: &Artifact) -> Vec<BackendId> {
+        let state = self.state.read().expect("no holder panics");
+        state
+            .ready
+            .get(artifact)
+            .map(|backends| backends.iter().cloned().collect())
+            .unwrap_or_default()
+    }
+
+    /// Returns the latest entry of a runner.
+    pub fn entry(&self, backend: &BackendId) -> Option<BoardEntry> {
+        self.state
+            .read()
+            .expect("no holder panics")
+            .entries
+            .get(backend)
+            .cloned()
+    }
+
+    /// Returns the number of runners that answer for each artifact.
+    pub fn replica_counts(&self) -> BTreeMap<Artifact, usize> {
+        let state = self.state.read().expect("no holder panics");
+        state
+            .ready
+            .iter()
+            .map(|(artifact, backends)| (artifact.clone(), backends.len()))
+            .collect()
+    }
+}
+
+impl BoardState {
+    fn unlink(&mut self, backend: &BackendId) {
+        self.ready.retain(|_, backends| {
+            backends.remove(backend);
+            !backends.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/crates/mustardgate/src/settings/callers.rs
@@ -0,0 +1,91 @@
+//! Settings of the callers' listener.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::Deserialize;
+
+use super::RangeCheck;
+
+/// The callers' listener and its limits.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerSettings {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Largest request body in bytes.
+    #[serde(default = "default_max_body_bytes")]
+    pub max_body_bytes: usize,
+    /// Largest number of header fields.
+    #[serde(default = "default_max_headers")]
+    pub max_headers: usize,
+    /// Time within which a whole request must have arrived, in milliseconds.
+    #[serde(default = "default_receive_timeout_ms")]
+    pub receive_timeout_ms: u64,
+    /// Time for a whole answer when the caller states none, in milliseconds.
+    #[serde(default = "default_deadline_ms")]
+    pub default_deadline_ms: u64,
+    /// Connections open at once.
+    #[serde(default = "default_max_connections")]
+    pub max_connections: usize,
+    /// Requests waiting in the queue.
+    #[serde(default = "default_max_queued")]
+    pub max_queued: usize,
+    /// Bytes of the requests waiting in the queue.
+    #[serde(default = "default_max_queued_bytes")]
+    pub max_queued_bytes: usize,
+}
+
+fn default_max_body_bytes() -> usize {
+    1 << 20
+}
+
+fn default_max_headers() -> usize {
+    64
+}
+
+fn default_receive_timeout_ms() -> u64 {
+    10_000
+}
+
+fn default_deadline_ms() -> u64 {
+    30_000
+}
+
+fn default_max_connections() -> usize {
+    4_096
+}
+
+fn default_max_queued() -> usize {
+    1_024
+}
+
+fn default_max_queued_bytes() -> usize {
+    16 << 20
+}
+
+impl CallerSettings {
+    /// Returns the time within which a whole request must have arrived.
+    pub fn receive_timeout(&self) -> Duration {
+        Duration::from_millis(self.receive_timeout_ms)
+    }
+
+    /// Returns the time for a whole answer when the caller states none.
+    pub fn default_deadline(&self) -> Duration {
+        Duration::from_millis(self.default_deadline_ms)
+    }
+
+    pub(super) fn check(&self, check: &mut RangeCheck) {
+        check.within("callers", "max_body_bytes", self.max_body_bytes, 1_024..=64 << 20);
+        check.within("callers", "max_headers", self.max_headers, 8..=256);
+        check.within("callers", "receive_timeout_ms", self.receive_timeout_ms, 100..=120_000);
+        check.within(
+            "callers",
+            "default_deadline_ms",
+            self.default_deadline_ms,
+            100..=3_600_000,
+        );
+        check.within("callers", "max_connections", self.max_connections, 1..=100_000);
+        check.within("callers", "max_queued", self.max_queued, 1..=100_000);
+        check.within("callers", "max_queued_bytes", self.max_queued_bytes, 1_024..=1 << 30);
+    }
+}
--- /dev/null
+++ b/crates/mustardgate/src/settings/drain.rs
@@ -0,0 +1,43 @@
+//! Settings of a planned stop.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use super::RangeCheck;
+
+/// How a planned stop goes.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct DrainSettings {
+    /// Time between being not ready and refusing new connections, in milliseconds, so that the balancer can follow.
+    pub grace_ms: u64,
+    /// Time after which requests still in flight are ended with their verdicts, in milliseconds.
+    pub limit_ms: u64,
+}
+
+impl Default for DrainSettings {
+    fn default() -> Self {
+        Self {
+            grace_ms: 1_000,
+            limit_ms: 60_000,
+        }
+    }
+}
+
+impl DrainSettings {
+    /// Returns the time between being not ready and refusing new connections.
+    pub fn grace(&self) -> Duration {
+        Duration::from_millis(self.grace_ms)
+    }
+
+    /// Returns the time after which requests still in flight are ended.
+    pub fn limit(&self) -> Duration {
+        Duration::from_millis(self.limit_ms)
+    }
+
+    pub(super) fn check(&self, check: &mut RangeCheck) {
+        check.within("drain", "grace_ms", self.grace_ms, 0..=60_000);
+        check.within("drain", "limit_ms", self.limit_ms, 100..=3_600_000);
+    }
+}
--- /dev/null
+++ b/crates/mustardgate/src/settings/node.rs
@@ -0,0 +1,26 @@
+//! Settings of the node's identity.
+
+use mustardgate_core::ids::{DomainId, NodeId, RegionId};
+use serde::Deserialize;
+
+use super::RangeCheck;
+
+/// Who and where the node is.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct IdentitySettings {
+    /// Name of the entry VM, unique in the deployment.
+    pub name: NodeId,
+    /// Failure domain the VM stands in.
+    pub domain: DomainId,
+    /// Region of the failure domain.
+    pub region: RegionId,
+}
+
+impl IdentitySettings {
+    pub(super) fn check(&self, check: &mut RangeCheck) {
+        check.not_empty("node", "name", &self.name);
+        check.not_empty("node", "domain", &self.domain);
+        check.not_empty("node", "region", &self.region);
+    }
+}
