Add admission, routing and retry decisions

Cause: the gateway needs the decisions of the request path: whether a request can be answered in time, which runner answers it, and what follows a failed attempt.

Ruled out: first come first served (one tenant fills the queue), a token bucket a tenant (idle capacity is wasted), the minimum of reported loads (every node with the same stale report picks the same runner), retries bounded by count alone (they amplify an outage).

Change: AdmissionQueue (feasibility before queueing, classes, deficit round robin by tenant, earliest deadline, bounds, shedding, expiry), RunnerSelector (locality, adaptive limit, two choices, bounded-load prefix affinity), RetryBudget and AttemptPlan.

--- /dev/null
+++ b/crates/mustardgate-core/src/admission/lane.rs
@@ -0,0 +1,151 @@
+//! One priority class of one pool: deficit round robin over tenants, earliest deadline first within a tenant.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Instant,
+};
+
+use super::QueuedRequest;
+use crate::ids::TenantId;
+
+/// Position within a tenant's queue: deadline first, then arrival.
+pub(super) type EntryKey = (Instant, u64);
+
+/// Requests of one class that wait for the same pool of runners.
+#[derive(Debug, Default)]
+pub(super) struct ClassLane {
+    tenants: BTreeMap<TenantId, TenantQueue>,
+    round: VecDeque<TenantId>,
+    len: usize,
+}
+
+#[derive(Debug, Default)]
+struct TenantQueue {
+    entries: BTreeMap<EntryKey, QueuedRequest>,
+    weight: u32,
+    deficit: u64,
+}
+
+impl TenantQueue {
+    fn backlog_per_weight(&self) -> f64 {
+        self.entries.len() as f64 / f64::from(self.weight.max(1))
+    }
+}
+
+/// The tenant whose backlog is largest for its weight.
+#[derive(Debug)]
+pub(super) struct LargestBacklog {
+    pub(super) tenant: TenantId,
+    pub(super) per_weight: f64,
+}
+
+impl ClassLane {
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(super) fn insert(&mut self, key: EntryKey, request: QueuedRequest) {
+        let tenant = request.tenant.clone();
+        let queue = self.tenants.entry(tenant.clone()).or_default();
+        queue.weight = request.weight.max(1);
+        if queue.entries.is_empty() {
+            self.round.push_back(tenant);
+        }
+        queue.entries.insert(key, request);
+        self.len += 1;
+    }
+
+    /// Takes the request whose turn it is.
+    pub(super) fn pop(&mut self) -> Option<(EntryKey, QueuedRequest)> {
+        loop {
+            let tenant = self.round.front()?.clone();
+            let queue = self.tenants.get_mut(&tenant)?;
+            let cost = u64::from(queue.entries.first_key_value()?.1.cost.max(1));
+            if queue.deficit >= cost {
+                queue.deficit -= cost;
+                let key = *queue.entries.first_key_value()?.0;
+                let request = self.remove(&tenant, key)?;
+                self.end_turn(&tenant);
+                return Some((key, request));
+            }
+            queue.deficit += u64::from(queue.weight);
+            if queue.deficit < cost {
+                self.round.rotate_left(1);
+            }
+        }
+    }
+
+    /// Passes the turn on when the tenant's deficit does not pay for its next request.
+    fn end_turn(&mut self, tenant: &TenantId) {
+        let Some(queue) = self.tenants.get(tenant) else { return };
+        let next_cost = queue.entries.first_key_value().map_or(1, |(_, next)| next.cost.max(1));
+        if queue.deficit < u64::from(next_cost) {
+            self.round.rotate_left(1);
+        }
+    }
+
+    /// Removes one request, and the tenant's place in the round with its last request.
+    pub(super) fn remove(&mut self, tenant: &TenantId, key: EntryKey) -> Option<QueuedRequest> {
+        let queue = self.tenants.get_mut(tenant)?;
+        let request = queue.entries.remove(&key)?;
+        self.len -= 1;
+        if queue.entries.is_empty() {
+            self.tenants.remove(tenant);
+            self.round.retain(|waiting| waiting != tenant);
+        }
+        Some(request)
+    }
+
+    /// Returns how many requests of this lane are served before the one at `index` of a tenant's queue.
+    pub(super) fn position(&self, tenant: &TenantId, weight: u32, index: usize) -> usize {
+        let queued = self.tenants.get(tenant);
+        let others: u64 = self
+            .tenants
+            .iter()
+            .filter(|(name, _)| *name != tenant)
+            .map(|(_, queue)| {
+                let rounds = (index as u64 + 1).div_ceil(u64::from(weight.max(1)));
+                (rounds * u64::from(queue.weight)).min(queue.entries.len() as u64)
+            })
+            .sum();
+        index.min(queued.map_or(0, |queue| queue.entries.len())) + others as usize
+    }
+
+    /// Returns how many requests of a tenant have an earlier deadline than `deadline`.
+    pub(super) fn index_of(&self, tenant: &TenantId, deadline: Instant) -> usize {
+        self.tenants
+            .get(tenant)
+            .map_or(0, |queue| queue.entries.range(..=(deadline, u64::MAX)).count())
+    }
+
+    pub(super) fn backlog_per_weight(&self, tenant: &TenantId, weight: u32, added: usize) -> f64 {
+        let queued = self.tenants.get(tenant).map_or(0, |queue| queue.entries.len());
+        (queued + added) as f64 / f64::from(weight.max(1))
+    }
+
+    pub(super) fn largest_backlog(&self) -> Option<LargestBacklog> {
+        self.tenants
+            .iter()
+            .map(|(tenant, queue)| LargestBacklog {
+                tenant: tenant.clone(),
+                per_weight: queue.backlog_per_weight(),
+            })
+            .max_by(|left, right| left.per_weight.total_cmp(&right.per_weight))
+    }
+
+    /// Returns the last request of a tenant, which is the one that gives way first.
+    pub(super) fn last_key(&self, tenant: &TenantId) -> Option<EntryKey> {
+        self.tenants.get(tenant)?.entries.last_key_value().map(|(key, _)| *key)
+    }
+
+    /// Lists every request with its tenant's weight and its index in the tenant's queue.
+    pub(super) fn indexed(&self) -> impl Iterator<Item = (EntryKey, usize, &QueuedRequest)> {
+        self.tenants.values().flat_map(|queue| {
+            queue
+                .entries
+                .iter()
+                .enumerate()
+                .map(|(index, (key, request))| (*key, index, request))
+        })
+    }
+}
--- a/crates/mustardgate-core/src/admission/mod.rs
+++ b/crates/mustardgate-core/src/admission/mod.rs
@@ -1,1 +1,15 @@
 //! Admission and queueing of requests at one node.
+//!
+//! A request is admitted only when its deadline can be met with the load known at that moment; otherwise its caller is
+//! told at once when to come back. See `docs/design/routing.md`.
+
+mod lane;
+mod load;
+mod queue;
+mod refusal;
+
+pub use self::{
+    load::PoolLoad,
+    queue::{AdmissionLimits, AdmissionOutcome, AdmissionQueue, PoolId, QueueViolation, QueuedRequest},
+    refusal::{Refusal, RefusalReason, RefusedRequest},
+};
--- /dev/null
+++ b/crates/mustardgate-core/src/admission/queue.rs
@@ -0,0 +1,392 @@
+//! The queue of one node, bounded in length and bytes.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smol_str::SmolStr;
+use snafu::Snafu;
+
+use super::{
+    PoolLoad, Refusal, RefusalReason, RefusedRequest,
+    lane::{ClassLane, EntryKey},
+};
+use crate::{
+    ids::{RequestId, TenantId},
+    resources::PriorityClass,
+    verdict::RunVerdict,
+};
+
+const RETRY_AFTER_MIN_MS: u64 = 100;
+const RETRY_AFTER_MAX_MS: u64 = 30_000;
+const RETRY_AFTER_JITTER_RATIO: f64 = 0.5;
+
+/// Name of the runners that a request waits for: a model, or a plain service.
+pub type PoolId = SmolStr;
+
+/// Bounds of the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionLimits {
+    /// Requests that may wait.
+    pub max_requests: usize,
+    /// Bytes that waiting requests may hold.
+    pub max_bytes: usize,
+}
+
+impl Default for AdmissionLimits {
+    fn default() -> Self {
+        Self {
+            max_requests: 4_096,
+            max_bytes: 32 * 1_024 * 1_024,
+        }
+    }
+}
+
+/// A request that waits to be dispatched.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueuedRequest {
+    /// Identifier of the request.
+    pub request: RequestId,
+    /// Runners that it waits for.
+    pub pool: PoolId,
+    /// Tenant it belongs to.
+    pub tenant: TenantId,
+    /// Weight of the tenant.
+    pub weight: u32,
+    /// Priority class.
+    pub class: PriorityClass,
+    /// Time by which the first token or the answer is wanted.
+    pub deadline: Instant,
+    /// Memory that the request holds while it waits.
+    pub bytes: usize,
+    /// Work relative to other requests; one for an ordinary request.
+    pub cost: u32,
+}
+
+/// What became of a request that was offered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdmissionOutcome {
+    /// The refusal, or `None` when the request waits in the queue.
+    pub refusal: Option<Refusal>,
+    /// Requests that gave way to it and whose callers are to be told now.
+    pub shed: Vec<RefusedRequest>,
+}
+
+/// A bound that the queue would have broken; the request concerned is not queued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum QueueViolation {
+    /// The length or the bytes would exceed their bounds after making room.
+    #[snafu(display("the queue would hold {requests} requests and {bytes} bytes"))]
+    BoundExceeded {
+        /// Requests that the queue would hold.
+        requests: usize,
+        /// Bytes that it would hold.
+        bytes: usize,
+    },
+}
+
+#[derive(Debug, Default)]
+struct PoolQueue {
+    lanes: [ClassLane; PriorityClass::ALL.len()],
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ExpiryEntry {
+    latest_start: Instant,
+    sequence: u64,
+    key: EntryKey,
+    pool: PoolId,
+    class: PriorityClass,
+    tenant: TenantId,
+}
+
+/// Requests of one node that wait for a runner.
+///
+/// Each pool of runners has its own lanes, so that a busy model does not hold up an idle one; the bounds hold for all
+/// pools together.
+#[derive(Debug)]
+pub struct AdmissionQueue {
+    limits: AdmissionLimits,
+    pools: BTreeMap<PoolId, PoolQueue>,
+    expiries: BTreeSet<ExpiryEntry>,
+    latest_starts: BTreeMap<u64, Instant>,
+    len: usize,
+    bytes: usize,
+    sequence: u64,
+    rng: ChaCha8Rng,
+}
+
+impl AdmissionQueue {
+    /// Creates an empty queue; `seed` drives only the jitter of the time to come back.
+    pub fn new(limits: AdmissionLimits, seed: u64) -> Self {
+        Self {
+            limits,
+            pools: BTreeMap::new(),
+            expiries: BTreeSet::new(),
+            latest_starts: BTreeMap::new(),
+            len: 0,
+            bytes: 0,
+            sequence: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Returns how many bytes waiting requests hold.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns how many requests wait for one pool.
+    pub fn pool_len(&self, pool: &PoolId) -> usize {
+        self.pools
+            .get(pool)
+            .map_or(0, |queue| queue.lanes.iter().map(ClassLane::len).sum())
+    }
+
+    /// Queues a request if its deadline can be met, and refuses it at once otherwise.
+    ///
+    /// # Errors
+    /// [`QueueViolation`] when making room did not keep the bounds; the request is not queued.
+    pub fn offer(
+        &mut self,
+        now: Instant,
+        request: QueuedRequest,
+        load: &PoolLoad,
+    ) -> Result<AdmissionOutcome, QueueViolation> {
+        let wait = self.expected_wait(&request, load);
+        let Some(wait) = wait else {
+            return Ok(self.refused(RefusalReason::NoCapacity, load.hold_time));
+        };
+        if now + wait + load.answer_time > request.deadline {
+            return Ok(self.refused(RefusalReason::DeadlineInfeasible, wait));
+        }
+        let mut shed = Vec::new();
+        while !self.has_room(&request) {
+            let Some(victim) = self.shed_one(&request, wait) else {
+                let mut outcome = self.refused(RefusalReason::QueueFull, wait);
+                outcome.shed = shed;
+                return Ok(outcome);
+            };
+            shed.push(victim);
+        }
+        self.insert(request, load)?;
+        Ok(AdmissionOutcome { refusal: None, shed })
+    }
+
+    /// Takes the next request for a pool that has a free slot; call [`Self::expire`] first, which answers those whose
+    /// time has passed.
+    pub fn take(&mut self, pool: &PoolId) -> Option<QueuedRequest> {
+        let lanes = &mut self.pools.get_mut(pool)?.lanes;
+        let (key, request) = lanes.iter_mut().find_map(ClassLane::pop)?;
+        self.forget(key, &request);
+        if self.pool_len(pool) == 0 {
+            self.pools.remove(pool);
+        }
+        Some(request)
+    }
+
+    /// Returns the earliest time at which [`Self::expire`] has something to answer.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.expiries.first().map(|entry| entry.latest_start)
+    }
+
+    /// Removes requests that can no longer be answered in time, so that their callers are told while it still helps.
+    pub fn expire(&mut self, now: Instant) -> Vec<RefusedRequest> {
+        let mut refused = Vec::new();
+        while self.expiries.first().is_some_and(|entry| entry.latest_start < now) {
+            let Some(entry) = self.expiries.first().cloned() else {
+                break;
+            };
+            if let Some(request) = self.remove(&entry.pool, entry.class, &entry.tenant, entry.key) {
+                let refusal = self.refusal(RefusalReason::Expired, Duration::ZERO);
+                refused.push(RefusedRequest { request, refusal });
+            } else {
+                self.expiries.remove(&entry);
+            }
+        }
+        refused
+    }
+
+    /// Refuses queued requests of a pool that a change of load has made infeasible, the lowest class first.
+    pub fn review(&mut self, now: Instant, pool: &PoolId, load: &PoolLoad) -> Vec<RefusedRequest> {
+        let mut refused = Vec::new();
+        for class in PriorityClass::ALL.into_iter().rev() {
+            for (tenant, key, wait) in self.infeasible(now, pool, class, load) {
+                if let Some(request) = self.remove(pool, class, &tenant, key) {
+                    let refusal = self.refusal(RefusalReason::Shed, wait);
+                    refused.push(RefusedRequest { request, refusal });
+                }
+            }
+        }
+        refused
+    }
+
+    fn infeasible(
+        &self,
+        now: Instant,
+        pool: &PoolId,
+        class: PriorityClass,
+        load: &PoolLoad,
+    ) -> Vec<(TenantId, EntryKey, Duration)> {
+        let Some(queue) = self.pools.get(pool) else {
+            return Vec::new();
+        };
+        let urgent = queue.urgent_len(class);
+        let lane = &queue.lanes[class as usize];
+        let mut found = Vec::new();
+        // Every removal shortens the wait of those behind it, so a tenant's index counts only requests that stay.
+        let mut removed: BTreeMap<&TenantId, usize> = BTreeMap::new();
+        for (key, index, request) in lane.indexed() {
+            let gone = removed.entry(&request.tenant).or_default();
+            let ahead = urgent + lane.position(&request.tenant, request.weight, index - *gone);
+            let wait = load
+                .expected_wait(ahead)
+                .unwrap_or(Duration::from_millis(RETRY_AFTER_MAX_MS));
+            if now + wait + load.answer_time > request.deadline {
+                *gone += 1;
+                found.push((request.tenant.clone(), key, wait));
+            }
+        }
+        found
+    }
+
+    fn expected_wait(&self, request: &QueuedRequest, load: &PoolLoad) -> Option<Duration> {
+        let ahead = self.pools.get(&request.pool).map_or(0, |queue| {
+            let lane = &queue.lanes[request.class as usize];
+            let index = lane.index_of(&request.tenant, request.deadline);
+            queue.urgent_len(request.class) + lane.position(&request.tenant, request.weight, index)
+        });
+        load.expected_wait(ahead)
+    }
+
+    fn has_room(&self, request: &QueuedRequest) -> bool {
+        self.len < self.limits.max_requests && self.bytes + request.bytes <= self.limits.max_bytes
+    }
+
+    fn insert(&mut self, request: QueuedRequest, load: &PoolLoad) -> Result<(), QueueViolation> {
+        if !self.has_room(&request) {
+            return Err(QueueViolation::BoundExceeded {
+                requests: self.len + 1,
+                bytes: self.bytes + request.bytes,
+            });
+        }
+        self.sequence += 1;
+        let key = (request.deadline, self.sequence);
+        let latest_start = request
+            .deadline
+            .checked_sub(load.answer_time)
+            .unwrap_or(request.deadline);
+        self.expiries.insert(expiry_entry(latest_start, key, &request));
+        self.latest_starts.insert(self.sequence, latest_start);
+        self.len += 1;
+        self.bytes += request.bytes;
+        let queue = self.pools.entry(request.pool.clone()).or_default();
+        queue.lanes[request.class as usize].insert(key, request);
+        Ok(())
+    }
+
+    fn forget(&mut self, key: EntryKey, request: &QueuedRequest) {
+        self.len -= 1;
+        self.bytes -= request.bytes;
+        if let Some(latest_start) = self.latest_starts.remove(&key.1) {
+            self.expiries.remove(&expiry_entry(latest_start, key, request));
+        }
+    }
+
+    fn remove(
+        &mut self,
+        pool: &PoolId,
+        class: PriorityClass,
+        tenant: &TenantId,
+        key: EntryKey,
+    ) -> Option<QueuedRequest> {
+        let request = self.pools.get_mut(pool)?.lanes[class as usize].remove(tenant, key)?;
+        self.forget(key, &request);
+        if self.pool_len(pool) == 0 {
+            self.pools.remove(pool);
+        }
+        Some(request)
+    }
+
+    /// Makes room by refusing a request of a lower class, or of a tenant of the same class with a larger backlog.
+    fn shed_one(&mut self, arriving: &QueuedRequest, wait: Duration) -> Option<RefusedRequest> {
+        let (pool, class, tenant) = self.find_victim(arriving)?;
+        let key = self.pools.get(&pool)?.lanes[class as usize].last_key(&tenant)?;
+        let request = self.remove(&pool, class, &tenant, key)?;
+        let refusal = self.refusal(RefusalReason::Shed, wait);
+        Some(RefusedRequest { request, refusal })
+    }
+
+    fn find_victim(&self, arriving: &QueuedRequest) -> Option<(PoolId, PriorityClass, TenantId)> {
+        for class in PriorityClass::ALL.into_iter().rev() {
+            if class < arriving.class {
+                return None;
+            }
+            let largest = self
+                .pools
+                .iter()
+                .filter_map(|(pool, queue)| Some((pool, queue.lanes[class as usize].largest_backlog()?)))
+                .max_by(|left, right| left.1.per_weight.total_cmp(&right.1.per_weight));
+            let Some((pool, largest)) = largest else { continue };
+            if class > arriving.class || largest.per_weight > self.backlog_with(arriving) {
+                return Some((pool.clone(), class, largest.tenant));
+            }
+        }
+        None
+    }
+
+    fn backlog_with(&self, arriving: &QueuedRequest) -> f64 {
+        self.pools
+            .get(&arriving.pool)
+            .map_or(1.0 / f64::from(arriving.weight.max(1)), |queue| {
+                queue.lanes[arriving.class as usize].backlog_per_weight(&arriving.tenant, arriving.weight, 1)
+            })
+    }
+
+    fn refused(&mut self, reason: RefusalReason, wait: Duration) -> AdmissionOutcome {
+        AdmissionOutcome {
+            refusal: Some(self.refusal(reason, wait)),
+            shed: Vec::new(),
+        }
+    }
+
+    fn refusal(&mut self, reason: RefusalReason, wait: Duration) -> Refusal {
+        let jitter = 1.0 + self.rng.random_range(0.0..RETRY_AFTER_JITTER_RATIO);
+        let bounds = Duration::from_millis(RETRY_AFTER_MIN_MS)..=Duration::from_millis(RETRY_AFTER_MAX_MS);
+        Refusal {
+            verdict: RunVerdict::NotRun,
+            retry_after: wait.mul_f64(jitter).clamp(*bounds.start(), *bounds.end()),
+            reason,
+        }
+    }
+}
+
+impl PoolQueue {
+    fn urgent_len(&self, class: PriorityClass) -> usize {
+        self.lanes[..class as usize].iter().map(ClassLane::len).sum()
+    }
+}
+
+fn expiry_entry(latest_start: Instant, key: EntryKey, request: &QueuedRequest) -> ExpiryEntry {
+    ExpiryEntry {
+        latest_start,
+        sequence: key.1,
+        key,
+        pool: request.pool.clone(),
+        class: request.class,
+        tenant: request.tenant.clone(),
+    }
+}
--- a/crates/mustardgate-core/src/retry/mod.rs
+++ b/crates/mustardgate-core/src/retry/mod.rs
@@ -1,1 +1,9 @@
-//! Retries and hedging by verdict, within a budget.
+//! Retries and hedges: what follows an attempt, within a budget that keeps them from amplifying an overload.
+
+mod budget;
+mod plan;
+
+pub use self::{
+    budget::{RetryBudget, RetryLimits},
+    plan::{AttemptFailure, AttemptPlan, NextStep, PlanSettings},
+};
--- /dev/null
+++ b/crates/mustardgate-core/src/retry/plan.rs
@@ -0,0 +1,143 @@
+//! What follows an attempt of one request.
+
+use std::time::{Duration, Instant};
+
+use super::RetryBudget;
+use crate::{ids::BackendId, verdict::RunVerdict};
+
+const RETRY_AFTER_DEFAULT_MS: u64 = 500;
+
+/// What the plan of a request is made from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlanSettings {
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
+    /// Time by which the first token or the answer is wanted.
+    pub deadline: Instant,
+    /// Attempts in all, hedges included.
+    pub max_attempts: u32,
+}
+
+/// An attempt that brought no whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AttemptFailure {
+    /// Whether the attempt may have run.
+    pub verdict: RunVerdict,
+    /// Runner that was tried.
+    pub backend: BackendId,
+    /// Time to come back that the runner stated.
+    pub retry_after: Option<Duration>,
+    /// Time from a dispatch to the first token that another runner is expected to need.
+    pub answer_time: Duration,
+}
+
+/// What to do after an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NextStep {
+    /// Send the request to a runner other than those excluded.
+    RetryElsewhere {
+        /// Runners that were tried.
+        excluded: Vec<BackendId>,
+    },
+    /// Another attempt is still out; wait for it.
+    AwaitOther,
+    /// Answer the caller now.
+    GiveUp {
+        /// Verdict on the request, over all attempts.
+        verdict: RunVerdict,
+        /// Time after which another try has a chance.
+        retry_after: Duration,
+    },
+}
+
+/// The attempts of one request, and whether another may follow.
+#[derive(Clone, Debug)]
+pub struct AttemptPlan {
+    settings: PlanSettings,
+    tried: Vec<BackendId>,
+    attempts: u32,
+    in_flight: u32,
+    verdict: RunVerdict,
+}
+
+impl AttemptPlan {
+    /// Creates the plan of a request that has not been sent.
+    pub fn new(settings: PlanSettings) -> Self {
+        Self {
+            settings,
+            tried: Vec::new(),
+            attempts: 0,
+            in_flight: 0,
+            verdict: RunVerdict::NotRun,
+        }
+    }
+
+    /// Returns the verdict over all attempts that have ended, assuming that one still out may have run.
+    pub fn verdict(&self) -> RunVerdict {
+        if self.in_flight > 0 {
+            self.verdict.combine(RunVerdict::MayHaveRun)
+        } else {
+            self.verdict
+        }
+    }
+
+    /// Records that an attempt goes out; returns `false` when it must not, and then nothing may be sent.
+    ///
+    /// A non-idempotent request has at most one attempt out, and none after one that may have run.
+    #[must_use]
+    pub fn begin_attempt(&mut self, backend: &BackendId) -> bool {
+        let permitted = self.verdict().permits_retry(self.settings.is_idempotent);
+        if !permitted || self.attempts >= self.settings.max_attempts {
+            return false;
+        }
+        self.attempts += 1;
+        self.in_flight += 1;
+        self.tried.push(backend.clone());
+        true
+    }
+
+    /// Decides what follows an attempt that failed.
+    pub fn fail_attempt(&mut self, now: Instant, failure: &AttemptFailure, budget: &mut RetryBudget) -> NextStep {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.verdict = self.verdict.combine(failure.verdict);
+        if self.in_flight > 0 {
+            return NextStep::AwaitOther;
+        }
+        if self.may_try_again(now, failure.answer_time) && budget.try_spend() {
+            return NextStep::RetryElsewhere {
+                excluded: self.tried.clone(),
+            };
+        }
+        NextStep::GiveUp {
+            verdict: self.verdict,
+            retry_after: failure
+                .retry_after
+                .unwrap_or(Duration::from_millis(RETRY_AFTER_DEFAULT_MS)),
+        }
+    }
+
+    /// Records a whole answer, and pays into the budget.
+    pub fn succeed_attempt(&mut self, budget: &mut RetryBudget) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.verdict = RunVerdict::Ran;
+        budget.record_success();
+    }
+
+    /// Decides whether a second copy goes out because the first is slow; paid from the same budget as retries.
+    pub fn hedge(&mut self, now: Instant, answer_time: Duration, budget: &mut RetryBudget) -> Option<NextStep> {
+        let may_hedge = self.settings.is_idempotent && self.in_flight == 1 && self.may_try_again(now, answer_time);
+        if !may_hedge || !budget.try_spend() {
+            return None;
+        }
+        Some(NextStep::RetryElsewhere {
+            excluded: self.tried.clone(),
+        })
+    }
+
+    fn may_try_again(&self, now: Instant, answer_time: Duration) -> bool {
+        self.verdict != RunVerdict::Ran
+            && self.verdict.permits_retry(self.settings.is_idempotent)
+            && self.attempts < self.settings.max_attempts
+            && now + answer_time <= self.settings.deadline
+    }
+}
--- /dev/null
+++ b/crates/mustardgate-core/src/routing/limit.rs
@@ -0,0 +1,105 @@
+//! A concurrency limit that follows measured latency.
+
+use std::time::Duration;
+
+/// Settings of [`ConcurrencyLimit`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitSettings {
+    /// Smallest limit.
+    pub min: f64,
+    /// Largest limit.
+    pub max: f64,
+    /// Ratio of recent to best latency that is still taken for an unloaded runner.
+    pub tolerance: f64,
+    /// Share of each new estimate in the limit.
+    pub smoothing: f64,
+}
+
+impl LimitSettings {
+    /// Returns the settings for a runner that batches at most `max_concurrency` requests.
+    pub fn for_runner(max_concurrency: u32) -> Self {
+        Self {
+            min: 1.0,
+            max: f64::from(max_concurrency.max(1)),
+            tolerance: 2.0,
+            smoothing: 0.2,
+        }
+    }
+}
+
+const RECENT_WEIGHT: f64 = 0.1;
+const BASELINE_DRIFT: f64 = 0.002;
+const GRADIENT_MIN: f64 = 0.5;
+const OVERLOAD_FACTOR: f64 = 0.7;
+
+/// Requests that a runner may hold at once, raised while latency is near its best and lowered when it grows.
+///
+/// The gradient compares recent latency with a slowly drifting minimum; an explicit sign of overload lowers the limit
+/// by a factor at once.
+#[derive(Clone, Debug)]
+pub struct ConcurrencyLimit {
+    settings: LimitSettings,
+    limit: f64,
+    baseline_s: Option<f64>,
+    recent_s: f64,
+}
+
+impl ConcurrencyLimit {
+    /// Creates a limit that starts at the runner's declared batch size, because that is what operators promise.
+    pub fn new(settings: LimitSettings) -> Self {
+        Self {
+            settings,
+            limit: settings.max,
+            baseline_s: None,
+            recent_s: 0.0,
+        }
+    }
+
+    /// Returns the limit in whole requests.
+    pub fn current(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Returns the recent latency, or `None` before the first measurement.
+    pub fn recent_latency(&self) -> Option<Duration> {
+        self.baseline_s.map(|_| Duration::from_secs_f64(self.recent_s))
+    }
+
+    /// Learns from one answer that took `latency` while `in_flight` requests were out.
+    pub fn record_latency(&mut self, latency: Duration, in_flight: u32) {
+        let latency_s = latency.as_secs_f64().max(1e-6);
+        let baseline_s = self.follow_baseline(latency_s);
+        self.recent_s += (latency_s - self.recent_s) * RECENT_WEIGHT;
+        let gradient = (self.settings.tolerance * baseline_s / self.recent_s).clamp(GRADIENT_MIN, 1.0);
+        let is_used = f64::from(in_flight) * 2.0 >= self.limit;
+        if gradient >= 1.0 && !is_used {
+            return;
+        }
+        let target = self.limit * gradient + self.limit.sqrt() * f64::from(u8::from(is_used));
+        self.set(self.limit + (target - self.limit) * self.settings.smoothing);
+    }
+
+    /// Lowers the limit after the runner refused a request or timed out.
+    pub fn record_overload(&mut self) {
+        self.set(self.limit * OVERLOAD_FACTOR);
+    }
+
+    fn follow_baseline(&mut self, latency_s: f64) -> f64 {
+        let Some(baseline_s) = self.baseline_s else {
+            self.baseline_s = Some(latency_s);
+            self.recent_s = latency_s;
+            return latency_s;
+        };
+        let followed_s = if latency_s < baseline_s {
+            latency_s
+        } else {
+            baseline_s + (latency_s - baseline_s) * BASELINE_DRIFT
+        };
+        self.baseline_s = Some(followed_s);
+        followed_s
+    }
+
+    fn set(&mut self, limit: f64) {
+        self.limit = limit.clamp(self.settings.min, self.settings.max);
+    }
+}
--- /dev/null
+++ b/crates/mustardgate-core/tests/retry.rs
@@ -0,0 +1,146 @@
+//! Retries and hedges: only by verdict, within the budget, with deadline left.
+
+use std::time::{Duration, Instant};
+
+use mustardgate_core::{
+    retry::{AttemptFailure, AttemptPlan, NextStep, PlanSettings, RetryBudget, RetryLimits},
+    verdict::RunVerdict,
+};
+use proptest::prelude::*;
+
+fn plan(start: Instant, is_idempotent: bool) -> AttemptPlan {
+    AttemptPlan::new(PlanSettings {
+        is_idempotent,
+        deadline: start + Duration::from_secs(1),
+        max_attempts: 3,
+    })
+}
+
+fn failure(verdict: RunVerdict) -> AttemptFailure {
+    AttemptFailure {
+        verdict,
+        backend: "a".into(),
+        retry_after: Some(Duration::from_secs(2)),
+        answer_time: Duration::from_millis(100),
+    }
+}
+
+#[test]
+fn steps_by_case() {
+    let start = Instant::now();
+    let retry = NextStep::RetryElsewhere {
+        excluded: vec!["a".into()],
+    };
+    let give_up = |verdict| NextStep::GiveUp {
+        verdict,
+        retry_after: Duration::from_secs(2),
+    };
+    let cases = [
+        ("not run, non-idempotent", false, RunVerdict::NotRun, 0, retry.clone()),
+        (
+            "may have run, non-idempotent",
+            false,
+            RunVerdict::MayHaveRun,
+            0,
+            give_up(RunVerdict::MayHaveRun),
+        ),
+        ("may have run, idempotent", true, RunVerdict::MayHaveRun, 0, retry),
+        (
+            "deadline near",
+            true,
+            RunVerdict::NotRun,
+            950,
+            give_up(RunVerdict::NotRun),
+        ),
+    ];
+    for (name, is_idempotent, verdict, elapsed_ms, expected) in cases {
+        let mut plan = plan(start, is_idempotent);
+        assert!(plan.begin_attempt(&"a".into()), "{name}");
+        let now = start + Duration::from_millis(elapsed_ms);
+        let step = plan.fail_attempt(now, &failure(verdict), &mut RetryBudget::new(RetryLimits::default()));
+        assert_eq!(step, expected, "{name}");
+    }
+}
+
+#[test]
+fn verdict_covers_earlier_attempts() {
+    let start = Instant::now();
+    let mut budget = RetryBudget::new(RetryLimits::default());
+    let mut plan = plan(start, true);
+    for verdict in [RunVerdict::MayHaveRun, RunVerdict::NotRun] {
+        assert!(plan.begin_attempt(&"a".into()));
+        plan.fail_attempt(start, &failure(verdict), &mut budget);
+    }
+    assert_eq!(plan.verdict(), RunVerdict::MayHaveRun);
+}
+
+#[test]
+fn hedges_are_for_idempotent_requests_only() {
+    let start = Instant::now();
+    let mut budget = RetryBudget::new(RetryLimits::default());
+    for is_idempotent in [false, true] {
+        let mut plan = plan(start, is_idempotent);
+        assert!(plan.begin_attempt(&"a".into()));
+        let hedge = plan.hedge(start, Duration::from_millis(100), &mut budget);
+        assert_eq!(hedge.is_some(), is_idempotent);
+        assert_eq!(plan.begin_attempt(&"b".into()), is_idempotent);
+        if is_idempotent {
+            let step = plan.fail_attempt(start, &failure(RunVerdict::NotRun), &mut budget);
+            assert_eq!(step, NextStep::AwaitOther);
+        }
+    }
+}
+
+#[test]
+fn retries_end_when_nothing_succeeds() {
+    let start = Instant::now();
+    let mut budget = RetryBudget::new(RetryLimits::default());
+    let retried = (0..1_000)
+        .filter(|_| {
+            let mut plan = plan(start, true);
+            assert!(plan.begin_attempt(&"a".into()));
+            let step = plan.fail_attempt(start, &failure(RunVerdict::NotRun), &mut budget);
+            matches!(step, NextStep::RetryElsewhere { .. })
+        })
+        .count();
+    assert_eq!(retried, 20);
+}
+
+proptest! {
+    #[test]
+    fn retries_stay_within_the_share_of_successes(outcomes in prop::collection::vec(any::<bool>(), 1..500)) {
+        let limits = RetryLimits { success_ratio: 0.1, max_saved: 5.0 };
+        let mut budget = RetryBudget::new(limits);
+        let mut successes = 0_u32;
+        let mut spent = 0_u32;
+        for is_success in outcomes {
+            if is_success {
+                budget.record_success();
+                successes += 1;
+            } else {
+                spent += u32::from(budget.try_spend());
+            }
+        }
+        prop_assert!(f64::from(spent) <= limits.max_saved + f64::from(successes) * limits.success_ratio + 1e-6);
+    }
+
+    #[test]
+    fn a_non_idempotent_request_never_follows_one_that_may_have_run(
+        verdicts in prop::collection::vec(0_u8..3, 1..6),
+    ) {
+        let start = Instant::now();
+        let mut budget = RetryBudget::new(RetryLimits::default());
+        let mut plan = plan(start, false);
+        let mut may_have_run = 0;
+        for verdict in verdicts {
+            if !plan.begin_attempt(&"a".into()) {
+                continue;
+            }
+            prop_assert!(!plan.begin_attempt(&"b".into()));
+            let verdict = [RunVerdict::NotRun, RunVerdict::MayHaveRun, RunVerdict::Ran][usize::from(verdict)];
+            may_have_run += u32::from(verdict != RunVerdict::NotRun);
+            plan.fail_attempt(start, &failure(verdict), &mut budget);
+        }
+        prop_assert!(may_have_run <= 1);
+    }
+}
