--- a/crates/mustardgate-protocol/src/engine/mod.rs
+++ b/crates/mustardgate-protocol/src/engine/mod.rs
@@ -4,6 +4,7 @@
     ids::{FencingNumber, RequestId},
     log::Artifact,
     resources::PriorityClass,
+    streams::{AnswerEvent, AnswerPart},
 };
 use serde::{Deserialize, Serialize};
 
@@ -95,3 +96,23 @@
     /// Largest number that the engine has seen.
     pub newest: FencingNumber,
 }
+
+impl From<EngineEvent> for AnswerEvent {
+    fn from(event: EngineEvent) -> Self {
+        let (request, attempt, part) = match event {
+            EngineEvent::Token {
+                request,
+                attempt,
+                index,
+                text,
+            } => (request, attempt, AnswerPart::Token { index, text }),
+            EngineEvent::Done {
+                request,
+                attempt,
+                tokens,
+            } => (request, attempt, AnswerPart::Done { tokens }),
+            EngineEvent::Failed { request, attempt, .. } => (request, attempt, AnswerPart::Failed),
+        };
+        Self { request, attempt, part }
+    }
+}
--- a/crates/standins/src/proof/mod.rs
+++ b/crates/standins/src/proof/mod.rs
@@ -8,6 +8,7 @@
 mod keyed;
 mod runner;
 mod told_not_run;
+mod whole_answers;
 
 use std::fmt::Debug;
 
@@ -67,5 +68,6 @@
     vec![
         Box::new(at_most_once::AtMostOnceScenario),
         Box::new(told_not_run::ToldNotRunScenario),
+        Box::new(whole_answers::WholeAnswersScenario),
     ]
 }
