Admit and route requests by the decisions of the core

Cause: the gateway took the first runner that held the weights, without limits, fairness or a retry budget. Change: an admission desk in shards grants places; attempts follow the plan and the budget; instances of plain services are routed like runners; the resource API validates specifications and deletions. Ruled out: taking a queued request before a place is certain, since putting it back would lose its position.

--- a/crates/mustardgate/src/context/mod.rs
+++ b/crates/mustardgate/src/context/mod.rs
@@ -1,21 +1,30 @@
 //! What the modules of a node need, gathered in one place so that tests build one with fakes.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use mustardgate_core::{
-    ids::RequestId,
+    clock,
+    ids::{BackendId, RequestId},
+    log::Artifact,
     ports::{EngineControl, LiveList, PlatformLog},
+    retry::RetryBudget,
+    routing::{AttemptOutcome, RouteTicket, RunnerSelector},
 };
-use slog::Logger;
+use slog::{Logger, o};
 
 use crate::{
     backends::{AddressBook, EngineClient, PlainClient},
     configuration::ConfigDirectory,
+    dispatch::AdmissionDesk,
     drain::DrainController,
-    runners::RunnerBoard,
+    events,
+    runners::{DemandCounter, RunnerBoard},
     settings::NodeSettings,
 };
 
@@ -42,12 +51,40 @@
     pub directory: ConfigDirectory,
     /// Reports of runners.
     pub board: RunnerBoard,
+    /// Choice of runners.
+    pub selector: Arc<RunnerSelector>,
+    /// Admission of requests.
+    pub desk: AdmissionDesk,
+    /// Demand by artifact.
+    pub demand: DemandCounter,
+    /// Retries that may still be made.
+    pub budget: Mutex<RetryBudget>,
     /// Requests in flight and the course of a planned stop.
     pub drain: DrainController,
     /// Prefix and count of request identifiers.
     pub identifiers: RequestCounter,
 }
 
+impl NodeContext {
+    /// Returns the address of a declared backend server.
+    pub fn address_of(&self, backend: &BackendId) -> Option<SocketAddr> {
+        self.addresses.read().expect("no holder panics").get(backend).copied()
+    }
+
+    /// Returns the budget of retries.
+    pub fn retry_budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.budget.lock().expect("no holder panics")
+    }
+
+    /// Gives a place back with what the attempt has shown, and grants it to the next request that waits.
+    pub fn complete_place(&self, ticket: RouteTicket, artifact: &Artifact, outcome: AttemptOutcome) {
+        if let Err(error) = self.selector.complete(ticket, clock::now(), outcome) {
+            events::ROUTING_INVARIANT.write(&self.logger, o!("error" => error.to_string()));
+        }
+        self.desk.pump(artifact);
+    }
+}
+
 /// Gives out request identifiers that no other node, and no earlier process of this node, gives out.
 #[derive(Debug)]
 pub struct RequestCounter {
--- /dev/null
+++ b/crates/mustardgate/src/dispatch/call.rs
@@ -0,0 +1,177 @@
+//! Calls to plain services over one or more attempts, repeated only where the verdict permits it.
+
+use std::time::Duration;
+
+use mustardgate_core::{
+    clock,
+    ids::{BackendId, ServiceId},
+    log::Artifact,
+    retry::{AttemptFailure, AttemptPlan, NextStep, PlanSettings},
+    routing::{AttemptOutcome, RouteRequest, RouteTicket, service_artifact},
+};
+use slog::o;
+
+use super::{desk::PlaceRequest, job::JobOrigin};
+use crate::{
+    backends::PlainCall,
+    context::NodeContext,
+    events,
+    gateway::CallerError,
+    http::{CallError, HttpReply},
+};
+
+/// Attempts of one call at most.
+const MAX_ATTEMPTS: u32 = 3;
+/// When a caller should come back after all attempts failed.
+const FAILED_RETRY: Duration = Duration::from_secs(1);
+
+/// A call to a plain service that a caller asked for.
+#[derive(Clone, Debug)]
+pub struct CallJob {
+    /// Who asks.
+    pub origin: JobOrigin,
+    /// Service that is called.
+    pub service: ServiceId,
+    /// Whether the call was declared idempotent.
+    pub is_idempotent: bool,
+    /// The call as it is sent.
+    pub call: PlainCall,
+}
+
+/// Runs a call and returns the service's whole answer.
+///
+/// # Errors
+/// [`CallerError`] with the verdict over all attempts.
+pub async fn run_call(context: &NodeContext, job: &CallJob) -> Result<HttpReply, CallerError> {
+    let settings = PlanSettings {
+        is_idempotent: job.is_idempotent,
+        deadline: job.origin.deadline,
+        max_attempts: MAX_ATTEMPTS,
+    };
+    let artifact = service_artifact(&job.service);
+    let mut run = CallRun {
+        context,
+        job,
+        artifact,
+        plan: AttemptPlan::new(settings),
+        attempt: 0,
+    };
+    run.attempts().await
+}
+
+#[derive(Debug)]
+struct CallRun<'a> {
+    context: &'a NodeContext,
+    job: &'a CallJob,
+    artifact: Artifact,
+    plan: AttemptPlan,
+    attempt: u32,
+}
+
+impl CallRun<'_> {
+    async fn attempts(&mut self) -> Result<HttpReply, CallerError> {
+        let mut ticket = self.first_place().await?;
+        loop {
+            let backend = ticket.backend().clone();
+            let begun = clock::now();
+            match self.attempt_at(&backend).await {
+                Ok(reply) => {
+                    let outcome = AttemptOutcome::Answered {
+                        first_token: clock::now() - begun,
+                    };
+                    self.context.complete_place(ticket, &self.artifact, outcome);
+                    self.plan.succeed_attempt(&mut self.context.retry_budget());
+                    return Ok(reply);
+                }
+                Err(error) => {
+                    self.context
+                        .complete_place(ticket, &self.artifact, AttemptOutcome::Failed);
+                    ticket = self.next_place(&backend, error)?;
+                }
+            }
+        }
+    }
+
+    async fn first_place(&self) -> Result<RouteTicket, CallerError> {
+        let request = PlaceRequest {
+            queued: self.job.origin.queued(&self.artifact, Duration::ZERO),
+            artifact: self.artifact.clone(),
+            prefix: None,
+        };
+        let place = self.context.desk.acquire(request).await;
+        place.map_err(|refusal| CallerError::NotAdmitted {
+            reason: refusal.reason.to_string(),
+            retry_after: refusal.retry_after,
+        })
+    }
+
+    async fn attempt_at(&mut self, backend: &BackendId) -> Result<HttpReply, CallFailure> {
+        let address = self.context.address_of(backend).ok_or(CallFailure::Unknown)?;
+        if !self.plan.begin_attempt(backend) {
+            return Err(CallFailure::Unknown);
+        }
+        self.attempt += 1;
+        let remaining = self.job.origin.deadline.saturating_duration_since(clock::now());
+        let reply = self
+            .context
+            .plain_client
+            .call(address, &self.job.call, self.attempt, remaining)
+            .await;
+        reply.map_err(CallFailure::Call)
+    }
+
+    /// Returns a place at another instance, or the error that ends the call.
+    fn next_place(&mut self, failed: &BackendId, failure: CallFailure) -> Result<RouteTicket, CallerError> {
+        let reason = failure.to_string();
+        let values = o!("backend" => failed.to_string(), "error" => reason.clone());
+        events::ATTEMPT_FAILED.write(&self.context.logger, values);
+        let now = clock::now();
+        let load = self.context.selector.pool_load(now, &self.artifact);
+        let failure = AttemptFailure {
+            verdict: failure.verdict(),
+            backend: failed.clone(),
+            retry_after: None,
+            answer_time: load.answer_time,
+        };
+        let (verdict, retry_after) = match self.plan.fail_attempt(now, &failure, &mut self.context.retry_budget()) {
+            NextStep::RetryElsewhere { excluded } => {
+                let route = RouteRequest {
+                    artifact: self.artifact.clone(),
+                    prefix: None,
+                    excluded,
+                };
+                match self.context.selector.select(now, &route) {
+                    Ok(ticket) => return Ok(ticket),
+                    Err(_) => (self.plan.verdict(), FAILED_RETRY),
+                }
+            }
+            NextStep::AwaitOther => (self.plan.verdict(), FAILED_RETRY),
+            NextStep::GiveUp { verdict, retry_after } => (verdict, retry_after),
+        };
+        Err(CallerError::AttemptsFailed {
+            reason,
+            verdict,
+            retry_after,
+        })
+    }
+}
+
+/// Why one attempt brought no answer.
+#[derive(Clone, Copy, Debug, derive_more::Display)]
+enum CallFailure {
+    /// The call failed.
+    #[display("{_0}")]
+    Call(CallError),
+    /// The instance is no longer declared, or no further attempt is permitted; nothing was sent.
+    #[display("the instance is not known")]
+    Unknown,
+}
+
+impl CallFailure {
+    fn verdict(self) -> mustardgate_core::verdict::RunVerdict {
+        match self {
+            Self::Call(error) => error.verdict(),
+            Self::Unknown => mustardgate_core::verdict::RunVerdict::NotRun,
+        }
+    }
+}
--- a/crates/mustardgate/src/dispatch/generation.rs
+++ b/crates/mustardgate/src/dispatch/generation.rs
@@ -2,18 +2,26 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use mustardgate_core::{clock, ids::BackendId, verdict::RunVerdict};
+use mustardgate_core::{
+    clock,
+    ids::BackendId,
+    retry::{AttemptFailure, AttemptPlan, NextStep, PlanSettings},
+    routing::{AttemptOutcome, RouteRequest, RouteTicket, prefix_digest},
+};
 use mustardgate_protocol::engine::{EngineEvent, GenerateRequest};
 use slog::o;
 use tokio::{sync::mpsc, time};
 
-use super::job::{GenerationEvent, GenerationJob};
+use super::{
+    desk::PlaceRequest,
+    job::{GenerationEvent, GenerationJob},
+};
 use crate::{backends::AttemptError, context::NodeContext, events, gateway::CallerError};
 
 /// Attempts of one generation at most.
 const MAX_ATTEMPTS: u32 = 4;
-/// When a caller should come back after all attempts failed.
-const FAILED_RETRY: Duration = Duration::from_secs(1);
+/// When a caller should come back after a deadline or a stop ended its request.
+const ENDED_RETRY: Duration = Duration::from_secs(1);
 
 /// One generation on its way.
 #[derive(Debug)]
@@ -21,126 +29,174 @@
     context: Arc<NodeContext>,
     job: GenerationJob,
     sender: mpsc::Sender<GenerationEvent>,
+    plan: AttemptPlan,
     next_index: u32,
     attempt: u32,
-    verdict: RunVerdict,
-    tried: Vec<BackendId>,
 }
 
 /// How an attempt ended.
 #[derive(Debug)]
 enum AttemptEnd {
-    Whole { tokens: u32 },
+    Whole { tokens: u32, first_token: Duration },
     Broken(AttemptError),
     CallerGone,
 }
 
 /// Runs a generation and sends its answer piece by piece; ends early when the receiver is dropped.
 pub async fn run_generation(context: Arc<NodeContext>, job: GenerationJob, sender: mpsc::Sender<GenerationEvent>) {
-    let remaining = job.deadline.saturating_duration_since(clock::now());
+    let remaining = job.origin.deadline.saturating_duration_since(clock::now());
     let cutting = context.drain.cutting();
+    let settings = PlanSettings {
+        is_idempotent: true,
+        deadline: job.origin.deadline,
+        max_attempts: MAX_ATTEMPTS,
+    };
+    let plan = AttemptPlan::new(settings);
     let mut run = GenerationRun {
         context,
         job,
         sender,
+        plan,
         next_index: 0,
         attempt: 0,
-        verdict: RunVerdict::NotRun,
-        tried: Vec::new(),
     };
-    let last = tokio::select! {
-        last = run.attempts() => last,
+    let result = tokio::select! {
+        result = run.attempts() => result,
         () = time::sleep(remaining) => {
-            Some(GenerationEvent::Failed(CallerError::DeadlinePassed { verdict: run.verdict, retry_after: FAILED_RETRY }))
+            Err(CallerError::DeadlinePassed { verdict: run.plan.verdict(), retry_after: ENDED_RETRY })
         }
         () = cutting.cancelled() => {
-            Some(GenerationEvent::Failed(CallerError::Stopping { verdict: run.verdict, retry_after: FAILED_RETRY }))
+            Err(CallerError::Stopping { verdict: run.plan.verdict(), retry_after: ENDED_RETRY })
         }
     };
-    if let Some(event) = last {
-        // A caller that hung up no longer wants the last piece either.
-        drop(run.sender.send(event).await);
-    }
+    let last = match result {
+        Ok(Some(tokens)) => GenerationEvent::Done { tokens },
+        Ok(None) => return,
+        Err(error) => GenerationEvent::Failed(error),
+    };
+    // A caller that hung up no longer wants the last piece either.
+    drop(run.sender.send(last).await);
 }
 
 impl GenerationRun {
-    async fn attempts(&mut self) -> Option<GenerationEvent> {
-        let mut reason = "no backend server holds the weights".to_owned();
-        while self.attempt < MAX_ATTEMPTS {
-            let Some((backend, address)) = self.choose_runner() else {
-                break;
+    /// Returns the number of tokens of the whole answer, or `None` when the caller hung up.
+    async fn attempts(&mut self) -> Result<Option<u32>, CallerError> {
+        let mut ticket = self.first_place().await?;
+        loop {
+            let backend = ticket.backend().clone();
+            let Some(address) = self.context.address_of(&backend) else {
+                ticket = self.next_place(&backend, AttemptError::NotResident)?;
+                continue;
             };
-            self.attempt += 1;
-            self.tried.push(backend.clone());
-            match self.attempt_at(address).await {
-                AttemptEnd::Whole { tokens } => return Some(GenerationEvent::Done { tokens }),
+            let end = self.attempt_at(&backend, address).await;
+            let outcome = outcome_of(&end);
+            self.complete(ticket, outcome);
+            match end {
+                AttemptEnd::Whole { tokens, .. } => {
+                    self.plan.succeed_attempt(&mut self.context.retry_budget());
+                    return Ok(Some(tokens));
+                }
                 AttemptEnd::CallerGone => {
                     self.context
                         .engine_client
-                        .cancel(address, self.job.request.clone())
+                        .cancel(address, self.job.origin.request.clone())
                         .await;
-                    return None;
-                }
-                AttemptEnd::Broken(error) => {
-                    events::ATTEMPT_FAILED.write(
-                        &self.context.logger,
-                        o!("backend" => backend.to_string(), "error" => error.to_string()),
-                    );
-                    reason = error.to_string();
+                    return Ok(None);
                 }
+                AttemptEnd::Broken(error) => ticket = self.next_place(&backend, error)?,
             }
         }
-        let error = CallerError::AttemptsFailed {
-            reason,
-            verdict: self.verdict,
-            retry_after: FAILED_RETRY,
+    }
+
+    async fn first_place(&self) -> Result<RouteTicket, CallerError> {
+        let artifact = &self.job.artifact;
+        self.context.demand.record(artifact);
+        let load = self.context.selector.pool_load(clock::now(), artifact);
+        let request = PlaceRequest {
+            queued: self.job.origin.queued(artifact, load.hold_time),
+            artifact: artifact.clone(),
+            prefix: prefix_digest(artifact, self.job.prompt.as_bytes()),
+        };
+        let place = self.context.desk.acquire(request).await;
+        place.map_err(|refusal| CallerError::NotAdmitted {
+            reason: refusal.reason.to_string(),
+            retry_after: refusal.retry_after,
+        })
+    }
+
+    /// Returns a place at another runner, or the error that ends the request.
+    fn next_place(&mut self, failed: &BackendId, error: AttemptError) -> Result<RouteTicket, CallerError> {
+        events::ATTEMPT_FAILED.write(
+            &self.context.logger,
+            o!("backend" => failed.to_string(), "error" => error.to_string()),
+        );
+        let now = clock::now();
+        let load = self.context.selector.pool_load(now, &self.job.artifact);
+        let failure = AttemptFailure {
+            verdict: error.verdict(),
+            backend: failed.clone(),
+            retry_after: None,
+            answer_time: load.answer_time,
+        };
+        let give_up = |verdict, retry_after| CallerError::AttemptsFailed {
+            reason: error.to_string(),
+            verdict,
+            retry_after,
         };
-        Some(GenerationEvent::Failed(error))
+        match self.plan.fail_attempt(now, &failure, &mut self.context.retry_budget()) {
+            NextStep::RetryElsewhere { excluded } => {
+                let route = RouteRequest {
+                    artifact: self.job.artifact.clone(),
+                    prefix: None,
+                    excluded,
+                };
+                let place = self.context.selector.select(now, &route);
+                place.map_err(|_error| give_up(self.plan.verdict(), ENDED_RETRY))
+            }
+            NextStep::AwaitOther => Err(give_up(self.plan.verdict(), ENDED_RETRY)),
+            NextStep::GiveUp { verdict, retry_after } => Err(give_up(verdict, retry_after)),
+        }
     }
 
-    fn choose_runner(&self) -> Option<(BackendId, SocketAddr)> {
-        let ready = self.context.board.ready(&self.job.artifact);
-        let addresses = self.context.addresses.read().expect("no holder panics");
-        ready
-            .into_iter()
-            .filter(|backend| !self.tried.contains(backend))
-            .find_map(|backend| addresses.get(&backend).map(|address| (backend.clone(), *address)))
+    fn complete(&self, ticket: RouteTicket, outcome: AttemptOutcome) {
+        self.context.complete_place(ticket, &self.job.artifact, outcome);
     }
 
-    async fn attempt_at(&mut self, address: SocketAddr) -> AttemptEnd {
+    async fn attempt_at(&mut self, backend: &BackendId, address: SocketAddr) -> AttemptEnd {
+        if !self.plan.begin_attempt(backend) {
+            return AttemptEnd::Broken(AttemptError::NoRoom);
+        }
+        self.attempt += 1;
+        let begun = clock::now();
         let request = GenerateRequest {
-            request: self.job.request.clone(),
+            request: self.job.origin.request.clone(),
             attempt: self.attempt,
             artifact: self.job.artifact.clone(),
             prompt: self.job.prompt.clone(),
             max_tokens: self.job.max_tokens,
-            priority: self.job.class,
+            priority: self.job.origin.class,
             resume_from: self.next_index,
         };
-        let verdict_before = self.verdict;
-        self.verdict = self.verdict.combine(RunVerdict::MayHaveRun);
-        let remaining = self.job.deadline.saturating_duration_since(clock::now());
+        let remaining = self.job.origin.deadline.saturating_duration_since(begun);
         let mut stream = match self.context.engine_client.generate(address, &request, remaining).await {
             Ok(stream) => stream,
-            Err(error) => {
-                self.verdict = verdict_before.combine(error.verdict());
-                return AttemptEnd::Broken(error);
-            }
+            Err(error) => return AttemptEnd::Broken(error),
         };
+        let mut first_token = None;
         loop {
-            match stream.next().await {
-                Ok(Some(event)) => {
-                    if let Some(end) = self.take_event(event).await {
-                        return end;
-                    }
-                }
+            let event = match stream.next().await {
+                Ok(Some(event)) => event,
                 Ok(None) => return AttemptEnd::Broken(AttemptError::BrokenStream),
                 Err(error) => return AttemptEnd::Broken(error),
+            };
+            let elapsed = *first_token.get_or_insert_with(|| clock::now() - begun);
+            if let Some(end) = self.take_event(event, elapsed).await {
+                return end;
             }
         }
     }
 
-    async fn take_event(&mut self, event: EngineEvent) -> Option<AttemptEnd> {
+    async fn take_event(&mut self, event: EngineEvent, first_token: Duration) -> Option<AttemptEnd> {
         match event {
             EngineEvent::Token {
                 request,
@@ -148,7 +204,7 @@
                 index,
                 text,
             } => {
-                if request != self.job.request || attempt != self.attempt || index != self.next_index {
+                if request != self.job.origin.request || attempt != self.attempt || index != self.next_index {
                     events::ANSWER_DROPPED.write(&self.context.logger, o!("request" => request.to_string()));
                     return None;
                 }
@@ -161,19 +217,28 @@
                 attempt,
                 tokens,
             } => {
-                if request != self.job.request || attempt != self.attempt {
+                if request != self.job.origin.request || attempt != self.attempt {
                     return None;
                 }
                 if tokens != self.next_index {
                     return Some(AttemptEnd::Broken(AttemptError::BrokenStream));
                 }
-                self.verdict = RunVerdict::Ran;
-                Some(AttemptEnd::Whole { tokens })
+                Some(AttemptEnd::Whole { tokens, first_token })
             }
             EngineEvent::Failed { request, attempt, .. } => {
-                let is_ours = request == self.job.request && attempt == self.attempt;
+                let is_ours = request == self.job.origin.request && attempt == self.attempt;
                 is_ours.then_some(AttemptEnd::Broken(AttemptError::BrokenStream))
             }
         }
     }
 }
+
+fn outcome_of(end: &AttemptEnd) -> AttemptOutcome {
+    match end {
+        AttemptEnd::Whole { first_token, .. } => AttemptOutcome::Answered {
+            first_token: *first_token,
+        },
+        AttemptEnd::Broken(AttemptError::NoRoom) => AttemptOutcome::Overloaded,
+        AttemptEnd::Broken(_) | AttemptEnd::CallerGone => AttemptOutcome::Failed,
+    }
+}
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -61,6 +61,8 @@
 pub const ATTEMPT_FAILED: EventKind = event(401, Level::Debug, "attempt failed");
 /// A piece of an answer that belongs to another request or attempt was dropped.
 pub const ANSWER_DROPPED: EventKind = event(402, Level::Warning, "stray answer dropped");
+/// The routing state refused a step.
+pub const ROUTING_INVARIANT: EventKind = event(403, Level::Error, "routing invariant violated");
 /// The platform's list of VMs did not answer.
 pub const LIST_UNAVAILABLE: EventKind = event(500, Level::Warning, "list of VMs unavailable");
 /// A peer is suspected.
@@ -93,6 +95,7 @@
     REQUEST_FAILED,
     ATTEMPT_FAILED,
     ANSWER_DROPPED,
+    ROUTING_INVARIANT,
     LIST_UNAVAILABLE,
     PEER_SUSPECTED,
     PEER_TRUSTED,
--- a/crates/mustardgate/src/gateway/chat.rs
+++ b/crates/mustardgate/src/gateway/chat.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     context::NodeContext,
-    dispatch::{GenerationEvent, GenerationJob, run_generation},
+    dispatch::{GenerationEvent, GenerationJob, JobOrigin, run_generation},
     drain::FlightGuard,
     http::{AnswerBody, json_answer, streamed_answer},
     telemetry::RequestLabels,
@@ -42,6 +42,7 @@
     request: Request<Incoming>,
     flight: FlightGuard,
 ) -> Result<Response<AnswerBody>, CallerError> {
+    let arrived = clock::now();
     let (head, body) = request.into_parts();
     let scope = identify(&context, &head.headers)?;
     let deadline = read_deadline(&head.headers, &context.settings.callers)?;
@@ -50,15 +51,20 @@
     let artifact = resolve_artifact(&scope, &chat.model)?;
     let service = scope.service_of_model(&artifact.model)?;
     let class = scope.service(&service)?.priority;
-    let job = GenerationJob {
+    let origin = JobOrigin {
         request: context.identifiers.next(),
         tenant: scope.tenant.clone(),
+        weight: scope.weight(),
+        class,
+        arrived,
+        deadline,
+        bytes: body.len(),
+    };
+    let job = GenerationJob {
+        origin,
         artifact,
         prompt: prompt_text(&chat),
         max_tokens: chat.max_tokens,
-        class,
-        arrived: clock::now(),
-        deadline,
     };
     let labels = RequestLabels {
         tenant: scope.tenant,
@@ -129,8 +135,8 @@
 ) -> ChatExchange {
     let (sender, mut events) = mpsc::channel(PIECE_BUFFER);
     let (forward, pieces) = mpsc::channel(PIECE_BUFFER);
-    let id = job.request.clone();
-    let arrived = job.arrived;
+    let id = job.origin.request.clone();
+    let arrived = job.origin.arrived;
     tokio::spawn(run_generation(context, job, sender));
     tokio::spawn(async move {
         while let Some(event) = events.recv().await {
--- a/crates/mustardgate/src/gateway/tenants.rs
+++ b/crates/mustardgate/src/gateway/tenants.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Returns the weight of the tenant among others of its class.
+    pub(super) fn weight(&self) -> u32 {
+        self.view.tenant(&self.tenant).map_or(1, |tenant| tenant.weight)
+    }
+
     fn may_call(&self, service: &str) -> bool {
         self.view
             .tenant(&self.tenant)
--- a/crates/mustardgate/src/node/build.rs
+++ b/crates/mustardgate/src/node/build.rs
@@ -1,17 +1,23 @@
 //! Builds the node's context with the adapters that talk over the network.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
+use mustardgate_core::{
+    admission::AdmissionLimits,
+    retry::{RetryBudget, RetryLimits},
+    routing::{Locality, RoutingSettings, RunnerSelector},
+};
 use slog::Logger;
 
 use crate::{
     backends::{AddressBook, EngineClient, HttpEngineControl, PlainClient},
     configuration::ConfigDirectory,
     context::{NodeContext, RequestCounter},
+    dispatch::AdmissionDesk,
     drain::DrainController,
     http::HttpClient,
     platform::{HttpLiveList, HttpPlatformLog},
-    runners::RunnerBoard,
+    runners::{DemandCounter, RunnerBoard},
     settings::NodeSettings,
 };
 
@@ -22,6 +28,19 @@
     let pooled = HttpClient::pooled(backends.connect_timeout());
     let unpooled = HttpClient::unpooled(backends.connect_timeout());
     let addresses = AddressBook::default();
+    let own = Locality {
+        domain: settings.node.domain.clone(),
+        region: settings.node.region.clone(),
+    };
+    let selector = Arc::new(RunnerSelector::new(RoutingSettings::default(), own, rand::random()));
+    let limits = AdmissionLimits {
+        max_requests: settings.callers.max_queued,
+        max_bytes: settings.callers.max_queued_bytes,
+    };
+    let retries = RetryLimits {
+        success_ratio: backends.retry_ratio,
+        ..RetryLimits::default()
+    };
     let control = HttpEngineControl::new(pooled.clone(), Arc::clone(&addresses), backends.stall_timeout());
     Arc::new(NodeContext {
         logger,
@@ -37,6 +56,10 @@
         addresses,
         directory: ConfigDirectory::new(),
         board: RunnerBoard::default(),
+        desk: AdmissionDesk::new(Arc::clone(&selector), limits, rand::random()),
+        selector,
+        demand: DemandCounter::default(),
+        budget: Mutex::new(RetryBudget::new(retries)),
         drain: DrainController::default(),
         identifiers: RequestCounter::new(&settings.node.name, rand::random()),
         settings,
--- a/crates/mustardgate/src/node/tasks.rs
+++ b/crates/mustardgate/src/node/tasks.rs
@@ -2,26 +2,27 @@
 
 use std::sync::Arc;
 
-use mustardgate_core::{
-    ids::BackendId,
-    resources::{BackendRole, ResourceKind, ResourceSpec},
-};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{configuration::follow_configuration, context::NodeContext, runners::poll_reports};
+use crate::{
+    configuration::follow_configuration,
+    context::NodeContext,
+    runners::{poll_reports, take_declarations},
+};
 
 /// Spawns every task of the node; each ends when `shutdown` is cancelled.
 pub(super) fn spawn_tasks(node: &Arc<NodeContext>, tracker: &TaskTracker, shutdown: &CancellationToken) {
     tracker.spawn(follow_configuration(Arc::clone(node), rand::random(), shutdown.clone()));
-    tracker.spawn(keep_addresses(Arc::clone(node), shutdown.clone()));
-    tracker.spawn(poll_runners(Arc::clone(node), shutdown.clone()));
+    tracker.spawn(keep_declarations(Arc::clone(node), shutdown.clone()));
+    tracker.spawn(keep_reports(Arc::clone(node), shutdown.clone()));
+    tracker.spawn(review_queue(Arc::clone(node), shutdown.clone()));
 }
 
-/// Keeps the address book equal to the declarations.
-async fn keep_addresses(node: Arc<NodeContext>, shutdown: CancellationToken) {
+/// Keeps routing equal to the declarations.
+async fn keep_declarations(node: Arc<NodeContext>, shutdown: CancellationToken) {
     let mut applied = node.directory.watch_applied();
     loop {
-        refresh_addresses(&node);
+        take_declarations(&node);
         tokio::select! {
             () = shutdown.cancelled() => return,
             changed = applied.changed() => if changed.is_err() { return },
@@ -29,40 +30,10 @@
     }
 }
 
-fn refresh_addresses(node: &NodeContext) {
-    let Ok(view) = node.directory.view() else { return };
-    let declared = view
-        .list(ResourceKind::Backend)
-        .filter_map(|resource| match &resource.spec {
-            ResourceSpec::Backend(backend) => Some((resource.key.name.clone(), backend.address)),
-            _ => None,
-        });
-    *node.addresses.write().expect("no holder panics") = declared.collect();
-    node.board.retain(|backend| view.backend(backend).is_some());
-}
-
-async fn poll_runners(node: Arc<NodeContext>, shutdown: CancellationToken) {
-    let interval = node.settings.backends.report();
-    poll_reports(
-        &node.board,
-        &*node.engines,
-        || declared_engines(&node),
-        interval,
-        shutdown,
-    )
-    .await;
+async fn keep_reports(node: Arc<NodeContext>, shutdown: CancellationToken) {
+    poll_reports(&node, shutdown).await;
 }
 
-fn declared_engines(node: &NodeContext) -> Vec<BackendId> {
-    let Ok(view) = node.directory.view() else {
-        return Vec::new();
-    };
-    let backends = view.list(ResourceKind::Backend);
-    backends
-        .filter(|resource| match &resource.spec {
-            ResourceSpec::Backend(backend) => backend.role == BackendRole::Engine,
-            _ => false,
-        })
-        .map(|resource| resource.key.name.clone())
-        .collect()
+async fn review_queue(node: Arc<NodeContext>, shutdown: CancellationToken) {
+    node.desk.review_until(shutdown).await;
 }
--- a/crates/mustardgate/src/operator/changes.rs
+++ b/crates/mustardgate/src/operator/changes.rs
@@ -13,8 +13,9 @@
     ids::{ChangeId, Offset},
     log::ChangeRecord,
     resources::{ResourceKey, ResourceKind},
+    validation::{self, check_delete, check_spec},
 };
-use mustardgate_protocol::operators::{CHANGE_HEADER, ChangeAnswer, PutRequest};
+use mustardgate_protocol::operators::{CHANGE_HEADER, ChangeAnswer, FieldError, PutRequest};
 use smol_str::SmolStr;
 
 use super::{errors::OperatorError, resources::current_view};
@@ -51,6 +52,7 @@
         .typed_spec(kind)
         .map_err(|error| OperatorError::Invalid { errors: vec![error] })?;
     let resource = ResourceKey { kind, name };
+    refuse_invalid(check_spec(&resource, &spec, &*current_view(node)?))?;
     let record = ChangeRecord {
         change: put.change,
         resource,
@@ -73,15 +75,33 @@
         });
     }
     let change = read_change(request.headers())?;
+    let resource = ResourceKey { kind, name };
+    let view = current_view(node)?;
+    if view.get(&resource).is_some() {
+        refuse_invalid(check_delete(&resource, &view))?;
+    }
     let record = ChangeRecord {
         change,
-        resource: ResourceKey { kind, name },
+        resource,
         expected,
         spec: None,
     };
     finish_change(node, record).await
 }
 
+fn refuse_invalid(errors: Vec<validation::FieldError>) -> Result<(), OperatorError> {
+    if errors.is_empty() {
+        return Ok(());
+    }
+    let shown = errors.into_iter().map(|error| FieldError {
+        field: error.field,
+        reason: error.reason,
+    });
+    Err(OperatorError::Invalid {
+        errors: shown.collect(),
+    })
+}
+
 async fn finish_change(node: &NodeContext, record: ChangeRecord) -> Result<Response<AnswerBody>, OperatorError> {
     current_view(node)?;
     let resource = record.resource.clone();
