Add the engine's stand-in and its process

Cause: nodes need engines that batch, hold weights and fail as declared. Ruled out: tokens that depend on the request identifier (a caller could not check them); cancelling nothing when a client leaves (engines abort then). Change: batch with priorities, memory with orders and fencing, prefix cache with late gapped events, key-value export and import, role, faults, counts; the message types for caches and roles.

--- a/crates/mustardgate-protocol/src/engine/mod.rs
+++ b/crates/mustardgate-protocol/src/engine/mod.rs
@@ -1,5 +1,7 @@
 //! HTTP messages of model engines.
 
+mod cache;
+
 use mustardgate_core::{
     ids::{FencingNumber, RequestId},
     log::Artifact,
@@ -7,6 +9,11 @@
 };
 use serde::{Deserialize, Serialize};
 
+pub use self::cache::{
+    CACHE_BLOCK_BYTES, CacheEvent, CacheEventPage, EngineRole, KV_EXPORT_PATH, KV_IMPORT_PATH, KvExport,
+    KvExportRequest, ROLE_PATH, RoleChange, block_hashes,
+};
+
 /// Path for a [`GenerateRequest`] with `POST`; the answer is a stream of server-sent [`EngineEvent`]s.
 /// Status 409 (weights not resident) and 503 (no room) mean that the request did not run.
 pub const GENERATE_PATH: &str = "/v1/generate";
@@ -18,7 +25,7 @@
 pub const ORDERS_PATH: &str = "/control/orders";
 /// Path of the `EngineReport` with `GET`.
 pub const REPORT_PATH: &str = "/control/report";
-/// Path of late prefix-cache events with `GET` and the query `after`.
+/// Path of late prefix-cache events with `GET` and the query `after`; the answer is a [`CacheEventPage`].
 pub const CACHE_EVENTS_PATH: &str = "/control/cache-events";
 
 /// A request for generated tokens.
--- a/crates/standins/examples/platform.rs
+++ b/crates/standins/examples/platform.rs
@@ -5,7 +5,7 @@
 
 use lexopt::prelude::{Long, ValueExt};
 use mustardgate_standins::{
-    http::{HttpHandler, bind_all, serve_forever, wait_for_stop},
+    http::serve_process,
     platform::{PlatformOptions, PlatformServer, RetentionPolicy},
 };
 
@@ -48,22 +48,14 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    match run().await {
-        Ok(()) => ExitCode::SUCCESS,
+    match parse_arguments() {
+        Ok(arguments) => {
+            let platform = Arc::new(PlatformServer::new(arguments.options));
+            serve_process("platform", &arguments.listen, platform).await
+        }
         Err(error) => {
             eprintln!("platform: {error}");
             ExitCode::from(2)
         }
     }
 }
-
-async fn run() -> Result<(), Box<dyn std::error::Error>> {
-    let arguments = parse_arguments()?;
-    let handler: Arc<dyn HttpHandler> = Arc::new(PlatformServer::new(arguments.options));
-    for listener in bind_all(&arguments.listen).await? {
-        println!("platform listens on {}", listener.local_addr()?);
-        tokio::spawn(serve_forever(listener, Arc::clone(&handler)));
-    }
-    wait_for_stop().await?;
-    Ok(())
-}
--- a/crates/standins/src/http/server.rs
+++ b/crates/standins/src/http/server.rs
@@ -1,6 +1,6 @@
 //! Accepts connections and hands whole requests to a handler.
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{io, net::SocketAddr, process::ExitCode, sync::Arc};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -65,11 +65,27 @@
     handler.handle(request).await.ok_or(BrokenStream)
 }
 
+/// Serves every address until the process is asked to stop, and returns the exit code of `name`.
+pub async fn serve_process(name: &str, addresses: &[SocketAddr], handler: Arc<dyn HttpHandler>) -> ExitCode {
+    match serve_until_stopped(name, addresses, handler).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{name}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve_until_stopped(name: &str, addresses: &[SocketAddr], handler: Arc<dyn HttpHandler>) -> io::Result<()> {
+    for listener in bind_all(addresses).await? {
+        println!("{name} listens on {}", listener.local_addr()?);
+        tokio::spawn(serve_forever(listener, Arc::clone(&handler)));
+    }
+    wait_for_stop().await
+}
+
 /// Waits until the process is asked to stop.
-///
-/// # Errors
-/// The error with which the signal handler could not be installed.
-pub async fn wait_for_stop() -> io::Result<()> {
+async fn wait_for_stop() -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here ships. The stand-ins' states are plain values, used directly by randomised proofs and, behind a small
 //! HTTP listener, by the example processes.
 
+pub mod engine_http;
 pub mod http;
 pub mod platform;
 pub mod proof;
