Add the plain service's stand-in

Cause: at-most-once can only be judged by what a service really ran. Ruled out: dropping a call whose caller went away (its bytes have arrived).

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod http;
 pub mod platform;
 pub mod proof;
+pub mod service;
