Record keyed calls before dispatch, through the node's key desk

Cause: keyed calls were dispatched without a record, so a repeated delivery ran twice. Ruled out: deciding by the answer to the append, which may be lost; only the replayed record decides.

--- a/crates/mustardgate/src/context/mod.rs
+++ b/crates/mustardgate/src/context/mod.rs
@@ -24,6 +24,8 @@
     dispatch::AdmissionDesk,
     drain::DrainController,
     events,
+    keys::KeyDesk,
+    records::RecordTail,
     runners::{DemandCounter, RunnerBoard},
     settings::NodeSettings,
 };
@@ -57,6 +59,10 @@
     pub desk: AdmissionDesk,
     /// Demand by artifact.
     pub demand: DemandCounter,
+    /// Keyed calls.
+    pub keys: Arc<KeyDesk>,
+    /// Follows leases, orders and keys in the log.
+    pub tail: Arc<RecordTail>,
     /// Retries that may still be made.
     pub budget: Mutex<RetryBudget>,
     /// Requests in flight and the course of a planned stop.
--- a/crates/mustardgate/src/dispatch/call.rs
+++ b/crates/mustardgate/src/dispatch/call.rs
@@ -56,7 +56,13 @@
         plan: AttemptPlan::new(settings),
         attempt: 0,
     };
-    run.attempts().await
+    let cutting = context.drain.cutting();
+    tokio::select! {
+        result = run.attempts() => result,
+        () = cutting.cancelled() => {
+            Err(CallerError::Stopping { verdict: run.plan.verdict(), retry_after: FAILED_RETRY })
+        }
+    }
 }
 
 #[derive(Debug)]
--- a/crates/mustardgate/src/gateway/errors.rs
+++ b/crates/mustardgate/src/gateway/errors.rs
@@ -200,6 +200,34 @@
         }
     }
 
+    /// Returns the error with the verdict on its key in place of the verdict on its own attempts.
+    #[must_use]
+    pub fn with_verdict(self, told: RunVerdict) -> Self {
+        match self {
+            Self::AttemptsFailed {
+                reason, retry_after, ..
+            } => Self::AttemptsFailed {
+                reason,
+                verdict: told,
+                retry_after,
+            },
+            Self::DeadlinePassed { retry_after, .. } => Self::DeadlinePassed {
+                verdict: told,
+                retry_after,
+            },
+            Self::Stopping { retry_after, .. } => Self::Stopping {
+                verdict: told,
+                retry_after,
+            },
+            other if other.verdict() == told => other,
+            other => Self::KeyUnresolved {
+                reason: other.to_string(),
+                verdict: told,
+                retry_after: other.retry_after().unwrap_or(Duration::from_secs(1)),
+            },
+        }
+    }
+
     /// Returns when the caller should come back.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
--- a/crates/mustardgate/src/gateway/mod.rs
+++ b/crates/mustardgate/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod chat;
 mod errors;
+mod keyed;
 mod models;
 mod request;
 mod services;
--- a/crates/mustardgate/src/gateway/services.rs
+++ b/crates/mustardgate/src/gateway/services.rs
@@ -1,6 +1,6 @@
 //! Calls to plain services.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use hyper::{
     Request, Response,
@@ -12,6 +12,7 @@
 
 use super::{
     errors::CallerError,
+    keyed::run_keyed,
     request::{read_body, read_deadline, read_key},
     tenants::identify,
 };
@@ -23,6 +24,9 @@
     telemetry::RequestLabels,
 };
 
+/// When a caller should come back whose call's task ended.
+const ENDED_RETRY: Duration = Duration::from_secs(1);
+
 pub(super) async fn answer_call(
     context: Arc<NodeContext>,
     request: Request<Incoming>,
@@ -32,7 +36,7 @@
         tenant: job.origin.tenant.clone(),
         class: job.origin.class,
     };
-    let result = run_call(&context, &job).await;
+    let (job, result) = finish_call(context, job).await?;
     let elapsed = clock::now() - job.origin.arrived;
     match result {
         Ok(reply) => {
@@ -46,6 +50,31 @@
     }
 }
 
+/// Runs the call in a task of its own: a caller that hangs up must not end a call that may be running.
+async fn finish_call(
+    context: Arc<NodeContext>,
+    job: CallJob,
+) -> Result<(CallJob, Result<HttpReply, CallerError>), CallerError> {
+    let flight = context.drain.enter();
+    let running = tokio::spawn(async move {
+        let result = run_limited(&context, &job).await;
+        drop(flight);
+        (job, result)
+    });
+    running.await.map_err(|_error| CallerError::AttemptsFailed {
+        reason: "the call's task ended".to_owned(),
+        verdict: RunVerdict::MayHaveRun,
+        retry_after: ENDED_RETRY,
+    })
+}
+
+async fn run_limited(context: &NodeContext, job: &CallJob) -> Result<HttpReply, CallerError> {
+    match job.call.key.clone() {
+        Some(key) => run_keyed(context, job, key).await,
+        None => run_call(context, job).await,
+    }
+}
+
 async fn read_call(context: &NodeContext, request: Request<Incoming>) -> Result<CallJob, CallerError> {
     let arrived = clock::now();
     let (head, body) = request.into_parts();
--- a/crates/mustardgate/src/node/build.rs
+++ b/crates/mustardgate/src/node/build.rs
@@ -16,7 +16,9 @@
     dispatch::AdmissionDesk,
     drain::DrainController,
     http::HttpClient,
+    keys::KeyDesk,
     platform::{HttpLiveList, HttpPlatformLog},
+    records::RecordTail,
     runners::{DemandCounter, RunnerBoard},
     settings::NodeSettings,
 };
@@ -37,6 +39,13 @@
         max_requests: settings.callers.max_queued,
         max_bytes: settings.callers.max_queued_bytes,
     };
+    let tail = Arc::new(RecordTail::default());
+    let keys = KeyDesk::new(
+        &settings.node.name,
+        settings.node.domain.clone(),
+        &settings.keys,
+        Arc::clone(&tail),
+    );
     let retries = RetryLimits {
         success_ratio: backends.retry_ratio,
         ..RetryLimits::default()
@@ -59,6 +68,8 @@
         desk: AdmissionDesk::new(Arc::clone(&selector), limits, rand::random()),
         selector,
         demand: DemandCounter::default(),
+        keys: Arc::new(keys),
+        tail,
         budget: Mutex::new(RetryBudget::new(retries)),
         drain: DrainController::default(),
         identifiers: RequestCounter::new(&settings.node.name, rand::random()),
--- a/crates/mustardgate/src/node/tasks.rs
+++ b/crates/mustardgate/src/node/tasks.rs
@@ -7,6 +7,8 @@
 use crate::{
     configuration::follow_configuration,
     context::NodeContext,
+    keys::append_batches,
+    records::{RecordObserver, follow_records},
     runners::{poll_reports, take_declarations},
 };
 
@@ -15,9 +17,25 @@
     tracker.spawn(follow_configuration(Arc::clone(node), rand::random(), shutdown.clone()));
     tracker.spawn(keep_declarations(Arc::clone(node), shutdown.clone()));
     tracker.spawn(keep_reports(Arc::clone(node), shutdown.clone()));
+    tracker.spawn(append_batches(
+        Arc::clone(&node.keys),
+        Arc::clone(&node.log),
+        shutdown.clone(),
+    ));
+    tracker.spawn(follow_records(
+        Arc::clone(&node.log),
+        Arc::clone(&node.tail),
+        observers(node),
+        shutdown.clone(),
+    ));
     tracker.spawn(review_queue(Arc::clone(node), shutdown.clone()));
 }
 
+/// The visible list of those who follow the log's records.
+fn observers(node: &NodeContext) -> Vec<Arc<dyn RecordObserver>> {
+    vec![Arc::clone(&node.keys) as Arc<dyn RecordObserver>]
+}
+
 /// Keeps routing equal to the declarations.
 async fn keep_declarations(node: Arc<NodeContext>, shutdown: CancellationToken) {
     let mut applied = node.directory.watch_applied();
--- a/crates/mustardgate/src/settings/mod.rs
+++ b/crates/mustardgate/src/settings/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod check;
 mod drain;
+mod keys;
 mod logging;
 mod node;
 mod operators;
@@ -26,6 +27,7 @@
     callers::CallerSettings,
     check::{RangeCheck, RangeFault},
     drain::DrainSettings,
+    keys::{KEY_SHARDS, KeyWindowSettings},
     logging::{LogFormat, LoggingSettings},
     node::IdentitySettings,
     operators::OperatorSettings,
@@ -50,6 +52,9 @@
     /// Connections to backend servers.
     #[serde(default)]
     pub backends: BackendSettings,
+    /// Idempotency keys.
+    #[serde(default)]
+    pub keys: KeyWindowSettings,
     /// How a planned stop goes.
     #[serde(default)]
     pub drain: DrainSettings,
@@ -132,6 +137,7 @@
         self.peers.check(check);
         self.platform.check(check);
         self.backends.check(check);
+        self.keys.check(check, self.platform.retention_s);
         self.drain.check(check);
     }
 }
--- a/crates/mustardgate/tests/settings.rs
+++ b/crates/mustardgate/tests/settings.rs
@@ -88,6 +88,7 @@
         include_str!("../src/settings/platform.rs"),
         include_str!("../src/settings/backends.rs"),
         include_str!("../src/settings/drain.rs"),
+        include_str!("../src/settings/keys.rs"),
         include_str!("../src/settings/logging.rs"),
     ];
     let fields = sources.iter().flat_map(|source| source.lines()).filter_map(|line| {
