Prove that the configuration never reverts, and test submission, follower and checks

Cause: the promise needs runs with faults together, judged from the records of the log. Ruled out: holding an operator's 'not applied' against later repeats of the same identifier.

--- a/crates/mustardgate-core/src/config/submission.rs
+++ b/crates/mustardgate-core/src/config/submission.rs
@@ -30,7 +30,7 @@
         /// Identifier to ask with.
         change: ChangeId,
     },
-    /// The change certainly is not in the log and will not take effect.
+    /// Nothing of this submission is in the log; the change takes effect only if its identifier is submitted again.
     NotApplied,
 }
 
--- /dev/null
+++ b/crates/mustardgate-core/tests/config_follower.rs
@@ -0,0 +1,238 @@
+//! Where a follower reads, fault by fault.
+
+mod config_support;
+
+use std::time::{Duration, Instant};
+
+use mustardgate_core::{
+    config::{
+        ConfigReplica, FEED_SILENCE_MS, FEEDERS_PER_DOMAIN, FollowAction, FollowerState, LoadState, NotLoadedReason,
+        SnapshotPolicy, choose_feeders,
+    },
+    ids::{NodeId, Offset},
+    log::{BatchRecord, LogRecord},
+    ports::{LogEntry, LogPage, ReadError},
+};
+use proptest::prelude::{prop_assert, prop_assert_eq, proptest};
+use smol_str::format_smolstr;
+
+use crate::config_support::{change, entry, loaded_replica, span};
+
+/// A log that answers reads and counts them.
+struct FakeLog {
+    earliest: Offset,
+    entries: Vec<LogEntry>,
+    is_down: bool,
+}
+
+impl FakeLog {
+    /// Holds `count` records, with a change at every hundredth offset and a snapshot at each offset listed.
+    fn new(count: Offset, snapshots: &[Offset]) -> Self {
+        let mut replica = loaded_replica(&[]);
+        let mut entries = Vec::new();
+        for offset in 0..count {
+            let record = if snapshots.contains(&offset) {
+                LogRecord::Snapshot(Box::new(replica.to_snapshot("node-9".into()).expect("loaded")))
+            } else if offset % 100 == 0 {
+                LogRecord::Change(change(&offset.to_string(), offset as usize, None, Some(1)))
+            } else {
+                LogRecord::Batch(BatchRecord::default())
+            };
+            let logged = LogEntry { offset, record };
+            replica.apply(&span(std::slice::from_ref(&logged))).expect("no gap");
+            entries.push(logged);
+        }
+        Self {
+            earliest: 0,
+            entries,
+            is_down: false,
+        }
+    }
+
+    fn read(&self, from: Offset, limit: usize) -> Result<LogPage, ReadError> {
+        if self.is_down {
+            return Err(ReadError::Unavailable);
+        }
+        if from < self.earliest {
+            return Err(ReadError::Trimmed {
+                earliest: self.earliest,
+            });
+        }
+        Ok(LogPage {
+            earliest: self.earliest,
+            end: self.entries.len() as Offset,
+            entries: self.entries.iter().skip(from as usize).take(limit).cloned().collect(),
+        })
+    }
+}
+
+struct Fixture {
+    log: FakeLog,
+    replica: ConfigReplica,
+    follower: FollowerState,
+    now: Instant,
+    records_read: usize,
+}
+
+impl Fixture {
+    fn new(log: FakeLog) -> Self {
+        let now = Instant::now();
+        Self {
+            log,
+            replica: ConfigReplica::new(),
+            follower: FollowerState::new("node-1".into(), SnapshotPolicy::default(), 1, now),
+            now,
+            records_read: 0,
+        }
+    }
+
+    /// Reads until the follower wants something else, and returns that.
+    fn settle(&mut self) -> FollowAction {
+        loop {
+            let action = self.follower.next_action(&self.replica, self.now);
+            let FollowAction::ReadLog { from, limit } = action else {
+                return action;
+            };
+            let answer = self.log.read(from, limit);
+            self.records_read += answer.as_ref().map_or(0, |page| page.entries.len());
+            let report = self.follower.on_page(&mut self.replica, from, answer, self.now);
+            assert_eq!(report.violations, []);
+        }
+    }
+
+    fn state(&self) -> (LoadState, Offset, usize) {
+        let replica = &self.replica;
+        (replica.load_state(), replica.next_offset(), replica.view().len())
+    }
+}
+
+#[test]
+fn fresh_node_replays_a_whole_log() {
+    let mut fixture = Fixture::new(FakeLog::new(250, &[]));
+    assert!(matches!(fixture.settle(), FollowAction::Wait(_)));
+    assert_eq!(fixture.state(), (LoadState::Loaded, 250, 3));
+}
+
+#[test]
+fn empty_log_is_an_empty_configuration() {
+    let mut fixture = Fixture::new(FakeLog::new(0, &[]));
+    fixture.settle();
+    assert_eq!(fixture.state(), (LoadState::Loaded, 0, 0));
+}
+
+#[test]
+fn fresh_node_finds_the_newest_snapshot_from_the_end() {
+    let mut log = FakeLog::new(20_000, &[5_050, 18_050, 19_050]);
+    log.earliest = 1_000;
+    let mut fixture = Fixture::new(log);
+    fixture.settle();
+    assert_eq!(fixture.state(), (LoadState::Loaded, 20_000, 200));
+    assert!(fixture.records_read < 3_000, "{} records read", fixture.records_read);
+}
+
+#[test]
+fn trimmed_log_without_snapshot_is_not_loaded() {
+    let mut log = FakeLog::new(3_000, &[]);
+    log.earliest = 1_000;
+    let mut fixture = Fixture::new(log);
+    assert_eq!(fixture.settle(), FollowAction::AskNeighbours);
+    let reason = NotLoadedReason::NoSnapshot { earliest: 1_000 };
+    assert_eq!(fixture.replica.load_state(), LoadState::NotLoaded(reason));
+}
+
+#[test]
+fn snapshot_whose_tail_was_trimmed_is_no_base() {
+    let mut log = FakeLog::new(3_000, &[1_050]);
+    log.earliest = 1_050;
+    let mut fixture = Fixture::new(log);
+    fixture.settle();
+    assert!(
+        fixture.replica.is_loaded(),
+        "the tail of a snapshot as of 1049 begins at 1050"
+    );
+    fixture = Fixture::new(FakeLog::new(3_000, &[1_050]));
+    fixture.log.earliest = 1_051;
+    assert_eq!(fixture.settle(), FollowAction::AskNeighbours);
+}
+
+#[test]
+fn node_that_slept_over_a_trim_moves_to_a_newer_snapshot() {
+    let mut fixture = Fixture::new(FakeLog::new(150, &[]));
+    fixture.settle();
+    fixture.log = FakeLog::new(3_000, &[2_050]);
+    fixture.log.earliest = 1_000;
+    fixture.now += Duration::from_secs(60);
+    fixture.settle();
+    assert_eq!(fixture.state(), (LoadState::Loaded, 3_000, 30));
+}
+
+#[test]
+fn outage_at_the_start_is_bridged_by_a_neighbour() {
+    let mut fixture = Fixture::new(FakeLog::new(250, &[]));
+    fixture.log.is_down = true;
+    assert_eq!(fixture.settle(), FollowAction::AskNeighbours);
+    assert_eq!(
+        fixture.replica.load_state(),
+        LoadState::NotLoaded(NotLoadedReason::LogUnavailable)
+    );
+    let neighbour = loaded_replica(&fixture.log.entries[..150]);
+    let snapshot = neighbour.to_snapshot("node-2".into()).expect("loaded");
+    fixture.follower.on_handover(&mut fixture.replica, &snapshot);
+    assert_eq!(fixture.state(), (LoadState::Loaded, 150, 2));
+    fixture.log.is_down = false;
+    fixture.now += Duration::from_secs(2);
+    fixture.settle();
+    assert_eq!(fixture.state(), (LoadState::Loaded, 250, 3));
+    fixture.follower.on_handover(&mut fixture.replica, &snapshot);
+    assert_eq!(fixture.state(), (LoadState::Loaded, 250, 3));
+}
+
+#[test]
+fn fed_node_reads_the_log_only_when_its_feed_is_silent_or_has_a_gap() {
+    let mut fixture = Fixture::new(FakeLog::new(100, &[]));
+    fixture.follower.set_feeder(false);
+    fixture.settle();
+    fixture.now += Duration::from_secs(2);
+    let fed = span(&[entry(100, change("fed", 7, None, Some(1)))]);
+    fixture.follower.on_feed(&mut fixture.replica, &fed, fixture.now);
+    assert_eq!(fixture.replica.next_offset(), 101);
+    let silent = fixture.now + Duration::from_millis(FEED_SILENCE_MS);
+    assert_eq!(
+        fixture.follower.next_action(&fixture.replica, fixture.now),
+        FollowAction::Wait(silent)
+    );
+    let late = fixture.follower.next_action(&fixture.replica, silent);
+    assert!(matches!(late, FollowAction::ReadLog { from: 101, .. }));
+    let gap = span(&[entry(105, change("gap", 8, None, Some(1)))]);
+    fixture.follower.on_feed(&mut fixture.replica, &gap, fixture.now);
+    let action = fixture.follower.next_action(&fixture.replica, fixture.now);
+    assert!(matches!(action, FollowAction::ReadLog { from: 101, .. }));
+}
+
+#[test]
+fn snapshot_is_due_by_age_and_not_again_before_it_is_read_back() {
+    let mut fixture = Fixture::new(FakeLog::new(100, &[]));
+    fixture.settle();
+    fixture.now += SnapshotPolicy::default().retention / 8;
+    assert!(matches!(fixture.settle(), FollowAction::AppendSnapshot(snapshot) if snapshot.as_of == 99));
+    assert!(matches!(fixture.settle(), FollowAction::Wait(_)));
+    fixture.now += SnapshotPolicy::default().read_back;
+    assert!(
+        matches!(fixture.settle(), FollowAction::AppendSnapshot(_)),
+        "the first one got lost"
+    );
+}
+
+proptest! {
+    #[test]
+    fn feeders_move_only_when_one_leaves(count in 3..20usize, gone in 0..20usize) {
+        let live: Vec<NodeId> = (0..count).map(|index| format_smolstr!("node-{index}")).collect();
+        let feeders = choose_feeders(&"domain-1".into(), &live);
+        prop_assert_eq!(feeders.len(), FEEDERS_PER_DOMAIN);
+        let mut rest = live.clone();
+        let gone = rest.remove(gone % count);
+        rest.reverse();
+        let after = choose_feeders(&"domain-1".into(), &rest);
+        prop_assert!(feeders.iter().all(|feeder| *feeder == gone || after.contains(feeder)));
+    }
+}
--- /dev/null
+++ b/crates/standins/src/proof/config_judge.rs
@@ -0,0 +1,133 @@
+//! Judges nodes and outcomes from the records that the log really holds.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use mustardgate_core::{
+    config::ChangeOutcome,
+    ids::{ChangeId, Offset},
+};
+
+use super::{PromiseViolation, config_node::ConfigNode, config_world::LogWorld};
+
+/// Everything that operators heard about their changes.
+#[derive(Debug, Default)]
+pub(super) struct OutcomeJudge {
+    repeated: BTreeSet<ChangeId>,
+    told: BTreeMap<ChangeId, Vec<ChangeOutcome>>,
+}
+
+impl OutcomeJudge {
+    /// Notes that a change was submitted more than once.
+    pub(super) fn note_repeat(&mut self, change: &ChangeId) {
+        self.repeated.insert(change.clone());
+    }
+
+    /// Judges what an operator hears, and keeps it.
+    pub(super) fn hear(
+        &mut self,
+        world: &LogWorld,
+        change: ChangeId,
+        outcome: ChangeOutcome,
+    ) -> Result<(), PromiseViolation> {
+        self.judge(world, &change, &outcome)?;
+        self.told.entry(change).or_default().push(outcome);
+        Ok(())
+    }
+
+    /// Judges everything that was heard once more, when all records have arrived.
+    pub(super) fn judge_all(&self, world: &LogWorld) -> Result<(), PromiseViolation> {
+        for (change, outcomes) in &self.told {
+            for outcome in outcomes {
+                self.judge(world, change, outcome)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Judges what an operator heard; "not applied" speaks of one submission, so a repeated one may still take effect.
+    fn judge(&self, world: &LogWorld, change: &ChangeId, outcome: &ChangeOutcome) -> Result<(), PromiseViolation> {
+        let decision = world.decision(change);
+        let effective = decision
+            .filter(|(_, is_effective)| *is_effective)
+            .map(|(offset, _)| offset);
+        let holds = match outcome {
+            ChangeOutcome::Accepted { version } => effective == Some(*version),
+            ChangeOutcome::Conflict { .. } => effective.is_none(),
+            ChangeOutcome::NotApplied => decision.is_none() || self.repeated.contains(change),
+            ChangeOutcome::Unknown { .. } => true,
+        };
+        if holds {
+            return Ok(());
+        }
+        violated(
+            "an outcome told is true",
+            format!("{change} was told {outcome:?} and decided {decision:?}"),
+        )
+    }
+}
+
+/// Judges what one node serves.
+pub(super) fn judge_node(world: &LogWorld, node: &mut ConfigNode) -> Result<(), PromiseViolation> {
+    let applied = node.replica.applied_offset();
+    if node.violations > 0 {
+        return violated(
+            "a snapshot equals the replayed state",
+            format!("{} at {applied:?}", node.name),
+        );
+    }
+    if !node.is_serving() {
+        return Ok(());
+    }
+    if node.highest_served > applied {
+        let detail = format!("{} went from {:?} to {applied:?}", node.name, node.highest_served);
+        return violated("no view goes back", detail);
+    }
+    node.highest_served = applied;
+    let is_behind_boot = !node.met_outage && applied.map_or(0, |offset| offset + 1) < node.boot_end;
+    if is_behind_boot || (applied.is_none() && node.boot_end > 0) {
+        let detail = format!(
+            "{} serves as of {applied:?}, log began with end {}",
+            node.name, node.boot_end
+        );
+        return violated("nothing is served before the declared configuration is known", detail);
+    }
+    judge_view(world, node, applied)
+}
+
+fn judge_view(world: &LogWorld, node: &ConfigNode, applied: Option<Offset>) -> Result<(), PromiseViolation> {
+    let view = node.replica.view();
+    let declared = world.state_at(applied);
+    let is_same = view.len() == declared.len()
+        && view.iter().all(|resource| {
+            declared
+                .get(&resource.key)
+                .is_some_and(|(version, spec)| *version == resource.version && *spec == resource.spec)
+        });
+    if is_same {
+        return Ok(());
+    }
+    violated(
+        "a view is what the log declares",
+        format!("{} differs at {applied:?}", node.name),
+    )
+}
+
+/// Judges that every node reached what the log held when the faults ceased.
+pub(super) fn judge_agreement(nodes: &[ConfigNode], end: Offset) -> Result<(), PromiseViolation> {
+    for node in nodes {
+        if !node.replica.is_loaded() || node.replica.next_offset() < end {
+            let detail = format!(
+                "{} is {:?} at {} of {end}",
+                node.name,
+                node.replica.load_state(),
+                node.replica.next_offset()
+            );
+            return violated("a change is in force everywhere in time", detail);
+        }
+    }
+    Ok(())
+}
+
+fn violated(promise: &'static str, detail: String) -> Result<(), PromiseViolation> {
+    Err(PromiseViolation { promise, detail })
+}
--- /dev/null
+++ b/crates/standins/src/proof/config_node.rs
@@ -0,0 +1,241 @@
+//! One node of the configuration proofs: the real decisions, with one guard of them undone on request.
+
+use std::time::{Duration, Instant};
+
+use mustardgate_core::{
+    config::{
+        ChangeOutcome, ChangeSubmission, ConfigReplica, ConfigSpan, FollowAction, FollowReport, FollowerState,
+        SnapshotPolicy, SnapshotSource, SubmissionAction,
+    },
+    ids::{ChangeId, NodeId, Offset},
+    log::{LogRecord, SnapshotRecord},
+    ports::{LogEntry, LogPage, ReadError},
+};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use smol_str::format_smolstr;
+
+use super::config_world::{LogWorld, RETENTION_STEPS};
+
+/// Time that one step of a run stands for, in milliseconds.
+pub(super) const STEP_MS: u64 = 500;
+const READS_PER_STEP: usize = 8;
+const PAGE_RECORDS: usize = 40;
+
+/// The guard that a scenario takes out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConfigGuard {
+    /// A change takes effect only on the version it expects.
+    VersionCheck,
+    /// A second record with the same change identifier is ignored.
+    ChangeIdentifiers,
+    /// A change is accepted only when it was read back.
+    ReadBack,
+    /// Records that were trimmed unread are not skipped.
+    GapRefusal,
+    /// A snapshot never takes a replica back.
+    ForwardOnly,
+    /// A replica that holds nothing is not served.
+    LoadState,
+}
+
+/// What one step of a node asks of the others.
+#[derive(Debug, Default)]
+pub(super) struct NodeOutput {
+    pub(super) spans: Vec<ConfigSpan>,
+    pub(super) wants_neighbours: bool,
+    pub(super) told: Vec<(ChangeId, ChangeOutcome)>,
+}
+
+/// One process on one VM.
+#[derive(Debug)]
+pub(super) struct ConfigNode {
+    pub(super) name: NodeId,
+    pub(super) replica: ConfigReplica,
+    pub(super) follower: FollowerState,
+    pub(super) paused_until: u64,
+    pub(super) highest_served: Option<Offset>,
+    pub(super) boot_end: Offset,
+    pub(super) met_outage: bool,
+    pub(super) violations: u64,
+    submissions: Vec<ChangeSubmission>,
+    removed: Option<ConfigGuard>,
+}
+
+impl ConfigNode {
+    pub(super) fn new(index: usize, seed: u64, removed: Option<ConfigGuard>, world: &LogWorld, now: Instant) -> Self {
+        let name = format_smolstr!("node-{index}");
+        let policy = SnapshotPolicy {
+            retention: Duration::from_millis(RETENTION_STEPS * STEP_MS),
+            min_records: 60,
+            read_back: Duration::from_secs(5),
+        };
+        Self {
+            follower: FollowerState::new(name.clone(), policy, seed, now),
+            name,
+            replica: ConfigReplica::new(),
+            paused_until: 0,
+            highest_served: None,
+            boot_end: world.log.end(),
+            met_outage: world.is_down,
+            violations: 0,
+            submissions: Vec::new(),
+            removed,
+        }
+    }
+
+    pub(super) fn submit(&mut self, submission: ChangeSubmission) {
+        self.submissions.push(submission);
+    }
+
+    /// Returns whether the node answers readers from its view.
+    pub(super) fn is_serving(&self) -> bool {
+        self.replica.is_loaded() || self.removed == Some(ConfigGuard::LoadState)
+    }
+
+    pub(super) fn step(&mut self, world: &mut LogWorld, step: u64, now: Instant, rng: &mut ChaCha8Rng) -> NodeOutput {
+        self.met_outage |= world.is_down;
+        let mut output = NodeOutput::default();
+        for _ in 0..READS_PER_STEP {
+            match self.follower.next_action(&self.replica, now) {
+                FollowAction::Wait(_) => break,
+                FollowAction::AskNeighbours => output.wants_neighbours = true,
+                FollowAction::AppendSnapshot(snapshot) => {
+                    // The outcome shows in the log; a snapshot that got lost becomes due again.
+                    let _ = world.append(LogRecord::Snapshot(snapshot), step, rng);
+                }
+                FollowAction::ReadLog { from, limit } => {
+                    let answer = world.log.read_now(from, limit.min(PAGE_RECORDS));
+                    let report = self.take_page(from, answer, now);
+                    output.spans.extend(self.note(report));
+                }
+            }
+        }
+        self.drive_submissions(world, step, now, rng, &mut output);
+        output
+    }
+
+    pub(super) fn take_feed(&mut self, span: &ConfigSpan, now: Instant) {
+        let mut span = span.clone();
+        if self.rewrites_entries() {
+            for entry in span.entries.split_off(0) {
+                let single = ConfigSpan {
+                    from: span.from,
+                    until: entry.offset + 1,
+                    entries: vec![self.without_guard(entry)],
+                };
+                let report = self.follower.on_feed(&mut self.replica, &single, now);
+                self.note(report);
+            }
+        }
+        let report = self.follower.on_feed(&mut self.replica, &span, now);
+        self.note(report);
+    }
+
+    pub(super) fn take_handover(&mut self, snapshot: &SnapshotRecord) {
+        if self.removed == Some(ConfigGuard::ForwardOnly) {
+            self.replica = ConfigReplica::new();
+            let source = SnapshotSource::Neighbour;
+            self.violations += u64::from(self.replica.install(snapshot, source).is_err());
+            return;
+        }
+        let report = self.follower.on_handover(&mut self.replica, snapshot);
+        self.note(report);
+    }
+
+    fn take_page(&mut self, from: Offset, answer: Result<LogPage, ReadError>, now: Instant) -> FollowReport {
+        let answer = match (self.removed, answer) {
+            (Some(ConfigGuard::GapRefusal), Err(ReadError::Trimmed { earliest })) if self.replica.has_base() => {
+                let skipped = ConfigSpan {
+                    from: self.replica.next_offset(),
+                    until: earliest,
+                    entries: Vec::new(),
+                };
+                self.violations += u64::from(self.replica.apply(&skipped).is_err());
+                return FollowReport::default();
+            }
+            (_, Ok(mut page)) if self.rewrites_entries() => {
+                page.entries.truncate(1);
+                page.entries = page
+                    .entries
+                    .into_iter()
+                    .map(|entry| self.without_guard(entry))
+                    .collect();
+                Ok(page)
+            }
+            (_, answer) => answer,
+        };
+        self.follower.on_page(&mut self.replica, from, answer, now)
+    }
+
+    /// Returns whether the removed guard is undone by rewriting each record for the state that it meets.
+    fn rewrites_entries(&self) -> bool {
+        matches!(
+            self.removed,
+            Some(ConfigGuard::VersionCheck | ConfigGuard::ChangeIdentifiers)
+        )
+    }
+
+    fn without_guard(&self, mut entry: LogEntry) -> LogEntry {
+        let LogRecord::Change(change) = &mut entry.record else {
+            return entry;
+        };
+        if self.removed == Some(ConfigGuard::VersionCheck) {
+            change.expected = self.replica.view().version_of(&change.resource);
+        } else if self.replica.outcome_of(&change.change).is_some() {
+            change.change = format_smolstr!("{}/{}", change.change, entry.offset);
+        }
+        entry
+    }
+
+    fn note(&mut self, report: FollowReport) -> Option<ConfigSpan> {
+        self.violations += report.violations.len() as u64;
+        report.span
+    }
+
+    fn drive_submissions(
+        &mut self,
+        world: &mut LogWorld,
+        step: u64,
+        now: Instant,
+        rng: &mut ChaCha8Rng,
+        output: &mut NodeOutput,
+    ) {
+        for mut submission in std::mem::take(&mut self.submissions) {
+            match self.drive(&mut submission, world, step, now, rng) {
+                Some(outcome) => output.told.push((submission.change().clone(), outcome)),
+                None => self.submissions.push(submission),
+            }
+        }
+    }
+
+    fn drive(
+        &mut self,
+        submission: &mut ChangeSubmission,
+        world: &mut LogWorld,
+        step: u64,
+        now: Instant,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<ChangeOutcome> {
+        match submission.poll(&self.replica, now) {
+            SubmissionAction::Finish(outcome) => return Some(outcome),
+            SubmissionAction::Wait(_) => {}
+            SubmissionAction::FindEnd => {
+                let end = world.log.read_now(world.log.end(), 1).map(|page| page.end);
+                submission.on_end(end, now);
+            }
+            SubmissionAction::Append(record) => {
+                let answer = world.append(LogRecord::Change(record), step, rng);
+                if let (Some(ConfigGuard::ReadBack), Ok(version)) = (self.removed, answer) {
+                    return Some(ChangeOutcome::Accepted { version });
+                }
+                // The process may be suspended between the append and its answer.
+                if rng.random_bool(0.02) {
+                    self.paused_until = step + rng.random_range(1..80);
+                }
+                submission.on_append(answer, now);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/standins/src/proof/config_world.rs
@@ -0,0 +1,156 @@
+//! The log as the configuration proofs see it from outside, with every record kept and judged by the written rules.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use mustardgate_core::{
+    ids::{ChangeId, Offset},
+    log::{ChangeRecord, LogRecord},
+    ports::AppendError,
+    resources::{ResourceKey, ResourceSpec},
+};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::platform::{LogFaults, MemoryLog};
+
+/// Steps after which the log drops a record.
+pub(super) const RETENTION_STEPS: u64 = 400;
+
+/// Declared resources with their versions.
+pub(super) type DeclaredState = BTreeMap<ResourceKey, (Offset, ResourceSpec)>;
+
+/// The log, appends that are still under way, and what the records mean.
+#[derive(Debug)]
+pub(super) struct LogWorld {
+    pub(super) log: MemoryLog,
+    pub(super) is_down: bool,
+    is_calm: bool,
+    delayed: Vec<(u64, LogRecord)>,
+    appended_at: VecDeque<(Offset, u64)>,
+    states: Vec<DeclaredState>,
+    decided: BTreeMap<ChangeId, (Offset, bool)>,
+    pub(super) late_duplicates: u64,
+    pub(super) trims: u64,
+    pub(super) snapshots: u64,
+}
+
+impl LogWorld {
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            log: MemoryLog::new(seed),
+            is_down: false,
+            is_calm: false,
+            delayed: Vec::new(),
+            appended_at: VecDeque::new(),
+            states: vec![DeclaredState::new()],
+            decided: BTreeMap::new(),
+            late_duplicates: 0,
+            trims: 0,
+            snapshots: 0,
+        }
+    }
+
+    pub(super) fn set_faults(&mut self, is_down: bool, is_calm: bool) {
+        self.is_down = is_down;
+        self.is_calm = is_calm;
+        let ratio = if is_calm { 0.0 } else { 0.15 };
+        self.log.set_faults(LogFaults {
+            is_down,
+            lost_answer_ratio: ratio,
+            refused_ratio: ratio,
+            delay_ms: 0,
+        });
+    }
+
+    /// Appends, or loses the answer and lets the record arrive later, also a second time.
+    pub(super) fn append(&mut self, record: LogRecord, step: u64, rng: &mut ChaCha8Rng) -> Result<Offset, AppendError> {
+        if !self.is_down && !self.is_calm && rng.random_bool(0.15) {
+            self.delayed.push((step + rng.random_range(1..60), record));
+            return Err(AppendError::Unknown);
+        }
+        let answer = self.append_seen(&record, step);
+        if answer != Err(AppendError::NotAppended) && !self.is_calm && rng.random_bool(0.1) {
+            self.delayed.push((step + rng.random_range(1..60), record));
+            return Err(AppendError::Unknown);
+        }
+        answer
+    }
+
+    /// Lets delayed records arrive and drops the ones that are too old.
+    pub(super) fn advance(&mut self, step: u64) {
+        let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.delayed)
+            .into_iter()
+            .partition(|(time, _)| *time <= step);
+        self.delayed = rest;
+        for (_, record) in due {
+            if self.append_seen(&record, step) == Err(AppendError::NotAppended) {
+                self.delayed.push((step + 5, record));
+            }
+        }
+        self.trim(step);
+    }
+
+    /// Returns the declared state after the record at `offset`, or before any record.
+    pub(super) fn state_at(&self, offset: Option<Offset>) -> &DeclaredState {
+        &self.states[offset.map_or(0, |offset| offset as usize + 1)]
+    }
+
+    /// Returns where a change was decided and whether it took effect.
+    pub(super) fn decision(&self, change: &ChangeId) -> Option<(Offset, bool)> {
+        self.decided.get(change).copied()
+    }
+
+    pub(super) fn has_delayed(&self) -> bool {
+        !self.delayed.is_empty()
+    }
+
+    fn append_seen(&mut self, record: &LogRecord, step: u64) -> Result<Offset, AppendError> {
+        let offset = self.log.end();
+        let answer = self.log.append_now(record.clone());
+        if self.log.end() > offset {
+            self.appended_at.push_back((offset, step));
+            self.judge(offset, record);
+        }
+        answer
+    }
+
+    fn judge(&mut self, offset: Offset, record: &LogRecord) {
+        let mut state = self.states.last().cloned().unwrap_or_default();
+        self.snapshots += u64::from(matches!(record, LogRecord::Snapshot(_)));
+        if let LogRecord::Change(change) = record {
+            if self.decided.contains_key(&change.change) {
+                self.late_duplicates += 1;
+            } else {
+                let is_effective = take_effect(&mut state, offset, change);
+                self.decided.insert(change.change.clone(), (offset, is_effective));
+            }
+        }
+        self.states.push(state);
+    }
+
+    fn trim(&mut self, step: u64) {
+        let mut earliest = None;
+        while let Some((offset, time)) = self.appended_at.front()
+            && time + RETENTION_STEPS < step
+        {
+            earliest = Some(offset + 1);
+            self.appended_at.pop_front();
+        }
+        if let Some(earliest) = earliest {
+            self.trims += 1;
+            self.log.trim(earliest);
+        }
+    }
+}
+
+fn take_effect(state: &mut DeclaredState, offset: Offset, change: &ChangeRecord) -> bool {
+    let current = state.get(&change.resource).map(|(version, _)| *version);
+    if current != change.expected || (current.is_none() && change.spec.is_none()) {
+        return false;
+    }
+    state.remove(&change.resource);
+    if let Some(spec) = &change.spec {
+        state.insert(change.resource.clone(), (offset, spec.clone()));
+    }
+    true
+}
--- a/crates/standins/src/proof/mod.rs
+++ b/crates/standins/src/proof/mod.rs
@@ -4,6 +4,11 @@
 //! decisions against stand-ins for one seed and judges from the outside: from what the stand-ins really did, against
 //! what was told. See `docs/PROOFS.md`.
 
+mod config_cluster;
+mod config_judge;
+mod config_node;
+mod config_scenarios;
+mod config_world;
 mod runner;
 
 use std::fmt::Debug;
@@ -61,5 +66,7 @@
 
 /// Every scenario, in the order of the promises in `docs/PROOFS.md`.
 pub fn scenarios() -> Vec<Box<dyn ProofScenario>> {
-    vec![]
+    let mut scenarios = Vec::new();
+    scenarios.extend(config_scenarios::config_scenarios());
+    scenarios
 }
