--- /dev/null
+++ b/crates/mustardgate/src/node/build.rs
@@ -0,0 +1,67 @@
+//! Builds the node's context with the adapters that talk over the network.
+
+use std::sync::{Arc, Mutex};
+
+use mustardgate_core::{
+    admission::AdmissionLimits,
+    retry::{RetryBudget, RetryLimits},
+    routing::{Locality, RoutingSettings, RunnerSelector},
+};
+use slog::Logger;
+
+use crate::{
+    backends::{AddressBook, EngineClient, HttpEngineControl, PlainClient},
+    configuration::ConfigDirectory,
+    context::{NodeContext, RequestCounter},
+    dispatch::AdmissionDesk,
+    drain::DrainController,
+    http::HttpClient,
+    platform::{HttpLiveList, HttpPlatformLog},
+    runners::{DemandCounter, RunnerBoard},
+    settings::NodeSettings,
+};
+
+/// Builds the context of a node; nothing is sent yet.
+pub fn build_context(settings: NodeSettings, logger: Logger) -> Arc<NodeContext> {
+    let platform = &settings.platform;
+    let backends = &settings.backends;
+    let pooled = HttpClient::pooled(backends.connect_timeout());
+    let unpooled = HttpClient::unpooled(backends.connect_timeout());
+    let addresses = AddressBook::default();
+    let own = Locality {
+        domain: settings.node.domain.clone(),
+        region: settings.node.region.clone(),
+    };
+    let selector = Arc::new(RunnerSelector::new(RoutingSettings::default(), own, rand::random()));
+    let limits = AdmissionLimits {
+        max_requests: settings.callers.max_queued,
+        max_bytes: settings.callers.max_queued_bytes,
+    };
+    let retries = RetryLimits {
+        success_ratio: backends.retry_ratio,
+        ..RetryLimits::default()
+    };
+    let control = HttpEngineControl::new(pooled.clone(), Arc::clone(&addresses), backends.stall_timeout());
+    Arc::new(NodeContext {
+        logger,
+        log: Arc::new(HttpPlatformLog::new(
+            unpooled.clone(),
+            platform.address,
+            platform.timeout(),
+        )),
+        list: Arc::new(HttpLiveList::new(pooled.clone(), platform.address, platform.timeout())),
+        engines: Arc::new(control),
+        engine_client: EngineClient::new(pooled, backends.stall_timeout()),
+        plain_client: PlainClient::new(unpooled, backends.max_answer_bytes),
+        addresses,
+        directory: ConfigDirectory::new(),
+        board: RunnerBoard::default(),
+        desk: AdmissionDesk::new(Arc::clone(&selector), limits, rand::random()),
+        selector,
+        demand: DemandCounter::default(),
+        budget: Mutex::new(RetryBudget::new(retries)),
+        drain: DrainController::default(),
+        identifiers: RequestCounter::new(&settings.node.name, rand::random()),
+        settings,
+    })
+}
--- a/crates/standins/src/proof/config_scenarios.rs
+++ b/crates/standins/src/proof/config_scenarios.rs
@@ -6,14 +6,26 @@
 
 /// One guard of the configuration, proved under all faults together.
 #[derive(Debug)]
-pub struct ConfigScenario {
-    name: &'static str,
+pub(super) struct ConfigScenario {
     guard: ConfigGuard,
 }
 
+impl ConfigScenario {
+    pub(super) fn new(guard: ConfigGuard) -> Self {
+        Self { guard }
+    }
+}
+
 impl ProofScenario for ConfigScenario {
     fn name(&self) -> &'static str {
-        self.name
+        match self.guard {
+            ConfigGuard::VersionCheck => "config-version-check",
+            ConfigGuard::ChangeIdentifiers => "config-change-identifiers",
+            ConfigGuard::ReadBack => "config-read-back",
+            ConfigGuard::GapRefusal => "config-gap-refusal",
+            ConfigGuard::ForwardOnly => "config-forward-only",
+            ConfigGuard::LoadState => "config-load-state",
+        }
     }
 
     fn run(&self, seed: u64, guard: GuardMode) -> Result<ProofFigures, PromiseViolation> {
@@ -21,19 +33,3 @@
         ConfigCluster::new(seed, self.guard as u64, removed).run()
     }
 }
-
-/// Lists the scenarios of the configuration.
-pub fn config_scenarios() -> Vec<Box<dyn ProofScenario>> {
-    let guards = [
-        ("config-version-check", ConfigGuard::VersionCheck),
-        ("config-change-identifiers", ConfigGuard::ChangeIdentifiers),
-        ("config-read-back", ConfigGuard::ReadBack),
-        ("config-gap-refusal", ConfigGuard::GapRefusal),
-        ("config-forward-only", ConfigGuard::ForwardOnly),
-        ("config-load-state", ConfigGuard::LoadState),
-    ];
-    let scenarios = guards.into_iter().map(|(name, guard)| ConfigScenario { name, guard });
-    scenarios
-        .map(|scenario| Box::new(scenario) as Box<dyn ProofScenario>)
-        .collect()
-}
--- a/crates/standins/src/proof/mod.rs
+++ b/crates/standins/src/proof/mod.rs
@@ -4,18 +4,22 @@
 //! decisions against stand-ins for one seed and judges from the outside: from what the stand-ins really did, against
 //! what was told. See `docs/PROOFS.md`.
 
+mod at_most_once;
 mod config_cluster;
 mod config_judge;
 mod config_node;
 mod config_scenarios;
 mod config_world;
+mod keyed;
 mod runner;
+mod told_not_run;
 
 use std::fmt::Debug;
 
 use snafu::Snafu;
 
 pub use self::runner::{ProofOptions, ProofSummary, run_all};
+use self::{config_node::ConfigGuard, config_scenarios::ConfigScenario};
 
 /// Whether the guard that a scenario proves is in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,7 +70,14 @@
 
 /// Every scenario, in the order of the promises in `docs/PROOFS.md`.
 pub fn scenarios() -> Vec<Box<dyn ProofScenario>> {
-    let mut scenarios = Vec::new();
-    scenarios.extend(config_scenarios::config_scenarios());
-    scenarios
+    vec![
+        Box::new(at_most_once::AtMostOnceScenario),
+        Box::new(told_not_run::ToldNotRunScenario),
+        Box::new(ConfigScenario::new(ConfigGuard::VersionCheck)),
+        Box::new(ConfigScenario::new(ConfigGuard::ChangeIdentifiers)),
+        Box::new(ConfigScenario::new(ConfigGuard::ReadBack)),
+        Box::new(ConfigScenario::new(ConfigGuard::GapRefusal)),
+        Box::new(ConfigScenario::new(ConfigGuard::ForwardOnly)),
+        Box::new(ConfigScenario::new(ConfigGuard::LoadState)),
+    ]
 }
