Add base placement, demand forecast and placement by marginal gain

Cause: every declared artifact must stay reachable, and demand must add replicas without churn.

Ruled out: virtual-point consistent hashing (no memory bound), best fit alone (a lost runner moves nearly everything), a table agreed in the log (no placement while the log is away), unloading on low demand (moves without need).

Change: BasePlacement (weighted rendezvous under memory), DemandEstimator (two averages and their trend), GainPolicy (expected late requests, price, hysteresis, residence, store and adapter limits, last-replica guard). AdmissionQueue::waiting_pools orders the pools for a place that comes free; the queue's types moved to their own file.

--- a/crates/mustardgate-core/src/admission/lane.rs
+++ b/crates/mustardgate-core/src/admission/lane.rs
@@ -133,6 +133,14 @@
             .max_by(|left, right| left.per_weight.total_cmp(&right.per_weight))
     }
 
+    /// Returns the earliest deadline of any request.
+    pub(super) fn earliest_deadline(&self) -> Option<Instant> {
+        self.tenants
+            .values()
+            .filter_map(|queue| queue.entries.first_key_value().map(|(key, _)| key.0))
+            .min()
+    }
+
     /// Returns the last request of a tenant, which is the one that gives way first.
     pub(super) fn last_key(&self, tenant: &TenantId) -> Option<EntryKey> {
         self.tenants.get(tenant)?.entries.last_key_value().map(|(key, _)| *key)
--- a/crates/mustardgate-core/src/admission/mod.rs
+++ b/crates/mustardgate-core/src/admission/mod.rs
@@ -7,9 +7,11 @@
 mod load;
 mod queue;
 mod refusal;
+mod request;
 
 pub use self::{
     load::PoolLoad,
-    queue::{AdmissionLimits, AdmissionOutcome, AdmissionQueue, PoolId, QueueViolation, QueuedRequest},
+    queue::AdmissionQueue,
     refusal::{Refusal, RefusalReason, RefusedRequest},
+    request::{AdmissionLimits, AdmissionOutcome, PoolId, QueueViolation, QueuedRequest},
 };
--- a/crates/mustardgate-core/src/admission/queue.rs
+++ b/crates/mustardgate-core/src/admission/queue.rs
@@ -7,87 +7,18 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use smol_str::SmolStr;
-use snafu::Snafu;
 
 use super::{
-    PoolLoad, Refusal, RefusalReason, RefusedRequest,
+    AdmissionLimits, AdmissionOutcome, PoolId, PoolLoad, QueueViolation, QueuedRequest, Refusal, RefusalReason,
+    RefusedRequest,
     lane::{ClassLane, EntryKey},
 };
-use crate::{
-    ids::{RequestId, TenantId},
-    resources::PriorityClass,
-    verdict::RunVerdict,
-};
+use crate::{ids::TenantId, resources::PriorityClass, verdict::RunVerdict};
 
 const RETRY_AFTER_MIN_MS: u64 = 100;
 const RETRY_AFTER_MAX_MS: u64 = 30_000;
 const RETRY_AFTER_JITTER_RATIO: f64 = 0.5;
 
-/// Name of the runners that a request waits for: a model, or a plain service.
-pub type PoolId = SmolStr;
-
-/// Bounds of the queue.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AdmissionLimits {
-    /// Requests that may wait.
-    pub max_requests: usize,
-    /// Bytes that waiting requests may hold.
-    pub max_bytes: usize,
-}
-
-impl Default for AdmissionLimits {
-    fn default() -> Self {
-        Self {
-            max_requests: 4_096,
-            max_bytes: 32 * 1_024 * 1_024,
-        }
-    }
-}
-
-/// A request that waits to be dispatched.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct QueuedRequest {
-    /// Identifier of the request.
-    pub request: RequestId,
-    /// Runners that it waits for.
-    pub pool: PoolId,
-    /// Tenant it belongs to.
-    pub tenant: TenantId,
-    /// Weight of the tenant.
-    pub weight: u32,
-    /// Priority class.
-    pub class: PriorityClass,
-    /// Time by which the first token or the answer is wanted.
-    pub deadline: Instant,
-    /// Memory that the request holds while it waits.
-    pub bytes: usize,
-    /// Work relative to other requests; one for an ordinary request.
-    pub cost: u32,
-}
-
-/// What became of a request that was offered.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct AdmissionOutcome {
-    /// The refusal, or `None` when the request waits in the queue.
-    pub refusal: Option<Refusal>,
-    /// Requests that gave way to it and whose callers are to be told now.
-    pub shed: Vec<RefusedRequest>,
-}
-
-/// A bound that the queue would have broken; the request concerned is not queued.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
-pub enum QueueViolation {
-    /// The length or the bytes would exceed their bounds after making room.
-    #[snafu(display("the queue would hold {requests} requests and {bytes} bytes"))]
-    BoundExceeded {
-        /// Requests that the queue would hold.
-        requests: usize,
-        /// Bytes that it would hold.
-        bytes: usize,
-    },
-}
-
 #[derive(Debug, Default)]
 struct PoolQueue {
     lanes: [ClassLane; PriorityClass::ALL.len()],
@@ -156,6 +87,21 @@
             .map_or(0, |queue| queue.lanes.iter().map(ClassLane::len).sum())
     }
 
+    /// Lists the pools that have requests waiting, the one with the most urgent class and earliest deadline first, so
+    /// that a place that comes free at a runner of several pools goes to the right one.
+    pub fn waiting_pools(&self) -> Vec<PoolId> {
+        let mut waiting: Vec<(usize, Instant, &PoolId)> = self
+            .pools
+            .iter()
+            .filter_map(|(pool, queue)| {
+                let class = queue.lanes.iter().position(|lane| lane.len() > 0)?;
+                Some((class, queue.lanes[class].earliest_deadline()?, pool))
+            })
+            .collect();
+        waiting.sort_unstable();
+        waiting.into_iter().map(|(_, _, pool)| pool.clone()).collect()
+    }
+
     /// Queues a request if its deadline can be met, and refuses it at once otherwise.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/mustardgate-core/src/placement/base/assign.rs
@@ -0,0 +1,177 @@
+//! Assignment within one region under the accelerators' memory.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{BaseReplica, DeclaredArtifact, LiveRunner, rank::rank};
+use crate::{
+    ids::{AcceleratorIndex, DomainId, MemoryMib},
+    log::Artifact,
+    placement::BaseAssignment,
+};
+
+const REPLICAS_WANTED: u32 = 2;
+
+/// Replicas of one region.
+#[derive(Debug, Default)]
+pub(super) struct RegionAssignment {
+    pub(super) replicas: BTreeMap<Artifact, Vec<BaseReplica>>,
+    pub(super) unplaced: Vec<Artifact>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PackingOrder {
+    /// By rendezvous rank, which keeps most replicas in place when runners come and go.
+    Rank,
+    /// By least memory left over, which fits more when memory is tight.
+    BestFit,
+}
+
+#[derive(Debug)]
+struct Slot<'a> {
+    runner: &'a LiveRunner,
+    accelerator: AcceleratorIndex,
+    capacity_mib: MemoryMib,
+    free_mib: MemoryMib,
+    held: BTreeSet<&'a Artifact>,
+}
+
+/// Assigns by rank, and packs tighter when that leaves something without any replica.
+pub(super) fn assign_region(artifacts: &[DeclaredArtifact], runners: &[&LiveRunner]) -> RegionAssignment {
+    let ranked = RegionPacker::new(runners, PackingOrder::Rank).assign(artifacts);
+    if ranked.unplaced.is_empty() {
+        return ranked;
+    }
+    let packed = RegionPacker::new(runners, PackingOrder::BestFit).assign(artifacts);
+    if packed.unplaced.len() < ranked.unplaced.len() {
+        packed
+    } else {
+        ranked
+    }
+}
+
+struct RegionPacker<'a> {
+    slots: Vec<Slot<'a>>,
+    order: PackingOrder,
+    assignment: RegionAssignment,
+}
+
+impl<'a> RegionPacker<'a> {
+    fn new(runners: &[&'a LiveRunner], order: PackingOrder) -> Self {
+        let mut slots: Vec<Slot<'a>> = runners
+            .iter()
+            .flat_map(|runner| {
+                (0..).zip(&runner.accelerators).map(|(accelerator, memory_mib)| Slot {
+                    runner,
+                    accelerator,
+                    capacity_mib: *memory_mib,
+                    free_mib: *memory_mib,
+                    held: BTreeSet::new(),
+                })
+            })
+            .collect();
+        slots.sort_by(|left, right| {
+            (&left.runner.backend, left.accelerator).cmp(&(&right.runner.backend, right.accelerator))
+        });
+        Self {
+            slots,
+            order,
+            assignment: RegionAssignment::default(),
+        }
+    }
+
+    /// Places the first replica of everything before the second of anything, and models before adapters.
+    fn assign(mut self, artifacts: &'a [DeclaredArtifact]) -> RegionAssignment {
+        let mut ordered: Vec<&DeclaredArtifact> = artifacts.iter().collect();
+        ordered.sort_by(|left, right| {
+            let key =
+                |declared: &DeclaredArtifact| (declared.artifact.adapter.is_some(), u64::MAX - declared.memory_mib);
+            (key(left), &left.artifact).cmp(&(key(right), &right.artifact))
+        });
+        ordered.dedup_by(|left, right| left.artifact == right.artifact);
+        for declared in &ordered {
+            if !self.place(declared, false) {
+                self.assignment.unplaced.push(declared.artifact.clone());
+            }
+        }
+        let most = ordered
+            .iter()
+            .map(|declared| declared.min_replicas)
+            .max()
+            .unwrap_or_default();
+        for replica in 1..most.max(REPLICAS_WANTED) {
+            for declared in &ordered {
+                if replica < declared.min_replicas.max(REPLICAS_WANTED) {
+                    self.place(declared, true);
+                }
+            }
+        }
+        self.assignment
+    }
+
+    /// Places one replica; a further one goes to a failure domain without a replica while there is such a domain.
+    fn place(&mut self, declared: &'a DeclaredArtifact, is_further: bool) -> bool {
+        let held: Vec<BaseReplica> = self
+            .assignment
+            .replicas
+            .get(&declared.artifact)
+            .cloned()
+            .unwrap_or_default();
+        if is_further && held.is_empty() {
+            return false;
+        }
+        let is_new_domain = |domain: &DomainId| held.iter().all(|replica| replica.domain != *domain);
+        let choice = self
+            .choose(declared, &is_new_domain)
+            .or_else(|| self.choose(declared, &|_| (held.len() as u32) < declared.min_replicas));
+        let Some(index) = choice else { return false };
+        let slot = &mut self.slots[index];
+        let Some(free_mib) = slot.free_mib.checked_sub(declared.memory_mib) else {
+            return false;
+        };
+        slot.free_mib = free_mib;
+        slot.held.insert(&declared.artifact);
+        let replica = BaseReplica {
+            region: slot.runner.region.clone(),
+            domain: slot.runner.domain.clone(),
+            place: BaseAssignment {
+                backend: slot.runner.backend.clone(),
+                accelerator: slot.accelerator,
+            },
+        };
+        self.assignment
+            .replicas
+            .entry(declared.artifact.clone())
+            .or_default()
+            .push(replica);
+        true
+    }
+
+    fn choose(&self, declared: &DeclaredArtifact, is_wanted: &dyn Fn(&DomainId) -> bool) -> Option<usize> {
+        let score = |slot: &Slot<'_>| match self.order {
+            PackingOrder::Rank => rank(
+                &declared.artifact,
+                &slot.runner.backend,
+                slot.accelerator,
+                slot.capacity_mib,
+            ),
+            PackingOrder::BestFit => -(slot.free_mib as f64),
+        };
+        (0..self.slots.len())
+            .filter(|index| {
+                let slot = &self.slots[*index];
+                slot.free_mib >= declared.memory_mib
+                    && !slot.held.contains(&declared.artifact)
+                    && is_wanted(&slot.runner.domain)
+                    && is_beside_model(slot, &declared.artifact)
+            })
+            .max_by(|left, right| score(&self.slots[*left]).total_cmp(&score(&self.slots[*right])))
+    }
+}
+
+fn is_beside_model(slot: &Slot<'_>, artifact: &Artifact) -> bool {
+    artifact.adapter.is_none()
+        || slot
+            .held
+            .iter()
+            .any(|held| held.adapter.is_none() && held.model == artifact.model)
+}
--- /dev/null
+++ b/crates/mustardgate-core/src/placement/base/rank.rs
@@ -0,0 +1,19 @@
+//! Weighted rendezvous hashing.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    ids::{AcceleratorIndex, BackendId, MemoryMib},
+    log::Artifact,
+};
+
+/// Ranks an accelerator for weights; the highest rank wins, in proportion to memory over many artifacts.
+///
+/// A runner that comes or goes moves only what ranks highest on it.
+pub(super) fn rank(artifact: &Artifact, backend: &BackendId, accelerator: AcceleratorIndex, weight: MemoryMib) -> f64 {
+    let model = xxh3_64_with_seed(artifact.model.as_bytes(), u64::from(accelerator));
+    let adapter = xxh3_64_with_seed(artifact.adapter.as_deref().unwrap_or_default().as_bytes(), model);
+    let hash = xxh3_64_with_seed(backend.as_bytes(), adapter);
+    let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    -(weight as f64) / unit.ln()
+}
--- /dev/null
+++ b/crates/mustardgate-core/src/placement/gain/evict.rs
@@ -0,0 +1,93 @@
+//! Replicas that may give way, and what giving way costs.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    ids::{AcceleratorIndex, BackendId, MemoryMib},
+    log::Artifact,
+    placement::{DomainView, Holding, HoldingState},
+};
+
+/// A place where weights are resident.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct ReplicaPlace {
+    pub(super) backend: BackendId,
+    pub(super) accelerator: AcceleratorIndex,
+    pub(super) artifact: Artifact,
+}
+
+/// When each replica was first seen.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ResidenceBook {
+    since: BTreeMap<ReplicaPlace, Instant>,
+}
+
+impl ResidenceBook {
+    /// Notes new replicas and forgets those that are gone.
+    pub(super) fn update(&mut self, now: Instant, view: &DomainView) {
+        let mut since = BTreeMap::new();
+        for runner in &view.runners {
+            for (accelerator, state) in (0..).zip(&runner.accelerators) {
+                for holding in &state.holdings {
+                    let place = ReplicaPlace {
+                        backend: runner.backend.clone(),
+                        accelerator,
+                        artifact: holding.artifact.clone(),
+                    };
+                    let first = self.since.get(&place).copied().unwrap_or(now);
+                    since.insert(place, first);
+                }
+            }
+        }
+        self.since = since;
+    }
+
+    pub(super) fn has_stayed(&self, now: Instant, place: &ReplicaPlace, least: Duration) -> bool {
+        self.since
+            .get(place)
+            .is_some_and(|since| now.saturating_duration_since(*since) >= least)
+    }
+}
+
+/// A model's replica with the adapters beside it, which go together.
+#[derive(Clone, Debug)]
+pub(super) struct EvictionUnit {
+    pub(super) artifacts: Vec<Artifact>,
+    pub(super) memory_mib: MemoryMib,
+}
+
+/// Groups the resident holdings of an accelerator by what has to go together: a model takes its adapters with it.
+pub(super) fn eviction_units(holdings: &[Holding]) -> Vec<EvictionUnit> {
+    let resident = || {
+        holdings
+            .iter()
+            .filter(|holding| holding.state == HoldingState::Resident)
+    };
+    resident()
+        .map(|holding| {
+            let is_model = holding.artifact.adapter.is_none();
+            let beside = resident().filter(|other| {
+                is_model && other.artifact.adapter.is_some() && other.artifact.model == holding.artifact.model
+            });
+            let together: Vec<&Holding> = beside.chain([holding]).collect();
+            EvictionUnit {
+                artifacts: together.iter().map(|held| held.artifact.clone()).collect(),
+                memory_mib: together.iter().map(|held| held.memory_mib).sum(),
+            }
+        })
+        .collect()
+}
+
+/// Counts the replicas of an artifact that answer in the domain now.
+pub(super) fn answering_replicas(view: &DomainView, artifact: &Artifact) -> usize {
+    view.runners
+        .iter()
+        .filter(|runner| !runner.is_leaving)
+        .flat_map(|runner| &runner.accelerators)
+        .flat_map(|accelerator| &accelerator.holdings)
+        .filter(|holding| holding.state == HoldingState::Resident && holding.artifact == *artifact)
+        .count()
+}
--- a/crates/mustardgate-core/src/placement/mod.rs
+++ b/crates/mustardgate-core/src/placement/mod.rs
@@ -2,6 +2,9 @@
 //!
 //! The interface between the domain leader, which carries moves out, and the policies, which propose them.
 
+pub mod base;
+pub mod demand;
+pub mod gain;
 mod view;
 
 use std::{fmt::Debug, time::Instant};
--- a/crates/mustardgate-core/tests/admission.rs
+++ b/crates/mustardgate-core/tests/admission.rs
@@ -121,6 +121,22 @@
     assert_eq!((queue.len(), queue.bytes(), queue.next_expiry()), (0, 0, None));
 }
 
+#[test]
+fn waiting_pools_come_in_order_of_urgency() {
+    let start = Instant::now();
+    let mut queue = queue(10, 10_000);
+    for (name, pool, class, deadline) in [
+        (1, "a", PriorityClass::Batch, 5_000),
+        (2, "b", PriorityClass::Standard, 9_000),
+        (3, "c", PriorityClass::Standard, 8_000),
+    ] {
+        let mut offered = request(name, 1, class, after(start, deadline));
+        offered.pool = pool.into();
+        admit(&mut queue, start, offered, 0);
+    }
+    assert_eq!(queue.waiting_pools(), ["c", "b", "a"]);
+}
+
 #[test]
 fn expiry_is_told_before_the_deadline() {
     let start = Instant::now();
--- /dev/null
+++ b/crates/mustardgate-core/tests/placement_base.rs
@@ -0,0 +1,150 @@
+//! Base placement: memory, reach, failure domains, determinism and stability.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use mustardgate_core::{
+    ids::{BackendId, MemoryMib},
+    log::Artifact,
+    placement::base::{BaseInput, BasePlacement, DeclaredArtifact, LiveRunner},
+};
+use proptest::prelude::*;
+use smol_str::format_smolstr;
+
+fn model(index: usize, memory_mib: MemoryMib) -> DeclaredArtifact {
+    DeclaredArtifact {
+        artifact: Artifact {
+            model: format_smolstr!("m{index}"),
+            adapter: None,
+            version: "1".into(),
+        },
+        memory_mib,
+        min_replicas: 1,
+    }
+}
+
+fn adapter(index: usize, of: usize, memory_mib: MemoryMib) -> DeclaredArtifact {
+    let mut declared = model(of, memory_mib);
+    declared.artifact.adapter = Some(format_smolstr!("a{index}"));
+    declared
+}
+
+fn runner(index: usize, domains: usize, memory_mib: MemoryMib) -> LiveRunner {
+    LiveRunner {
+        backend: format_smolstr!("r{index}"),
+        domain: format_smolstr!("d{}", index % domains),
+        region: "th-central".into(),
+        accelerators: vec![memory_mib],
+    }
+}
+
+fn used(input: &BaseInput, placement: &BasePlacement) -> BTreeMap<(BackendId, u16), MemoryMib> {
+    let mut used = BTreeMap::new();
+    for declared in &input.artifacts {
+        for replica in placement.replicas.get(&declared.artifact).into_iter().flatten() {
+            let place = (replica.place.backend.clone(), replica.place.accelerator);
+            *used.entry(place).or_default() += declared.memory_mib;
+        }
+    }
+    used
+}
+
+fn pinto_sized() -> BaseInput {
+    BaseInput {
+        artifacts: (0..26)
+            .map(|index| model(index, 8_000 + 800 * index as u64))
+            .chain((0..95).map(|index| adapter(index, index % 26, 200)))
+            .collect(),
+        runners: (0..18).map(|index| runner(index, 3, 81_920)).collect(),
+    }
+}
+
+#[test]
+fn two_domains_hold_everything_where_memory_allows() {
+    let input = pinto_sized();
+    let placement = BasePlacement::compute(&input);
+    assert!(placement.unplaced.is_empty());
+    for replicas in placement.replicas.values() {
+        let domains: BTreeSet<_> = replicas.iter().map(|replica| &replica.domain).collect();
+        assert_eq!((replicas.len(), domains.len()), (2, 2));
+    }
+}
+
+#[test]
+fn a_lost_runner_moves_few_others() {
+    let input = pinto_sized();
+    let before = BasePlacement::compute(&input);
+    let mut smaller = input.clone();
+    smaller.runners.remove(4);
+    let after = BasePlacement::compute(&smaller);
+    let places = |placement: &BasePlacement| -> BTreeSet<(Artifact, BackendId)> {
+        placement
+            .replicas
+            .iter()
+            .flat_map(|(artifact, replicas)| {
+                replicas
+                    .iter()
+                    .map(|replica| (artifact.clone(), replica.place.backend.clone()))
+            })
+            .collect()
+    };
+    let moved = places(&after).difference(&places(&before)).count();
+    let lost = places(&before).iter().filter(|(_, backend)| backend == "r4").count();
+    assert!(moved <= lost * 3, "{moved} replicas moved where {lost} were lost");
+}
+
+#[test]
+fn the_best_fit_is_tried_when_the_ranks_leave_something_out() {
+    let input = BaseInput {
+        artifacts: [60, 40, 50, 50, 30, 30, 40]
+            .iter()
+            .enumerate()
+            .map(|(index, size)| model(index, *size))
+            .collect(),
+        runners: (0..3).map(|index| runner(index, 3, 100)).collect(),
+    };
+    assert!(BasePlacement::compute(&input).unplaced.is_empty());
+}
+
+#[test]
+fn what_fits_nowhere_is_reported() {
+    let input = BaseInput {
+        artifacts: vec![model(0, 200)],
+        runners: vec![runner(0, 1, 100)],
+    };
+    let placement = BasePlacement::compute(&input);
+    assert_eq!(placement.unplaced.len(), 1);
+    assert!(placement.replicas.is_empty());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    #[test]
+    fn memory_is_never_exceeded_and_the_order_of_the_input_is_irrelevant(
+        sizes in prop::collection::vec(1_u64..90, 1..30),
+        adapters in prop::collection::vec((0_usize..30, 1_u64..9), 0..40),
+        runners in 1_usize..9,
+        domains in 1_usize..4,
+    ) {
+        let models = sizes.iter().enumerate().map(|(index, size)| model(index, *size));
+        let adapters = adapters.iter().enumerate().map(|(index, (of, size))| adapter(index, *of, *size));
+        let input = BaseInput {
+            artifacts: models.chain(adapters).collect(),
+            runners: (0..runners).map(|index| runner(index, domains, 100)).collect(),
+        };
+        let placement = BasePlacement::compute(&input);
+        prop_assert!(used(&input, &placement).values().all(|used| *used <= 100));
+        let mut reversed = input.clone();
+        reversed.artifacts.reverse();
+        reversed.runners.reverse();
+        prop_assert_eq!(&placement, &BasePlacement::compute(&reversed));
+        for (artifact, replicas) in &placement.replicas {
+            for replica in replicas.iter().filter(|_| artifact.adapter.is_some()) {
+                let base = Artifact { adapter: None, ..artifact.clone() };
+                prop_assert!(placement.replicas[&base].iter().any(|held| held.place == replica.place));
+            }
+        }
+        let placed = placement.replicas.len() + placement.unplaced.len();
+        prop_assert_eq!(placed, input.artifacts.len());
+    }
+}
