--- a/crates/standins/examples/platform.rs
+++ b/crates/standins/examples/platform.rs
@@ -1,20 +1,38 @@
-//! The platform's stand-in as a process: `platform --listen ADDRESS... [--seed N] [--appends-per-second N]
-//! [--keep-records N] [--keep-seconds N] [--list-lag-ms N]`.
+//! The platform's stand-in as a process: `platform --listen ADDRESS... [--view NAME=ADDRESS]... [--seed N]
+//! [--appends-per-second N] [--keep-records N] [--keep-seconds N] [--list-lag-ms N]`.
 
 use std::{net::SocketAddr, process::ExitCode, sync::Arc, time::Duration};
 
 use lexopt::prelude::{Long, ValueExt};
 use mustardgate_standins::{
     http::serve_process,
-    platform::{PlatformOptions, PlatformServer, RetentionPolicy},
+    platform::{PlatformOptions, PlatformServer, PlatformView, RetentionPolicy},
 };
+use smol_str::SmolStr;
 
 #[derive(Debug)]
 struct Arguments {
     listen: Vec<SocketAddr>,
+    views: Vec<ViewArgument>,
     options: PlatformOptions,
 }
 
+#[derive(Debug)]
+struct ViewArgument {
+    name: SmolStr,
+    address: SocketAddr,
+}
+
+fn parse_view(text: &str) -> Result<ViewArgument, String> {
+    let parsed = text.split_once('=').and_then(|(name, address)| {
+        Some(ViewArgument {
+            name: name.into(),
+            address: address.parse().ok()?,
+        })
+    });
+    parsed.ok_or_else(|| format!("--view is NAME=ADDRESS, not {text}"))
+}
+
 fn parse_arguments() -> Result<Arguments, lexopt::Error> {
     let options = PlatformOptions {
         seed: 1,
@@ -24,12 +42,14 @@
     };
     let mut arguments = Arguments {
         listen: Vec::new(),
+        views: Vec::new(),
         options,
     };
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
         match argument {
             Long("listen") => arguments.listen.push(parser.value()?.parse()?),
+            Long("view") => arguments.views.push(parser.value()?.parse_with(parse_view)?),
             Long("seed") => arguments.options.seed = parser.value()?.parse()?,
             Long("appends-per-second") => arguments.options.appends_per_second = parser.value()?.parse()?,
             Long("keep-records") => arguments.options.retention.max_records = Some(parser.value()?.parse()?),
@@ -50,8 +70,16 @@
 async fn main() -> ExitCode {
     match parse_arguments() {
         Ok(arguments) => {
-            let platform = Arc::new(PlatformServer::new(arguments.options));
-            serve_process("platform", &arguments.listen, platform).await
+            let server = Arc::new(PlatformServer::new(arguments.options));
+            for view in arguments.views {
+                let shown = PlatformView {
+                    server: Arc::clone(&server),
+                    view: Some(view.name),
+                };
+                tokio::spawn(async move { serve_process("platform", &[view.address], Arc::new(shown)).await });
+            }
+            let platform = PlatformView { server, view: None };
+            serve_process("platform", &arguments.listen, Arc::new(platform)).await
         }
         Err(error) => {
             eprintln!("platform: {error}");
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -11,8 +11,8 @@
     pacing::AppendPacer,
     retention::{RetentionPolicy, RetentionTracker},
     server::{
-        FAULTS_PATH, ListFaults, PlatformFaults, PlatformOptions, PlatformServer, PlatformStats, STATS_PATH,
-        VMS_ADMIN_PATH,
+        ADDRESSES_ADMIN_PATH, AddressOverride, FAULTS_PATH, ListFaults, PlatformFaults, PlatformOptions,
+        PlatformServer, PlatformStats, PlatformView, STATS_PATH, VMS_ADMIN_PATH,
     },
     vms::LaggingList,
 };
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -1,6 +1,7 @@
 //! The platform's HTTP interface, with an administrators' part that tests use.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
@@ -15,6 +16,7 @@
 };
 use mustardgate_protocol::platform::{APPEND_PATH, AppendAnswer, RECORDS_PATH, TrimmedAnswer, VMS_PATH};
 use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
 
 use super::{
     log::{LogFaults, MemoryLog},
@@ -26,6 +28,8 @@
 
 /// Path to which a `VmEntry` is sent with `POST`; `DELETE` on `{path}/{name}` removes one.
 pub const VMS_ADMIN_PATH: &str = "/admin/vms";
+/// Path to which an [`AddressOverride`] is sent with `POST`.
+pub const ADDRESSES_ADMIN_PATH: &str = "/admin/vm-addresses";
 /// Path to which faults are sent with `POST`.
 pub const FAULTS_PATH: &str = "/admin/faults";
 /// Path of the counts with `GET`.
@@ -66,6 +70,18 @@
     pub list: ListFaults,
 }
 
+/// Shows one VM under another address to one view, so that a relay stands between the two.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AddressOverride {
+    /// Name of the view, such as a failure domain.
+    pub view: SmolStr,
+    /// Name of the VM.
+    pub vm: SmolStr,
+    /// Address to show.
+    pub address: SocketAddr,
+}
+
 /// What the platform has done so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlatformStats {
@@ -94,6 +110,7 @@
     tracker: RetentionTracker,
     list: LaggingList,
     list_faults: ListFaults,
+    overrides: Vec<AddressOverride>,
     reads: u64,
     lists: u64,
 }
@@ -106,6 +123,7 @@
             tracker: RetentionTracker::new(options.retention),
             list: LaggingList::new(options.list_lag),
             list_faults: ListFaults::default(),
+            overrides: Vec::new(),
             reads: 0,
             lists: 0,
         };
@@ -160,7 +178,7 @@
         }
     }
 
-    async fn list(&self) -> HttpReply {
+    async fn list(&self, view: Option<&SmolStr>) -> HttpReply {
         let faults = self.lock().list_faults;
         tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
         let mut state = self.lock();
@@ -168,7 +186,14 @@
         if faults.is_down {
             return status_reply(StatusCode::SERVICE_UNAVAILABLE);
         }
-        json_reply(StatusCode::OK, &state.list.shown(Instant::now()))
+        let mut entries = state.list.shown(Instant::now());
+        for shown in state.overrides.iter().filter(|shown| Some(&shown.view) == view) {
+            let entry = entries.iter_mut().find(|entry| entry.name == shown.vm);
+            if let Some(entry) = entry {
+                entry.address = shown.address;
+            }
+        }
+        json_reply(StatusCode::OK, &entries)
     }
 
     fn upsert_vm(&self, request: &Request<Bytes>) -> HttpReply {
@@ -180,6 +205,19 @@
         status_reply(StatusCode::NO_CONTENT)
     }
 
+    fn override_address(&self, request: &Request<Bytes>) -> HttpReply {
+        let shown: AddressOverride = match read_json(request) {
+            Ok(shown) => shown,
+            Err(error) => return error.reply(),
+        };
+        let mut state = self.lock();
+        state
+            .overrides
+            .retain(|old| old.view != shown.view || old.vm != shown.vm);
+        state.overrides.push(shown);
+        status_reply(StatusCode::NO_CONTENT)
+    }
+
     fn remove_vm(&self, name: &str) -> HttpReply {
         self.lock().list.remove(Instant::now(), name.into());
         status_reply(StatusCode::NO_CONTENT)
@@ -207,22 +245,33 @@
     }
 }
 
+/// The platform as one of its listeners shows it.
+#[derive(Clone, Debug)]
+pub struct PlatformView {
+    /// The platform.
+    pub server: Arc<PlatformServer>,
+    /// Name of the view, for addresses that only it sees.
+    pub view: Option<SmolStr>,
+}
+
 #[async_trait]
-impl HttpHandler for PlatformServer {
+impl HttpHandler for PlatformView {
     async fn handle(&self, request: Request<Bytes>) -> HttpReply {
+        let server = &self.server;
         let path = request.uri().path();
         match (request.method(), path) {
-            (&Method::POST, APPEND_PATH) => self.append(&request).await,
-            (&Method::GET, RECORDS_PATH) => self.read(&request).await,
-            (&Method::GET, VMS_PATH) => self.list().await,
-            (&Method::POST, VMS_ADMIN_PATH) => self.upsert_vm(&request),
-            (&Method::POST, FAULTS_PATH) => self.set_faults(&request),
-            (&Method::GET, STATS_PATH) => json_reply(StatusCode::OK, &self.stats()),
+            (&Method::POST, APPEND_PATH) => server.append(&request).await,
+            (&Method::GET, RECORDS_PATH) => server.read(&request).await,
+            (&Method::GET, VMS_PATH) => server.list(self.view.as_ref()).await,
+            (&Method::POST, VMS_ADMIN_PATH) => server.upsert_vm(&request),
+            (&Method::POST, ADDRESSES_ADMIN_PATH) => server.override_address(&request),
+            (&Method::POST, FAULTS_PATH) => server.set_faults(&request),
+            (&Method::GET, STATS_PATH) => json_reply(StatusCode::OK, &server.stats()),
             (&Method::DELETE, _) => match path
                 .strip_prefix(VMS_ADMIN_PATH)
                 .and_then(|rest| rest.strip_prefix('/'))
             {
-                Some(name) => self.remove_vm(name),
+                Some(name) => server.remove_vm(name),
                 None => status_reply(StatusCode::NOT_FOUND),
             },
             _ => status_reply(StatusCode::NOT_FOUND),
--- a/crates/standins/tests/platform_contract.rs
+++ b/crates/standins/tests/platform_contract.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use hyper::{Method, StatusCode};
 use mustardgate_core::{
@@ -13,8 +13,8 @@
 use mustardgate_standins::{
     http::{CallAnswer, CallError, call, json_request, plain_request},
     platform::{
-        FAULTS_PATH, LogFaults, PlatformFaults, PlatformOptions, PlatformServer, PlatformStats, RetentionPolicy,
-        STATS_PATH, VMS_ADMIN_PATH,
+        FAULTS_PATH, LogFaults, PlatformFaults, PlatformOptions, PlatformServer, PlatformStats, PlatformView,
+        RetentionPolicy, STATS_PATH, VMS_ADMIN_PATH,
     },
 };
 
@@ -27,6 +27,11 @@
     }
 }
 
+async fn serve(options: PlatformOptions) -> SocketAddr {
+    let server = Arc::new(PlatformServer::new(options));
+    support::serve(PlatformView { server, view: None }).await
+}
+
 fn record(number: u64) -> LogRecord {
     LogRecord::Lease(LeaseRecord {
         domain: "a".into(),
@@ -49,7 +54,7 @@
 
 #[tokio::test]
 async fn appends_are_read_back_in_order() {
-    let address = support::serve(PlatformServer::new(options())).await;
+    let address = serve(options()).await;
     for number in 0..5 {
         let answer: AppendAnswer = append(address, number).await.expect("answered").json().expect("typed");
         assert_eq!(answer.offset, number);
@@ -104,7 +109,7 @@
         },
     ];
     for case in cases {
-        let address = support::serve(PlatformServer::new(options())).await;
+        let address = serve(options()).await;
         let faults = PlatformFaults {
             log: case.faults.clone(),
             ..PlatformFaults::default()
@@ -125,7 +130,7 @@
         max_records: Some(3),
         max_age: None,
     };
-    let address = support::serve(PlatformServer::new(PlatformOptions { retention, ..options() })).await;
+    let address = serve(PlatformOptions { retention, ..options() }).await;
     for number in 0..10 {
         append(address, number).await.expect("answered");
     }
@@ -137,10 +142,10 @@
 
 #[tokio::test]
 async fn surplus_appends_are_delayed_and_not_refused() {
-    let address = support::serve(PlatformServer::new(PlatformOptions {
+    let address = serve(PlatformOptions {
         appends_per_second: 50.0,
         ..options()
-    }))
+    })
     .await;
     let appends = futures::future::join_all((0..5).map(|number| append(address, number))).await;
     assert!(
@@ -154,7 +159,7 @@
 
 #[tokio::test]
 async fn vms_are_listed_and_removed() {
-    let address = support::serve(PlatformServer::new(options())).await;
+    let address = serve(options()).await;
     let entry = VmEntry {
         name: "runner-1".into(),
         role: VmRole::Backend,
