--- a/crates/mustardgate/src/gateway/services.rs
+++ b/crates/mustardgate/src/gateway/services.rs
@@ -7,64 +7,41 @@
     body::Incoming,
     header::{CONTENT_TYPE, HeaderName, HeaderValue},
 };
-use mustardgate_core::{
-    clock,
-    ids::BackendId,
-    resources::{BackendRole, ResourceKind, ResourceSpec},
-    verdict::RunVerdict,
-};
+use mustardgate_core::{clock, verdict::RunVerdict};
 use mustardgate_protocol::callers::{REQUEST_ID_HEADER, SERVICES_PREFIX, VERDICT_HEADER};
 
 use super::{
     errors::CallerError,
+    keyed::run_keyed,
     request::{read_body, read_deadline, read_key},
-    tenants::{CallerScope, identify},
+    tenants::identify,
 };
 use crate::{
     backends::PlainCall,
     context::NodeContext,
+    dispatch::{CallJob, JobOrigin, run_call},
     http::{AnswerBody, HttpReply, bytes_answer},
     telemetry::RequestLabels,
 };
 
-/// When a caller should come back after all attempts failed.
-const FAILED_RETRY: Duration = Duration::from_secs(1);
-/// Attempts of an idempotent call at most.
-const MAX_ATTEMPTS: u32 = 3;
+/// When a caller should come back whose call's task ended.
+const ENDED_RETRY: Duration = Duration::from_secs(1);
 
 pub(super) async fn answer_call(
     context: Arc<NodeContext>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, CallerError> {
-    let arrived = clock::now();
-    let (head, body) = request.into_parts();
-    let scope = identify(&context, &head.headers)?;
-    let deadline = read_deadline(&head.headers, &context.settings.callers)?;
-    let key = read_key(&head.headers)?;
-    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
-    let rest = path.strip_prefix(SERVICES_PREFIX).unwrap_or_default();
-    let (service, path) = rest.find('/').map_or((rest, "/"), |slash| rest.split_at(slash));
-    let spec = scope.service(service)?;
-    let is_idempotent = spec.is_idempotent_call(head.method.as_str(), path);
+    let job = read_call(&context, request).await?;
     let labels = RequestLabels {
-        tenant: scope.tenant.clone(),
-        class: spec.priority,
-    };
-    let call = PlainCall {
-        method: head.method,
-        path: path.to_owned(),
-        content_type: head.headers.get(CONTENT_TYPE).cloned(),
-        body: read_body(body, &context.settings.callers).await?,
-        request: context.identifiers.next(),
-        key,
+        tenant: job.origin.tenant.clone(),
+        class: job.origin.class,
     };
-    let timeout = deadline.saturating_duration_since(clock::now());
-    let result = attempt_call(&context, &scope, service, &call, is_idempotent, timeout).await;
-    let elapsed = clock::now() - arrived;
+    let (job, result) = finish_call(context, job).await?;
+    let elapsed = clock::now() - job.origin.arrived;
     match result {
         Ok(reply) => {
             labels.record_answer("ok", RunVerdict::Ran, elapsed);
-            Ok(forward(reply, &call))
+            Ok(forward(reply, &job.call))
         }
         Err(error) => {
             labels.record_answer(error.code(), error.verdict(), elapsed);
@@ -73,53 +50,66 @@
     }
 }
 
-async fn attempt_call(
-    context: &NodeContext,
-    scope: &CallerScope,
-    service: &str,
-    call: &PlainCall,
-    is_idempotent: bool,
-    timeout: Duration,
-) -> Result<HttpReply, CallerError> {
-    let instances = instances_of(scope, service);
-    let mut verdict = RunVerdict::NotRun;
-    let mut reason = "no instance of the service is declared".to_owned();
-    for (attempt, backend) in (1..=MAX_ATTEMPTS).zip(instances.iter().cycle()) {
-        let address = context
-            .addresses
-            .read()
-            .expect("no holder panics")
-            .get(backend)
-            .copied();
-        let Some(address) = address else { continue };
-        match context.plain_client.call(address, call, attempt, timeout).await {
-            Ok(reply) => return Ok(reply),
-            Err(error) => {
-                verdict = verdict.combine(error.verdict());
-                reason = error.to_string();
-                if !verdict.permits_retry(is_idempotent) {
-                    break;
-                }
-            }
-        }
-    }
-    Err(CallerError::AttemptsFailed {
-        reason,
-        verdict,
-        retry_after: FAILED_RETRY,
+/// Runs the call in a task of its own: a caller that hangs up must not end a call that may be running.
+async fn finish_call(
+    context: Arc<NodeContext>,
+    job: CallJob,
+) -> Result<(CallJob, Result<HttpReply, CallerError>), CallerError> {
+    let flight = context.drain.enter();
+    let running = tokio::spawn(async move {
+        let result = run_limited(&context, &job).await;
+        drop(flight);
+        (job, result)
+    });
+    running.await.map_err(|_error| CallerError::AttemptsFailed {
+        reason: "the call's task ended".to_owned(),
+        verdict: RunVerdict::MayHaveRun,
+        retry_after: ENDED_RETRY,
     })
 }
 
-fn instances_of(scope: &CallerScope, service: &str) -> Vec<BackendId> {
-    let is_instance = |spec: &ResourceSpec| match spec {
-        ResourceSpec::Backend(backend) => matches!(&backend.role, BackendRole::Plain(name) if name == service),
-        _ => false,
+async fn run_limited(context: &NodeContext, job: &CallJob) -> Result<HttpReply, CallerError> {
+    match job.call.key.clone() {
+        Some(key) => run_keyed(context, job, key).await,
+        None => run_call(context, job).await,
+    }
+}
+
+async fn read_call(context: &NodeContext, request: Request<Incoming>) -> Result<CallJob, CallerError> {
+    let arrived = clock::now();
+    let (head, body) = request.into_parts();
+    let scope = identify(context, &head.headers)?;
+    let deadline = read_deadline(&head.headers, &context.settings.callers)?;
+    let key = read_key(&head.headers)?;
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    let rest = path.strip_prefix(SERVICES_PREFIX).unwrap_or_default();
+    let (service, path) = rest.find('/').map_or((rest, "/"), |slash| rest.split_at(slash));
+    let spec = scope.service(service)?;
+    let body = read_body(body, &context.settings.callers).await?;
+    let origin = JobOrigin {
+        request: context.identifiers.next(),
+        tenant: scope.tenant.clone(),
+        weight: scope.weight(),
+        class: spec.priority,
+        arrived,
+        deadline,
+        bytes: body.len(),
+    };
+    let call = PlainCall {
+        method: head.method.clone(),
+        path: path.to_owned(),
+        content_type: head.headers.get(CONTENT_TYPE).cloned(),
+        body,
+        request: origin.request.clone(),
+        key,
     };
-    let backends = scope.view.list(ResourceKind::Backend);
-    backends
-        .filter(|resource| is_instance(&resource.spec))
-        .map(|resource| resource.key.name.clone())
-        .collect()
+    let is_idempotent = spec.is_idempotent_call(head.method.as_str(), path);
+    Ok(CallJob {
+        origin,
+        service: service.into(),
+        is_idempotent,
+        call,
+    })
 }
 
 fn forward(reply: HttpReply, call: &PlainCall) -> Response<AnswerBody> {
