--- /dev/null
+++ b/crates/mustardgate-core/tests/membership.rs
@@ -0,0 +1,111 @@
+//! Cases of the membership view: lists that fall back, empty lists, successors, marks of peers, and speakers.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use mustardgate_core::{
+    clock,
+    membership::{
+        LeavingMark, MemberStatus, MembershipSettings, MembershipView, NewsScope, NodeHeartbeat, default_suspicion,
+    },
+    ports::{VmEntry, VmRole, VmState},
+};
+
+fn vm(name: &str, role: VmRole, domain: &str, port: u16, state: VmState) -> VmEntry {
+    VmEntry {
+        name: name.into(),
+        role,
+        domain: domain.into(),
+        region: "r1".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        state,
+    }
+}
+
+fn list(state: VmState, port: u16) -> Vec<VmEntry> {
+    vec![
+        vm("b1", VmRole::Backend, "d1", port, state),
+        vm("n1", VmRole::Entry, "d1", 1, VmState::Live),
+        vm("n2", VmRole::Entry, "d1", 2, VmState::Live),
+        vm("n3", VmRole::Entry, "d2", 3, VmState::Live),
+    ]
+}
+
+fn view(now: Instant) -> MembershipView {
+    let mut view = MembershipView::new(
+        "n1".into(),
+        "d1".into(),
+        MembershipSettings::default(),
+        default_suspicion(),
+    );
+    view.list_fetched(&list(VmState::Live, 80), now);
+    view
+}
+
+fn heartbeat(node: &str, leaving: Vec<LeavingMark>) -> NodeHeartbeat {
+    NodeHeartbeat {
+        node: node.into(),
+        sequence: 1,
+        leaving,
+    }
+}
+
+#[test]
+fn leaving_backend_stays_leaving_when_the_list_falls_back_but_its_successor_is_live() {
+    let now = clock::now();
+    let mut view = view(now);
+    assert!(view.takes_new_work(&"b1".into()));
+    view.list_fetched(&list(VmState::Leaving, 80), now);
+    assert_eq!(view.take_news(), NewsScope::AllDomains);
+    view.list_fetched(&list(VmState::Live, 80), now);
+    assert!(!view.takes_new_work(&"b1".into()));
+    assert_eq!(view.counters().regressed_lists, 1);
+    view.list_fetched(&list(VmState::Live, 81), now);
+    assert!(view.takes_new_work(&"b1".into()));
+}
+
+#[test]
+fn mark_of_a_peer_counts_and_ends_without_being_renewed() {
+    let now = clock::now();
+    let mut view = view(now);
+    let memory = MembershipSettings::default().leaving_memory;
+    let mark = LeavingMark {
+        backend: "b1".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 80)),
+        age_ms: memory.as_millis() as u64 - 1_000,
+    };
+    view.heartbeat_received(&heartbeat("n2", vec![mark]), now);
+    assert_eq!(view.status(&"b1".into(), now), Some(MemberStatus::Leaving));
+    let later = now + Duration::from_secs(2);
+    view.heartbeat_received(&heartbeat("n2", view.digest(later).leaving), later);
+    view.tick(later);
+    assert!(view.takes_new_work(&"b1".into()));
+}
+
+#[test]
+fn empty_list_is_ignored_and_a_missing_vm_goes_after_two_lists() {
+    let now = clock::now();
+    let mut view = view(now);
+    view.list_fetched(&[], now);
+    assert!(view.takes_new_work(&"b1".into()));
+    let shorter = &list(VmState::Live, 80)[1..];
+    view.list_fetched(shorter, now);
+    assert!(view.takes_new_work(&"b1".into()));
+    view.list_fetched(shorter, now);
+    assert_eq!(view.status(&"b1".into(), now), None);
+}
+
+#[test]
+fn suspected_node_does_not_speak_and_is_heard_again() {
+    let now = clock::now();
+    let mut view = view(now);
+    view.heartbeat_received(&heartbeat("n2", vec![]), now);
+    let later = now + Duration::from_secs(60);
+    assert_eq!(view.status(&"n2".into(), later), Some(MemberStatus::Suspected));
+    assert!(view.is_speaker(later));
+    assert_eq!(view.digest_targets(later).len(), 1);
+    view.heartbeat_received(&heartbeat("n2", vec![]), later);
+    assert_eq!(view.status(&"n2".into(), later), Some(MemberStatus::Live));
+}
--- /dev/null
+++ b/crates/standins/src/proof/leaving.rs
@@ -0,0 +1,305 @@
+//! Proof that a leaving backend server gets no new work after the grace, while nodes' lists lag and fall back.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use mustardgate_core::{
+    clock,
+    ids::{BackendId, NodeId},
+    membership::{
+        DomainDigest, LEAVING_GRACE, MembershipSettings, MembershipView, NewsScope, NodeHeartbeat, default_suspicion,
+    },
+    ports::{VmEntry, VmRole, VmState},
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smol_str::format_smolstr;
+
+use super::{GuardMode, PromiseViolation, ProofCount, ProofFigures, ProofScenario};
+
+const STEP: Duration = Duration::from_millis(100);
+const STEPS: u64 = 900;
+const DOMAIN_COUNT: usize = 3;
+const NODES_PER_DOMAIN: usize = 3;
+const BACKEND_COUNT: usize = 6;
+const FETCH_STEPS: u64 = 20;
+const MAX_LAG_STEPS: u64 = 300;
+const MAX_TRANSIT_STEPS: u64 = 4;
+
+/// Nodes that fetch a list of varying age, exchange heartbeats and digests, and are cut off one at a time.
+#[derive(Debug)]
+pub struct LeavingScenario;
+
+impl ProofScenario for LeavingScenario {
+    fn name(&self) -> &'static str {
+        "leaving"
+    }
+
+    fn run(&self, seed: u64, guard: GuardMode) -> Result<ProofFigures, PromiseViolation> {
+        let mut world = LeavingWorld::new(seed, guard);
+        for step in 0..STEPS {
+            world.advance(step)?;
+        }
+        Ok(world.figures())
+    }
+}
+
+#[derive(Debug)]
+struct LeavingNode {
+    name: NodeId,
+    view: MembershipView,
+    last_list: Vec<VmEntry>,
+    cut_until: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Heartbeat(NodeHeartbeat),
+    Digest(DomainDigest),
+}
+
+/// What the judge knows of a leaving backend server.
+#[derive(Clone, Copy, Debug)]
+struct LeavingTruth {
+    leaves: u64,
+    /// First step in which a list that a connected node fetched showed it.
+    first_shown: Option<u64>,
+}
+
+#[derive(Debug)]
+struct LeavingWorld {
+    rng: ChaCha8Rng,
+    guard: GuardMode,
+    start: Instant,
+    nodes: Vec<LeavingNode>,
+    backends: BTreeMap<BackendId, LeavingTruth>,
+    network: BTreeMap<(u64, u64), (NodeId, Message)>,
+    messages: u64,
+    cuts: u64,
+    stale_lists: u64,
+    judged: u64,
+}
+
+impl LeavingWorld {
+    fn new(seed: u64, guard: GuardMode) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let nodes = (0..DOMAIN_COUNT * NODES_PER_DOMAIN).map(|index| {
+            let name = format_smolstr!("n{index}");
+            LeavingNode {
+                view: MembershipView::new(
+                    name.clone(),
+                    format_smolstr!("d{}", index % DOMAIN_COUNT),
+                    MembershipSettings::default(),
+                    default_suspicion(),
+                ),
+                name,
+                last_list: Vec::new(),
+                cut_until: 0,
+            }
+        });
+        let backends = (0..BACKEND_COUNT).map(|index| {
+            let truth = LeavingTruth {
+                leaves: rng.random_range(100..600),
+                first_shown: None,
+            };
+            (format_smolstr!("b{index}"), truth)
+        });
+        Self {
+            nodes: nodes.collect(),
+            backends: backends.collect(),
+            rng,
+            guard,
+            start: clock::now(),
+            network: BTreeMap::new(),
+            messages: 0,
+            cuts: 0,
+            stale_lists: 0,
+            judged: 0,
+        }
+    }
+
+    fn advance(&mut self, step: u64) -> Result<(), PromiseViolation> {
+        self.cut_node(step);
+        self.deliver(step);
+        for index in 0..self.nodes.len() {
+            if (step + index as u64).is_multiple_of(FETCH_STEPS) && self.is_connected(index, step) {
+                self.fetch_list(index, step);
+            }
+            self.tell_others(index, step);
+            self.judge(index, step)?;
+        }
+        Ok(())
+    }
+
+    /// Cuts one node off, only when no other one is or was within the grace.
+    fn cut_node(&mut self, step: u64) {
+        let grace = grace_steps();
+        let is_calm = self.nodes.iter().all(|node| node.cut_until + grace < step);
+        if step > FETCH_STEPS && is_calm && self.rng.random_bool(0.02) {
+            let index = self.rng.random_range(0..self.nodes.len());
+            self.nodes[index].cut_until = step + self.rng.random_range(10..200);
+            self.cuts += 1;
+        }
+    }
+
+    fn is_connected(&self, index: usize, step: u64) -> bool {
+        self.nodes[index].cut_until <= step
+    }
+
+    fn fetch_list(&mut self, index: usize, step: u64) {
+        let lag = if self.rng.random_bool(0.1) {
+            0
+        } else {
+            self.rng.random_range(0..MAX_LAG_STEPS)
+        };
+        let list = self.list_at(step.saturating_sub(lag));
+        self.stale_lists += u64::from(lag > 0);
+        let now = self.now(step);
+        for entry in list.iter().filter(|entry| entry.state == VmState::Leaving) {
+            if let Some(truth) = self.backends.get_mut(&entry.name) {
+                truth.first_shown.get_or_insert(step);
+            }
+        }
+        self.nodes[index].view.list_fetched(&list, now);
+        self.nodes[index].last_list = list;
+    }
+
+    fn list_at(&self, step: u64) -> Vec<VmEntry> {
+        let nodes = (0..self.nodes.len()).map(|index| {
+            let domain = format_smolstr!("d{}", index % DOMAIN_COUNT);
+            vm_entry(&format_smolstr!("n{index}"), VmRole::Entry, &domain, VmState::Live)
+        });
+        let backends = self.backends.iter().map(|(name, truth)| {
+            let state = if truth.leaves <= step {
+                VmState::Leaving
+            } else {
+                VmState::Live
+            };
+            vm_entry(name, VmRole::Backend, "d0", state)
+        });
+        nodes.chain(backends).collect()
+    }
+
+    fn tell_others(&mut self, index: usize, step: u64) {
+        let now = self.now(step);
+        let settings = MembershipSettings::default();
+        let view = &mut self.nodes[index].view;
+        view.tick(now);
+        let news = view.take_news();
+        let beats = is_due(step, index, settings.heartbeat_interval) || news >= NewsScope::OwnDomain;
+        let digests =
+            (is_due(step, index, settings.digest_interval) && view.is_speaker(now)) || news == NewsScope::AllDomains;
+        let mut sent = Vec::new();
+        if beats {
+            let heartbeat = view.next_heartbeat(now);
+            let targets = view.neighbours().into_iter();
+            sent.extend(targets.map(|entry| (entry.name, Message::Heartbeat(heartbeat.clone()))));
+        }
+        if digests {
+            let digest = view.digest(now);
+            let targets = view.digest_targets(now).into_iter();
+            sent.extend(targets.map(|entry| (entry.name, Message::Digest(digest.clone()))));
+        }
+        if !self.is_connected(index, step) {
+            return;
+        }
+        for (target, message) in sent {
+            self.messages += 1;
+            let arrives = step + self.rng.random_range(1..=MAX_TRANSIT_STEPS);
+            self.network.insert((arrives, self.messages), (target, message));
+        }
+    }
+
+    fn deliver(&mut self, step: u64) {
+        let now = self.now(step);
+        while let Some(first) = self.network.first_entry()
+            && first.key().0 <= step
+        {
+            let (target, message) = first.remove();
+            let node = self.nodes.iter_mut().find(|node| node.name == target);
+            let Some(node) = node.filter(|node| node.cut_until <= step) else {
+                continue;
+            };
+            match message {
+                Message::Heartbeat(heartbeat) => node.view.heartbeat_received(&heartbeat, now),
+                Message::Digest(digest) => node.view.digest_received(&digest, now),
+            }
+        }
+    }
+
+    /// Breaks when a node that was connected for the whole grace still gives new work.
+    fn judge(&mut self, index: usize, step: u64) -> Result<(), PromiseViolation> {
+        let node = &self.nodes[index];
+        for (backend, truth) in &self.backends {
+            let Some(first_shown) = truth.first_shown else {
+                continue;
+            };
+            let bound = first_shown.max(node.cut_until) + grace_steps();
+            if step <= bound {
+                continue;
+            }
+            self.judged += 1;
+            if self.gives_work(node, backend) {
+                return Err(PromiseViolation {
+                    promise: "a leaving backend server gets no new work after the grace",
+                    detail: format!("{} gave work to {backend} {} steps late", node.name, step - bound),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn gives_work(&self, node: &LeavingNode, backend: &BackendId) -> bool {
+        match self.guard {
+            GuardMode::Enforced => node.view.takes_new_work(backend),
+            GuardMode::Removed => {
+                let mut list = node.last_list.iter();
+                list.any(|entry| entry.name == *backend && entry.state == VmState::Live)
+            }
+        }
+    }
+
+    fn now(&self, step: u64) -> Instant {
+        self.start + STEP * step as u32
+    }
+
+    fn figures(&self) -> ProofFigures {
+        let regressed = self.nodes.iter().map(|node| node.view.counters().regressed_lists);
+        let shown = self.backends.values().filter(|truth| truth.first_shown.is_some());
+        let counts = [
+            ("cuts", self.cuts),
+            ("judged", self.judged),
+            ("leaving", shown.count() as u64),
+            ("messages", self.messages),
+            ("regressed_lists", regressed.sum()),
+            ("stale_lists", self.stale_lists),
+        ];
+        let counts = counts.into_iter().map(|(name, value)| ProofCount { name, value });
+        ProofFigures {
+            counts: counts.collect(),
+        }
+    }
+}
+
+fn grace_steps() -> u64 {
+    (LEAVING_GRACE.as_millis() / STEP.as_millis()) as u64
+}
+
+fn is_due(step: u64, index: usize, interval: Duration) -> bool {
+    let steps = (interval.as_millis() / STEP.as_millis()) as u64;
+    (step + index as u64).is_multiple_of(steps)
+}
+
+fn vm_entry(name: &str, role: VmRole, domain: &str, state: VmState) -> VmEntry {
+    VmEntry {
+        name: name.into(),
+        role,
+        domain: domain.into(),
+        region: "r".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        state,
+    }
+}
--- a/crates/standins/src/proof/mod.rs
+++ b/crates/standins/src/proof/mod.rs
@@ -11,6 +11,7 @@
 mod config_scenarios;
 mod config_world;
 mod keyed;
+mod leaving;
 mod runner;
 mod told_not_run;
 mod whole_answers;
@@ -75,6 +76,7 @@
         Box::new(at_most_once::AtMostOnceScenario),
         Box::new(told_not_run::ToldNotRunScenario),
         Box::new(whole_answers::WholeAnswersScenario),
+        Box::new(leaving::LeavingScenario),
         Box::new(ConfigScenario::new(ConfigGuard::VersionCheck)),
         Box::new(ConfigScenario::new(ConfigGuard::ChangeIdentifiers)),
         Box::new(ConfigScenario::new(ConfigGuard::ReadBack)),
--- a/crates/standins/tests/keys.rs
+++ b/crates/standins/tests/keys.rs
@@ -2,7 +2,7 @@
 
 use mustardgate_standins::proof::{GuardMode, ProofOptions, run_all, scenarios};
 
-const SCENARIOS: [&str; 3] = ["at_most_once", "told_not_run", "whole_answers"];
+const SCENARIOS: [&str; 4] = ["at_most_once", "told_not_run", "whole_answers", "leaving"];
 
 fn violations(name: &str, guard: GuardMode) -> u64 {
     let scenario = scenarios().into_iter().find(|scenario| scenario.name() == name);
