Call between nodes over keyed WebSocket frames, and keep heartbeats linear

Cause: nodes need one transport for heartbeats, digests, configuration and key claims. Ruled out: HTTP requests between nodes, a bearer secret, TLS of our own (docs/design/peers.md). Heartbeats go to and from the first two nodes in rank only; news still goes to all neighbours.

--- a/crates/mustardgate-core/src/membership/view.rs
+++ b/crates/mustardgate-core/src/membership/view.rs
@@ -19,8 +19,8 @@
     ports::{VmEntry, VmRole, VmState},
 };
 
-/// Nodes of each other failure domain that get a digest.
-const DIGEST_COPIES: usize = 2;
+/// Nodes of a failure domain, first in rank, through which news passes; the second covers the loss of the first.
+const RELAYS_PER_DOMAIN: usize = 2;
 
 /// How a VM stands in the view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -189,7 +189,20 @@
         self.members.values().map(|member| &member.entry)
     }
 
-    /// Returns the other nodes of the own failure domain, which get heartbeats.
+    /// Returns the nodes that get this node's heartbeat every interval.
+    ///
+    /// The first two in rank tell everyone and everyone tells them, so that the cost of a failure domain grows with
+    /// its nodes and not with their square.
+    pub fn heartbeat_targets(&self, now: Instant) -> Vec<VmEntry> {
+        let ranked = self.ranked_nodes(&self.domain, now);
+        let relays = &ranked[..ranked.len().min(RELAYS_PER_DOMAIN)];
+        if relays.iter().any(|entry| entry.name == self.node) {
+            return self.neighbours();
+        }
+        relays.iter().map(|entry| (*entry).clone()).collect()
+    }
+
+    /// Returns the other nodes of the own failure domain, which get a heartbeat at once when there is news.
     pub fn neighbours(&self) -> Vec<VmEntry> {
         let nodes = self.nodes_of(&self.domain).filter(|entry| entry.name != self.node);
         nodes.cloned().collect()
@@ -201,7 +214,7 @@
         let nodes = self.entries().filter(|entry| entry.role == VmRole::Entry);
         let domains: BTreeSet<&DomainId> = nodes.map(|entry| &entry.domain).collect();
         let others = domains.into_iter().filter(|domain| **domain != self.domain);
-        let targets = others.flat_map(|domain| self.ranked_nodes(domain, now).into_iter().take(DIGEST_COPIES));
+        let targets = others.flat_map(|domain| self.ranked_nodes(domain, now).into_iter().take(RELAYS_PER_DOMAIN));
         targets.cloned().collect()
     }
 
--- a/crates/mustardgate-core/tests/membership.rs
+++ b/crates/mustardgate-core/tests/membership.rs
@@ -109,3 +109,18 @@
     view.heartbeat_received(&heartbeat("n2", vec![]), later);
     assert_eq!(view.status(&"n2".into(), later), Some(MemberStatus::Live));
 }
+
+#[test]
+fn heartbeats_of_a_domain_grow_with_its_nodes() {
+    let now = clock::now();
+    let names: Vec<String> = (0..16).map(|index| format!("n{index}")).collect();
+    let nodes = names.iter().map(|name| vm(name, VmRole::Entry, "d1", 1, VmState::Live));
+    let nodes: Vec<VmEntry> = nodes.collect();
+    let targets = names.iter().map(|name| {
+        let settings = MembershipSettings::default();
+        let mut view = MembershipView::new(name.into(), "d1".into(), settings, default_suspicion());
+        view.list_fetched(&nodes, now);
+        view.heartbeat_targets(now).len()
+    });
+    assert_eq!(targets.sum::<usize>(), 2 * 15 + 14 * 2);
+}
--- a/crates/mustardgate-protocol/src/lib.rs
+++ b/crates/mustardgate-protocol/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod callers;
 pub mod engine;
 pub mod operators;
+pub mod peers;
 pub mod platform;
--- /dev/null
+++ b/crates/mustardgate-protocol/tests/peers.rs
@@ -0,0 +1,263 @@
+//! Contract of the calls between nodes, over loopback TCP: keys, broken frames, and connections that end mid-call.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
+
+use async_trait::async_trait;
+use futures::{SinkExt, StreamExt};
+use hmac::{Hmac, Mac};
+use mustardgate_core::{
+    ids::Offset,
+    log::{BatchRecord, KeyClaim, LogRecord, SnapshotRecord},
+    membership::{DomainDigest, LeavingMark, NodeHeartbeat},
+    ports::{LogEntry, LogPage},
+};
+use mustardgate_protocol::peers::{
+    ConfigFeed, MAX_FRAME_BYTES, MessageKind, PeerClient, PeerError, PeerHandler, PeerKey, PeerMeter, SilentMeter,
+    SubmissionOutcome, serve_connection,
+};
+use sha2::Sha256;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+};
+use tokio_tungstenite::{
+    WebSocketStream, accept_async, client_async,
+    tungstenite::{Message, client::IntoClientRequest, http::HeaderValue},
+};
+
+const SECRET: &[u8] = b"the key of one deployment";
+
+#[derive(Debug, Default)]
+struct RecordingHandler {
+    heartbeats: Mutex<Vec<NodeHeartbeat>>,
+    digests: Mutex<Vec<DomainDigest>>,
+    submissions: Notify,
+}
+
+#[async_trait]
+impl PeerHandler for RecordingHandler {
+    async fn heartbeat(&self, heartbeat: NodeHeartbeat) {
+        self.heartbeats.lock().unwrap().push(heartbeat);
+    }
+
+    async fn digest(&self, digest: DomainDigest) {
+        self.digests.lock().unwrap().push(digest);
+    }
+
+    async fn config_state(&self) -> Option<SnapshotRecord> {
+        Some(snapshot())
+    }
+
+    async fn config_feed(&self, from: Offset) -> ConfigFeed {
+        if from < 5 {
+            return ConfigFeed::Trimmed;
+        }
+        ConfigFeed::Page(page(from))
+    }
+
+    async fn submit_keys(&self, batch: BatchRecord) -> SubmissionOutcome {
+        if batch.claims.is_empty() {
+            self.submissions.notify_one();
+            std::future::pending::<()>().await;
+        }
+        SubmissionOutcome::Appended { offset: 41 }
+    }
+}
+
+#[derive(Debug, Default)]
+struct CountingMeter {
+    sent: Mutex<BTreeMap<MessageKind, usize>>,
+    received: Mutex<BTreeMap<MessageKind, usize>>,
+}
+
+impl PeerMeter for CountingMeter {
+    fn sent(&self, kind: MessageKind, bytes: usize) {
+        *self.sent.lock().unwrap().entry(kind).or_default() += bytes;
+    }
+
+    fn received(&self, kind: MessageKind, bytes: usize) {
+        *self.received.lock().unwrap().entry(kind).or_default() += bytes;
+    }
+}
+
+fn key(secret: &[u8]) -> PeerKey {
+    PeerKey::new(secret).unwrap()
+}
+
+fn snapshot() -> SnapshotRecord {
+    SnapshotRecord {
+        as_of: 7,
+        author: "n2".into(),
+        resources: vec![],
+        recent_changes: vec![],
+    }
+}
+
+fn page(from: Offset) -> LogPage {
+    let entry = LogEntry {
+        offset: from,
+        record: LogRecord::Batch(batch()),
+    };
+    LogPage {
+        earliest: 5,
+        end: from + 1,
+        entries: vec![entry],
+    }
+}
+
+fn batch() -> BatchRecord {
+    let claim = KeyClaim {
+        tenant: "kitchen".into(),
+        key: "order-1".into(),
+        digest: u64::MAX,
+        node: "n1".into(),
+        request: "r1".into(),
+    };
+    BatchRecord {
+        domain: "d1".into(),
+        claims: vec![claim],
+        ..BatchRecord::default()
+    }
+}
+
+fn heartbeat() -> NodeHeartbeat {
+    let mark = LeavingMark {
+        backend: "b1".into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        age_ms: 20,
+    };
+    NodeHeartbeat {
+        node: "n1".into(),
+        sequence: 3,
+        leaving: vec![mark],
+    }
+}
+
+async fn start_server(handler: Arc<RecordingHandler>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let handler: Arc<dyn PeerHandler> = Arc::<RecordingHandler>::clone(&handler);
+            tokio::spawn(async move { serve_connection(stream, &key(SECRET), handler, Arc::new(SilentMeter)).await });
+        }
+    });
+    address
+}
+
+async fn connect(address: SocketAddr, secret: &[u8]) -> Result<PeerClient, PeerError> {
+    PeerClient::connect(address, &key(secret), Arc::new(SilentMeter)).await
+}
+
+/// Opens a connection past the key check, to send frames that the client never would.
+async fn connect_raw(address: SocketAddr) -> WebSocketStream<TcpStream> {
+    let mut request = format!("ws://{address}/peers").into_client_request().unwrap();
+    let mut mac = Hmac::<Sha256>::new_from_slice(SECRET).unwrap();
+    mac.update(b"client ");
+    mac.update(request.headers()["sec-websocket-key"].as_bytes());
+    let bytes = mac.finalize().into_bytes();
+    let proof = format!("{bytes:x}");
+    let value = HeaderValue::from_str(&proof).unwrap();
+    request.headers_mut().insert("x-peer-proof", value);
+    let stream = TcpStream::connect(address).await.unwrap();
+    client_async(request, stream).await.unwrap().0
+}
+
+#[tokio::test]
+async fn calls_are_carried_both_ways_and_counted_by_kind() {
+    let handler = Arc::new(RecordingHandler::default());
+    let address = start_server(Arc::clone(&handler)).await;
+    let meter = Arc::new(CountingMeter::default());
+    let counted: Arc<dyn PeerMeter> = Arc::<CountingMeter>::clone(&meter);
+    let client = PeerClient::connect(address, &key(SECRET), counted).await.unwrap();
+    client.heartbeat(heartbeat()).await.unwrap();
+    let digest = DomainDigest {
+        domain: "d1".into(),
+        speaker: "n1".into(),
+        unsuspected: vec!["n1".into()],
+        leaving: heartbeat().leaving,
+    };
+    client.digest(digest.clone()).await.unwrap();
+    assert_eq!(client.config_state().await, Ok(Some(snapshot())));
+    assert_eq!(client.config_feed(4).await, Ok(ConfigFeed::Trimmed));
+    assert_eq!(client.config_feed(9).await, Ok(ConfigFeed::Page(page(9))));
+    assert_eq!(
+        client.submit_keys(batch()).await,
+        SubmissionOutcome::Appended { offset: 41 }
+    );
+    assert_eq!(*handler.heartbeats.lock().unwrap(), vec![heartbeat()]);
+    assert_eq!(*handler.digests.lock().unwrap(), vec![digest]);
+    let kinds = [
+        MessageKind::Heartbeat,
+        MessageKind::Digest,
+        MessageKind::ConfigState,
+        MessageKind::ConfigFeed,
+        MessageKind::SubmitKeys,
+    ];
+    for counts in [&meter.sent, &meter.received] {
+        let counts = counts.lock().unwrap();
+        assert_eq!(counts.keys().copied().collect::<Vec<_>>(), kinds);
+        assert!(counts.values().all(|bytes| *bytes > 0));
+    }
+}
+
+#[tokio::test]
+async fn node_with_another_key_is_refused_and_an_impostor_is_not_trusted() {
+    let address = start_server(Arc::default()).await;
+    let refused = connect(address, b"the key of another deployment").await;
+    assert!(matches!(refused, Err(PeerError::WrongKey)), "{refused:?}");
+
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let impostor = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        accept_async(stream).await.unwrap().next().await;
+    });
+    let distrusted = connect(impostor, SECRET).await;
+    assert!(matches!(distrusted, Err(PeerError::WrongKey)), "{distrusted:?}");
+    PeerKey::new(b"short").unwrap_err();
+}
+
+#[tokio::test]
+async fn broken_and_oversize_frames_end_their_connection_only() {
+    let address = start_server(Arc::default()).await;
+    let other = connect(address, SECRET).await.unwrap();
+    let frames = [
+        Message::binary(b"\xff\x00 no message".to_vec()),
+        Message::binary(vec![0; MAX_FRAME_BYTES + 1]),
+        Message::text("no message either"),
+    ];
+    for frame in frames {
+        let mut socket = connect_raw(address).await;
+        // An oversize frame may be refused while it is still being written.
+        let _ = socket.send(frame).await;
+        while let Some(Ok(answer)) = socket.next().await {
+            assert!(answer.is_close(), "{answer:?}");
+        }
+        other.heartbeat(heartbeat()).await.unwrap();
+    }
+}
+
+#[tokio::test]
+async fn submission_whose_connection_ends_has_an_unknown_fate() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let handler = Arc::new(RecordingHandler::default());
+    let answering: Arc<dyn PeerHandler> = Arc::<RecordingHandler>::clone(&handler);
+    let server = tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        serve_connection(stream, &key(SECRET), answering, Arc::new(SilentMeter)).await
+    });
+    let client = connect(address, SECRET).await.unwrap();
+    let caller = client.clone();
+    let call = tokio::spawn(async move { caller.submit_keys(BatchRecord::default()).await });
+    handler.submissions.notified().await;
+    server.abort();
+    assert_eq!(call.await.unwrap(), SubmissionOutcome::Unknown);
+    client.heartbeat(heartbeat()).await.unwrap_err();
+    assert!(matches!(connect(address, SECRET).await, Err(PeerError::Unreachable)));
+}
