--- a/crates/mustardgate-core/src/config/digest.rs
+++ b/crates/mustardgate-core/src/config/digest.rs
@@ -1,6 +1,6 @@
 //! Digest of a configuration that is updated in constant time for each change.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::log::{RecentChange, SnapshotRecord, VersionedResource};
@@ -8,7 +8,7 @@
 /// Sum of the hashes of every resource and recent change, which does not depend on the order they were added in.
 ///
 /// It finds replicas that differ through a fault of the program; it is no defence against a forged log.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateDigest(u64);
 
 impl StateDigest {
--- a/crates/mustardgate-core/src/config/follower.rs
+++ b/crates/mustardgate-core/src/config/follower.rs
@@ -10,7 +10,7 @@
     replica::ConfigReplica,
     search::{SearchStep, SnapshotSearch},
     snapshots::{SnapshotPolicy, SnapshotSchedule},
-    span::ConfigSpan,
+    span::{ConfigSpan, FeedFrame},
     status::{InstallOutcome, NotLoadedReason, ReplicaError, SnapshotSource},
 };
 use crate::{
@@ -48,7 +48,7 @@
     /// Steps that were refused, each to be logged and counted as a broken invariant.
     pub violations: Vec<ReplicaError>,
     /// What is to be fed to the other nodes of the domain when this node is a feeder.
-    pub span: Option<ConfigSpan>,
+    pub feed: Option<FeedFrame>,
 }
 
 #[derive(Clone, Debug)]
@@ -149,19 +149,24 @@
         }
     }
 
-    /// Takes a span from a feeder of the domain; one that leaves a gap sends this node to the log.
-    pub fn on_feed(&mut self, replica: &mut ConfigReplica, span: &ConfigSpan, now: Instant) -> FollowReport {
+    /// Takes a frame from a feeder of the domain; one that leaves a gap sends this node to the log.
+    pub fn on_feed(&mut self, replica: &mut ConfigReplica, frame: &FeedFrame, now: Instant) -> FollowReport {
         if !matches!(self.phase, Phase::Tailing) {
             return FollowReport::default();
         }
-        let Ok(violations) = replica.apply(span) else {
+        let before = replica.next_offset();
+        let Ok(mut violations) = replica.apply(&frame.span) else {
             self.last_feed = None;
             self.wait_until = None;
             return FollowReport::default();
         };
+        let until = frame.span.until;
+        if before <= until && replica.next_offset() == until && replica.digest() != frame.digest {
+            violations.push(ReplicaError::FeedMismatch { until });
+        }
         self.last_feed = Some(now);
-        self.note_snapshots(span, now);
-        FollowReport { violations, span: None }
+        self.schedule.on_feed(until, now, &mut self.rng);
+        FollowReport { violations, feed: None }
     }
 
     /// Takes the state of a neighbour, which counts only when it is ahead.
@@ -180,7 +185,7 @@
             Ok(_) => FollowReport::default(),
             Err(violation) => FollowReport {
                 violations: vec![violation],
-                span: None,
+                feed: None,
             },
         }
     }
@@ -251,7 +256,7 @@
         }
         FollowReport {
             violations,
-            span: Some(span),
+            feed: Some(FeedFrame::new(span, replica.digest())),
         }
     }
 
@@ -273,18 +278,22 @@
     /// Returns a snapshot when one is due and this node has read the log to its end itself.
     fn due_snapshot(&self, replica: &ConfigReplica, now: Instant) -> Option<SnapshotRecord> {
         let bounds = self.bounds?;
-        let is_current = !self.is_log_away && replica.next_offset() >= bounds.end;
+        let is_reading = self.is_feeder || self.fed_until().is_none_or(|time| time <= now);
+        let is_current = is_reading && !self.is_log_away && replica.next_offset() >= bounds.end;
         if !is_current || !self.schedule.is_due(bounds.earliest, bounds.end, now) {
             return None;
         }
         replica.to_snapshot(self.node.clone())
     }
 
+    fn fed_until(&self) -> Option<Instant> {
+        self.last_feed.map(|time| time + Duration::from_millis(FEED_SILENCE_MS))
+    }
+
     fn resting_until(&self, now: Instant) -> Option<Instant> {
-        let fed_until = self.last_feed.map(|time| time + Duration::from_millis(FEED_SILENCE_MS));
         let is_fed = !self.is_feeder && matches!(self.phase, Phase::Tailing);
         let rest = if is_fed {
-            self.wait_until.max(fed_until)
+            self.wait_until.max(self.fed_until())
         } else {
             self.wait_until
         };
--- a/crates/mustardgate-core/src/config/mod.rs
+++ b/crates/mustardgate-core/src/config/mod.rs
@@ -24,7 +24,7 @@
     replica::ConfigReplica,
     search::SnapshotSearch,
     snapshots::{SnapshotPolicy, SnapshotSchedule},
-    span::ConfigSpan,
+    span::{ConfigSpan, FeedFrame},
     status::{InstallOutcome, LoadState, NotLoadedReason, ReplicaError, SnapshotSource},
     submission::{ChangeOutcome, ChangeSubmission, SubmissionAction},
     view::ConfigView,
--- a/crates/mustardgate-core/src/config/replica.rs
+++ b/crates/mustardgate-core/src/config/replica.rs
@@ -51,6 +51,11 @@
         self.next
     }
 
+    /// Returns the digest of the current state.
+    pub fn digest(&self) -> StateDigest {
+        self.digest
+    }
+
     /// Returns whether records can be applied: the log's beginning or a snapshot was reached.
     pub fn has_base(&self) -> bool {
         self.has_base
--- a/crates/mustardgate-core/src/config/snapshots.rs
+++ b/crates/mustardgate-core/src/config/snapshots.rs
@@ -14,6 +14,8 @@
     pub retention: Duration,
     /// Records after the newest snapshot below which its place in the log makes no other one due.
     pub min_records: u64,
+    /// Records after the newest snapshot at which another one is due at the latest, which bounds a newcomer's search.
+    pub max_records: u64,
     /// Time after writing a snapshot within which it is expected to be read back.
     pub read_back: Duration,
 }
@@ -23,6 +25,7 @@
         Self {
             retention: Duration::from_secs(24 * 3600),
             min_records: 100_000,
+            max_records: 500_000,
             read_back: Duration::from_secs(30),
         }
     }
@@ -64,6 +67,14 @@
         self.hold_until = None;
     }
 
+    /// Notes that a feed brought the state up to an offset; its feeders write the snapshots, unless they fall silent.
+    pub fn on_feed(&mut self, until: Offset, now: Instant, rng: &mut ChaCha8Rng) {
+        self.newest = Some(until);
+        self.due_at = self
+            .due_at
+            .max(now + (self.policy.retention / 8).mul_f64(rng.random_range(0.5..1.0)));
+    }
+
     /// Notes that this node is writing a snapshot.
     pub fn on_write(&mut self, now: Instant) {
         self.hold_until = Some(now + self.policy.read_back);
@@ -76,8 +87,9 @@
         }
         let newest = self.newest.unwrap_or(earliest);
         let kept = end.saturating_sub(earliest) as f64;
+        let behind = end.saturating_sub(newest);
         let is_in_older_half = newest <= earliest + (kept * self.kept_share) as Offset;
-        let is_far_back = end.saturating_sub(newest) >= self.policy.min_records;
-        now >= self.due_at || (is_in_older_half && is_far_back)
+        let is_far_back = behind as f64 >= self.policy.max_records as f64 * 2.0 * self.kept_share;
+        now >= self.due_at || is_far_back || (is_in_older_half && behind >= self.policy.min_records)
     }
 }
--- a/crates/mustardgate-core/src/config/span.rs
+++ b/crates/mustardgate-core/src/config/span.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::digest::StateDigest;
 use crate::{
     ids::Offset,
     log::LogRecord,
@@ -34,3 +35,23 @@
         }
     }
 }
+
+/// What a feeder sends to the other nodes of its domain.
+///
+/// Snapshots are left out, because their size would exceed the budget of control traffic; the digest takes the place of
+/// the check against them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FeedFrame {
+    /// The run of the log that the feeder read.
+    pub span: ConfigSpan,
+    /// Digest of the feeder's state after it.
+    pub digest: StateDigest,
+}
+
+impl FeedFrame {
+    pub(super) fn new(mut span: ConfigSpan, digest: StateDigest) -> Self {
+        span.entries
+            .retain(|entry| matches!(entry.record, LogRecord::Change(_)));
+        Self { span, digest }
+    }
+}
--- a/crates/mustardgate-core/src/config/status.rs
+++ b/crates/mustardgate-core/src/config/status.rs
@@ -84,6 +84,12 @@
         /// Node that wrote it.
         author: NodeId,
     },
+    /// The state after a span from a feeder differs from the feeder's own.
+    #[snafu(display("the state before offset {until} differs from the feeder's"))]
+    FeedMismatch {
+        /// Offset after the last record of the span.
+        until: Offset,
+    },
     /// A snapshot contradicts itself, or would take a resource back to an older version.
     #[snafu(display("a snapshot as of offset {as_of} by {author} is not valid"))]
     InvalidSnapshot {
--- a/crates/mustardgate/src/configuration/follow.rs
+++ b/crates/mustardgate/src/configuration/follow.rs
@@ -102,7 +102,7 @@
             let offset = self.context.directory.read(ConfigReplica::next_offset);
             events::CONFIG_LOADED.write(logger, o!("offset" => offset));
         }
-        for entry in report.span.iter().flat_map(|span| &span.entries) {
+        for entry in report.feed.iter().flat_map(|frame| &frame.span.entries) {
             if let LogRecord::Change(change) = &entry.record {
                 let values = o!("offset" => entry.offset, "resource" => change.resource.to_string());
                 events::CONFIG_APPLIED.write(logger, values);
