Test what callers are told for malformed, forbidden and unanswerable requests

Cause: the errors had been tried by hand only. Change: a table of eighteen fault cases over raw connections, each with status, code, verdict and time to come back; a node without configuration; a keyed call before the record of keys is known; the list of models by tenant.

--- /dev/null
+++ b/crates/mustardgate/tests/gateway.rs
@@ -0,0 +1,209 @@
+//! What callers are told when a request is malformed, not permitted or cannot be answered.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use mustardgate_protocol::callers::ErrorAnswer;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+use support::{COURIER_KEY, KITCHEN_KEY};
+
+const CHAT: &str = r#"{"model":"menu","messages":[{"role":"user","content":"rice"}]}"#;
+
+/// Sends raw bytes and returns the status line's code, the head and the body.
+async fn exchange(address: SocketAddr, request: &str) -> (u16, String, String) {
+    let mut stream = TcpStream::connect(address).await.expect("the node listens");
+    stream.write_all(request.as_bytes()).await.expect("the node reads");
+    let mut answer = Vec::new();
+    stream
+        .read_to_end(&mut answer)
+        .await
+        .expect("the node answers and closes");
+    let text = String::from_utf8(answer).expect("answers are text");
+    let (head, body) = text.split_once("\r\n\r\n").expect("an answer has a head");
+    let status = head
+        .split(' ')
+        .nth(1)
+        .and_then(|code| code.parse().ok())
+        .expect("a status line has a code");
+    (status, head.to_ascii_lowercase(), body.to_owned())
+}
+
+fn request(method: &str, path: &str, key: Option<&str>, headers: &str, body: &str) -> String {
+    let authorization = key.map_or_else(String::new, |key| format!("authorization: Bearer {key}\r\n"));
+    let length = body.len();
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: node\r\nconnection: close\r\n{authorization}{headers}content-length: {length}\r\n\r\n{body}"
+    )
+}
+
+struct FaultCase {
+    name: &'static str,
+    request: String,
+    status: u16,
+    code: &'static str,
+    comes_back: bool,
+}
+
+fn case(name: &'static str, request: String, status: u16, code: &'static str) -> FaultCase {
+    FaultCase {
+        name,
+        request,
+        status,
+        code,
+        comes_back: false,
+    }
+}
+
+fn cases() -> Vec<FaultCase> {
+    let chat = "/v1/chat/completions";
+    let key = Some(KITCHEN_KEY);
+    let post = |headers: &str, body: &str| request("POST", chat, key, headers, body);
+    let unknown_model = CHAT.replace("menu", "dessert");
+    let many_headers: String = (0..12).map(|index| format!("x-filler-{index}: 1\r\n")).collect();
+    let long_key = format!("idempotency-key: {}\r\n", "k".repeat(129));
+    let slow = "POST /v1/chat/completions HTTP/1.1\r\nhost: node\r\nconnection: close\r\nauthorization: Bearer \
+                kitchen-key\r\ncontent-length: 90\r\n\r\n{\"model\"";
+    vec![
+        case(
+            "unknown path",
+            request("GET", "/v2/models", key, "", ""),
+            404,
+            "unknown_path",
+        ),
+        case(
+            "wrong method",
+            request("GET", chat, key, "", ""),
+            405,
+            "method_not_allowed",
+        ),
+        case("no key", request("POST", chat, None, "", CHAT), 401, "missing_key"),
+        case(
+            "wrong key",
+            request("POST", chat, Some("guess"), "", CHAT),
+            401,
+            "wrong_key",
+        ),
+        case("not JSON", post("", "{\"model\":"), 400, "invalid_body"),
+        case(
+            "no messages",
+            post("", "{\"model\":\"menu\",\"messages\":[]}"),
+            400,
+            "invalid_body",
+        ),
+        case(
+            "no tokens",
+            post("", &CHAT.replace("]}", "],\"max_tokens\":0}")),
+            400,
+            "invalid_body",
+        ),
+        case("unknown model", post("", &unknown_model), 404, "unknown_model"),
+        case("body too long", post("", &" ".repeat(2_049)), 413, "body_too_long"),
+        case("too many headers", post(&many_headers, CHAT), 431, "too_many_headers"),
+        case("slow sender", slow.to_owned(), 408, "body_too_slow"),
+        case(
+            "deadline is no number",
+            post("x-deadline-ms: soon\r\n", CHAT),
+            400,
+            "invalid_header",
+        ),
+        case(
+            "deadline is zero",
+            post("x-deadline-ms: 0\r\n", CHAT),
+            400,
+            "invalid_header",
+        ),
+        case(
+            "not the tenant's service",
+            request("POST", chat, Some(COURIER_KEY), "", CHAT),
+            403,
+            "service_forbidden",
+        ),
+        case(
+            "unknown service",
+            request("POST", "/services/refunds/pay", key, "", "{}"),
+            404,
+            "unknown_service",
+        ),
+        case(
+            "key too long",
+            request("POST", "/services/orders/place", key, &long_key, "{}"),
+            400,
+            "invalid_header",
+        ),
+        FaultCase {
+            comes_back: true,
+            ..case("no replica", post("", CHAT), 429, "not_admitted")
+        },
+        FaultCase {
+            comes_back: true,
+            ..case(
+                "no instance",
+                request("POST", "/services/orders/place", key, "", "{}"),
+                429,
+                "not_admitted",
+            )
+        },
+    ]
+}
+
+#[tokio::test]
+async fn every_fault_gets_its_typed_error_and_verdict() {
+    let address = support::serve(support::context()).await;
+    for case in cases() {
+        let (status, head, body) = exchange(address, &case.request).await;
+        assert_eq!(status, case.status, "{}: {body}", case.name);
+        let answer: ErrorAnswer = serde_json::from_str(&body).expect("errors are typed");
+        assert_eq!(answer.error.code, case.code, "{}", case.name);
+        assert_eq!(answer.error.verdict.to_string(), "not_run", "{}", case.name);
+        assert!(head.contains("x-run-verdict: not_run"), "{}: {head}", case.name);
+        assert_eq!(head.contains("retry-after: "), case.comes_back, "{}: {head}", case.name);
+        assert_eq!(answer.error.retry_after_ms.is_some(), case.comes_back, "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn a_keyed_call_is_refused_while_the_record_of_keys_is_unknown() {
+    let address = support::serve(support::context()).await;
+    let keyed = request(
+        "POST",
+        "/services/orders/place",
+        Some(KITCHEN_KEY),
+        "idempotency-key: k1\r\n",
+        "{}",
+    );
+    let (status, head, body) = exchange(address, &keyed).await;
+    let answer: ErrorAnswer = serde_json::from_str(&body).expect("errors are typed");
+    assert_eq!((status, answer.error.code.as_str()), (503, "key_unresolved"));
+    assert_eq!(
+        answer.error.verdict.to_string(),
+        "may_have_run",
+        "another node may hold a claim on the key"
+    );
+    assert!(head.contains("retry-after: "), "{head}");
+}
+
+#[tokio::test]
+async fn a_node_without_configuration_says_so() {
+    let context = support::context();
+    let blank = mustardgate::node::build_context(context.settings.clone(), context.logger.clone());
+    let address = support::serve(blank).await;
+    let (status, _, body) = exchange(address, &request("GET", "/v1/models", Some(KITCHEN_KEY), "", "")).await;
+    let answer: ErrorAnswer = serde_json::from_str(&body).expect("errors are typed");
+    assert_eq!((status, answer.error.code.as_str()), (503, "not_ready"));
+}
+
+#[tokio::test]
+async fn models_are_listed_only_for_tenants_that_may_use_them() {
+    let address = support::serve(support::context()).await;
+    let list = |key| request("GET", "/v1/models", Some(key), "", "");
+    let (status, _, body) = exchange(address, &list(KITCHEN_KEY)).await;
+    assert_eq!(status, 200);
+    assert!(body.contains("\"menu\""), "{body}");
+    let (_, _, body) = exchange(address, &list(COURIER_KEY)).await;
+    assert!(!body.contains("\"menu\""), "{body}");
+}
