Lead a failure domain: lease, memory ledger, orders and fencing

Cause: nothing decided who orders an engine about, nor what memory an order may take while its outcome is unknown.

Ruled out: resting safety on the lease (a paused holder acts after its check); releasing reservations by timeout; letting a renewal that lands late revive a claim whose intents were forgotten; one flag for "the log is read" (a trimmed window hides open intents, so a checkpoint must be seen first).

Change: LeaseTracker follows lease records by log order. MemoryLedger counts each weight from proposal until a report settles the order. IntentBook keeps the intents that log order left open. DomainLeader turns planned moves into intents, orders, raises and reads. Records gain LeaseRecord.session, .renews, .window and BatchRecord.lease; reports gain EngineReport.sequence; all have serde defaults. A fake engine and four randomised scenarios judge by the engine's own memory and replicas.

--- a/crates/mustardgate-core/src/ids/mod.rs
+++ b/crates/mustardgate-core/src/ids/mod.rs
@@ -64,6 +64,20 @@
     }
 }
 
+impl FencingNumber {
+    /// Returns the number with which the node at `address` succeeds the holder of `self` without the log.
+    ///
+    /// The lease offset stays, so that the next lease from the log is above every such number.
+    #[must_use]
+    pub fn succeeded_by(self, address: u64) -> Self {
+        Self {
+            succession: self.succession.saturating_add(1),
+            address,
+            ..self
+        }
+    }
+}
+
 impl Display for FencingNumber {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}.{:x}", self.lease_offset, self.succession, self.address)
--- /dev/null
+++ b/crates/mustardgate-core/src/ledger/intents.rs
@@ -0,0 +1,70 @@
+//! Follows the open intents of one failure domain through the log.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    ids::{DomainId, Offset, OrderId},
+    log::{BatchRecord, OrderIntent},
+};
+
+/// The intents that log order left open: what a new leader must reserve memory for before it commits any.
+#[derive(Debug)]
+pub struct IntentBook {
+    domain: DomainId,
+    open: BTreeMap<OrderId, OrderIntent>,
+    is_complete: bool,
+    newest: Option<(Offset, u64)>,
+}
+
+impl IntentBook {
+    /// Creates a book that has read nothing.
+    pub fn new(domain: DomainId) -> Self {
+        Self {
+            domain,
+            open: BTreeMap::new(),
+            is_complete: false,
+            newest: None,
+        }
+    }
+
+    /// Starts following at `from`; from a trimmed log the book is complete only after a checkpoint.
+    pub fn start(&mut self, from: Offset) {
+        self.open.clear();
+        self.newest = None;
+        self.is_complete = from == 0;
+    }
+
+    /// Takes in a batch and returns whether it took effect: under the claim in force, and not a repeated append.
+    pub fn observe(&mut self, batch: &BatchRecord, claim_in_force: Option<Offset>) -> bool {
+        let Some(lease) = batch.lease.filter(|_| batch.domain == self.domain) else {
+            return false;
+        };
+        let position = (lease.claim, lease.sequence);
+        let is_repeated = self.newest.is_some_and(|newest| position <= newest);
+        if claim_in_force != Some(lease.claim) || is_repeated {
+            return false;
+        }
+        self.newest = Some(position);
+        if lease.is_checkpoint {
+            self.open.clear();
+            self.is_complete = true;
+        }
+        for intent in &batch.intents {
+            self.open.insert(intent.order.clone(), intent.clone());
+        }
+        for order in &batch.settled {
+            self.open.remove(order);
+        }
+        true
+    }
+
+    /// Returns whether no open intent can be missing.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Returns the open intents, ordered by order.
+    pub fn open(&self) -> impl Iterator<Item = &OrderIntent> {
+        self.open.values()
+    }
+}
--- a/crates/mustardgate-core/src/log/mod.rs
+++ b/crates/mustardgate-core/src/log/mod.rs
@@ -88,6 +88,15 @@
     pub term_ms: u64,
     /// Whether the holder gives the lease up.
     pub released: bool,
+    /// Number drawn by the holder's process at its start, so that a restarted node does not take an old claim for its own.
+    #[serde(default)]
+    pub session: u64,
+    /// Offset of the claim that this record renews or releases; `None` for a claim.
+    #[serde(default)]
+    pub renews: Option<Offset>,
+    /// For a claim without `previous`: it takes effect only if no effective lease record stands at this offset or later.
+    #[serde(default)]
+    pub window: Offset,
 }
 
 /// Entries of one failure domain that are appended together.
@@ -95,6 +104,9 @@
 pub struct BatchRecord {
     /// Failure domain the entries belong to.
     pub domain: DomainId,
+    /// Lease under which intents and settlements count; `None` when the batch has neither.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease: Option<BatchLease>,
     /// Orders about to be sent to engines.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub intents: Vec<OrderIntent>,
@@ -109,6 +121,17 @@
     pub outcomes: Vec<KeyOutcome>,
 }
 
+/// Lease under which the intents and settlements of a batch count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BatchLease {
+    /// Offset of the claim of the lease; the batch is void in the log once another claim has taken effect.
+    pub claim: Offset,
+    /// Position among the batches of that claim, from 1; a repeated append with the same position has no effect.
+    pub sequence: u64,
+    /// Whether the intents are all that are open, replacing what was read before.
+    pub is_checkpoint: bool,
+}
+
 /// An order that is about to be sent to an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderIntent {
--- a/crates/mustardgate-core/src/ports/backends.rs
+++ b/crates/mustardgate-core/src/ports/backends.rs
@@ -68,6 +68,9 @@
 pub struct EngineReport {
     /// Largest fencing number seen.
     pub fencing: FencingNumber,
+    /// Number of the report, which grows with each report and across restarts; an older report is recognised by it.
+    #[serde(default)]
+    pub sequence: u64,
     /// Requests in the running batch.
     pub running: u32,
     /// Requests waiting at the engine.
--- /dev/null
+++ b/crates/mustardgate-core/tests/lease.rs
@@ -0,0 +1,166 @@
+//! The lease of a failure domain by log order.
+
+use std::time::{Duration, Instant};
+
+use mustardgate_core::{
+    lease::{LeaseSettings, LeaseTracker},
+    log::LeaseRecord,
+};
+
+const TERM: Duration = Duration::from_secs(10);
+const MARGIN: Duration = Duration::from_secs(1);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn tracker(node: &str, session: u64) -> LeaseTracker {
+    LeaseTracker::new(LeaseSettings {
+        domain: "d1".into(),
+        node: node.into(),
+        session,
+        term: TERM,
+        margin: MARGIN,
+    })
+}
+
+fn started(node: &str, session: u64) -> LeaseTracker {
+    let mut tracker = tracker(node, session);
+    tracker.start(0);
+    tracker
+}
+
+/// Lets `tracker` claim at `now` and read its claim back at once.
+fn claim(tracker: &mut LeaseTracker, now: Instant, offset: u64) -> LeaseRecord {
+    let record = tracker.poll(now).expect("a claim is due");
+    tracker.observe(now, offset, &record);
+    record
+}
+
+#[test]
+fn claims_nothing_before_the_log_was_read() {
+    assert_eq!(tracker("a", 1).poll(Instant::now()), None);
+}
+
+#[test]
+fn holder_counts_from_before_the_append_with_a_margin() {
+    let (mut tracker, now) = (started("a", 1), Instant::now());
+    let record = tracker.poll(now).expect("a claim is due");
+    tracker.observe(now + 5 * SECOND, 7, &record);
+    assert_eq!(tracker.held_claim(now + 8 * SECOND), Some(7));
+    assert_eq!(tracker.held_claim(now + TERM.saturating_sub(MARGIN)), None);
+}
+
+#[test]
+fn renewal_keeps_the_claim() {
+    let (mut tracker, now) = (started("a", 1), Instant::now());
+    claim(&mut tracker, now, 0);
+    assert_eq!(tracker.poll(now + SECOND), None);
+    let renewal = claim(&mut tracker, now + 4 * SECOND, 3);
+    assert_eq!((renewal.previous, renewal.renews), (Some(0), Some(0)));
+    assert_eq!(tracker.held_claim(now + 12 * SECOND), Some(0));
+}
+
+#[test]
+fn late_renewal_does_not_bring_a_forfeited_claim_back() {
+    let (mut tracker, now) = (started("a", 1), Instant::now());
+    claim(&mut tracker, now, 0);
+    let renewal = tracker.poll(now + 8 * SECOND).expect("a renewal is due");
+    tracker.forfeit();
+    tracker.observe(now + 9 * SECOND, 1, &renewal);
+    assert_eq!(tracker.held_claim(now + 9 * SECOND), None);
+    let again = tracker.poll(now + 9 * SECOND).expect("a new claim is due");
+    assert_eq!((again.previous, again.renews), (Some(1), None));
+}
+
+#[test]
+fn challenger_waits_the_term_from_its_own_reading() {
+    let (mut holder, mut challenger, now) = (started("a", 1), started("b", 2), Instant::now());
+    let record = claim(&mut holder, now, 0);
+    let read_at = now + 6 * SECOND;
+    challenger.observe(read_at, 0, &record);
+    assert_eq!(challenger.poll(read_at + TERM.saturating_sub(SECOND)), None);
+    let claimed = challenger.poll(read_at + TERM).expect("the lease ran out");
+    assert_eq!(claimed.previous, Some(0));
+}
+
+#[test]
+fn log_order_settles_a_race() {
+    let (mut one, mut two, now) = (started("a", 1), started("b", 2), Instant::now());
+    let (first, second) = (one.poll(now).expect("claim"), two.poll(now).expect("claim"));
+    for tracker in [&mut one, &mut two] {
+        tracker.observe(now, 0, &first);
+        tracker.observe(now, 1, &second);
+    }
+    assert_eq!((one.held_claim(now), two.held_claim(now)), (Some(0), None));
+    assert_eq!((one.claim_in_force(), two.claim_in_force()), (Some(0), Some(0)));
+}
+
+#[test]
+fn restarted_node_does_not_take_its_old_claim_for_its_own() {
+    let (mut before, mut after, now) = (started("a", 1), started("a", 2), Instant::now());
+    let old = before.poll(now).expect("claim");
+    let new = after.poll(now).expect("claim");
+    after.observe(now, 0, &old);
+    after.observe(now, 1, &new);
+    assert_eq!(after.held_claim(now), None);
+}
+
+#[test]
+fn drained_lease_is_free_at_once() {
+    let (mut holder, mut challenger, now) = (started("a", 1), started("b", 2), Instant::now());
+    let record = claim(&mut holder, now, 0);
+    challenger.observe(now, 0, &record);
+    holder.drain();
+    let release = claim(&mut holder, now, 1);
+    assert!(release.released);
+    assert_eq!((holder.held_claim(now), holder.poll(now + 2 * TERM)), (None, None));
+    challenger.observe(now, 1, &release);
+    assert_eq!(challenger.claim_in_force(), None);
+    assert_eq!(challenger.poll(now).and_then(|record| record.previous), Some(1));
+}
+
+#[test]
+fn lost_answer_is_tried_again_and_counts_from_the_first_try() {
+    let (mut tracker, now) = (started("a", 1), Instant::now());
+    let first = tracker.poll(now).expect("claim");
+    assert_eq!(tracker.poll(now + SECOND), None);
+    assert_eq!(tracker.poll(now + 4 * SECOND), Some(first.clone()));
+    tracker.observe(now + 5 * SECOND, 0, &first);
+    tracker.observe(now + 5 * SECOND, 1, &first);
+    assert_eq!(tracker.held_claim(now + 8 * SECOND), Some(0));
+    assert_eq!(tracker.held_claim(now + 9 * SECOND), None);
+}
+
+#[test]
+fn record_after_a_trim_counts_once_another_names_it() {
+    let (mut holder, mut late, now) = (started("a", 1), tracker("b", 2), Instant::now());
+    claim(&mut holder, now, 0);
+    late.start(3);
+    let renewal = claim(&mut holder, now + 4 * SECOND, 3);
+    late.observe(now, 3, &renewal);
+    assert_eq!(late.claim_in_force(), None);
+    let next = claim(&mut holder, now + 8 * SECOND, 4);
+    late.observe(now, 4, &next);
+    assert_eq!(late.claim_in_force(), Some(0));
+}
+
+#[test]
+fn nodes_that_read_from_different_offsets_agree_on_a_claim_after_a_trim() {
+    let (mut early, mut late, now) = (started("a", 1), tracker("b", 2), Instant::now());
+    claim(&mut early, now, 0);
+    late.start(5);
+    // An append from long ago takes an offset in the part that `late` reads, and has no effect.
+    let void = LeaseRecord {
+        holder: "c".into(),
+        previous: Some(2),
+        ..started("c", 3).poll(now).expect("claim")
+    };
+    for tracker in [&mut early, &mut late] {
+        tracker.observe(now, 5, &void);
+    }
+    assert_eq!(late.poll(now + TERM.saturating_sub(SECOND)), None);
+    let claimed = late.poll(now + TERM).expect("nothing is in force any more");
+    assert_eq!((claimed.previous, claimed.window), (None, 6));
+    for tracker in [&mut early, &mut late] {
+        tracker.observe(now + TERM, 6, &claimed);
+    }
+    assert_eq!((early.claim_in_force(), late.claim_in_force()), (Some(6), Some(6)));
+}
--- /dev/null
+++ b/crates/standins/src/engine/mod.rs
@@ -0,0 +1,5 @@
+//! Stand-in for a model engine.
+
+mod memory;
+
+pub use self::memory::{EngineSettings, EngineState, MemoryOvercommit};
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,5 +3,6 @@
 //! Nothing here ships. The stand-ins' states are plain values, used directly by randomised proofs and, behind a small
 //! HTTP listener, by the example processes.
 
+pub mod engine;
 pub mod platform;
 pub mod proof;
--- /dev/null
+++ b/crates/standins/src/proof/domain/faults.rs
@@ -0,0 +1,84 @@
+//! Which faults come about, drawn from the seed.
+
+use mustardgate_core::{ids::Offset, log::LogRecord};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use super::network::Delivery;
+use crate::platform::LogFaults;
+
+const LOSS_RATIO: f64 = 0.04;
+const DUPLICATE_RATIO: f64 = 0.06;
+const LATE_RATIO: f64 = 0.06;
+const PROMPT_DELAY_MS: u64 = 120;
+const LATE_DELAY_MS: u64 = 15_000;
+const OUTAGE_MS: std::ops::Range<u64> = 2_000..14_000;
+const PAUSE_MS: std::ops::Range<u64> = 200..12_000;
+
+/// How often each fault begins, as a probability in one step.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::proof) struct FaultPlan {
+    pub(in crate::proof) pause_ratio: f64,
+    pub(in crate::proof) kill_ratio: f64,
+    pub(in crate::proof) outage_ratio: f64,
+    /// Whether one engine is lost for good.
+    pub(in crate::proof) loses_runner: bool,
+}
+
+impl FaultPlan {
+    /// Returns when the copies of a message arrive, after how many milliseconds each; none when it is lost.
+    pub(super) fn arrivals(rng: &mut ChaCha8Rng, delivery: &Delivery) -> Vec<u64> {
+        let is_lost = rng.random_bool(LOSS_RATIO);
+        let is_doubled = rng.random_bool(DUPLICATE_RATIO) && !matches!(delivery, Delivery::Append(..));
+        let copies = usize::from(!is_lost) + usize::from(is_doubled);
+        (0..copies).map(|_| Self::delay_ms(rng)).collect()
+    }
+
+    fn delay_ms(rng: &mut ChaCha8Rng) -> u64 {
+        if rng.random_bool(LATE_RATIO) {
+            rng.random_range(PROMPT_DELAY_MS..LATE_DELAY_MS)
+        } else {
+            rng.random_range(1..PROMPT_DELAY_MS)
+        }
+    }
+
+    pub(super) fn outage_ms(rng: &mut ChaCha8Rng) -> u64 {
+        rng.random_range(OUTAGE_MS)
+    }
+
+    pub(super) fn pause_ms(rng: &mut ChaCha8Rng) -> u64 {
+        rng.random_range(PAUSE_MS)
+    }
+
+    pub(super) fn log_faults(is_down: bool) -> LogFaults {
+        LogFaults {
+            is_down,
+            lost_answer_ratio: 0.05,
+            refused_ratio: 0.03,
+            delay_ms: 0,
+        }
+    }
+}
+
+/// Where the retention ends: offsets with the time at which they were the log's end.
+#[derive(Debug, Default)]
+pub(super) struct RetentionClock {
+    marks: Vec<(u64, Offset)>,
+}
+
+impl RetentionClock {
+    pub(super) fn mark(&mut self, now_ms: u64, end: Offset) {
+        self.marks.push((now_ms, end));
+    }
+
+    /// Returns the newest offset that was the end at least `retention_ms` ago.
+    pub(super) fn earliest(&self, now_ms: u64, retention_ms: u64) -> Offset {
+        let old = self.marks.iter().rev().find(|mark| mark.0 + retention_ms <= now_ms);
+        old.map_or(0, |mark| mark.1)
+    }
+}
+
+/// Returns whether a record spends the domain's share of appends on a batch.
+pub(super) fn is_batch(record: &LogRecord) -> bool {
+    matches!(record, LogRecord::Batch(_))
+}
--- /dev/null
+++ b/crates/standins/src/proof/memory.rs
@@ -0,0 +1,201 @@
+//! No accelerator's memory is ever committed beyond its capacity, and no order stays open for ever.
+
+use mustardgate_core::{
+    ids::MemoryMib,
+    leader::{DomainConfig, RunnerConfig},
+    log::Artifact,
+    placement::{ArtifactDemand, DomainView, HoldingState, PlannedMove},
+    resources::{FencingSupport, PolicySpec, PriorityClass},
+};
+use rand::{Rng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    GuardMode, PromiseViolation, ProofCount, ProofFigures, ProofScenario,
+    domain::{DomainWorld, FaultPlan, WorldSettings, declared_runner},
+};
+use crate::engine::EngineState;
+
+const FAULTY_MS: u64 = 60_000;
+const HEALED_MS: u64 = 40_000;
+const RUNNERS: usize = 3;
+const CAPACITY_MIB: MemoryMib = 100;
+const ARTIFACTS: usize = 9;
+const MOVES_PER_PLAN: usize = 3;
+
+/// Which engines the domain has, and with it which guard is proved.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum MemoryScenario {
+    /// Engines refuse old numbers. Guard: fencing; without it the engines obey every order.
+    FencedEngines,
+    /// Engines ignore numbers. Guard: only a report releases; without it a timeout settles an order.
+    LoggedIntents,
+    /// Both kinds. Guard: intents before orders; without it the leader takes every engine for one that refuses.
+    MixedEngines,
+}
+
+impl MemoryScenario {
+    fn actual(self, index: usize, guard: GuardMode) -> FencingSupport {
+        match (self, guard) {
+            (Self::FencedEngines, GuardMode::Enforced) => FencingSupport::Refuses,
+            (Self::MixedEngines, _) if index == 0 => FencingSupport::Refuses,
+            _ => FencingSupport::Ignores,
+        }
+    }
+
+    fn declared(self, index: usize, guard: GuardMode) -> FencingSupport {
+        match (self, guard) {
+            (Self::FencedEngines, _) | (Self::MixedEngines, GuardMode::Removed) => FencingSupport::Refuses,
+            _ => self.actual(index, guard),
+        }
+    }
+
+    fn settings(self, guard: GuardMode) -> WorldSettings {
+        let runner = |index| declared_runner(index, self.declared(index, guard), vec![CAPACITY_MIB, CAPACITY_MIB]);
+        WorldSettings {
+            engines: (0..RUNNERS).map(|index| self.actual(index, guard)).collect(),
+            config: config((0..RUNNERS).map(runner).collect()),
+            faults: FaultPlan {
+                pause_ratio: 0.004,
+                kill_ratio: 0.001,
+                outage_ratio: 0.003,
+                loses_runner: false,
+            },
+            settles_by_timeout: matches!((self, guard), (Self::LoggedIntents, GuardMode::Removed)),
+        }
+    }
+}
+
+impl ProofScenario for MemoryScenario {
+    fn name(&self) -> &'static str {
+        match self {
+            Self::FencedEngines => "memory-fenced-engines",
+            Self::LoggedIntents => "memory-logged-intents",
+            Self::MixedEngines => "memory-mixed-engines",
+        }
+    }
+
+    fn run(&self, seed: u64, guard: GuardMode) -> Result<ProofFigures, PromiseViolation> {
+        let mut world = DomainWorld::new(seed, self.settings(guard));
+        while world.now_ms < FAULTY_MS {
+            world.step(&mut plan_churn);
+            check_memory(&world)?;
+        }
+        world.heal();
+        while world.now_ms < FAULTY_MS + HEALED_MS {
+            world.step(&mut |_, _| Vec::new());
+            check_memory(&world)?;
+        }
+        check_settled(&world)?;
+        Ok(figures(&world))
+    }
+}
+
+/// Returns the counts of a finished run.
+pub(super) fn figures(world: &DomainWorld) -> ProofFigures {
+    let counts = world.counts.iter();
+    ProofFigures {
+        counts: counts.map(|(name, value)| ProofCount { name, value: *value }).collect(),
+    }
+}
+
+/// Judges by the memory of the engines themselves.
+pub(super) fn check_memory(world: &DomainWorld) -> Result<(), PromiseViolation> {
+    let overcommit = world.engines.iter().find_map(EngineState::overcommit);
+    overcommit.map_or(Ok(()), |overcommit| {
+        Err(PromiseViolation {
+            promise: "no memory beyond capacity",
+            detail: format!("at {} ms: {overcommit:?}", world.now_ms),
+        })
+    })
+}
+
+fn check_settled(world: &DomainWorld) -> Result<(), PromiseViolation> {
+    let stuck = |detail| PromiseViolation {
+        promise: "no order stays open for ever",
+        detail,
+    };
+    let Some(view) = world.leading_view() else {
+        return Err(stuck("no node leads after the faults ended".into()));
+    };
+    if view.runners.len() != RUNNERS {
+        return Err(stuck(format!("only {} runners are led", view.runners.len())));
+    }
+    let accelerators = view.runners.iter().flat_map(|runner| &runner.accelerators);
+    let mut holdings = accelerators.flat_map(|accelerator| &accelerator.holdings);
+    match holdings.find(|holding| holding.state != HoldingState::Resident) {
+        Some(holding) => Err(stuck(format!("{holding:?}"))),
+        None => Ok(()),
+    }
+}
+
+/// Returns the weights numbered `index`.
+pub(super) fn artifact(index: usize) -> Artifact {
+    Artifact {
+        model: smol_str::format_smolstr!("m{index}"),
+        adapter: None,
+        version: "v1".into(),
+    }
+}
+
+/// Returns a declared artifact without demand.
+pub(super) fn demand(index: usize, memory_mib: MemoryMib) -> ArtifactDemand {
+    ArtifactDemand {
+        artifact: artifact(index),
+        memory_mib,
+        requests_per_second: 0.0,
+        priority: PriorityClass::Standard,
+        base: Vec::new(),
+    }
+}
+
+/// Returns a store that is fast enough for moves to race each other.
+pub(super) fn fast_store() -> PolicySpec {
+    PolicySpec {
+        store_loads_per_second: 20.0,
+        ..PolicySpec::default()
+    }
+}
+
+/// Declares half of the artifacts, so that the others may always be unloaded.
+fn config(runners: Vec<RunnerConfig>) -> DomainConfig {
+    DomainConfig {
+        runners,
+        demands: (0..ARTIFACTS / 2)
+            .map(|index| demand(index, memory_mib(index)))
+            .collect(),
+        policy: fast_store(),
+        ..DomainConfig::default()
+    }
+}
+
+fn memory_mib(index: usize) -> MemoryMib {
+    30 + 5 * index as MemoryMib
+}
+
+/// Proposes loads into whatever is free and unloads of whatever is there.
+fn plan_churn(rng: &mut ChaCha8Rng, view: &DomainView) -> Vec<PlannedMove> {
+    (0..MOVES_PER_PLAN).filter_map(|_| plan_move(rng, view)).collect()
+}
+
+fn plan_move(rng: &mut ChaCha8Rng, view: &DomainView) -> Option<PlannedMove> {
+    let runner = view.runners.choose(rng)?;
+    let accelerator = rng.random_range(0..runner.accelerators.len());
+    let holdings = &runner.accelerators[accelerator].holdings;
+    let backend = runner.backend.clone();
+    if rng.random_bool(0.5) {
+        let artifact = holdings.choose(rng)?.artifact.clone();
+        return Some(PlannedMove::Unload {
+            backend,
+            accelerator: accelerator as u16,
+            artifact,
+        });
+    }
+    let index = rng.random_range(0..ARTIFACTS);
+    Some(PlannedMove::Load {
+        backend,
+        accelerator: accelerator as u16,
+        artifact: artifact(index),
+        memory_mib: memory_mib(index),
+    })
+}
--- a/crates/standins/src/proof/mod.rs
+++ b/crates/standins/src/proof/mod.rs
@@ -4,6 +4,9 @@
 //! decisions against stand-ins for one seed and judges from the outside: from what the stand-ins really did, against
 //! what was told. See `docs/PROOFS.md`.
 
+mod domain;
+mod memory;
+mod replicas;
 mod runner;
 
 use std::fmt::Debug;
@@ -61,5 +64,10 @@
 
 /// Every scenario, in the order of the promises in `docs/PROOFS.md`.
 pub fn scenarios() -> Vec<Box<dyn ProofScenario>> {
-    vec![]
+    vec![
+        Box::new(memory::MemoryScenario::FencedEngines),
+        Box::new(memory::MemoryScenario::LoggedIntents),
+        Box::new(memory::MemoryScenario::MixedEngines),
+        Box::new(replicas::ReplicaScenario),
+    ]
 }
