--- a/crates/mustardgate-core/tests/lease.rs
+++ b/crates/mustardgate-core/tests/lease.rs
@@ -164,3 +164,25 @@
     }
     assert_eq!((early.claim_in_force(), late.claim_in_force()), (Some(6), Some(6)));
 }
+
+#[test]
+fn claim_whose_window_another_record_entered_is_replaced() {
+    let (mut late, now) = (tracker("b", 2), Instant::now());
+    late.start(5);
+    let first = late.poll(now).expect("nothing is known to be in force");
+    assert_eq!((first.previous, first.window), (None, 5));
+    let void = LeaseRecord {
+        holder: "c".into(),
+        previous: Some(2),
+        ..first.clone()
+    };
+    late.observe(now, 5, &void);
+    late.observe(now, 6, &first);
+    assert_eq!(late.claim_in_force(), None);
+    let next = late
+        .poll(now + 2 * TERM)
+        .expect("the term of the unconfirmed record ran out");
+    assert_eq!(next.window, 7);
+    late.observe(now + 2 * TERM, 7, &next);
+    assert_eq!(late.held_claim(now + 2 * TERM), Some(7));
+}
--- /dev/null
+++ b/crates/mustardgate/src/gateway/services.rs
@@ -0,0 +1,124 @@
+//! Calls to plain services.
+
+use std::{sync::Arc, time::Duration};
+
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderName, HeaderValue},
+};
+use mustardgate_core::{clock, verdict::RunVerdict};
+use mustardgate_protocol::callers::{REQUEST_ID_HEADER, SERVICES_PREFIX, VERDICT_HEADER};
+
+use super::{
+    errors::CallerError,
+    keyed::run_keyed,
+    request::{read_body, read_deadline, read_key},
+    tenants::identify,
+};
+use crate::{
+    backends::PlainCall,
+    context::NodeContext,
+    dispatch::{CallJob, JobOrigin, run_call},
+    http::{AnswerBody, HttpReply, bytes_answer},
+    telemetry::RequestLabels,
+};
+
+/// When a caller should come back whose call's task ended.
+const ENDED_RETRY: Duration = Duration::from_secs(1);
+
+pub(super) async fn answer_call(
+    context: Arc<NodeContext>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, CallerError> {
+    let job = read_call(&context, request).await?;
+    let labels = RequestLabels {
+        tenant: job.origin.tenant.clone(),
+        class: job.origin.class,
+    };
+    let (job, result) = finish_call(context, job).await?;
+    let elapsed = clock::now() - job.origin.arrived;
+    match result {
+        Ok(reply) => {
+            labels.record_answer("ok", RunVerdict::Ran, elapsed);
+            Ok(forward(reply, &job.call))
+        }
+        Err(error) => {
+            labels.record_answer(error.code(), error.verdict(), elapsed);
+            Err(error)
+        }
+    }
+}
+
+/// Runs the call in a task of its own: a caller that hangs up must not end a call that may be running.
+async fn finish_call(
+    context: Arc<NodeContext>,
+    job: CallJob,
+) -> Result<(CallJob, Result<HttpReply, CallerError>), CallerError> {
+    let flight = context.drain.enter();
+    let running = tokio::spawn(async move {
+        let result = run_limited(&context, &job).await;
+        drop(flight);
+        (job, result)
+    });
+    running.await.map_err(|_error| CallerError::AttemptsFailed {
+        reason: "the call's task ended".to_owned(),
+        verdict: RunVerdict::MayHaveRun,
+        retry_after: ENDED_RETRY,
+    })
+}
+
+async fn run_limited(context: &NodeContext, job: &CallJob) -> Result<HttpReply, CallerError> {
+    match job.call.key.clone() {
+        Some(key) => run_keyed(context, job, key).await,
+        None => run_call(context, job).await,
+    }
+}
+
+async fn read_call(context: &NodeContext, request: Request<Incoming>) -> Result<CallJob, CallerError> {
+    let arrived = clock::now();
+    let (head, body) = request.into_parts();
+    let scope = identify(context, &head.headers)?;
+    let deadline = read_deadline(&head.headers, &context.settings.callers)?;
+    let key = read_key(&head.headers)?;
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    let rest = path.strip_prefix(SERVICES_PREFIX).unwrap_or_default();
+    let (service, path) = rest.find('/').map_or((rest, "/"), |slash| rest.split_at(slash));
+    let spec = scope.service(service)?;
+    let body = read_body(body, &context.settings.callers).await?;
+    let origin = JobOrigin {
+        request: context.identifiers.next(),
+        tenant: scope.tenant.clone(),
+        weight: scope.weight(),
+        class: spec.priority,
+        arrived,
+        deadline,
+        bytes: body.len(),
+    };
+    let call = PlainCall {
+        method: head.method.clone(),
+        path: path.to_owned(),
+        content_type: head.headers.get(CONTENT_TYPE).cloned(),
+        body,
+        request: origin.request.clone(),
+        key,
+    };
+    let is_idempotent = spec.is_idempotent_call(head.method.as_str(), path);
+    Ok(CallJob {
+        origin,
+        service: service.into(),
+        is_idempotent,
+        call,
+    })
+}
+
+fn forward(reply: HttpReply, call: &PlainCall) -> Response<AnswerBody> {
+    let content_type = reply.headers.get(CONTENT_TYPE).cloned();
+    let mut response = bytes_answer(reply.status, content_type, reply.body);
+    let headers = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(&call.request) {
+        headers.insert(HeaderName::from_static(REQUEST_ID_HEADER), value);
+    }
+    headers.insert(HeaderName::from_static(VERDICT_HEADER), HeaderValue::from_static("ran"));
+    response
+}
--- /dev/null
+++ b/crates/mustardgate/src/node/tasks.rs
@@ -0,0 +1,57 @@
+//! The visible list of a node's tasks.
+
+use std::sync::Arc;
+
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{
+    configuration::follow_configuration,
+    context::NodeContext,
+    keys::append_batches,
+    records::{RecordObserver, follow_records},
+    runners::{poll_reports, take_declarations},
+};
+
+/// Spawns every task of the node; each ends when `shutdown` is cancelled.
+pub(super) fn spawn_tasks(node: &Arc<NodeContext>, tracker: &TaskTracker, shutdown: &CancellationToken) {
+    tracker.spawn(follow_configuration(Arc::clone(node), rand::random(), shutdown.clone()));
+    tracker.spawn(keep_declarations(Arc::clone(node), shutdown.clone()));
+    tracker.spawn(keep_reports(Arc::clone(node), shutdown.clone()));
+    tracker.spawn(append_batches(
+        Arc::clone(&node.keys),
+        Arc::clone(&node.log),
+        shutdown.clone(),
+    ));
+    tracker.spawn(follow_records(
+        Arc::clone(&node.log),
+        Arc::clone(&node.tail),
+        observers(node),
+        shutdown.clone(),
+    ));
+    tracker.spawn(review_queue(Arc::clone(node), shutdown.clone()));
+}
+
+/// The visible list of those who follow the log's records.
+fn observers(node: &NodeContext) -> Vec<Arc<dyn RecordObserver>> {
+    vec![Arc::clone(&node.keys) as Arc<dyn RecordObserver>]
+}
+
+/// Keeps routing equal to the declarations.
+async fn keep_declarations(node: Arc<NodeContext>, shutdown: CancellationToken) {
+    let mut applied = node.directory.watch_applied();
+    loop {
+        take_declarations(&node);
+        tokio::select! {
+            () = shutdown.cancelled() => return,
+            changed = applied.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+async fn keep_reports(node: Arc<NodeContext>, shutdown: CancellationToken) {
+    poll_reports(&node, shutdown).await;
+}
+
+async fn review_queue(node: Arc<NodeContext>, shutdown: CancellationToken) {
+    node.desk.review_until(shutdown).await;
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,5 +4,8 @@
 //! HTTP listener, by the example processes.
 
 pub mod engine;
+pub mod engine_http;
+pub mod http;
 pub mod platform;
 pub mod proof;
+pub mod service;
--- a/crates/standins/src/proof/mod.rs
+++ b/crates/standins/src/proof/mod.rs
@@ -4,10 +4,13 @@
 //! decisions against stand-ins for one seed and judges from the outside: from what the stand-ins really did, against
 //! what was told. See `docs/PROOFS.md`.
 
+mod at_most_once;
 mod domain;
+mod keyed;
 mod memory;
 mod replicas;
 mod runner;
+mod told_not_run;
 
 use std::fmt::Debug;
 
@@ -69,5 +72,7 @@
         Box::new(memory::MemoryScenario::LoggedIntents),
         Box::new(memory::MemoryScenario::MixedEngines),
         Box::new(replicas::ReplicaScenario),
+        Box::new(at_most_once::AtMostOnceScenario),
+        Box::new(told_not_run::ToldNotRunScenario),
     ]
 }
