--- a/crates/standins/src/proof/mod.rs
+++ b/crates/standins/src/proof/mod.rs
@@ -16,6 +16,7 @@
 mod replicas;
 mod runner;
 mod told_not_run;
+mod whole_answers;
 
 use std::fmt::Debug;
 
@@ -86,5 +87,6 @@
         Box::new(ConfigScenario::new(ConfigGuard::GapRefusal)),
         Box::new(ConfigScenario::new(ConfigGuard::ForwardOnly)),
         Box::new(ConfigScenario::new(ConfigGuard::LoadState)),
+        Box::new(whole_answers::WholeAnswersScenario),
     ]
 }
