Add mustardctl: declarations, resources, calls and load

Cause: operators need to apply declarations and see them converge; figures need an open-loop load that can also be sent straight at an engine. Ruled out: async-trait for commands (a table of functions is enough); latency from when a request was sent (it hides waiting behind earlier ones). Change: the client library, ten subcommands in one list, documented exit codes, declarations with the node's own checks, the load generator, and the example declarations.

--- /dev/null
+++ b/crates/mustardctl/src/client/sse.rs
@@ -0,0 +1,74 @@
+//! Reads server-sent events from a body.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+/// Reads the data of server-sent events, one line each.
+#[derive(Debug)]
+pub struct EventReader {
+    body: Incoming,
+    buffer: Vec<u8>,
+    lines: VecDeque<String>,
+}
+
+impl EventReader {
+    /// Creates a reader of a body.
+    pub fn new(body: Incoming) -> Self {
+        Self {
+            body,
+            buffer: Vec::new(),
+            lines: VecDeque::new(),
+        }
+    }
+
+    /// Returns the data of the next event, or `None` at the end of the body.
+    ///
+    /// # Errors
+    /// The error with which the connection broke.
+    pub async fn next_data(&mut self) -> Result<Option<String>, hyper::Error> {
+        while let Some(line) = self.next_line().await? {
+            if let Some(data) = line.strip_prefix("data:") {
+                return Ok(Some(data.trim_start().to_owned()));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Returns the next line that is not empty, or `None` at the end of the body.
+    ///
+    /// # Errors
+    /// The error with which the connection broke.
+    pub async fn next_line(&mut self) -> Result<Option<String>, hyper::Error> {
+        loop {
+            if let Some(line) = self.lines.pop_front() {
+                return Ok(Some(line));
+            }
+            let Some(frame) = self.body.frame().await else {
+                let rest = String::from_utf8_lossy(&std::mem::take(&mut self.buffer))
+                    .trim()
+                    .to_owned();
+                return Ok((!rest.is_empty()).then_some(rest));
+            };
+            if let Ok(data) = frame?.into_data() {
+                self.take_chunk(&data);
+            }
+        }
+    }
+
+    fn take_chunk(&mut self, data: &Bytes) {
+        for byte in data {
+            if *byte != b'\n' {
+                self.buffer.push(*byte);
+                continue;
+            }
+            let line = String::from_utf8_lossy(&self.buffer).trim().to_owned();
+            self.buffer.clear();
+            if !line.is_empty() {
+                self.lines.push_back(line);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mustardctl/src/commands/apply.rs
@@ -0,0 +1,47 @@
+//! `apply`: makes the configuration equal to the declarations.
+
+use super::{
+    CommandEntry,
+    changes::{make_change, plan_folder, print_plan},
+    validate::FILENAME_OPTION,
+};
+use crate::cli::{CommandContext, CommandError, CommandSpec, OptionSpec};
+
+/// Switch that deletes what is not declared.
+pub(super) const PRUNE_OPTION: OptionSpec = OptionSpec {
+    name: "prune",
+    value: None,
+    help: "delete resources that no file declares",
+};
+
+const DRY_RUN_OPTION: OptionSpec = OptionSpec {
+    name: "dry-run",
+    value: None,
+    help: "only show what would change",
+};
+
+pub(super) const ENTRY: CommandEntry = CommandEntry {
+    spec: CommandSpec {
+        name: "apply",
+        summary: "makes the configuration equal to the declarations",
+        positionals: "",
+        max_positionals: 0,
+        options: &[FILENAME_OPTION, PRUNE_OPTION, DRY_RUN_OPTION],
+    },
+    run: |context| Box::pin(run(context)),
+};
+
+async fn run(context: &CommandContext) -> Result<(), CommandError> {
+    let client = context.client()?;
+    let plan = plan_folder(context, &client, context.arguments.has(PRUNE_OPTION.name)).await?;
+    print_plan(context, &plan);
+    if context.arguments.has(DRY_RUN_OPTION.name) {
+        return Ok(());
+    }
+    for change in &plan.changes {
+        let version = make_change(&client, change).await?;
+        let line = format!("{} {}: version {version}", change.step, change.key);
+        context.printer.show_progress(&line);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/mustardctl/src/commands/call.rs
@@ -0,0 +1,152 @@
+//! `call`: sends one caller's request and shows the answer.
+
+use hyper::{
+    HeaderMap, Method, Response,
+    body::Incoming,
+    header::{HeaderName, HeaderValue},
+};
+use mustardgate_core::ids::IdempotencyKey;
+use mustardgate_protocol::callers::{
+    CHAT_PATH, ChatChunk, ChatMessage, ChatRequest, DEADLINE_HEADER, ErrorAnswer, IDEMPOTENCY_KEY_HEADER,
+    SERVICES_PREFIX,
+};
+
+use super::CommandEntry;
+use crate::{
+    cli::{CommandContext, CommandError, CommandSpec, OptionSpec},
+    client::{EventReader, HttpConnector, bearer_header, json_body},
+};
+
+/// Data of the last event of a whole stream.
+const STREAM_END: &str = "[DONE]";
+
+pub(super) const ENTRY: CommandEntry = CommandEntry {
+    spec: CommandSpec {
+        name: "call",
+        summary: "sends one request of a caller and shows the answer",
+        positionals: "MODEL PROMPT, or SERVICE METHOD PATH [BODY] with --service",
+        max_positionals: 4,
+        options: &[
+            option("service", None, "call a plain service"),
+            option("stream", None, "show tokens as they come"),
+            option("max-tokens", Some("N"), "tokens to generate at most; 64 by default"),
+            option("idempotency-key", Some("KEY"), "the same key runs at most once"),
+            option("deadline-ms", Some("N"), "time for the whole answer"),
+        ],
+    },
+    run: |context| Box::pin(run(context)),
+};
+
+const fn option(name: &'static str, value: Option<&'static str>, help: &'static str) -> OptionSpec {
+    OptionSpec { name, value, help }
+}
+
+async fn run(context: &CommandContext) -> Result<(), CommandError> {
+    if context.arguments.has("service") {
+        call_service(context).await
+    } else {
+        call_model(context).await
+    }
+}
+
+async fn call_service(context: &CommandContext) -> Result<(), CommandError> {
+    let service = positional(context, 0, "SERVICE")?;
+    let method = positional(context, 1, "METHOD")?;
+    let method = Method::from_bytes(method.as_bytes()).map_err(|error| CommandError::Usage {
+        reason: error.to_string(),
+    })?;
+    let path = format!("{SERVICES_PREFIX}{service}{}", positional(context, 2, "PATH")?);
+    let body = context.arguments.positional(3).unwrap_or_default();
+    let mut request = json_body(method, &path, &body)?;
+    *request.body_mut() = http_body_util::Full::from(body.to_owned());
+    add_headers(context, request.headers_mut())?;
+    let answer = HttpConnector::new().call(context.server()?, request).await?;
+    let text = String::from_utf8_lossy(&answer.body);
+    if !answer.status.is_success() {
+        return Err(failed(&format!("status {}: {text}", answer.status)));
+    }
+    context.printer.print_line(text.trim_end());
+    Ok(())
+}
+
+async fn call_model(context: &CommandContext) -> Result<(), CommandError> {
+    let chat = ChatRequest {
+        model: positional(context, 0, "MODEL")?.into(),
+        messages: vec![ChatMessage {
+            role: "user".into(),
+            content: positional(context, 1, "PROMPT")?.to_owned(),
+        }],
+        stream: context.arguments.has("stream"),
+        max_tokens: context.arguments.parsed("max-tokens", 64)?,
+    };
+    let mut request = json_body(Method::POST, CHAT_PATH, &chat)?;
+    add_headers(context, request.headers_mut())?;
+    let response = HttpConnector::new().open(context.server()?, request).await?;
+    if chat.stream && response.status().is_success() {
+        return show_stream(context, response).await;
+    }
+    let status = response.status();
+    let mut reader = EventReader::new(response.into_body());
+    let text = reader.next_line().await.map_err(|error| failed(&error.to_string()))?;
+    let text = text.unwrap_or_default();
+    if !status.is_success() {
+        return Err(failed(&format!("status {status}: {text}")));
+    }
+    context.printer.print_line(&text);
+    Ok(())
+}
+
+/// Shows tokens as they come, and fails unless the stream ends as a whole answer does.
+async fn show_stream(context: &CommandContext, response: Response<Incoming>) -> Result<(), CommandError> {
+    let mut reader = EventReader::new(response.into_body());
+    while let Some(data) = reader.next_data().await.map_err(|error| failed(&error.to_string()))? {
+        if data == STREAM_END {
+            context.printer.print_line("");
+            return Ok(());
+        }
+        match serde_json::from_str::<ChatChunk>(&data) {
+            Ok(_) if context.printer.is_json() => context.printer.print_line(&data),
+            Ok(chunk) => context.printer.print_piece(&chunk.delta),
+            Err(_not_a_chunk) => return Err(read_failure(&data)),
+        }
+    }
+    Err(failed("the stream ended before the answer was whole"))
+}
+
+fn read_failure(data: &str) -> CommandError {
+    match serde_json::from_str::<ErrorAnswer>(data) {
+        Ok(answer) => failed(&format!(
+            "{}: {} (verdict {})",
+            answer.error.code, answer.error.message, answer.error.verdict
+        )),
+        Err(error) => failed(&format!("the stream sent {data}: {error}")),
+    }
+}
+
+fn add_headers(context: &CommandContext, headers: &mut HeaderMap) -> Result<(), CommandError> {
+    bearer_header(headers, context.key()?.as_deref())?;
+    let key = context.arguments.value("idempotency-key").map(IdempotencyKey::from);
+    for (name, value) in [
+        (IDEMPOTENCY_KEY_HEADER, key.as_deref()),
+        (DEADLINE_HEADER, context.arguments.value("deadline-ms")),
+    ] {
+        let Some(value) = value else { continue };
+        let value = HeaderValue::from_str(value).map_err(|error| CommandError::Usage {
+            reason: format!("{name}: {error}"),
+        })?;
+        headers.insert(HeaderName::from_static(name), value);
+    }
+    Ok(())
+}
+
+fn positional<'a>(context: &'a CommandContext, index: usize, name: &str) -> Result<&'a str, CommandError> {
+    context.arguments.positional(index).ok_or_else(|| CommandError::Usage {
+        reason: format!("{name} is needed"),
+    })
+}
+
+fn failed(reason: &str) -> CommandError {
+    CommandError::Failed {
+        reason: reason.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/mustardctl/src/commands/mod.rs
@@ -0,0 +1,66 @@
+//! The subcommands, each in its own module and registered in [`entries`].
+
+mod apply;
+mod call;
+mod changes;
+mod delete;
+mod describe;
+mod diff;
+mod get;
+mod load;
+mod status;
+mod validate;
+mod watch;
+
+use futures::future::BoxFuture;
+use mustardgate_core::resources::{ResourceKey, ResourceKind};
+
+use crate::cli::{CommandContext, CommandError, CommandSpec};
+
+/// Runs a subcommand.
+pub type CommandRun = for<'a> fn(&'a CommandContext) -> BoxFuture<'a, Result<(), CommandError>>;
+
+/// A subcommand.
+#[derive(Debug)]
+pub struct CommandEntry {
+    /// Name, help and options.
+    pub spec: CommandSpec,
+    /// What it does.
+    pub run: CommandRun,
+}
+
+/// Returns every subcommand.
+pub fn entries() -> &'static [CommandEntry] {
+    &[
+        validate::ENTRY,
+        diff::ENTRY,
+        apply::ENTRY,
+        get::ENTRY,
+        describe::ENTRY,
+        delete::ENTRY,
+        watch::ENTRY,
+        status::ENTRY,
+        call::ENTRY,
+        load::ENTRY,
+    ]
+}
+
+/// Reads the kind from the first positional argument.
+fn kind_argument(context: &CommandContext) -> Result<ResourceKind, CommandError> {
+    let name = context.arguments.positional(0).ok_or_else(|| CommandError::Usage {
+        reason: "KIND is needed".to_owned(),
+    })?;
+    ResourceKind::parse(name).ok_or_else(|| CommandError::Usage {
+        reason: format!("there is no kind {name}"),
+    })
+}
+
+/// Reads kind and name from the first two positional arguments.
+fn key_argument(context: &CommandContext) -> Result<ResourceKey, CommandError> {
+    let kind = kind_argument(context)?;
+    let name = context.arguments.positional(1).ok_or_else(|| CommandError::Usage {
+        reason: "NAME is needed".to_owned(),
+    })?;
+    let name = name.into();
+    Ok(ResourceKey { kind, name })
+}
--- a/crates/mustardctl/src/main.rs
+++ b/crates/mustardctl/src/main.rs
@@ -1,3 +1,7 @@
 //! The `mustardctl` program; everything is in the library.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    mustardctl::cli::run()
+}
--- /dev/null
+++ b/crates/mustardctl/tests/arrivals.rs
@@ -0,0 +1,26 @@
+//! Arrivals are the same for a seed, have the rate asked for, and share out tenants by weight.
+
+use std::time::Duration;
+
+use mustardctl::load::{ArrivalSchedule, ScheduledRequest};
+
+fn schedule(seed: u64) -> Vec<ScheduledRequest> {
+    let weights = vec![1.0, 3.0];
+    ArrivalSchedule::new(seed, 200.0, Duration::from_secs(50), weights, 2).collect()
+}
+
+#[test]
+fn a_seed_decides_the_schedule() {
+    assert_eq!(schedule(4), schedule(4));
+    assert_ne!(schedule(4), schedule(5));
+}
+
+#[test]
+fn arrivals_have_the_rate_and_the_shares_asked_for() {
+    let requests = schedule(4);
+    assert!((9_500..10_500).contains(&requests.len()), "{}", requests.len());
+    assert!(requests.is_sorted_by_key(|request| request.due));
+    let heavy = requests.iter().filter(|request| request.tenant == 1).count();
+    let share = heavy as f64 / requests.len() as f64;
+    assert!((0.72..0.78).contains(&share), "{share}");
+}
