Lead the failure domain from the node: lease, placement, orders and reports

Cause: weights had to be loaded by hand, because nothing ran the leader's decisions. Change: the leader task performs what the domain leader decides; it describes the domain from declarations, the live list and the demand counted; reports that the leader reads feed routing; leaving or unlisted backend servers get no new work; the operators' status names the leader and counts violated invariants. Ruled out: a bounded channel from the log to the leader, since a lost record would leave an intent unknown.

--- a/crates/mustardgate/src/context/mod.rs
+++ b/crates/mustardgate/src/context/mod.rs
@@ -25,9 +25,11 @@
     drain::DrainController,
     events,
     keys::KeyDesk,
+    leader::LeadershipStatus,
     records::RecordTail,
     runners::{DemandCounter, RunnerBoard},
     settings::NodeSettings,
+    vms::VmDirectory,
 };
 
 /// What the modules of a node need.
@@ -63,6 +65,10 @@
     pub keys: Arc<KeyDesk>,
     /// Follows leases, orders and keys in the log.
     pub tail: Arc<RecordTail>,
+    /// The platform's list of VMs.
+    pub vms: VmDirectory,
+    /// The leader role.
+    pub leadership: LeadershipStatus,
     /// Retries that may still be made.
     pub budget: Mutex<RetryBudget>,
     /// Requests in flight and the course of a planned stop.
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -55,6 +55,8 @@
 pub const ORDER_FAILED: EventKind = event(303, Level::Warning, "order not confirmed");
 /// The memory ledger refused a step.
 pub const MEMORY_INVARIANT: EventKind = event(304, Level::Error, "memory invariant violated");
+/// A planned move was not begun.
+pub const MOVE_REFUSED: EventKind = event(305, Level::Debug, "move not begun");
 /// A request was answered with an error.
 pub const REQUEST_FAILED: EventKind = event(400, Level::Debug, "request answered with an error");
 /// An attempt at a backend server failed.
@@ -92,6 +94,7 @@
     ORDER_SENT,
     ORDER_FAILED,
     MEMORY_INVARIANT,
+    MOVE_REFUSED,
     REQUEST_FAILED,
     ATTEMPT_FAILED,
     ANSWER_DROPPED,
--- /dev/null
+++ b/crates/mustardgate/src/leader/status.rs
@@ -0,0 +1,41 @@
+//! What other parts of the node may know of the leader role.
+
+use std::sync::{
+    Mutex,
+    atomic::{AtomicU64, Ordering},
+};
+
+use mustardgate_core::leader::LeaderTenure;
+
+/// Whether this node leads its failure domain, and how often an invariant was violated.
+#[derive(Debug, Default)]
+pub struct LeadershipStatus {
+    tenure: Mutex<LeaderTenure>,
+    violations: AtomicU64,
+}
+
+impl LeadershipStatus {
+    /// Returns by what right this node leads.
+    pub fn tenure(&self) -> LeaderTenure {
+        *self.tenure.lock().expect("no holder panics")
+    }
+
+    /// Returns whether this node leads.
+    pub fn is_leading(&self) -> bool {
+        self.tenure() != LeaderTenure::Follower
+    }
+
+    /// Returns how often the memory ledger found more committed than there is.
+    pub fn violations(&self) -> u64 {
+        self.violations.load(Ordering::Relaxed)
+    }
+
+    /// Replaces the tenure and returns the one before.
+    pub(super) fn replace(&self, tenure: LeaderTenure) -> LeaderTenure {
+        std::mem::replace(&mut *self.tenure.lock().expect("no holder panics"), tenure)
+    }
+
+    pub(super) fn count_violation(&self) {
+        self.violations.fetch_add(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/mustardgate/src/leader/task.rs
@@ -0,0 +1,243 @@
+//! The task of the leader role.
+
+use std::{sync::Arc, time::Duration};
+
+use mustardgate_core::{
+    clock,
+    ids::{BackendId, FencingNumber},
+    leader::{DomainLeader, LeaderAction, LeaderEvent, LeaderSettings, LeaderTenure},
+    lease::LeaseSettings,
+    placement::{
+        PlacementPolicy,
+        demand::{DemandEstimator, DemandSettings},
+        gain::{GainPolicy, GainSettings},
+    },
+    ports::{EngineReport, OrderError},
+};
+use slog::o;
+use tokio::{
+    sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
+    time::{self, MissedTickBehavior},
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{domain::describe_domain, observer::LeaderObserver};
+use crate::{context::NodeContext, events, runners::take_report};
+
+/// Interval at which the leader looks at the time.
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which demand is collected and moves are planned.
+const PLAN_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two appends of the domain.
+const APPEND_INTERVAL: Duration = Duration::from_millis(100);
+/// Part of the lease's term at which the holder stops acting before its end.
+const MARGIN_DIVISOR: u32 = 6;
+/// Part of the log's retention after which open intents are logged again.
+const CHECKPOINT_DIVISOR: u32 = 4;
+
+/// Both ends of the leader role's events; the observer goes to whoever follows the log.
+pub fn leader_channel() -> (
+    UnboundedSender<LeaderEvent>,
+    UnboundedReceiver<LeaderEvent>,
+    Arc<LeaderObserver>,
+) {
+    // Unbounded, because no record of the log may be lost; its reader is paced by the log itself.
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let observer = Arc::new(LeaderObserver::new(sender.clone()));
+    (sender, receiver, observer)
+}
+
+/// The leader role of one node.
+#[derive(Debug)]
+pub struct LeaderTask {
+    context: Arc<NodeContext>,
+    leader: DomainLeader,
+    policy: Box<dyn PlacementPolicy>,
+    demand: DemandEstimator,
+    sender: UnboundedSender<LeaderEvent>,
+    is_draining: bool,
+}
+
+impl LeaderTask {
+    /// Creates the role; `session` is drawn when the process starts.
+    pub fn new(context: Arc<NodeContext>, sender: UnboundedSender<LeaderEvent>, session: u64) -> Self {
+        let leader = DomainLeader::new(leader_settings(&context, session));
+        let policy = GainPolicy::new(GainSettings {
+            domain_share: 1.0,
+            ..GainSettings::default()
+        });
+        Self {
+            context,
+            leader,
+            policy: Box::new(policy),
+            demand: DemandEstimator::new(DemandSettings::default()),
+            sender,
+            is_draining: false,
+        }
+    }
+
+    /// Runs the role until `shutdown`.
+    pub async fn run(mut self, mut events: UnboundedReceiver<LeaderEvent>, shutdown: CancellationToken) {
+        let mut ticks = time::interval(TICK_INTERVAL);
+        let mut plans = time::interval(PLAN_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        plans.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = shutdown.cancelled() => return,
+                Some(event) = events.recv() => self.handle(event),
+                _ = ticks.tick() => self.tick(),
+                _ = plans.tick() => self.plan(),
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        if self.context.drain.is_draining() && !self.is_draining {
+            self.is_draining = true;
+            self.handle(LeaderEvent::Draining);
+        }
+        self.handle(LeaderEvent::Tick);
+    }
+
+    fn plan(&mut self) {
+        let now = clock::now();
+        self.demand.observe(now, &self.context.demand.collect());
+        let Some(config) = describe_domain(&self.context, &self.demand) else {
+            return;
+        };
+        self.handle(LeaderEvent::DomainChanged(config));
+        if self.leader.tenure() == LeaderTenure::Follower {
+            return;
+        }
+        let moves = self.policy.plan(now, &self.leader.view(now));
+        if !moves.is_empty() {
+            self.handle(LeaderEvent::MovesPlanned(moves));
+        }
+    }
+
+    fn handle(&mut self, event: LeaderEvent) {
+        for action in self.leader.handle(clock::now(), event) {
+            self.perform(action);
+        }
+        let tenure = self.leader.tenure();
+        let before = self.context.leadership.replace(tenure);
+        if before != tenure {
+            let event = if tenure == LeaderTenure::Follower {
+                events::LEASE_LOST
+            } else {
+                events::LEASE_GAINED
+            };
+            event.write(&self.context.logger, o!("tenure" => format!("{tenure:?}")));
+        }
+    }
+
+    fn perform(&self, action: LeaderAction) {
+        let context = Arc::clone(&self.context);
+        let sender = self.sender.clone();
+        match action {
+            LeaderAction::Append { append, record } => {
+                tokio::spawn(async move {
+                    let outcome = context.log.append(*record).await;
+                    context.tail.wake();
+                    answer(&sender, LeaderEvent::AppendAnswered { append, outcome });
+                });
+            }
+            LeaderAction::RaiseFencing { backend, fencing } => {
+                tokio::spawn(async move {
+                    let outcome = raise_fencing(&context, &backend, fencing).await;
+                    answer(
+                        &sender,
+                        LeaderEvent::RaiseAnswered {
+                            backend,
+                            fencing,
+                            outcome,
+                        },
+                    );
+                });
+            }
+            LeaderAction::ReadReport { backend, read } => {
+                tokio::spawn(async move {
+                    let outcome = read_report(&context, &backend).await;
+                    answer(&sender, LeaderEvent::ReportAnswered { backend, read, outcome });
+                });
+            }
+            LeaderAction::SendOrder { backend, order } => {
+                let name = order.order.clone();
+                let values = o!("backend" => backend.to_string(), "order" => format!("{:?}", order.action));
+                events::ORDER_SENT.write(&self.context.logger, values);
+                tokio::spawn(async move {
+                    let outcome = context.engines.send_order(&backend, order).await;
+                    if let Err(error) = &outcome {
+                        let values = o!("backend" => backend.to_string(), "error" => error.to_string());
+                        events::ORDER_FAILED.write(&context.logger, values);
+                    }
+                    answer(
+                        &sender,
+                        LeaderEvent::OrderAnswered {
+                            backend,
+                            order: name,
+                            outcome,
+                        },
+                    );
+                });
+            }
+            LeaderAction::RefuseMove { planned, refusal } => {
+                let values = o!("move" => format!("{planned:?}"), "refusal" => refusal.to_string());
+                events::MOVE_REFUSED.write(&self.context.logger, values);
+            }
+            LeaderAction::ReportViolation { backend, violation } => {
+                self.context.leadership.count_violation();
+                let values = o!("backend" => backend.to_string(), "violation" => violation.to_string());
+                events::MEMORY_INVARIANT.write(&self.context.logger, values);
+            }
+        }
+    }
+}
+
+fn leader_settings(context: &NodeContext, session: u64) -> LeaderSettings {
+    let settings = &context.settings;
+    let term = settings.platform.lease();
+    LeaderSettings {
+        lease: LeaseSettings {
+            domain: settings.node.domain.clone(),
+            node: settings.node.name.clone(),
+            session,
+            term,
+            margin: term / MARGIN_DIVISOR,
+        },
+        address: FencingNumber::pack_address(settings.peers.listen),
+        read_interval: settings.backends.report(),
+        retry_interval: settings.platform.timeout(),
+        report_freshness: settings.backends.report() * 4,
+        append_interval: APPEND_INTERVAL,
+        checkpoint_interval: settings.platform.retention() / CHECKPOINT_DIVISOR,
+    }
+}
+
+fn answer(sender: &UnboundedSender<LeaderEvent>, event: LeaderEvent) {
+    // The receiver is gone only when the node stops.
+    drop(sender.send(event));
+}
+
+async fn raise_fencing(
+    context: &NodeContext,
+    backend: &BackendId,
+    fencing: FencingNumber,
+) -> Result<EngineReport, OrderError> {
+    let asked = clock::now();
+    let outcome = context.engines.raise_fencing(backend, fencing).await;
+    if let Ok(report) = &outcome {
+        take_report(context, backend, report.clone(), asked);
+    }
+    outcome
+}
+
+async fn read_report(context: &NodeContext, backend: &BackendId) -> Result<EngineReport, OrderError> {
+    let asked = clock::now();
+    let outcome = context.engines.report(backend).await;
+    if let Ok(report) = &outcome {
+        take_report(context, backend, report.clone(), asked);
+    }
+    outcome
+}
--- a/crates/mustardgate/src/node/build.rs
+++ b/crates/mustardgate/src/node/build.rs
@@ -17,10 +17,12 @@
     drain::DrainController,
     http::HttpClient,
     keys::KeyDesk,
+    leader::LeadershipStatus,
     platform::{HttpLiveList, HttpPlatformLog},
     records::RecordTail,
     runners::{DemandCounter, RunnerBoard},
     settings::NodeSettings,
+    vms::VmDirectory,
 };
 
 /// Builds the context of a node; nothing is sent yet.
@@ -70,6 +72,8 @@
         demand: DemandCounter::default(),
         keys: Arc::new(keys),
         tail,
+        vms: VmDirectory::default(),
+        leadership: LeadershipStatus::default(),
         budget: Mutex::new(RetryBudget::new(retries)),
         drain: DrainController::default(),
         identifiers: RequestCounter::new(&settings.node.name, rand::random()),
--- a/crates/mustardgate/src/node/tasks.rs
+++ b/crates/mustardgate/src/node/tasks.rs
@@ -8,32 +8,40 @@
     configuration::follow_configuration,
     context::NodeContext,
     keys::append_batches,
+    leader::{LeaderTask, leader_channel},
     records::{RecordObserver, follow_records},
     runners::{poll_reports, take_declarations},
+    vms::{apply_availability, poll_list},
 };
 
 /// Spawns every task of the node; each ends when `shutdown` is cancelled.
 pub(super) fn spawn_tasks(node: &Arc<NodeContext>, tracker: &TaskTracker, shutdown: &CancellationToken) {
     tracker.spawn(follow_configuration(Arc::clone(node), rand::random(), shutdown.clone()));
     tracker.spawn(keep_declarations(Arc::clone(node), shutdown.clone()));
+    tracker.spawn(keep_list(Arc::clone(node), shutdown.clone()));
     tracker.spawn(keep_reports(Arc::clone(node), shutdown.clone()));
+    tracker.spawn(review_queue(Arc::clone(node), shutdown.clone()));
     tracker.spawn(append_batches(
         Arc::clone(&node.keys),
         Arc::clone(&node.log),
         shutdown.clone(),
     ));
+    spawn_leader(node, tracker, shutdown);
+}
+
+/// Spawns the leader role, and the reader of the log that the role and the keys follow.
+fn spawn_leader(node: &Arc<NodeContext>, tracker: &TaskTracker, shutdown: &CancellationToken) {
+    let (sender, receiver, observer) = leader_channel();
+    let role = LeaderTask::new(Arc::clone(node), sender, rand::random());
+    tracker.spawn(role.run(receiver, shutdown.clone()));
+    let keys: Arc<dyn RecordObserver> = Arc::clone(&node.keys) as Arc<dyn RecordObserver>;
+    let observers = vec![keys, observer];
     tracker.spawn(follow_records(
         Arc::clone(&node.log),
         Arc::clone(&node.tail),
-        observers(node),
+        observers,
         shutdown.clone(),
     ));
-    tracker.spawn(review_queue(Arc::clone(node), shutdown.clone()));
-}
-
-/// The visible list of those who follow the log's records.
-fn observers(node: &NodeContext) -> Vec<Arc<dyn RecordObserver>> {
-    vec![Arc::clone(&node.keys) as Arc<dyn RecordObserver>]
 }
 
 /// Keeps routing equal to the declarations.
@@ -41,6 +49,7 @@
     let mut applied = node.directory.watch_applied();
     loop {
         take_declarations(&node);
+        apply_availability(&node);
         tokio::select! {
             () = shutdown.cancelled() => return,
             changed = applied.changed() => if changed.is_err() { return },
@@ -48,6 +57,10 @@
     }
 }
 
+async fn keep_list(node: Arc<NodeContext>, shutdown: CancellationToken) {
+    poll_list(&node, shutdown).await;
+}
+
 async fn keep_reports(node: Arc<NodeContext>, shutdown: CancellationToken) {
     poll_reports(&node, shutdown).await;
 }
--- a/crates/mustardgate/src/operator/status.rs
+++ b/crates/mustardgate/src/operator/status.rs
@@ -4,8 +4,9 @@
     config::ConfigReplica,
     log::{Artifact, VersionedResource},
     resources::{ResourceKind, ResourceSpec},
+    routing::Availability,
 };
-use mustardgate_protocol::operators::{BackendStatus, NodeStatus, ResourceCondition, ResourceStatus};
+use mustardgate_protocol::operators::{BackendStatus, DomainStatus, NodeStatus, ResourceCondition, ResourceStatus};
 use smol_str::{SmolStr, format_smolstr};
 
 use crate::context::NodeContext;
@@ -34,12 +35,21 @@
         not_ready_reasons: reasons.into_iter().map(SmolStr::from).collect(),
         config_offset: node.directory.read(ConfigReplica::next_offset),
         in_flight: node.drain.in_flight() as u64,
-        invariant_violations: 0,
-        domains: Vec::new(),
+        invariant_violations: node.leadership.violations() + node.keys.violations(),
+        domains: vec![own_domain(node)],
         backends: backend_statuses(node),
     }
 }
 
+fn own_domain(node: &NodeContext) -> DomainStatus {
+    let identity = &node.settings.node;
+    DomainStatus {
+        domain: identity.domain.clone(),
+        leader: node.leadership.is_leading().then(|| identity.name.clone()),
+        fencing: None,
+    }
+}
+
 fn backend_statuses(node: &NodeContext) -> Vec<BackendStatus> {
     let Ok(view) = node.directory.view() else {
         return Vec::new();
@@ -52,7 +62,7 @@
             let ready = report.resident.iter().filter(|resident| resident.is_ready);
             BackendStatus {
                 backend: name.clone(),
-                is_eligible: true,
+                is_eligible: node.vms.availability(name) == Availability::Serving,
                 in_flight: 0,
                 resident: ready.map(|resident| artifact_name(&resident.artifact)).collect(),
             }
--- a/crates/mustardgate/src/runners/poll.rs
+++ b/crates/mustardgate/src/runners/poll.rs
@@ -31,8 +31,13 @@
     let Ok(view) = context.directory.view() else {
         return Vec::new();
     };
+    let own = &context.settings.node.domain;
+    let is_leading = context.leadership.is_leading();
+    // A leader reads the reports of its own domain for its own purposes, and routing gets them from there.
     let is_engine = |spec: &ResourceSpec| match spec {
-        ResourceSpec::Backend(backend) => backend.role == BackendRole::Engine,
+        ResourceSpec::Backend(backend) => {
+            backend.role == BackendRole::Engine && !(is_leading && backend.domain == *own)
+        }
         _ => false,
     };
     let backends = view
@@ -60,6 +65,9 @@
     let ready = report.resident.iter().filter(|resident| resident.is_ready);
     let profile = profile_of(backend, spec, ready.map(|resident| resident.artifact.clone()).collect());
     context.selector.upsert_runner(profile);
+    context
+        .selector
+        .set_availability(backend, context.vms.availability(backend));
     context.selector.apply_report(backend, load);
     context.board.update(backend, report, measured_at);
 }
--- /dev/null
+++ b/crates/mustardgate/src/vms/poll.rs
@@ -0,0 +1,43 @@
+//! The task that fetches the list of VMs.
+
+use mustardgate_core::resources::ResourceKind;
+use slog::o;
+use tokio::time::{self, MissedTickBehavior};
+use tokio_util::sync::CancellationToken;
+
+use crate::{context::NodeContext, events};
+
+/// Fetches the list once an interval until `shutdown`; while the platform is away the last list stays in force.
+pub async fn poll_list(context: &NodeContext, shutdown: CancellationToken) {
+    let mut ticks = time::interval(context.settings.platform.list());
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut was_away = false;
+    loop {
+        tokio::select! {
+            () = shutdown.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        match context.list.fetch().await {
+            Ok(entries) => {
+                was_away = false;
+                if context.vms.replace(entries) {
+                    apply_availability(context);
+                }
+            }
+            Err(error) if !was_away => {
+                was_away = true;
+                events::LIST_UNAVAILABLE.write(&context.logger, o!("error" => error.to_string()));
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+/// Tells routing which declared backend servers may get new work.
+pub fn apply_availability(context: &NodeContext) {
+    let Ok(view) = context.directory.view() else { return };
+    for backend in view.list(ResourceKind::Backend) {
+        let name = &backend.key.name;
+        context.selector.set_availability(name, context.vms.availability(name));
+    }
+}
