Assemble generated answers by the decisions of the core

Cause: matching by request and attempt stood twice, in the node and in the proved assembler. Change: the generation uses the assembler; an answer it has declared broken ends the request at once.

--- a/crates/mustardgate/src/dispatch/generation.rs
+++ b/crates/mustardgate/src/dispatch/generation.rs
@@ -7,6 +7,7 @@
     ids::BackendId,
     retry::{AttemptFailure, AttemptPlan, NextStep, PlanSettings},
     routing::{AttemptOutcome, RouteRequest, RouteTicket, prefix_digest},
+    streams::{AnswerAction, AnswerAssembler, AnswerEvent, AnswerPart},
 };
 use mustardgate_protocol::engine::{EngineEvent, GenerateRequest};
 use slog::o;
@@ -30,8 +31,7 @@
     job: GenerationJob,
     sender: mpsc::Sender<GenerationEvent>,
     plan: AttemptPlan,
-    next_index: u32,
-    attempt: u32,
+    assembler: AnswerAssembler,
 }
 
 /// How an attempt ended.
@@ -52,13 +52,13 @@
         max_attempts: MAX_ATTEMPTS,
     };
     let plan = AttemptPlan::new(settings);
+    let assembler = AnswerAssembler::new(job.origin.request.clone(), MAX_ATTEMPTS - 1);
     let mut run = GenerationRun {
         context,
         job,
         sender,
         plan,
-        next_index: 0,
-        attempt: 0,
+        assembler,
     };
     let result = tokio::select! {
         result = run.attempts() => result,
@@ -103,11 +103,21 @@
                         .await;
                     return Ok(None);
                 }
+                AttemptEnd::Broken(error) if self.assembler.is_ended() => return Err(self.give_up(error)),
                 AttemptEnd::Broken(error) => ticket = self.next_place(&backend, error)?,
             }
         }
     }
 
+    /// Returns the error of an answer that can no longer become whole.
+    fn give_up(&self, error: AttemptError) -> CallerError {
+        CallerError::AttemptsFailed {
+            reason: error.to_string(),
+            verdict: self.plan.verdict().combine(error.verdict()),
+            retry_after: ENDED_RETRY,
+        }
+    }
+
     async fn first_place(&self) -> Result<RouteTicket, CallerError> {
         let artifact = &self.job.artifact;
         self.context.demand.record(artifact);
@@ -166,16 +176,16 @@
         if !self.plan.begin_attempt(backend) {
             return AttemptEnd::Broken(AttemptError::NoRoom);
         }
-        self.attempt += 1;
+        let attempt = self.assembler.begin_attempt();
         let begun = clock::now();
         let request = GenerateRequest {
             request: self.job.origin.request.clone(),
-            attempt: self.attempt,
+            attempt,
             artifact: self.job.artifact.clone(),
             prompt: self.job.prompt.clone(),
             max_tokens: self.job.max_tokens,
             priority: self.job.origin.class,
-            resume_from: self.next_index,
+            resume_from: self.assembler.next_index(),
         };
         let remaining = self.job.origin.deadline.saturating_duration_since(begun);
         let mut stream = match self.context.engine_client.generate(address, &request, remaining).await {
@@ -184,10 +194,9 @@
         };
         let mut first_token = None;
         loop {
-            let event = match stream.next().await {
-                Ok(Some(event)) => event,
-                Ok(None) => return AttemptEnd::Broken(AttemptError::BrokenStream),
-                Err(error) => return AttemptEnd::Broken(error),
+            let Ok(Some(event)) = stream.next().await else {
+                self.assembler.connection_closed(attempt);
+                return AttemptEnd::Broken(AttemptError::BrokenStream);
             };
             let elapsed = *first_token.get_or_insert_with(|| clock::now() - begun);
             if let Some(end) = self.take_event(event, elapsed).await {
@@ -196,43 +205,56 @@
         }
     }
 
+    /// Takes one event of the engine; returns how the attempt ended, if it did.
     async fn take_event(&mut self, event: EngineEvent, first_token: Duration) -> Option<AttemptEnd> {
-        match event {
-            EngineEvent::Token {
-                request,
-                attempt,
-                index,
-                text,
-            } => {
-                if request != self.job.origin.request || attempt != self.attempt || index != self.next_index {
-                    events::ANSWER_DROPPED.write(&self.context.logger, o!("request" => request.to_string()));
-                    return None;
-                }
-                self.next_index += 1;
+        let dropped = self.assembler.counters();
+        let action = self.assembler.accept(answer_event(event));
+        if self.assembler.counters() != dropped {
+            let request = self.job.origin.request.to_string();
+            events::ANSWER_DROPPED.write(&self.context.logger, o!("request" => request));
+        }
+        match action? {
+            AnswerAction::Pass { index, text } => {
                 let sent = self.sender.send(GenerationEvent::Token { index, text }).await;
                 sent.is_err().then_some(AttemptEnd::CallerGone)
             }
-            EngineEvent::Done {
-                request,
-                attempt,
-                tokens,
-            } => {
-                if request != self.job.origin.request || attempt != self.attempt {
-                    return None;
-                }
-                if tokens != self.next_index {
-                    return Some(AttemptEnd::Broken(AttemptError::BrokenStream));
-                }
-                Some(AttemptEnd::Whole { tokens, first_token })
-            }
-            EngineEvent::Failed { request, attempt, .. } => {
-                let is_ours = request == self.job.origin.request && attempt == self.attempt;
-                is_ours.then_some(AttemptEnd::Broken(AttemptError::BrokenStream))
+            AnswerAction::Finish { tokens } => Some(AttemptEnd::Whole { tokens, first_token }),
+            AnswerAction::Resume { .. } | AnswerAction::Fail { .. } => {
+                Some(AttemptEnd::Broken(AttemptError::BrokenStream))
             }
         }
     }
 }
 
+fn answer_event(event: EngineEvent) -> AnswerEvent {
+    match event {
+        EngineEvent::Token {
+            request,
+            attempt,
+            index,
+            text,
+        } => AnswerEvent {
+            request,
+            attempt,
+            part: AnswerPart::Token { index, text },
+        },
+        EngineEvent::Done {
+            request,
+            attempt,
+            tokens,
+        } => AnswerEvent {
+            request,
+            attempt,
+            part: AnswerPart::Done { tokens },
+        },
+        EngineEvent::Failed { request, attempt, .. } => AnswerEvent {
+            request,
+            attempt,
+            part: AnswerPart::Failed,
+        },
+    }
+}
+
 fn outcome_of(end: &AttemptEnd) -> AttemptOutcome {
     match end {
         AttemptEnd::Whole { first_token, .. } => AttemptOutcome::Answered {
