Let the engine's process use the shared engine state

Cause: two models of an engine's memory stood beside each other, and the one behind HTTP lacked the sequence of reports. Ruled out: keeping the own one (orders settle differently in proofs and processes); a copy of the shared one with other load times. Change: the process wraps EngineState, which gains a load time per order, the places of ready weights and the fencing number. Conclusion: one model of memory; overcommitment shows from outside.

--- a/crates/standins/src/engine/memory.rs
+++ b/crates/standins/src/engine/memory.rs
@@ -95,6 +95,14 @@
     /// # Errors
     /// [`OrderError`] when the order is refused.
     pub fn order(&mut self, now: Instant, order: &EngineOrder) -> Result<(), OrderError> {
+        self.order_taking(now, order, self.settings.load_time)
+    }
+
+    /// Takes an order like [`EngineState::order`], with a time of its own for the load that it may begin.
+    ///
+    /// # Errors
+    /// [`OrderError`] when the order is refused.
+    pub fn order_taking(&mut self, now: Instant, order: &EngineOrder, load_time: Duration) -> Result<(), OrderError> {
         self.advance(now);
         if order.fencing < self.fencing && self.refuses_old() {
             return Err(OrderError::Fenced { newest: self.fencing });
@@ -107,7 +115,9 @@
             return Ok(());
         }
         let has_begun = match &order.action {
-            OrderAction::Load { artifact, memory_mib } => self.begin_load(now, order, artifact, *memory_mib),
+            OrderAction::Load { artifact, memory_mib } => {
+                self.begin_load(order, artifact, *memory_mib, now + load_time)
+            }
             OrderAction::Unload { artifact } => self.begin_unload(now, order, artifact),
         };
         if has_begun {
@@ -162,8 +172,18 @@
 
     /// Returns the weights that answer requests.
     pub fn ready(&self) -> impl Iterator<Item = &Artifact> {
+        self.ready_places().map(|(_, artifact)| artifact)
+    }
+
+    /// Returns the weights that answer requests, each with its accelerator.
+    pub fn ready_places(&self) -> impl Iterator<Item = (AcceleratorIndex, &Artifact)> {
         let ready = self.held.iter().filter(|(_, held)| held.state == WeightState::Ready);
-        ready.map(|((_, artifact), _)| artifact)
+        ready.map(|((accelerator, artifact), _)| (*accelerator, artifact))
+    }
+
+    /// Returns the largest fencing number seen.
+    pub fn fencing(&self) -> FencingNumber {
+        self.fencing
     }
 
     /// Returns the first overcommitment of memory that ever occurred.
@@ -175,13 +195,13 @@
         self.settings.fencing == FencingSupport::Refuses
     }
 
-    fn begin_load(&mut self, now: Instant, order: &EngineOrder, artifact: &Artifact, memory_mib: MemoryMib) -> bool {
+    fn begin_load(&mut self, order: &EngineOrder, artifact: &Artifact, memory_mib: MemoryMib, until: Instant) -> bool {
         let key = (order.accelerator, artifact.clone());
         if self.held.contains_key(&key) {
             return false;
         }
         let state = WeightState::Loading {
-            until: now + self.settings.load_time,
+            until,
             order: order.order.clone(),
         };
         self.held.insert(key, HeldWeights { memory_mib, state });
--- a/crates/standins/src/engine_http/mod.rs
+++ b/crates/standins/src/engine_http/mod.rs
@@ -11,7 +11,7 @@
 
 pub use self::{
     batch::{BatchOptions, TokenBatch},
-    memory::{EngineMemory, MemoryOptions, OrderRefusal},
+    memory::{EngineMemory, MemoryOptions},
     options::{EngineFaults, EngineOptions, EngineStats, FAULTS_PATH, RunCount, STATS_PATH},
     prefix::{PrefixCache, PrefixOptions},
     server::EngineServer,
--- a/crates/standins/src/engine_http/server.rs
+++ b/crates/standins/src/engine_http/server.rs
@@ -86,7 +86,7 @@
 
     /// Puts weights into memory at once; returns whether they fit.
     pub fn preload(&self, artifact: Artifact, memory_mib: MemoryMib) -> bool {
-        self.lock().memory.preload(artifact, memory_mib)
+        self.lock().memory.preload(Instant::now(), artifact, memory_mib)
     }
 
     /// Generates tokens until the task is dropped.
@@ -110,7 +110,7 @@
             tokens: state.batch.tokens(),
             loads: counts.loads,
             unloads: counts.unloads,
-            overcommitted_orders: counts.overcommitted,
+            has_overcommitted: state.memory.has_overcommitted(),
             fenced_orders: counts.fenced,
             stale_orders_obeyed: counts.stale_obeyed,
         }
