--- a/crates/mustardgate/src/context/mod.rs
+++ b/crates/mustardgate/src/context/mod.rs
@@ -24,8 +24,12 @@
     dispatch::AdmissionDesk,
     drain::DrainController,
     events,
+    keys::KeyDesk,
+    leader::LeadershipStatus,
+    records::RecordTail,
     runners::{DemandCounter, RunnerBoard},
     settings::NodeSettings,
+    vms::VmDirectory,
 };
 
 /// What the modules of a node need.
@@ -57,6 +61,14 @@
     pub desk: AdmissionDesk,
     /// Demand by artifact.
     pub demand: DemandCounter,
+    /// Keyed calls.
+    pub keys: Arc<KeyDesk>,
+    /// Follows leases, orders and keys in the log.
+    pub tail: Arc<RecordTail>,
+    /// The platform's list of VMs.
+    pub vms: VmDirectory,
+    /// The leader role.
+    pub leadership: LeadershipStatus,
     /// Retries that may still be made.
     pub budget: Mutex<RetryBudget>,
     /// Requests in flight and the course of a planned stop.
--- a/crates/mustardgate/src/node/build.rs
+++ b/crates/mustardgate/src/node/build.rs
@@ -16,9 +16,13 @@
     dispatch::AdmissionDesk,
     drain::DrainController,
     http::HttpClient,
+    keys::KeyDesk,
+    leader::LeadershipStatus,
     platform::{HttpLiveList, HttpPlatformLog},
+    records::RecordTail,
     runners::{DemandCounter, RunnerBoard},
     settings::NodeSettings,
+    vms::VmDirectory,
 };
 
 /// Builds the context of a node; nothing is sent yet.
@@ -37,6 +41,13 @@
         max_requests: settings.callers.max_queued,
         max_bytes: settings.callers.max_queued_bytes,
     };
+    let tail = Arc::new(RecordTail::default());
+    let keys = KeyDesk::new(
+        &settings.node.name,
+        settings.node.domain.clone(),
+        &settings.keys,
+        Arc::clone(&tail),
+    );
     let retries = RetryLimits {
         success_ratio: backends.retry_ratio,
         ..RetryLimits::default()
@@ -59,6 +70,10 @@
         desk: AdmissionDesk::new(Arc::clone(&selector), limits, rand::random()),
         selector,
         demand: DemandCounter::default(),
+        keys: Arc::new(keys),
+        tail,
+        vms: VmDirectory::default(),
+        leadership: LeadershipStatus::default(),
         budget: Mutex::new(RetryBudget::new(retries)),
         drain: DrainController::default(),
         identifiers: RequestCounter::new(&settings.node.name, rand::random()),
--- a/crates/standins/src/proof/mod.rs
+++ b/crates/standins/src/proof/mod.rs
@@ -10,9 +10,13 @@
 mod config_node;
 mod config_scenarios;
 mod config_world;
+mod domain;
 mod keyed;
+mod memory;
+mod replicas;
 mod runner;
 mod told_not_run;
+mod whole_answers;
 
 use std::fmt::Debug;
 
@@ -71,6 +75,10 @@
 /// Every scenario, in the order of the promises in `docs/PROOFS.md`.
 pub fn scenarios() -> Vec<Box<dyn ProofScenario>> {
     vec![
+        Box::new(memory::MemoryScenario::FencedEngines),
+        Box::new(memory::MemoryScenario::LoggedIntents),
+        Box::new(memory::MemoryScenario::MixedEngines),
+        Box::new(replicas::ReplicaScenario),
         Box::new(at_most_once::AtMostOnceScenario),
         Box::new(told_not_run::ToldNotRunScenario),
         Box::new(ConfigScenario::new(ConfigGuard::VersionCheck)),
@@ -79,5 +87,6 @@
         Box::new(ConfigScenario::new(ConfigGuard::GapRefusal)),
         Box::new(ConfigScenario::new(ConfigGuard::ForwardOnly)),
         Box::new(ConfigScenario::new(ConfigGuard::LoadState)),
+        Box::new(whole_answers::WholeAnswersScenario),
     ]
 }
