--- a/crates/mustardgate-core/src/leader/domain.rs
+++ b/crates/mustardgate-core/src/leader/domain.rs
@@ -149,7 +149,12 @@
         self.log_away_since = None;
         for entry in entries {
             match &entry.record {
-                LogRecord::Lease(record) => self.tracker.observe(now, entry.offset, record),
+                LogRecord::Lease(record) => {
+                    self.tracker.observe(now, entry.offset, record);
+                    if let Some(claim) = self.tracker.claim_in_force() {
+                        self.book.confirm_claim(claim);
+                    }
+                }
                 LogRecord::Batch(batch) if self.book.observe(batch, self.tracker.claim_in_force()) => {
                     let own = batch
                         .lease
--- a/crates/mustardgate-core/src/ledger/intents.rs
+++ b/crates/mustardgate-core/src/ledger/intents.rs
@@ -1,6 +1,6 @@
 //! Follows the open intents of one failure domain through the log.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, mem};
 
 use crate::{
     ids::{DomainId, Offset, OrderId},
@@ -14,6 +14,8 @@
     open: BTreeMap<OrderId, OrderIntent>,
     is_complete: bool,
     newest: Option<(Offset, u64)>,
+    /// Batches read before it was known which claim was in force.
+    unjudged: Vec<BatchRecord>,
 }
 
 impl IntentBook {
@@ -24,6 +26,7 @@
             open: BTreeMap::new(),
             is_complete: false,
             newest: None,
+            unjudged: Vec::new(),
         }
     }
 
@@ -31,14 +34,27 @@
     pub fn start(&mut self, from: Offset) {
         self.open.clear();
         self.newest = None;
+        self.unjudged.clear();
         self.is_complete = from == 0;
     }
 
+    /// Judges the batches that were read before `claim` was known to be in force.
+    ///
+    /// A claim is in force from its own offset on, so every earlier batch under it took effect.
+    pub fn confirm_claim(&mut self, claim: Offset) {
+        for batch in mem::take(&mut self.unjudged) {
+            self.observe(&batch, Some(claim));
+        }
+    }
+
     /// Takes in a batch and returns whether it took effect: under the claim in force, and not a repeated append.
     pub fn observe(&mut self, batch: &BatchRecord, claim_in_force: Option<Offset>) -> bool {
         let Some(lease) = batch.lease.filter(|_| batch.domain == self.domain) else {
             return false;
         };
+        if claim_in_force.is_none() {
+            self.unjudged.push(batch.clone());
+        }
         let position = (lease.claim, lease.sequence);
         let is_repeated = self.newest.is_some_and(|newest| position <= newest);
         if claim_in_force != Some(lease.claim) || is_repeated {
--- a/crates/standins/src/proof/domain/world.rs
+++ b/crates/standins/src/proof/domain/world.rs
@@ -177,6 +177,12 @@
                 self.count("kills");
             }
         }
+        for engine in 0..self.engines.len() {
+            if self.rng.random_bool(faults.restart_ratio) {
+                self.engines[engine].restart(self.epoch + Duration::from_millis(self.now_ms));
+                self.count("engine_restarts");
+            }
+        }
         let may_lose = faults.loses_runner && self.lost_engine.is_none() && self.now_ms > 15_000;
         if may_lose && self.rng.random_bool(0.005) {
             self.lost_engine = Some(self.rng.random_range(0..self.engines.len()));
--- a/crates/standins/src/proof/memory.rs
+++ b/crates/standins/src/proof/memory.rs
@@ -59,6 +59,7 @@
                 pause_ratio: 0.004,
                 kill_ratio: 0.001,
                 outage_ratio: 0.003,
+                restart_ratio: 0.001,
                 loses_runner: false,
             },
             settles_by_timeout: matches!((self, guard), (Self::LoggedIntents, GuardMode::Removed)),
