Preload the engine stand-in's weights without an order

Cause: merging two changes of the stand-in's memory, weights given at the start appeared as settled orders, which a contract test of the reports refused. Ruled out: changing the test, since no order was sent. Change: the engine state takes weights directly.

--- a/crates/standins/src/engine/memory.rs
+++ b/crates/standins/src/engine/memory.rs
@@ -127,6 +127,15 @@
         Err(OrderError::Refused)
     }
 
+    /// Puts weights into memory without an order, as an engine that starts with weights does.
+    pub fn preload(&mut self, accelerator: AcceleratorIndex, artifact: Artifact, memory_mib: MemoryMib) {
+        let held = HeldWeights {
+            memory_mib,
+            state: WeightState::Ready,
+        };
+        self.held.insert((accelerator, artifact), held);
+    }
+
     /// Reports what is in memory and which orders settled.
     pub fn report(&mut self, now: Instant) -> EngineReport {
         self.advance(now);
--- a/crates/standins/src/engine_http/memory.rs
+++ b/crates/standins/src/engine_http/memory.rs
@@ -3,8 +3,6 @@
 use std::{
     collections::BTreeSet,
     time::{Duration, Instant},
-    collections::{BTreeSet, VecDeque},
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use mustardgate_core::{
@@ -13,7 +11,6 @@
     ports::{EngineOrder, EngineReport, OrderError},
     resources::FencingSupport,
 };
-use smol_str::format_smolstr;
 
 use crate::engine::{EngineSettings, EngineState};
 
@@ -53,12 +50,6 @@
     options: MemoryOptions,
     state: EngineState,
     begun: BTreeSet<OrderId>,
-    fencing: FencingNumber,
-    weights: Vec<HeldWeights>,
-    seen: BTreeSet<OrderId>,
-    settled: VecDeque<OrderId>,
-    /// Number of the last report.
-    sequence: u64,
     store_free_at: Option<Instant>,
     counts: OrderCounts,
 }
@@ -76,11 +67,6 @@
             options,
             state,
             begun: BTreeSet::new(),
-            fencing: FencingNumber::default(),
-            weights: Vec::new(),
-            seen: BTreeSet::new(),
-            settled: VecDeque::new(),
-            sequence: first_sequence(),
             store_free_at: None,
             counts: OrderCounts::default(),
         }
@@ -95,15 +81,8 @@
         else {
             return false;
         };
-        let order = EngineOrder {
-            order: format_smolstr!("preload-{accelerator}-{}", artifact.model),
-            fencing: FencingNumber::default(),
-            accelerator,
-            action: OrderAction::Load { artifact, memory_mib },
-        };
-        let is_taken = self.state.order_taking(now, &order, Duration::ZERO).is_ok();
-        self.state.advance(now);
-        is_taken
+        self.state.preload(accelerator, artifact, memory_mib);
+        true
     }
 
     /// Raises the fencing number.
@@ -129,24 +108,6 @@
             Ok(()) if self.begun.insert(order.order.clone()) => self.count(now, order, is_stale),
             Err(OrderError::Fenced { .. }) => self.counts.fenced += 1,
             Ok(()) | Err(OrderError::Refused | OrderError::Unknown) => {}
-    /// [`OrderRefusal`] when nothing was done.
-    pub fn take_order(&mut self, now: Instant, order: &EngineOrder) -> Result<(), OrderRefusal> {
-        self.advance(now);
-        if order.fencing < self.fencing {
-            if self.options.fencing == FencingSupport::Refuses {
-                self.counts.fenced += 1;
-                return Err(OrderRefusal::Fenced(self.fencing));
-            }
-            self.counts.stale_obeyed += 1;
-        }
-        self.fencing = self.fencing.max(order.fencing);
-        if !self.seen.insert(order.order.clone()) {
-            self.settle_again(&order.order);
-            return Ok(());
-        }
-        match order.action.clone() {
-            OrderAction::Load { artifact, memory_mib } => self.load(now, order, artifact, memory_mib),
-            OrderAction::Unload { artifact } => self.unload(now, order, &artifact),
         }
         taken
     }
@@ -176,21 +137,6 @@
     /// Returns whether an accelerator ever held more than its memory.
     pub fn has_overcommitted(&self) -> bool {
         self.state.overcommit().is_some()
-        self.advance(now);
-        self.sequence += 1;
-        let resident = self.weights.iter().map(|held| ResidentArtifact {
-            accelerator: held.accelerator,
-            artifact: held.artifact.clone(),
-            memory_mib: held.memory_mib,
-            is_ready: matches!(held.phase, WeightPhase::Ready),
-        });
-        EngineReport {
-            fencing: self.fencing,
-            sequence: self.sequence,
-            resident: resident.collect(),
-            settled: self.settled.iter().cloned().collect(),
-            ..EngineReport::default()
-        }
     }
 
     /// Returns the counts.
@@ -234,28 +180,5 @@
         capacity
             .unwrap_or(0)
             .saturating_sub(held.map(|held| held.memory_mib).sum())
-    /// Lists an order received again among the newest settled ones, unless it is still under way.
-    fn settle_again(&mut self, order: &OrderId) {
-        let is_under_way = self.weights.iter().any(|held| match &held.phase {
-            WeightPhase::Loading { order: other, .. } | WeightPhase::Unloading { order: other, .. } => other == order,
-            WeightPhase::Ready => false,
-        });
-        if !is_under_way {
-            self.settled.retain(|other| other != order);
-            self.settle(order.clone());
-        }
     }
-
-    fn settle(&mut self, order: OrderId) {
-        self.settled.push_back(order);
-        if self.settled.len() > MAX_SETTLED {
-            self.settled.pop_front();
-        }
-    }
-}
-
-/// Returns a number above those of all reports before a restart, given less than one report a millisecond.
-fn first_sequence() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    since_epoch.as_millis() as u64
 }
