--- a/crates/mustardctl/src/commands/apply.rs
+++ b/crates/mustardctl/src/commands/apply.rs
@@ -1,11 +1,20 @@
 //! `apply`: makes the configuration equal to the declarations.
 
+use futures::{FutureExt, StreamExt, stream};
+
 use super::{
     CommandEntry,
     changes::{make_change, plan_folder, print_plan},
     validate::FILENAME_OPTION,
 };
-use crate::cli::{CommandContext, CommandError, CommandSpec, OptionSpec};
+use crate::{
+    cli::{CommandContext, CommandError, CommandSpec, OptionSpec},
+    client::ApiClient,
+    declarations::PlannedChange,
+};
+
+/// Changes sent at once.
+const MAX_CHANGES_IN_FLIGHT: usize = 16;
 
 /// Switch that deletes what is not declared.
 pub(super) const PRUNE_OPTION: OptionSpec = OptionSpec {
@@ -38,10 +47,29 @@
     if context.arguments.has(DRY_RUN_OPTION.name) {
         return Ok(());
     }
-    for change in &plan.changes {
-        let version = make_change(&client, change).await?;
-        let line = format!("{} {}: version {version}", change.step, change.key);
-        context.printer.show_progress(&line);
+    for changes in plan.independent_runs() {
+        make_changes(context, &client, changes).await?;
     }
     Ok(())
 }
+
+/// Makes changes of one kind together and waits for all of them before the first failure counts.
+async fn make_changes(
+    context: &CommandContext,
+    client: &ApiClient,
+    changes: &[PlannedChange],
+) -> Result<(), CommandError> {
+    let sent: Vec<_> = changes
+        .iter()
+        .map(|change| show_change(context, client, change).boxed())
+        .collect();
+    let outcomes: Vec<Result<(), CommandError>> = stream::iter(sent).buffered(MAX_CHANGES_IN_FLIGHT).collect().await;
+    outcomes.into_iter().collect()
+}
+
+async fn show_change(context: &CommandContext, client: &ApiClient, change: &PlannedChange) -> Result<(), CommandError> {
+    let version = make_change(client, change).await?;
+    let line = format!("{} {}: version {version}", change.step, change.key);
+    context.printer.show_progress(&line);
+    Ok(())
+}
--- a/crates/mustardctl/src/commands/changes.rs
+++ b/crates/mustardctl/src/commands/changes.rs
@@ -21,7 +21,7 @@
 /// Times that a change with an unknown outcome is sent.
 const MAX_SENDS: u32 = 5;
 /// Time between two sends of the same change.
-const RESEND_DELAY: Duration = Duration::from_secs(1);
+const RESEND_DELAY: Duration = Duration::from_millis(500);
 
 /// Reads and checks the folder of `--filename` and compares it with the configuration of the node.
 pub(super) async fn plan_folder(
--- a/crates/mustardctl/src/declarations/plan.rs
+++ b/crates/mustardctl/src/declarations/plan.rs
@@ -4,7 +4,7 @@
 use mustardgate_core::{
     ids::Offset,
     log::VersionedResource,
-    resources::{ResourceKey, ResourceSpec},
+    resources::{ResourceKey, ResourceKind, ResourceSpec},
 };
 use mustardgate_protocol::operators::plain_spec;
 use serde_json::Value;
@@ -91,7 +91,20 @@
     deletions.collect()
 }
 
+impl ApplyPlan {
+    /// Returns the changes in runs of one step and kind; those of a run don't refer to each other.
+    pub fn independent_runs(&self) -> impl Iterator<Item = &[PlannedChange]> {
+        self.changes
+            .chunk_by(|first, second| first.step_class() == second.step_class())
+    }
+}
+
 impl PlannedChange {
+    /// Returns what the changes of a run have in common; creations and updates of a kind go together.
+    fn step_class(&self) -> (bool, ResourceKind) {
+        (self.step == PlannedStep::Delete, self.key.kind)
+    }
+
     /// Lists the fields that differ, each as `path: before -> after`.
     pub fn differences(&self) -> Vec<String> {
         let before = self.before.as_ref().map(plain_spec).unwrap_or_default();
--- a/crates/mustardctl/tests/declarations.rs
+++ b/crates/mustardctl/tests/declarations.rs
@@ -91,3 +91,10 @@
     assert_eq!(kinds.last().map(String::as_str), Some("policy"));
     assert!(plan.changes.iter().all(|change| change.expected.is_some()));
 }
+
+#[test]
+fn a_run_of_changes_holds_one_kind() {
+    let plan = plan_changes(&examples(), &[], false);
+    let runs: Vec<usize> = plan.independent_runs().map(<[_]>::len).collect();
+    assert_eq!(runs, [1, 5, 2, 1, 2, 2]);
+}
--- a/crates/standins/examples/quickstart.rs
+++ b/crates/standins/examples/quickstart.rs
@@ -17,6 +17,7 @@
     harness::{
         BackendKind, BackendOptions, BinarySet, ChildProcess, ClusterOptions, DomainOptions, RunningNode, TestCluster,
     },
+    http::wait_for_stop,
     service::ServiceStats,
 };
 use smol_str::SmolStr;
@@ -78,6 +79,19 @@
 }
 
 async fn run(is_keeping: bool) -> StepResult<()> {
+    // A signal ends the run by dropping the deployment, which ends its processes.
+    let run = tokio::select! {
+        run = run_checks() => run?,
+        _ = wait_for_stop() => return Err("stopped by a signal".into()),
+    };
+    if is_keeping {
+        run.print_addresses();
+        wait_for_stop().await?;
+    }
+    run.check_stop().await
+}
+
+async fn run_checks() -> StepResult<QuickstartRun> {
     let declared = read_folder(Path::new(EXAMPLES_FOLDER))?;
     let mut run = QuickstartRun::start(&declared).await?;
     run.apply_examples().await?;
@@ -85,11 +99,7 @@
     run.check_stream().await?;
     run.check_order().await?;
     run.check_change().await?;
-    if is_keeping {
-        run.print_addresses();
-        tokio::signal::ctrl_c().await?;
-    }
-    run.check_stop().await
+    Ok(run)
 }
 
 impl QuickstartRun {
@@ -98,6 +108,7 @@
             domains: domains_of(declared),
             backends: declared.iter().filter_map(backend_options).collect(),
             platform_arguments: Vec::new(),
+            platform_settings: String::new(),
             extra_settings: "[drain]\ngrace_ms = 200\n".to_owned(),
         };
         let cluster = TestCluster::start(options).await?;
--- a/crates/standins/src/harness/cluster.rs
+++ b/crates/standins/src/harness/cluster.rs
@@ -35,6 +35,8 @@
     pub backends: Vec<BackendOptions>,
     /// Further arguments of the platform.
     pub platform_arguments: Vec<String>,
+    /// Further keys of the section `platform` of every node's settings file.
+    pub platform_settings: String,
     /// Further sections of every node's settings file.
     pub extra_settings: String,
 }
@@ -159,9 +161,7 @@
             scratch,
         };
         for (domain, view) in options.domains.iter().zip(views) {
-            cluster
-                .start_domain(domain, view.into(), &binaries, &options.extra_settings)
-                .await?;
+            cluster.start_domain(domain, view.into(), &binaries, &options).await?;
         }
         cluster.relay_peers(&options.domains).await?;
         for backend in &options.backends {
@@ -228,7 +228,7 @@
         domain: &DomainOptions,
         view: SocketAddr,
         binaries: &BinarySet,
-        extra_settings: &str,
+        options: &ClusterOptions,
     ) -> Result<(), HarnessError> {
         let relay = start_relay(view).await?;
         let plan = NodePlan {
@@ -238,7 +238,8 @@
             platform: relay.address(),
             operator_key_file: self.scratch.write("operators.key", &self.operator_key)?,
             peer_key_file: self.scratch.write("peers.key", "peers of one test")?,
-            extra_settings: extra_settings.to_owned(),
+            platform_settings: options.platform_settings.clone(),
+            extra_settings: options.extra_settings.clone(),
         };
         let domain_name = domain.name.clone();
         self.platform_relays.push(DomainRelay {
--- a/crates/standins/src/harness/node.rs
+++ b/crates/standins/src/harness/node.rs
@@ -52,6 +52,7 @@
     pub platform: SocketAddr,
     pub operator_key_file: PathBuf,
     pub peer_key_file: PathBuf,
+    pub platform_settings: String,
     pub extra_settings: String,
 }
 
@@ -130,13 +131,14 @@
     format!(
         "[node]\nname = \"{}\"\ndomain = \"{}\"\nregion = \"{}\"\n\n[callers]\nlisten = \"{callers}\"\n\n\
          [operators]\nlisten = \"{operators}\"\nkey_file = \"{}\"\n\n[peers]\nlisten = \"{peers}\"\n\
-         key_file = \"{}\"\n\n[platform]\naddress = \"{}\"\n\n{}",
+         key_file = \"{}\"\n\n[platform]\naddress = \"{}\"\n{}\n{}",
         plan.name,
         plan.domain,
         plan.region,
         plan.operator_key_file.display(),
         plan.peer_key_file.display(),
         plan.platform,
+        plan.platform_settings,
         plan.extra_settings,
     )
 }
--- a/crates/standins/src/http/mod.rs
+++ b/crates/standins/src/http/mod.rs
@@ -10,5 +10,5 @@
         BadBody, BrokenStream, HttpReply, ReplyBody, json_body, json_reply, query_value, read_json, status_reply,
         stream_reply,
     },
-    server::{HttpHandler, bind_all, serve_forever, serve_process},
+    server::{HttpHandler, bind_all, serve_forever, serve_process, wait_for_stop},
 };
--- a/crates/standins/src/http/server.rs
+++ b/crates/standins/src/http/server.rs
@@ -85,7 +85,10 @@
 }
 
 /// Waits until the process is asked to stop.
-async fn wait_for_stop() -> io::Result<()> {
+///
+/// # Errors
+/// The error with which a signal handler could not be installed.
+pub async fn wait_for_stop() -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
--- a/crates/standins/tests/harness.rs
+++ b/crates/standins/tests/harness.rs
@@ -38,6 +38,7 @@
             backend("orders-1", BackendKind::Service),
         ],
         platform_arguments: vec!["--list-lag-ms".to_owned(), "0".to_owned()],
+        platform_settings: String::new(),
         extra_settings: "[drain]\ngrace_ms = 0\n".to_owned(),
     }
 }
