--- a/crates/standins/src/proof/mod.rs
+++ b/crates/standins/src/proof/mod.rs
@@ -12,6 +12,7 @@
 mod config_world;
 mod domain;
 mod keyed;
+mod leaving;
 mod memory;
 mod replicas;
 mod runner;
@@ -81,6 +82,8 @@
         Box::new(replicas::ReplicaScenario),
         Box::new(at_most_once::AtMostOnceScenario),
         Box::new(told_not_run::ToldNotRunScenario),
+        Box::new(whole_answers::WholeAnswersScenario),
+        Box::new(leaving::LeavingScenario),
         Box::new(ConfigScenario::new(ConfigGuard::VersionCheck)),
         Box::new(ConfigScenario::new(ConfigGuard::ChangeIdentifiers)),
         Box::new(ConfigScenario::new(ConfigGuard::ReadBack)),
