--- a/crates/standins/src/engine/memory.rs
+++ b/crates/standins/src/engine/memory.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Numbers reports from `sequence` on, above those that the process gave before a restart.
+    #[must_use]
+    pub fn number_reports_after(mut self, sequence: u64) -> Self {
+        self.sequence = sequence;
+        self
+    }
+
     /// Raises the fencing number and reports.
     ///
     /// # Errors
--- a/crates/standins/src/engine_http/memory.rs
+++ b/crates/standins/src/engine_http/memory.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeSet,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use mustardgate_core::{
@@ -62,7 +62,8 @@
             accelerators: options.accelerators.clone(),
             load_time: options.model_load,
             unload_time: options.unload,
-        });
+        })
+        .number_reports_after(sequence_at_start());
         Self {
             options,
             state,
@@ -182,3 +183,9 @@
             .saturating_sub(held.map(|held| held.memory_mib).sum())
     }
 }
+
+/// Returns a number above those of all reports before a restart, given less than one report a millisecond.
+fn sequence_at_start() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.as_millis() as u64
+}
