Add the experiment, and mend what it showed in limits, reports, base placement and fairness

Cause: the policies had not been measured against baselines.

Found and changed: - The concurrency limit compared latency with its minimum; answers from a cached prefix are fast whatever the load, so the limit fell without need. It now compares with a long-term mean. - A stale report kept its full weight for five seconds. It now fades towards the mean of past reports. - Base placement filled accelerators with models first and left no room beside them for adapters. Families of a model and its adapters are placed together now; a test has the sizes that failed. - A tenant with few requests waited a whole round. One that used less than average lately now comes next.

Ruled out: judging routing by counts alone (the two faults in limits hide behind each other).

--- a/crates/mustardgate-core/src/admission/lane.rs
+++ b/crates/mustardgate-core/src/admission/lane.rs
@@ -44,12 +44,15 @@
         self.len
     }
 
-    pub(super) fn insert(&mut self, key: EntryKey, request: QueuedRequest) {
+    /// Adds a request; a tenant that starts to wait and has used little lately comes next instead of last.
+    pub(super) fn insert(&mut self, key: EntryKey, request: QueuedRequest, is_sparse: bool) {
         let tenant = request.tenant.clone();
         let queue = self.tenants.entry(tenant.clone()).or_default();
         queue.weight = request.weight.max(1);
-        if queue.entries.is_empty() {
-            self.round.push_back(tenant);
+        match (queue.entries.is_empty(), is_sparse) {
+            (true, true) => self.round.push_front(tenant),
+            (true, false) => self.round.push_back(tenant),
+            (false, _) => {}
         }
         queue.entries.insert(key, request);
         self.len += 1;
--- a/crates/mustardgate-core/src/admission/mod.rs
+++ b/crates/mustardgate-core/src/admission/mod.rs
@@ -8,6 +8,7 @@
 mod queue;
 mod refusal;
 mod request;
+mod usage;
 
 pub use self::{
     load::PoolLoad,
--- a/crates/mustardgate-core/src/admission/queue.rs
+++ b/crates/mustardgate-core/src/admission/queue.rs
@@ -12,6 +12,7 @@
     AdmissionLimits, AdmissionOutcome, PoolId, PoolLoad, QueueViolation, QueuedRequest, Refusal, RefusalReason,
     RefusedRequest,
     lane::{ClassLane, EntryKey},
+    usage::TenantUsage,
 };
 use crate::{ids::TenantId, resources::PriorityClass, verdict::RunVerdict};
 
@@ -47,6 +48,7 @@
     len: usize,
     bytes: usize,
     sequence: u64,
+    usage: TenantUsage,
     rng: ChaCha8Rng,
 }
 
@@ -61,6 +63,7 @@
             len: 0,
             bytes: 0,
             sequence: 0,
+            usage: TenantUsage::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -137,6 +140,7 @@
     pub fn take(&mut self, pool: &PoolId) -> Option<QueuedRequest> {
         let lanes = &mut self.pools.get_mut(pool)?.lanes;
         let (key, request) = lanes.iter_mut().find_map(ClassLane::pop)?;
+        self.usage.record(&request.tenant, request.weight, request.cost);
         self.forget(key, &request);
         if self.pool_len(pool) == 0 {
             self.pools.remove(pool);
@@ -213,6 +217,9 @@
         let ahead = self.pools.get(&request.pool).map_or(0, |queue| {
             let lane = &queue.lanes[request.class as usize];
             let index = lane.index_of(&request.tenant, request.deadline);
+            if index == 0 && self.usage.is_sparse(&request.tenant) {
+                return queue.urgent_len(request.class);
+            }
             queue.urgent_len(request.class) + lane.position(&request.tenant, request.weight, index)
         });
         load.expected_wait(ahead)
@@ -239,8 +246,9 @@
         self.latest_starts.insert(self.sequence, latest_start);
         self.len += 1;
         self.bytes += request.bytes;
+        let is_sparse = self.usage.is_sparse(&request.tenant);
         let queue = self.pools.entry(request.pool.clone()).or_default();
-        queue.lanes[request.class as usize].insert(key, request);
+        queue.lanes[request.class as usize].insert(key, request, is_sparse);
         Ok(())
     }
 
--- a/crates/mustardgate-core/src/placement/base/assign.rs
+++ b/crates/mustardgate-core/src/placement/base/assign.rs
@@ -1,10 +1,13 @@
 //! Assignment within one region under the accelerators' memory.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use super::{BaseReplica, DeclaredArtifact, LiveRunner, rank::rank};
 use crate::{
-    ids::{AcceleratorIndex, DomainId, MemoryMib},
+    ids::{AcceleratorIndex, DomainId, MemoryMib, ModelId},
     log::Artifact,
     placement::BaseAssignment,
 };
@@ -79,17 +82,12 @@
         }
     }
 
-    /// Places the first replica of everything before the second of anything, and models before adapters.
+    /// Places the first replica of everything before the second of anything, and adapters right after their model, so
+    /// that no other model takes the room beside it.
     fn assign(mut self, artifacts: &'a [DeclaredArtifact]) -> RegionAssignment {
-        let mut ordered: Vec<&DeclaredArtifact> = artifacts.iter().collect();
-        ordered.sort_by(|left, right| {
-            let key =
-                |declared: &DeclaredArtifact| (declared.artifact.adapter.is_some(), u64::MAX - declared.memory_mib);
-            (key(left), &left.artifact).cmp(&(key(right), &right.artifact))
-        });
-        ordered.dedup_by(|left, right| left.artifact == right.artifact);
+        let ordered = ordered_by_family(artifacts);
         for declared in &ordered {
-            if !self.place(declared, false) {
+            if !self.place(declared, &ordered, false) {
                 self.assignment.unplaced.push(declared.artifact.clone());
             }
         }
@@ -101,7 +99,7 @@
         for replica in 1..most.max(REPLICAS_WANTED) {
             for declared in &ordered {
                 if replica < declared.min_replicas.max(REPLICAS_WANTED) {
-                    self.place(declared, true);
+                    self.place(declared, &ordered, true);
                 }
             }
         }
@@ -109,7 +107,7 @@
     }
 
     /// Places one replica; a further one goes to a failure domain without a replica while there is such a domain.
-    fn place(&mut self, declared: &'a DeclaredArtifact, is_further: bool) -> bool {
+    fn place(&mut self, declared: &'a DeclaredArtifact, all: &[&DeclaredArtifact], is_further: bool) -> bool {
         let held: Vec<BaseReplica> = self
             .assignment
             .replicas
@@ -120,9 +118,12 @@
             return false;
         }
         let is_new_domain = |domain: &DomainId| held.iter().all(|replica| replica.domain != *domain);
+        let is_allowed = |_: &DomainId| (held.len() as u32) < declared.min_replicas;
+        let family_mib = family_memory(&declared.artifact, all);
         let choice = self
-            .choose(declared, &is_new_domain)
-            .or_else(|| self.choose(declared, &|_| (held.len() as u32) < declared.min_replicas));
+            .choose(declared, family_mib, &is_new_domain)
+            .or_else(|| self.choose(declared, declared.memory_mib, &is_new_domain))
+            .or_else(|| self.choose(declared, declared.memory_mib, &is_allowed));
         let Some(index) = choice else { return false };
         let slot = &mut self.slots[index];
         let Some(free_mib) = slot.free_mib.checked_sub(declared.memory_mib) else {
@@ -146,7 +147,12 @@
         true
     }
 
-    fn choose(&self, declared: &DeclaredArtifact, is_wanted: &dyn Fn(&DomainId) -> bool) -> Option<usize> {
+    fn choose(
+        &self,
+        declared: &DeclaredArtifact,
+        room_mib: MemoryMib,
+        is_wanted: &dyn Fn(&DomainId) -> bool,
+    ) -> Option<usize> {
         let score = |slot: &Slot<'_>| match self.order {
             PackingOrder::Rank => rank(
                 &declared.artifact,
@@ -159,7 +165,7 @@
         (0..self.slots.len())
             .filter(|index| {
                 let slot = &self.slots[*index];
-                slot.free_mib >= declared.memory_mib
+                slot.free_mib >= room_mib
                     && !slot.held.contains(&declared.artifact)
                     && is_wanted(&slot.runner.domain)
                     && is_beside_model(slot, &declared.artifact)
@@ -168,6 +174,44 @@
     }
 }
 
+/// Orders families of a model and its adapters by size, the largest first, and each model before its adapters.
+fn ordered_by_family(artifacts: &[DeclaredArtifact]) -> Vec<&DeclaredArtifact> {
+    let mut sizes: BTreeMap<&ModelId, MemoryMib> = BTreeMap::new();
+    for declared in artifacts {
+        *sizes.entry(&declared.artifact.model).or_default() += declared.memory_mib;
+    }
+    let mut ordered: Vec<&DeclaredArtifact> = artifacts.iter().collect();
+    ordered.sort_by(|left, right| {
+        let key = |declared: &DeclaredArtifact| {
+            let family_mib = sizes.get(&declared.artifact.model).copied().unwrap_or_default();
+            (
+                Reverse(family_mib),
+                declared.artifact.model.clone(),
+                declared.artifact.adapter.is_some(),
+            )
+        };
+        let by_family = key(left).cmp(&key(right));
+        by_family
+            .then_with(|| right.memory_mib.cmp(&left.memory_mib))
+            .then_with(|| left.artifact.cmp(&right.artifact))
+    });
+    ordered.dedup_by(|left, right| left.artifact == right.artifact);
+    ordered
+}
+
+/// Returns the memory of a model with all its adapters, or of an adapter alone.
+fn family_memory(artifact: &Artifact, all: &[&DeclaredArtifact]) -> MemoryMib {
+    all.iter()
+        .filter(|declared| {
+            let is_beside = artifact.adapter.is_none()
+                && declared.artifact.adapter.is_some()
+                && declared.artifact.model == artifact.model;
+            declared.artifact == *artifact || is_beside
+        })
+        .map(|declared| declared.memory_mib)
+        .sum()
+}
+
 fn is_beside_model(slot: &Slot<'_>, artifact: &Artifact) -> bool {
     artifact.adapter.is_none()
         || slot
--- a/crates/mustardgate-core/src/placement/demand/mod.rs
+++ b/crates/mustardgate-core/src/placement/demand/mod.rs
@@ -58,8 +58,9 @@
         }
     }
 
-    /// Takes the arrivals since the last call, refused ones included, because they are demand too.
-    pub fn observe(&mut self, now: Instant, arrivals: &BTreeMap<Artifact, u64>) {
+    /// Takes the arrivals since the last call, refused ones included, because they are demand too;
+    /// a count may be a share, when several domains serve one entry node.
+    pub fn observe(&mut self, now: Instant, arrivals: &BTreeMap<Artifact, f64>) {
         let Some(last) = self.updated_at.replace(now) else {
             return;
         };
@@ -74,7 +75,7 @@
         let fast_share = 1.0 - (-elapsed_s / self.settings.fast.as_secs_f64()).exp();
         let slow_share = 1.0 - (-elapsed_s / self.settings.slow.as_secs_f64()).exp();
         for (artifact, averages) in &mut self.rates {
-            let rate = arrivals.get(artifact).copied().unwrap_or_default() as f64 / elapsed_s;
+            let rate = arrivals.get(artifact).copied().unwrap_or_default() / elapsed_s;
             averages.fast += (rate - averages.fast) * fast_share;
             averages.slow += (rate - averages.slow) * slow_share;
         }
--- a/crates/mustardgate-core/src/routing/limit.rs
+++ b/crates/mustardgate-core/src/routing/limit.rs
@@ -9,7 +9,7 @@
     pub min: f64,
     /// Largest limit.
     pub max: f64,
-    /// Ratio of recent to best latency that is still taken for an unloaded runner.
+    /// Ratio of recent to long-term latency that is still taken for an unloaded runner.
     pub tolerance: f64,
     /// Share of each new estimate in the limit.
     pub smoothing: f64,
@@ -28,14 +28,14 @@
 }
 
 const RECENT_WEIGHT: f64 = 0.1;
-const BASELINE_DRIFT: f64 = 0.002;
+const BASELINE_WEIGHT: f64 = 0.002;
 const GRADIENT_MIN: f64 = 0.5;
 const OVERLOAD_FACTOR: f64 = 0.7;
 
-/// Requests that a runner may hold at once, raised while latency is near its best and lowered when it grows.
+/// Requests that a runner may hold at once, raised while latency is as usual and lowered when it grows.
 ///
-/// The gradient compares recent latency with a slowly drifting minimum; an explicit sign of overload lowers the limit
-/// by a factor at once.
+/// The gradient compares recent latency with a long-term mean rather than the minimum, because answers from a cached
+/// prefix are much faster whatever the load; an explicit sign of overload lowers the limit by a factor at once.
 #[derive(Clone, Debug)]
 pub struct ConcurrencyLimit {
     settings: LimitSettings,
@@ -90,11 +90,7 @@
             self.recent_s = latency_s;
             return latency_s;
         };
-        let followed_s = if latency_s < baseline_s {
-            latency_s
-        } else {
-            baseline_s + (latency_s - baseline_s) * BASELINE_DRIFT
-        };
+        let followed_s = baseline_s + (latency_s - baseline_s) * BASELINE_WEIGHT;
         self.baseline_s = Some(followed_s);
         followed_s
     }
--- a/crates/mustardgate-core/src/routing/load.rs
+++ b/crates/mustardgate-core/src/routing/load.rs
@@ -8,6 +8,8 @@
 const HISTORY_MS: u64 = 5_000;
 const HISTORY_ENTRIES: usize = 512;
 const REPORT_EXPIRY_MS: u64 = 5_000;
+const REPORT_MEMORY_S: f64 = 1.0;
+const MEAN_WEIGHT: f64 = 0.2;
 
 /// A runner's report of its load, through whichever node read it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,7 +24,8 @@
 #[derive(Debug, Default)]
 pub(super) struct LoadEstimate {
     own: u32,
-    others: u32,
+    others: f64,
+    others_mean: f64,
     others_at: Option<Instant>,
     history: VecDeque<OwnCount>,
 }
@@ -35,11 +38,21 @@
 
 impl LoadEstimate {
     /// Returns the estimate of all requests out; reports that are too old count no longer.
+    ///
+    /// What a report says about others loses its value within about a second, so the estimate goes from the report
+    /// towards the mean of past reports. Otherwise a lagging peak keeps a runner shut, and a lagging trough draws
+    /// everyone to it.
     pub(super) fn total(&self, now: Instant) -> u32 {
-        let is_fresh = self
-            .others_at
-            .is_some_and(|at| now.saturating_duration_since(at) <= Duration::from_millis(REPORT_EXPIRY_MS));
-        self.own + if is_fresh { self.others } else { 0 }
+        let Some(at) = self.others_at else {
+            return self.own;
+        };
+        let age = now.saturating_duration_since(at);
+        if age > Duration::from_millis(REPORT_EXPIRY_MS) {
+            return self.own;
+        }
+        let trust = (-age.as_secs_f64() / REPORT_MEMORY_S).exp();
+        let others = self.others_mean + (self.others - self.others_mean) * trust;
+        self.own + others.round() as u32
     }
 
     pub(super) fn begin(&mut self, now: Instant) {
@@ -70,7 +83,11 @@
             return;
         }
         let own_then = self.own_at(report.measured_at);
-        self.others = report.outstanding.saturating_sub(own_then);
+        self.others = f64::from(report.outstanding.saturating_sub(own_then));
+        self.others_mean = match self.others_at {
+            Some(_) => self.others_mean + (self.others - self.others_mean) * MEAN_WEIGHT,
+            None => self.others,
+        };
         self.others_at = Some(report.measured_at);
     }
 
--- a/crates/mustardgate-core/tests/admission.rs
+++ b/crates/mustardgate-core/tests/admission.rs
@@ -101,6 +101,39 @@
     assert!(served.contains(&"t2".into()), "{served:?}");
 }
 
+#[test]
+fn a_tenant_that_used_little_comes_next_and_one_that_used_much_waits_its_turn() {
+    let start = Instant::now();
+    let mut queue = queue(1_000, 1_000_000);
+    let deadline = after(start, 600_000);
+    for name in 0..90 {
+        admit(
+            &mut queue,
+            start,
+            request(name, name % 3, PriorityClass::Standard, deadline),
+            0,
+        );
+    }
+    for _ in 0..30 {
+        queue.take(&POOL).expect("backlogged");
+    }
+    admit(&mut queue, start, request(100, 7, PriorityClass::Standard, deadline), 0);
+    let next = queue.take(&POOL).expect("backlogged");
+    assert_eq!(next.tenant, "t7");
+    // Asking again at once does not bring a tenant to the front for ever.
+    let mut taken = 1;
+    for name in 200..230 {
+        admit(
+            &mut queue,
+            start,
+            request(name, 7, PriorityClass::Standard, deadline),
+            0,
+        );
+        taken += u32::from(queue.take(&POOL).expect("backlogged").tenant == "t7");
+    }
+    assert!((8..=17).contains(&taken), "{taken} of 31");
+}
+
 #[test]
 fn urgent_class_and_earliest_deadline_come_first() {
     let start = Instant::now();
--- a/crates/mustardgate-core/tests/placement_base.rs
+++ b/crates/mustardgate-core/tests/placement_base.rs
@@ -105,6 +105,17 @@
     assert!(BasePlacement::compute(&input).unplaced.is_empty());
 }
 
+#[test]
+fn models_leave_room_for_their_adapters() {
+    let models = (0..26).map(|index| model(index, 1_024 * (10 + 2 * (index as u64 * 5 % 9))));
+    let adapters = (0..95).map(|index| adapter(index, index % 26, 200));
+    let input = BaseInput {
+        artifacts: models.chain(adapters).collect(),
+        runners: (0..18).map(|index| runner(index, 3, 81_920)).collect(),
+    };
+    assert_eq!(BasePlacement::compute(&input).unplaced, []);
+}
+
 #[test]
 fn what_fits_nowhere_is_reported() {
     let input = BaseInput {
--- /dev/null
+++ b/crates/standins/src/experiment/catalogue.rs
@@ -0,0 +1,112 @@
+//! Declared models, adapters and the plain service, with their popularity.
+
+use mustardgate_core::{
+    ids::{MemoryMib, ServiceId},
+    log::Artifact,
+    placement::base::DeclaredArtifact,
+    routing::service_artifact,
+};
+use smol_str::format_smolstr;
+
+const MODEL_MEMORY_MIN_MIB: MemoryMib = 10 * 1_024;
+const MODEL_MEMORY_STEP_MIB: MemoryMib = 2 * 1_024;
+const MODEL_MEMORY_STEPS: usize = 9;
+const ADAPTER_MEMORY_MIB: MemoryMib = 200;
+const POPULARITY_EXPONENT: f64 = 0.9;
+const ADAPTER_SHARE: f64 = 0.6;
+
+/// One thing that requests ask for.
+#[derive(Clone, Debug)]
+pub struct CatalogueEntry {
+    /// The weights, or the entry that stands for the plain service.
+    pub artifact: Artifact,
+    /// Memory taken; zero for the plain service.
+    pub memory_mib: MemoryMib,
+    /// Index of the model's own entry; `None` for the plain service.
+    pub model: Option<usize>,
+    /// Share of requests in ordinary times.
+    pub popularity: f64,
+}
+
+/// Everything that requests ask for: models first, then adapters, the plain service last.
+#[derive(Clone, Debug)]
+pub struct Catalogue {
+    /// The entries.
+    pub entries: Vec<CatalogueEntry>,
+    /// Number of models.
+    pub models: usize,
+}
+
+impl Catalogue {
+    /// Declares models with popularity by Zipf's law and adapters spread over them.
+    pub fn new(models: usize, adapters: usize, service: &ServiceId, service_share: f64) -> Self {
+        let weights: Vec<f64> = (0..models)
+            .map(|rank| ((rank + 1) as f64).powf(-POPULARITY_EXPONENT))
+            .collect();
+        let total: f64 = weights.iter().sum();
+        let model_share = |model: usize| (1.0 - service_share) * weights[model] / total;
+        let beside = |model: usize| (model..adapters).step_by(models).count();
+        let mut entries: Vec<CatalogueEntry> = (0..models)
+            .map(|model| CatalogueEntry {
+                artifact: model_artifact(model),
+                memory_mib: MODEL_MEMORY_MIN_MIB + MODEL_MEMORY_STEP_MIB * (model * 5 % MODEL_MEMORY_STEPS) as u64,
+                model: Some(model),
+                popularity: model_share(model) * if beside(model) > 0 { 1.0 - ADAPTER_SHARE } else { 1.0 },
+            })
+            .collect();
+        entries.extend((0..adapters).map(|adapter| {
+            let model = adapter % models;
+            CatalogueEntry {
+                artifact: Artifact {
+                    adapter: Some(format_smolstr!("a{adapter}")),
+                    ..model_artifact(model)
+                },
+                memory_mib: ADAPTER_MEMORY_MIB,
+                model: Some(model),
+                popularity: model_share(model) * ADAPTER_SHARE / beside(model) as f64,
+            }
+        }));
+        entries.push(CatalogueEntry {
+            artifact: service_artifact(service),
+            memory_mib: 0,
+            model: None,
+            popularity: service_share,
+        });
+        Self { entries, models }
+    }
+
+    /// Returns the index of the plain service.
+    pub fn service(&self) -> usize {
+        self.entries.len() - 1
+    }
+
+    /// Returns whether an entry is an adapter.
+    pub fn is_adapter(&self, index: usize) -> bool {
+        self.entries[index].artifact.adapter.is_some()
+    }
+
+    /// Lists what the base placement keeps.
+    pub fn declared(&self) -> Vec<DeclaredArtifact> {
+        self.entries[..self.service()]
+            .iter()
+            .map(|entry| DeclaredArtifact {
+                artifact: entry.artifact.clone(),
+                memory_mib: entry.memory_mib,
+                min_replicas: 1,
+            })
+            .collect()
+    }
+
+    /// Finds an entry by its weights.
+    pub fn index_of(&self, artifact: &Artifact) -> Option<usize> {
+        self.entries.iter().position(|entry| entry.artifact == *artifact)
+    }
+}
+
+fn model_artifact(model: usize) -> Artifact {
+    Artifact {
+        model: format_smolstr!("m{model}"),
+        adapter: None,
+        version: "1".into(),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/experiment/mod.rs
@@ -0,0 +1,32 @@
+//! The experiment that compares placement and routing policies under load and faults.
+//!
+//! The product's decisions run against small fakes of engines and the weight store on virtual time, seeded, in one
+//! process. Every policy meets the same requests and faults. See `docs/ATTAINMENT.md`.
+
+mod catalogue;
+mod chart;
+mod deployment;
+mod engine;
+mod events;
+mod fairness;
+mod figures;
+mod node;
+mod placers;
+mod report;
+mod routers;
+mod scenario;
+mod summary;
+mod workload;
+mod world;
+
+pub use self::{
+    catalogue::{Catalogue, CatalogueEntry},
+    chart::{ChartError, draw_page},
+    deployment::{Deployment, DeploymentKind},
+    fairness::fair_shares,
+    figures::RunFigures,
+    report::{ExperimentOptions, ExperimentReport, MissedTarget, run_experiment},
+    scenario::ScenarioKind,
+    workload::{Arrival, generate_arrivals},
+    world::{PolicyKind, run_once},
+};
--- /dev/null
+++ b/crates/standins/src/experiment/placers/gain.rs
@@ -0,0 +1,216 @@
+//! The product's placement: base placement, demand estimate and marginal gain, one policy for each failure domain.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use mustardgate_core::{
+    log::Artifact,
+    placement::{
+        AcceleratorView, ArtifactDemand, DomainView, Holding, HoldingState, PlacementPolicy, PlannedMove, RunnerView,
+        base::BasePlacement,
+        demand::{DemandEstimator, DemandSettings},
+        gain::{GainPolicy, GainSettings, RemoteReplicas},
+    },
+    resources::PriorityClass,
+};
+
+use super::{ClusterView, PlacementOrder, Placer};
+use crate::experiment::{
+    Deployment,
+    deployment::{BATCH_SLOTS, accelerator_memory_mib, runner_index},
+    engine::{MEAN_HOLD_S, WeightState},
+    node::backend_name,
+};
+
+const UTILISATION_WEIGHT: f64 = 0.2;
+
+#[derive(Debug)]
+struct DomainLeader {
+    policy: GainPolicy,
+    estimator: DemandEstimator,
+    arrivals: BTreeMap<Artifact, f64>,
+}
+
+/// The product's placement.
+#[derive(Debug)]
+pub(in crate::experiment) struct GainPlacer {
+    leaders: Vec<DomainLeader>,
+    base: BasePlacement,
+    alive: Vec<bool>,
+    utilisation: Vec<f64>,
+}
+
+impl GainPlacer {
+    pub(in crate::experiment) fn new(deployment: &Deployment) -> Self {
+        let settings = GainSettings {
+            mean_hold: Duration::from_secs_f64(MEAN_HOLD_S),
+            domain_share: 1.0 / deployment.domains as f64,
+            ..GainSettings::default()
+        };
+        let leaders = (0..deployment.domains).map(|_| DomainLeader {
+            policy: GainPolicy::new(settings),
+            estimator: DemandEstimator::new(DemandSettings::default()),
+            arrivals: BTreeMap::new(),
+        });
+        Self {
+            leaders: leaders.collect(),
+            base: deployment.base_placement(|_| true),
+            alive: vec![true; deployment.runners],
+            utilisation: vec![0.0; deployment.runners],
+        }
+    }
+
+    fn observe(&mut self, view: ClusterView<'_>) {
+        let alive: Vec<bool> = (0..view.deployment.runners)
+            .map(|runner| view.backends[runner].is_alive)
+            .collect();
+        if alive != self.alive {
+            self.base = view.deployment.base_placement(|runner| alive[runner]);
+            self.alive = alive;
+        }
+        for (runner, utilisation) in self.utilisation.iter_mut().enumerate() {
+            let now = f64::from(view.backends[runner].outstanding()) / f64::from(BATCH_SLOTS);
+            *utilisation += (now - *utilisation) * UTILISATION_WEIGHT;
+        }
+        for leader in &mut self.leaders {
+            leader.estimator.observe(view.now, &leader.arrivals);
+            leader.arrivals.clear();
+        }
+    }
+
+    fn domain_view(&self, view: ClusterView<'_>, domain: usize) -> DomainView {
+        let deployment = view.deployment;
+        let catalogue = &deployment.catalogue;
+        let mut members: Vec<usize> = (0..deployment.runners)
+            .filter(|runner| deployment.domain_of(*runner) == domain && view.backends[*runner].is_alive)
+            .collect();
+        members.sort_by_key(|runner| backend_name(*runner));
+        let loading = |is_adapter: bool| {
+            let count = members
+                .iter()
+                .flat_map(|runner| &view.backends[*runner].weights)
+                .filter(|(entry, state)| **state == WeightState::Loading && catalogue.is_adapter(**entry) == is_adapter)
+                .count();
+            count as u32
+        };
+        let estimator = &self.leaders[domain].estimator;
+        let name = Deployment::domain_name(domain);
+        let demands = catalogue.entries[..catalogue.service()]
+            .iter()
+            .map(|entry| ArtifactDemand {
+                artifact: entry.artifact.clone(),
+                memory_mib: entry.memory_mib,
+                requests_per_second: estimator.forecast(&entry.artifact),
+                priority: PriorityClass::Standard,
+                base: self.base.in_domain(&name, &entry.artifact),
+            });
+        DomainView {
+            runners: members.iter().map(|runner| runner_view(view, *runner)).collect(),
+            demands: demands.collect(),
+            policy: deployment.policy.clone(),
+            model_loads_in_flight: loading(false),
+            adapter_loads_in_flight: loading(true),
+        }
+    }
+
+    fn remote(&self, view: ClusterView<'_>, domain: usize) -> BTreeMap<Artifact, RemoteReplicas> {
+        let deployment = view.deployment;
+        let mut remote = BTreeMap::new();
+        let declared = &deployment.catalogue.entries[..deployment.catalogue.service()];
+        for (index, entry) in declared.iter().enumerate() {
+            let holders: Vec<usize> = (0..deployment.runners)
+                .filter(|runner| deployment.domain_of(*runner) != domain)
+                .filter(|runner| view.backends[*runner].is_ready(index))
+                .collect();
+            let base = self.base.replicas.get(&entry.artifact);
+            let is_base = |runner: &&usize| {
+                base.into_iter()
+                    .flatten()
+                    .any(|replica| runner_index(&replica.place.backend) == **runner)
+            };
+            let sum: f64 = holders.iter().map(|runner| self.utilisation[*runner]).sum();
+            let replicas = RemoteReplicas {
+                answering: holders.iter().filter(is_base).count() as u32,
+                utilisation: sum / holders.len().max(1) as f64,
+            };
+            remote.insert(entry.artifact.clone(), replicas);
+        }
+        remote
+    }
+}
+
+impl Placer for GainPlacer {
+    fn on_arrival(&mut self, view: ClusterView<'_>, entry: usize, domain: usize) -> Vec<PlacementOrder> {
+        let deployment = view.deployment;
+        if entry == deployment.catalogue.service() {
+            return Vec::new();
+        }
+        let artifact = &deployment.catalogue.entries[entry].artifact;
+        let mut holding: Vec<usize> = (0..deployment.runners)
+            .filter(|runner| view.backends[*runner].is_ready(entry))
+            .map(|runner| deployment.domain_of(runner))
+            .collect();
+        holding.sort_unstable();
+        holding.dedup();
+        *self.leaders[domain].arrivals.entry(artifact.clone()).or_default() += 1.0;
+        if !holding.contains(&domain) {
+            for other in &holding {
+                let share = 1.0 / holding.len() as f64;
+                *self.leaders[*other].arrivals.entry(artifact.clone()).or_default() += share;
+            }
+        }
+        Vec::new()
+    }
+
+    fn review(&mut self, view: ClusterView<'_>, is_tick: bool) -> Vec<PlacementOrder> {
+        if !is_tick {
+            return Vec::new();
+        }
+        self.observe(view);
+        let mut orders = Vec::new();
+        for domain in 0..view.deployment.domains {
+            let state = self.domain_view(view, domain);
+            let remote = self.remote(view, domain);
+            let policy = &mut self.leaders[domain].policy;
+            policy.set_remote(remote);
+            orders.extend(
+                policy
+                    .plan(view.now, &state)
+                    .iter()
+                    .filter_map(|planned| order(view, planned)),
+            );
+        }
+        orders
+    }
+}
+
+fn runner_view(view: ClusterView<'_>, runner: usize) -> RunnerView {
+    let entries = &view.deployment.catalogue.entries;
+    let holdings = view.backends[runner].weights.iter().map(|(entry, state)| Holding {
+        artifact: entries[*entry].artifact.clone(),
+        memory_mib: entries[*entry].memory_mib,
+        state: match state {
+            WeightState::Loading => HoldingState::Reserved,
+            WeightState::Ready => HoldingState::Resident,
+            WeightState::Leaving => HoldingState::Leaving,
+        },
+    });
+    RunnerView {
+        backend: backend_name(runner),
+        is_leaving: false,
+        max_concurrency: BATCH_SLOTS,
+        accelerators: vec![AcceleratorView {
+            capacity_mib: accelerator_memory_mib(),
+            holdings: holdings.collect(),
+        }],
+    }
+}
+
+fn order(view: ClusterView<'_>, planned: &PlannedMove) -> Option<PlacementOrder> {
+    let (PlannedMove::Load { backend, artifact, .. } | PlannedMove::Unload { backend, artifact, .. }) = planned;
+    let runner = runner_index(backend);
+    let entry = view.deployment.catalogue.index_of(artifact)?;
+    Some(match planned {
+        PlannedMove::Load { .. } => PlacementOrder::Load { runner, entry },
+        PlannedMove::Unload { .. } => PlacementOrder::Unload { runner, entry },
+    })
+}
--- /dev/null
+++ b/crates/standins/src/experiment/workload.rs
@@ -0,0 +1,135 @@
+//! Requests of one run, drawn before it so that every policy meets the same.
+
+use std::time::Duration;
+
+use mustardgate_core::resources::PriorityClass;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    Deployment, ScenarioKind,
+    engine::MEAN_HOLD_S,
+    scenario::{RUN, Scenario},
+};
+
+const ORDINARY_UTILISATION: f64 = 0.5;
+const STEP_S: f64 = 0.5;
+const TENANT_EXPONENT: f64 = 0.7;
+const UNIFORM_SHARE: f64 = 0.02;
+const SERVICE_WORK_S: f64 = 0.2;
+
+/// One request.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// Time since the start of the run.
+    pub at: Duration,
+    /// Entry of the catalogue that is asked for.
+    pub entry: usize,
+    /// Tenant that asks.
+    pub tenant: usize,
+    /// Priority class.
+    pub class: PriorityClass,
+    /// Time within which the first token counts.
+    pub target: Duration,
+    /// Draw by which the balancer picks an entry node.
+    pub node_draw: u64,
+    /// Digest of the prompt's first blocks; the plain service has none.
+    pub prefix: Option<u64>,
+    /// Seconds that the request takes a slot for in a full batch.
+    pub work_s: f64,
+    /// Whether it may run more than once.
+    pub is_idempotent: bool,
+}
+
+/// Draws the requests of a scenario for one seed.
+pub fn generate_arrivals(deployment: &Deployment, kind: ScenarioKind, seed: u64) -> Vec<Arrival> {
+    let scenario = Scenario::draw(kind, deployment, seed);
+    let mut source = ArrivalSource {
+        deployment,
+        scenario: &scenario,
+        rng: ChaCha8Rng::seed_from_u64(seed),
+    };
+    let rate = deployment.capacity_per_second() * ORDINARY_UTILISATION;
+    let steps = (RUN.as_secs_f64() / STEP_S) as usize;
+    let mut arrivals = Vec::new();
+    for step in 0..steps {
+        source.draw_step(step as f64 * STEP_S, rate, &mut arrivals);
+    }
+    arrivals
+}
+
+struct ArrivalSource<'a> {
+    deployment: &'a Deployment,
+    scenario: &'a Scenario,
+    rng: ChaCha8Rng,
+}
+
+impl ArrivalSource<'_> {
+    fn draw_step(&mut self, start_s: f64, rate: f64, arrivals: &mut Vec<Arrival>) {
+        let entries = self.entry_weights(start_s);
+        let tenants = self.tenant_weights(start_s);
+        let ordinary: f64 = self.tenant_weights(0.0).iter().sum();
+        let factor = entries.iter().sum::<f64>() * tenants.iter().sum::<f64>() / ordinary;
+        let mut at_s = start_s;
+        loop {
+            at_s += -(1.0 - self.rng.random::<f64>()).ln() / (rate * factor);
+            if at_s >= start_s + STEP_S {
+                return;
+            }
+            let entry = pick(&entries, self.rng.random());
+            let tenant = pick(&tenants, self.rng.random());
+            arrivals.push(self.arrival(at_s, entry, tenant));
+        }
+    }
+
+    /// Weighs entries by popularity, with a small even share so that idle ones are asked for as well.
+    fn entry_weights(&self, at_s: f64) -> Vec<f64> {
+        let entries = &self.deployment.catalogue.entries;
+        let even = UNIFORM_SHARE / entries.len() as f64;
+        entries
+            .iter()
+            .map(|entry| {
+                (entry.popularity * (1.0 - UNIFORM_SHARE) + even) * self.scenario.model_factor(entry.model, at_s)
+            })
+            .collect()
+    }
+
+    fn tenant_weights(&self, at_s: f64) -> Vec<f64> {
+        (0..self.deployment.tenants)
+            .map(|tenant| ((tenant + 1) as f64).powf(-TENANT_EXPONENT) * self.scenario.tenant_factor(tenant, at_s))
+            .collect()
+    }
+
+    fn arrival(&mut self, at_s: f64, entry: usize, tenant: usize) -> Arrival {
+        let is_service = entry == self.deployment.catalogue.service();
+        let (class, target_ms) = match self.rng.random_range(0..100) {
+            _ if is_service => (PriorityClass::Interactive, 580),
+            0..50 => (PriorityClass::Interactive, 580),
+            50..85 => (PriorityClass::Standard, 1_000),
+            _ => (PriorityClass::Batch, 8_000),
+        };
+        let spread = self.rng.random_range(0.4..1.6);
+        Arrival {
+            at: Duration::from_secs_f64(at_s),
+            entry,
+            tenant,
+            class,
+            target: Duration::from_millis(target_ms),
+            node_draw: self.rng.random(),
+            prefix: (!is_service).then(|| (entry as u64) << 32 | (tenant as u64) << 8 | self.rng.random_range(0..3)),
+            work_s: spread * if is_service { SERVICE_WORK_S } else { MEAN_HOLD_S },
+            is_idempotent: !is_service,
+        }
+    }
+}
+
+fn pick(weights: &[f64], draw: f64) -> usize {
+    let mut left = draw * weights.iter().sum::<f64>();
+    for (index, weight) in weights.iter().enumerate() {
+        left -= weight;
+        if left < 0.0 {
+            return index;
+        }
+    }
+    weights.len() - 1
+}
--- /dev/null
+++ b/crates/standins/src/experiment/world/mod.rs
@@ -0,0 +1,320 @@
+//! One run of one policy on virtual time.
+
+mod faults;
+mod requests;
+
+use std::time::{Duration, Instant};
+
+use derive_more::Display;
+use mustardgate_core::retry::{AttemptPlan, PlanSettings};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    Arrival, Deployment, RunFigures, ScenarioKind,
+    engine::{FakeBackend, FakeStore, WeightState},
+    events::{EventQueue, SimEvent},
+    figures::RunLedger,
+    node::FakeNode,
+    placers::{ClusterView, FixedPlacer, GainPlacer, OnDemandPlacer, PlacementOrder, Placer},
+    routers::{BaselineChoice, BaselineRouter, ProductRouter, RequestRouter},
+    scenario::{RUN, Scenario},
+};
+
+const REPORT_EVERY_MS: u64 = 500;
+const PLAN_EVERY_MS: u64 = 1_000;
+const UNLOAD_MS: u64 = 1_000;
+
+/// Policies compared.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PolicyKind {
+    /// Static placement and round robin.
+    #[display("static")]
+    Static,
+    /// Load on demand, least-recently-used eviction and least reported load.
+    #[display("on_demand")]
+    OnDemand,
+    /// The product's decisions.
+    #[display("mustardgate")]
+    Product,
+    /// Every artifact on every runner at no cost, one node that knows every load: no placement can do better.
+    #[display("upper_bound")]
+    UpperBound,
+}
+
+impl PolicyKind {
+    /// Every policy.
+    pub const ALL: [Self; 4] = [Self::Static, Self::OnDemand, Self::Product, Self::UpperBound];
+}
+
+/// One request during the run.
+#[derive(Debug)]
+struct SimJob {
+    node: usize,
+    plan: AttemptPlan,
+    backend: Option<usize>,
+    dispatched_at: Instant,
+    first_token_at: Instant,
+}
+
+/// State of all backend servers at the time of a report.
+#[derive(Debug)]
+struct ReportSnapshot {
+    taken_at: Instant,
+    /// For each backend server: requests out, and the weights that answer, or `None` when it is down.
+    backends: Vec<Option<(u32, Vec<usize>)>>,
+    /// For each node, requests it had out at each backend server.
+    own: Vec<Vec<u32>>,
+}
+
+struct SimWorld<'a> {
+    deployment: &'a Deployment,
+    arrivals: &'a [Arrival],
+    scenario: Scenario,
+    policy: PolicyKind,
+    seed: u64,
+    start: Instant,
+    now: Instant,
+    events: EventQueue,
+    backends: Vec<FakeBackend>,
+    nodes: Vec<FakeNode>,
+    store: FakeStore,
+    placer: Box<dyn Placer>,
+    jobs: Vec<SimJob>,
+    snapshots: Vec<Option<ReportSnapshot>>,
+    ledger: RunLedger,
+}
+
+/// Runs one policy on one seed of one scenario; the same arguments give the same figures.
+pub fn run_once(
+    deployment: &Deployment,
+    kind: ScenarioKind,
+    seed: u64,
+    policy: PolicyKind,
+    arrivals: &[Arrival],
+) -> RunFigures {
+    let scenario = Scenario::draw(kind, deployment, seed);
+    let mut world = SimWorld::new(deployment, arrivals, scenario, policy, seed);
+    world.run();
+    let overload = world.scenario.overload();
+    let mut figures = world.ledger.finish(deployment, overload);
+    figures.most_model_loads = world.store.most_model_loads;
+    figures.most_adapter_loads = world.store.most_adapter_loads;
+    figures
+}
+
+fn new_router(deployment: &Deployment, policy: PolicyKind, domain: usize, seed: u64) -> Box<dyn RequestRouter> {
+    match policy {
+        PolicyKind::Product => Box::new(ProductRouter::new(deployment, domain, seed)),
+        PolicyKind::Static => Box::new(BaselineRouter::new(deployment, BaselineChoice::RoundRobin, seed)),
+        PolicyKind::OnDemand | PolicyKind::UpperBound => {
+            Box::new(BaselineRouter::new(deployment, BaselineChoice::LeastLoad, seed))
+        }
+    }
+}
+
+fn new_node(deployment: &Deployment, policy: PolicyKind, node: usize, seed: u64) -> FakeNode {
+    let domain = deployment.domain_of(node);
+    let seed = seed.wrapping_mul(1_000).wrapping_add(node as u64);
+    FakeNode::new(domain, new_router(deployment, policy, domain, seed), seed)
+}
+
+impl<'a> SimWorld<'a> {
+    fn new(
+        deployment: &'a Deployment,
+        arrivals: &'a [Arrival],
+        scenario: Scenario,
+        policy: PolicyKind,
+        seed: u64,
+    ) -> Self {
+        let start = Instant::now();
+        let placer: Box<dyn Placer> = match policy {
+            PolicyKind::Static => Box::new(FixedPlacer::new(deployment.initial_holdings())),
+            PolicyKind::OnDemand => Box::<OnDemandPlacer>::default(),
+            PolicyKind::Product => Box::new(GainPlacer::new(deployment)),
+            PolicyKind::UpperBound => Box::new(FixedPlacer::new(Vec::new())),
+        };
+        let count = if policy == PolicyKind::UpperBound {
+            1
+        } else {
+            deployment.nodes
+        };
+        let nodes = (0..count).map(|node| new_node(deployment, policy, node, seed));
+        let mut world = Self {
+            deployment,
+            arrivals,
+            policy,
+            seed,
+            start,
+            now: start,
+            events: EventQueue::default(),
+            backends: (0..deployment.backends())
+                .map(|backend| FakeBackend::new(deployment.is_runner(backend)))
+                .collect(),
+            nodes: nodes.collect(),
+            store: FakeStore::new(&deployment.policy, scenario.store_slowdown()),
+            placer,
+            jobs: Vec::with_capacity(arrivals.len()),
+            snapshots: Vec::new(),
+            ledger: RunLedger::new(deployment),
+            scenario,
+        };
+        world.place_initially();
+        world.schedule_initially();
+        world
+    }
+
+    fn place_initially(&mut self) {
+        let holdings = self.deployment.initial_holdings();
+        for backend in 0..self.backends.len() {
+            self.fill_backend(backend, &holdings);
+        }
+        let snapshot = self.take_snapshot();
+        self.apply_snapshot(&snapshot);
+    }
+
+    /// Gives a backend server the weights that it starts with.
+    fn fill_backend(&mut self, backend: usize, holdings: &[Vec<usize>]) {
+        let catalogue = &self.deployment.catalogue;
+        let service = catalogue.service();
+        if !self.deployment.is_runner(backend) {
+            self.backends[backend].reserve(service, 0, WeightState::Ready);
+        } else if self.policy == PolicyKind::UpperBound {
+            for entry in 0..service {
+                self.backends[backend].reserve(entry, 0, WeightState::Ready);
+            }
+        } else {
+            for entry in holdings.get(backend).into_iter().flatten() {
+                let memory_mib = catalogue.entries[*entry].memory_mib;
+                let is_placed = self.backends[backend].reserve(*entry, memory_mib, WeightState::Ready);
+                assert!(is_placed, "the start fits the memory");
+            }
+        }
+    }
+
+    fn schedule_initially(&mut self) {
+        self.events.schedule(self.start, SimEvent::Arrive(0));
+        self.events.schedule(self.start, SimEvent::TakeReports);
+        self.events.schedule(self.start, SimEvent::PlanPlacement);
+        if let Some(outage) = self.scenario.outage() {
+            let domain = self.scenario.lost_domain;
+            self.events
+                .schedule(self.start + outage.start, SimEvent::LoseDomain(domain));
+            self.events
+                .schedule(self.start + outage.end, SimEvent::RestoreDomain(domain));
+        }
+    }
+
+    fn run(&mut self) {
+        let end = self.start + RUN;
+        while let Some((at, event)) = self.events.next() {
+            if at > end {
+                return;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+    }
+
+    fn handle(&mut self, event: SimEvent) {
+        match event {
+            SimEvent::Arrive(index) => self.arrive(index),
+            SimEvent::Finish { backend, life, job } => self.finish(backend, life, job),
+            SimEvent::AttemptFailed {
+                job,
+                is_overload,
+                verdict,
+            } => self.fail_attempt(job, is_overload, verdict),
+            SimEvent::Loaded { backend, life, entry } => self.end_load(backend, life, entry),
+            SimEvent::Unloaded { backend, life, entry } => self.end_unload(backend, life, entry),
+            SimEvent::TakeReports => self.take_reports(),
+            SimEvent::DeliverReports(index) => self.deliver_reports(index),
+            SimEvent::NodeTimer { node } => self.run_timer(node),
+            SimEvent::PlanPlacement => self.plan_placement(),
+            SimEvent::LoseDomain(domain) => self.lose_domain(domain),
+            SimEvent::NoticeLoss(domain) => self.set_domain_alive(domain, false),
+            SimEvent::RestoreDomain(domain) => self.restore_domain(domain),
+        }
+    }
+
+    fn plan_placement(&mut self) {
+        let waiting = self.nodes.iter().map(|node| node.queue.len()).sum();
+        self.ledger.sample_queues(self.now.duration_since(self.start), waiting);
+        self.review_placement(true);
+        let next = self.now + Duration::from_millis(PLAN_EVERY_MS);
+        self.events.schedule(next, SimEvent::PlanPlacement);
+    }
+
+    fn review_placement(&mut self, is_tick: bool) {
+        let orders = self.with_placer(|placer, view| placer.review(view, is_tick));
+        self.carry_out(orders);
+    }
+
+    fn with_placer<T>(&mut self, act: impl FnOnce(&mut dyn Placer, ClusterView<'_>) -> T) -> T {
+        let view = ClusterView {
+            now: self.now,
+            deployment: self.deployment,
+            backends: &self.backends,
+            store: &self.store,
+        };
+        act(self.placer.as_mut(), view)
+    }
+
+    fn carry_out(&mut self, orders: Vec<PlacementOrder>) {
+        for order in orders {
+            match order {
+                PlacementOrder::Load { runner, entry } => self.begin_load(runner, entry),
+                PlacementOrder::Unload { runner, entry } => self.begin_unload(runner, entry),
+            }
+        }
+    }
+
+    fn begin_load(&mut self, runner: usize, entry: usize) {
+        let memory_mib = self.deployment.catalogue.entries[entry].memory_mib;
+        if !self.backends[runner].reserve(entry, memory_mib, WeightState::Loading) {
+            self.ledger.refused_orders += 1;
+            return;
+        }
+        self.ledger.moves += 1;
+        let duration = self.store.begin(self.now, &self.deployment.catalogue, entry);
+        let event = SimEvent::Loaded {
+            backend: runner,
+            life: self.backends[runner].life,
+            entry,
+        };
+        self.events.schedule(self.now + duration, event);
+    }
+
+    fn begin_unload(&mut self, runner: usize, entry: usize) {
+        if !self.backends[runner].is_ready(entry) {
+            self.ledger.refused_orders += 1;
+            return;
+        }
+        self.ledger.moves += 1;
+        self.backends[runner].weights.insert(entry, WeightState::Leaving);
+        let event = SimEvent::Unloaded {
+            backend: runner,
+            life: self.backends[runner].life,
+            entry,
+        };
+        self.events.schedule(self.now + Duration::from_millis(UNLOAD_MS), event);
+    }
+
+    fn end_load(&mut self, backend: usize, life: u32, entry: usize) {
+        self.store.end(self.deployment.catalogue.is_adapter(entry));
+        if self.backends[backend].life != life {
+            return;
+        }
+        self.backends[backend].weights.insert(entry, WeightState::Ready);
+        self.review_placement(false);
+    }
+
+    fn end_unload(&mut self, backend: usize, life: u32, entry: usize) {
+        if self.backends[backend].life != life {
+            return;
+        }
+        let memory_mib = self.deployment.catalogue.entries[entry].memory_mib;
+        self.backends[backend].release(entry, memory_mib);
+        self.review_placement(false);
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! HTTP listener, by the example processes.
 
 pub mod engine_http;
+pub mod experiment;
 pub mod harness;
 pub mod http;
 pub mod platform;
