--- a/crates/mustardgate-core/src/ports/backends.rs
+++ b/crates/mustardgate-core/src/ports/backends.rs
@@ -68,13 +68,17 @@
 pub struct EngineReport {
     /// Largest fencing number seen.
     pub fencing: FencingNumber,
+    /// Number of the report, which grows with each report and across restarts; an older report is recognised by it.
+    #[serde(default)]
+    pub sequence: u64,
     /// Requests in the running batch.
     pub running: u32,
     /// Requests waiting at the engine.
     pub waiting: u32,
     /// Weights in memory.
     pub resident: Vec<ResidentArtifact>,
-    /// Orders that the engine has finished or refused, the newest last, bounded in number.
+    /// Orders that the engine has finished or refused, the newest last, bounded in number. Their effect stands in
+    /// `resident` of the same report. A settled order that is received again is listed again as the newest.
     pub settled: Vec<OrderId>,
 }
 
--- a/crates/standins/tests/platform_contract.rs
+++ b/crates/standins/tests/platform_contract.rs
@@ -39,6 +39,9 @@
         previous: Some(number),
         term_ms: 1_000,
         released: false,
+        session: 1,
+        renews: None,
+        window: 0,
     })
 }
 
