Number an engine process's reports above those before its restart

Ruled out: a number kept in a file (engines keep nothing). Change: the shared state takes the number to start after; the process starts from the clock. A contract test with a second process in place of the first. Conclusion: reports after a restart are newer than those before.

--- a/crates/standins/src/engine/memory.rs
+++ b/crates/standins/src/engine/memory.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Numbers the reports after `sequence`, that is above those of an earlier process of the same engine.
+    pub fn number_reports_after(&mut self, sequence: u64) {
+        self.sequence = self.sequence.max(sequence);
+    }
+
     /// Raises the fencing number and reports.
     ///
     /// # Errors
--- a/crates/standins/src/engine_http/memory.rs
+++ b/crates/standins/src/engine_http/memory.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeSet,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use mustardgate_core::{
@@ -57,12 +57,13 @@
 impl EngineMemory {
     /// Creates an empty memory.
     pub fn new(options: MemoryOptions) -> Self {
-        let state = EngineState::new(EngineSettings {
+        let mut state = EngineState::new(EngineSettings {
             fencing: options.fencing,
             accelerators: options.accelerators.clone(),
             load_time: options.model_load,
             unload_time: options.unload,
         });
+        state.number_reports_after(first_sequence());
         Self {
             options,
             state,
@@ -182,3 +183,9 @@
             .saturating_sub(held.map(|held| held.memory_mib).sum())
     }
 }
+
+/// Returns a number above those of all reports before a restart, given less than one report a millisecond.
+fn first_sequence() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.as_millis() as u64
+}
--- a/crates/standins/tests/engine_contract.rs
+++ b/crates/standins/tests/engine_contract.rs
@@ -312,6 +312,19 @@
     assert!(0 < first.sequence && first.sequence < second.sequence);
 }
 
+#[tokio::test]
+async fn reports_after_a_restart_are_numbered_above_those_before() {
+    let mut last = 0;
+    for _ in 0..2 {
+        let address = start(FencingSupport::Refuses).await;
+        let answer = call(address, plain_request(Method::GET, REPORT_PATH)).await;
+        let report: EngineReport = answer.expect("answered").json().expect("typed");
+        assert!(report.sequence > last);
+        last = report.sequence;
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 async fn loads_after_report(address: SocketAddr) -> u64 {
     call(address, plain_request(Method::GET, REPORT_PATH))
         .await
