--- a/crates/standins/src/engine/memory.rs
+++ b/crates/standins/src/engine/memory.rs
@@ -78,9 +78,11 @@
         }
     }
 
-    /// Numbers the reports after `sequence`, that is above those of an earlier process of the same engine.
-    pub fn number_reports_after(&mut self, sequence: u64) {
-        self.sequence = self.sequence.max(sequence);
+    /// Numbers reports from `sequence` on, above those that the process gave before a restart.
+    #[must_use]
+    pub fn number_reports_after(mut self, sequence: u64) -> Self {
+        self.sequence = sequence;
+        self
     }
 
     /// Raises the fencing number and reports.
--- a/crates/standins/src/engine_http/memory.rs
+++ b/crates/standins/src/engine_http/memory.rs
@@ -57,13 +57,13 @@
 impl EngineMemory {
     /// Creates an empty memory.
     pub fn new(options: MemoryOptions) -> Self {
-        let mut state = EngineState::new(EngineSettings {
+        let state = EngineState::new(EngineSettings {
             fencing: options.fencing,
             accelerators: options.accelerators.clone(),
             load_time: options.model_load,
             unload_time: options.unload,
-        });
-        state.number_reports_after(first_sequence());
+        })
+        .number_reports_after(sequence_at_start());
         Self {
             options,
             state,
@@ -185,7 +185,7 @@
 }
 
 /// Returns a number above those of all reports before a restart, given less than one report a millisecond.
-fn first_sequence() -> u64 {
+fn sequence_at_start() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     since_epoch.as_millis() as u64
 }
