--- a/crates/mustardgate/src/runners/demand.rs
+++ b/crates/mustardgate/src/runners/demand.rs
@@ -22,10 +22,11 @@
     }
 
     /// Returns the counts and starts again from zero.
-    pub fn collect(&self) -> BTreeMap<Artifact, u64> {
+    pub fn collect(&self) -> BTreeMap<Artifact, f64> {
         let mut all = BTreeMap::new();
         for shard in &self.shards {
-            all.append(&mut shard.lock().expect("no holder panics"));
+            let counts = std::mem::take(&mut *shard.lock().expect("no holder panics"));
+            all.extend(counts.into_iter().map(|(artifact, count)| (artifact, count as f64)));
         }
         all
     }
