Give a key back when nothing was sent under it

Cause: a keyed call that admission refused closed its key, so the caller who came back with the same key, as told, was never served. Ruled out: telling "not run" and keeping the key open, because a second delivery could then run. Change: the key is released and the caller hears that the same key may be tried again; a request that no backend server answers for gets no_capacity with status 503 in place of 429.

--- a/crates/mustardgate/src/dispatch/call.rs
+++ b/crates/mustardgate/src/dispatch/call.rs
@@ -105,10 +105,7 @@
             prefix: None,
         };
         let place = self.context.desk.acquire(request).await;
-        place.map_err(|refusal| CallerError::NotAdmitted {
-            reason: refusal.reason.to_string(),
-            retry_after: refusal.retry_after,
-        })
+        place.map_err(CallerError::refused)
     }
 
     async fn attempt_at(&mut self, backend: &BackendId) -> Result<HttpReply, CallFailure> {
--- a/crates/mustardgate/src/dispatch/generation.rs
+++ b/crates/mustardgate/src/dispatch/generation.rs
@@ -128,10 +128,7 @@
             prefix: prefix_digest(artifact, self.job.prompt.as_bytes()),
         };
         let place = self.context.desk.acquire(request).await;
-        place.map_err(|refusal| CallerError::NotAdmitted {
-            reason: refusal.reason.to_string(),
-            retry_after: refusal.retry_after,
-        })
+        place.map_err(CallerError::refused)
     }
 
     /// Returns a place at another runner, or the error that ends the request.
--- a/crates/mustardgate/src/gateway/errors.rs
+++ b/crates/mustardgate/src/gateway/errors.rs
@@ -6,7 +6,10 @@
     Response, StatusCode,
     header::{HeaderName, HeaderValue, RETRY_AFTER},
 };
-use mustardgate_core::verdict::RunVerdict;
+use mustardgate_core::{
+    admission::{Refusal, RefusalReason},
+    verdict::RunVerdict,
+};
 use mustardgate_protocol::callers::{ErrorAnswer, ErrorDetail, VERDICT_HEADER};
 use smol_str::SmolStr;
 use snafu::Snafu;
@@ -91,6 +94,12 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// No backend server that takes new work answers for the model or service.
+    #[snafu(display("no backend server answers for this at present"))]
+    NoCapacity {
+        /// When to come back.
+        retry_after: Duration,
+    },
     /// No attempt succeeded.
     #[snafu(display("no backend server gave a whole answer: {reason}"))]
     AttemptsFailed {
@@ -136,6 +145,18 @@
 }
 
 impl CallerError {
+    /// Returns the error of a request that admission refused.
+    pub fn refused(refusal: Refusal) -> Self {
+        let retry_after = refusal.retry_after;
+        match refusal.reason {
+            RefusalReason::NoCapacity => Self::NoCapacity { retry_after },
+            reason => Self::NotAdmitted {
+                reason: reason.to_string(),
+                retry_after,
+            },
+        }
+    }
+
     /// Returns the stable code.
     pub fn code(&self) -> &'static str {
         match self {
@@ -156,6 +177,7 @@
             Self::UnknownService { .. } => "unknown_service",
             Self::NotReady { .. } => "not_ready",
             Self::NotAdmitted { .. } => "not_admitted",
+            Self::NoCapacity { .. } => "no_capacity",
             Self::AttemptsFailed { .. } => "attempts_failed",
             Self::DeadlinePassed { .. } => "deadline_passed",
             Self::Stopping { .. } => "stopping",
@@ -179,7 +201,7 @@
             },
             Self::InvalidBody { .. } | Self::InvalidHeader { .. } => StatusCode::BAD_REQUEST,
             Self::NotAdmitted { .. } => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotReady { .. } | Self::Stopping { .. } | Self::KeyUnresolved { .. } => {
+            Self::NotReady { .. } | Self::NoCapacity { .. } | Self::Stopping { .. } | Self::KeyUnresolved { .. } => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::AttemptsFailed { .. } => StatusCode::BAD_GATEWAY,
@@ -233,6 +255,7 @@
         match self {
             Self::NotReady { retry_after, .. }
             | Self::NotAdmitted { retry_after, .. }
+            | Self::NoCapacity { retry_after }
             | Self::AttemptsFailed { retry_after, .. }
             | Self::DeadlinePassed { retry_after, .. }
             | Self::Stopping { retry_after, .. }
--- a/crates/mustardgate/src/gateway/keyed.rs
+++ b/crates/mustardgate/src/gateway/keyed.rs
@@ -81,6 +81,13 @@
 
 async fn dispatch_keyed(context: &NodeContext, job: &CallJob, id: &KeyId) -> Result<HttpReply, CallerError> {
     let result = run_call(context, job).await;
+    if let Err(error) = &result
+        && error.verdict() == RunVerdict::NotRun
+    {
+        // Nothing was sent: the key is given back, so that the caller may come again with the same one.
+        context.keys.give_up(id, &job.origin.request);
+        return result.map_err(|error| error.with_verdict(RunVerdict::MayHaveRun));
+    }
     let (verdict, answer) = match &result {
         Ok(reply) => (RunVerdict::Ran, store(reply)),
         Err(error) => (error.verdict(), None),
--- a/crates/mustardgate/src/keys/desk.rs
+++ b/crates/mustardgate/src/keys/desk.rs
@@ -109,6 +109,11 @@
         told.unwrap_or(RunVerdict::MayHaveRun)
     }
 
+    /// Gives the key of a dispatched request back, of which no byte was sent, so that another delivery may take it.
+    pub fn give_up(&self, id: &KeyId, request: &RequestId) {
+        self.perform(self.table.give_up(id, request));
+    }
+
     /// Returns the number of steps refused because they would have broken an invariant.
     pub fn violations(&self) -> u64 {
         self.table.counters().violations
--- /dev/null
+++ b/crates/standins/tests/key_desk.rs
@@ -0,0 +1,146 @@
+//! The node's key desk over the platform's log in memory, on paused time.
+
+use std::{sync::Arc, time::Duration};
+
+use mustardgate::{
+    keys::{KeyDecision, KeyDesk, append_batches},
+    records::{RecordObserver, RecordTail, follow_records},
+    settings::KeyWindowSettings,
+};
+use mustardgate_core::{
+    clock,
+    idempotency::{KeyId, KeyRefusal, KeyRequest},
+    log::StoredAnswer,
+    ports::PlatformLog,
+    verdict::RunVerdict,
+};
+use mustardgate_standins::platform::{LogFaults, MemoryLog};
+use tokio_util::sync::CancellationToken;
+
+fn start_desk(node: &str, log: &Arc<MemoryLog>, shutdown: &CancellationToken) -> Arc<KeyDesk> {
+    let tail = Arc::new(RecordTail::default());
+    let settings = KeyWindowSettings::default();
+    let desk = Arc::new(KeyDesk::new(&node.into(), "a".into(), &settings, Arc::clone(&tail)));
+    let log: Arc<dyn PlatformLog> = Arc::clone(log) as Arc<dyn PlatformLog>;
+    let observers = vec![Arc::clone(&desk) as Arc<dyn RecordObserver>];
+    tokio::spawn(follow_records(Arc::clone(&log), tail, observers, shutdown.clone()));
+    tokio::spawn(append_batches(Arc::clone(&desk), log, shutdown.clone()));
+    desk
+}
+
+fn key() -> KeyId {
+    KeyId {
+        tenant: "kitchen".into(),
+        key: "lunch-1".into(),
+    }
+}
+
+fn request(name: &str) -> KeyRequest {
+    KeyRequest {
+        id: key(),
+        digest: 7,
+        request: name.into(),
+        deadline: clock::now() + Duration::from_secs(20),
+    }
+}
+
+fn answer() -> StoredAnswer {
+    StoredAnswer {
+        status: 200,
+        content_type: "text/plain".to_owned(),
+        body: "placed".to_owned(),
+    }
+}
+
+/// Lets the desks read the log once.
+async fn settle() {
+    tokio::time::sleep(Duration::from_secs(2)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_delivery_is_dispatched_and_the_other_gets_its_answer() {
+    let (log, shutdown) = (Arc::new(MemoryLog::new(1)), CancellationToken::new());
+    let (first, second) = (start_desk("n1", &log, &shutdown), start_desk("n2", &log, &shutdown));
+    settle().await;
+    assert_eq!(first.decide(request("r1")).await, KeyDecision::Dispatch);
+    let other = {
+        let second = Arc::clone(&second);
+        tokio::spawn(async move { second.decide(request("r2")).await })
+    };
+    settle().await;
+    let told = first.finish(&key(), &"r1".into(), RunVerdict::Ran, Some(answer()));
+    assert_eq!(told, RunVerdict::Ran);
+    let repeated = other.await.expect("the delivery ends");
+    let expected = KeyDecision::Answer {
+        verdict: RunVerdict::Ran,
+        answer: Some(answer()),
+    };
+    assert_eq!(repeated, expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_key_given_back_may_be_taken_through_another_node() {
+    let (log, shutdown) = (Arc::new(MemoryLog::new(2)), CancellationToken::new());
+    let (first, second) = (start_desk("n1", &log, &shutdown), start_desk("n2", &log, &shutdown));
+    settle().await;
+    assert_eq!(first.decide(request("r1")).await, KeyDecision::Dispatch);
+    first.give_up(&key(), &"r1".into());
+    settle().await;
+    assert_eq!(second.decide(request("r2")).await, KeyDecision::Dispatch);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_key_told_as_not_run_is_never_dispatched_again() {
+    let (log, shutdown) = (Arc::new(MemoryLog::new(3)), CancellationToken::new());
+    let (first, second) = (start_desk("n1", &log, &shutdown), start_desk("n2", &log, &shutdown));
+    settle().await;
+    assert_eq!(first.decide(request("r1")).await, KeyDecision::Dispatch);
+    let told = first.finish(&key(), &"r1".into(), RunVerdict::NotRun, None);
+    assert_eq!(told, RunVerdict::NotRun);
+    settle().await;
+    let repeated = second.decide(request("r2")).await;
+    let expected = KeyDecision::Answer {
+        verdict: RunVerdict::NotRun,
+        answer: None,
+    };
+    assert_eq!(repeated, expected);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_key_is_refused_at_once_while_the_log_is_away() {
+    let (log, shutdown) = (Arc::new(MemoryLog::new(4)), CancellationToken::new());
+    let desk = start_desk("n1", &log, &shutdown);
+    settle().await;
+    log.set_faults(LogFaults {
+        is_down: true,
+        ..LogFaults::default()
+    });
+    settle().await;
+    let asked = clock::now();
+    let decision = desk.decide(request("r1")).await;
+    assert!(
+        matches!(
+            decision,
+            KeyDecision::Refuse {
+                refusal: KeyRefusal::LogAway,
+                verdict: RunVerdict::MayHaveRun,
+                ..
+            }
+        ),
+        "{decision:?}"
+    );
+    assert_eq!(clock::now(), asked, "a refusal waits for nothing");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_claim_whose_answer_was_lost_is_decided_by_the_log() {
+    let (log, shutdown) = (Arc::new(MemoryLog::new(5)), CancellationToken::new());
+    let desk = start_desk("n1", &log, &shutdown);
+    settle().await;
+    log.set_faults(LogFaults {
+        lost_answer_ratio: 1.0,
+        ..LogFaults::default()
+    });
+    assert_eq!(desk.decide(request("r1")).await, KeyDecision::Dispatch);
+    assert_eq!(log.appends(), 1);
+}
