Record latencies of a load beyond two microseconds

Cause: a run of load against the quickstart showed every latency as 0.0 ms: the histogram grows only with record, and saturating_record clips at its first bound. Ruled out: a histogram that grows (an error path for nothing). Change: bounds of one microsecond to one hour; the deployment test requires latencies that the engine's step of 10 ms makes necessary.

--- a/crates/mustardctl/src/load/report.rs
+++ b/crates/mustardctl/src/load/report.rs
@@ -9,6 +9,8 @@
 use super::request::RequestOutcome;
 
 const MICROSECONDS_PER_MILLISECOND: f64 = 1_000.0;
+/// Largest latency that is told apart from larger ones, one hour.
+const MAX_LATENCY_US: u64 = 3_600_000_000;
 /// Significant decimal digits of a recorded latency.
 const HISTOGRAM_DIGITS: u8 = 3;
 
@@ -147,7 +149,7 @@
 }
 
 fn histogram() -> Histogram<u64> {
-    Histogram::new(HISTOGRAM_DIGITS).expect("the number of digits is between 0 and 5")
+    Histogram::new_with_bounds(1, MAX_LATENCY_US, HISTOGRAM_DIGITS).expect("bounds and digits are in range")
 }
 
 fn record(histogram: &mut Histogram<u64>, latency: Duration) {
--- a/crates/standins/tests/mustardctl_deployment.rs
+++ b/crates/standins/tests/mustardctl_deployment.rs
@@ -181,5 +181,13 @@
         assert!(sent > 10, "{report}");
         assert_eq!(report["answered"].as_u64(), Some(sent), "{report}");
         assert_eq!(report["tokens"].as_u64(), Some(sent * 8), "{report}");
+        let median = |latency: &str| report[latency]["p50"].as_f64().expect("a number");
+        // The engine generates a token every 10 ms, so eight take at least seven steps.
+        assert!(median("whole_answer_ms") >= 70.0, "{report}");
+        assert!(median("token_gap_ms") >= 9.0, "{report}");
+        assert!(
+            median("first_token_ms") > 0.0 && median("first_token_ms") < median("whole_answer_ms"),
+            "{report}"
+        );
     }
 }
