--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod engine;
 pub mod engine_http;
+pub mod experiment;
 pub mod harness;
 pub mod http;
 pub mod platform;
