--- a/crates/mustardgate-core/src/placement/demand/mod.rs
+++ b/crates/mustardgate-core/src/placement/demand/mod.rs
@@ -58,16 +58,9 @@
         }
     }
 
-    /// Takes the arrivals since the last call, refused ones included, because they are demand too.
-    pub fn observe(&mut self, now: Instant, arrivals: &BTreeMap<Artifact, u64>) {
-        let counts = arrivals
-            .iter()
-            .map(|(artifact, count)| (artifact.clone(), *count as f64));
-        self.observe_shares(now, &counts.collect());
-    }
-
-    /// Takes arrivals of which some count in part, because several domains hold what another domain's nodes ask for.
-    pub fn observe_shares(&mut self, now: Instant, arrivals: &BTreeMap<Artifact, f64>) {
+    /// Takes the arrivals since the last call, refused ones included, because they are demand too;
+    /// a count may be a share, when several domains serve one entry node.
+    pub fn observe(&mut self, now: Instant, arrivals: &BTreeMap<Artifact, f64>) {
         let Some(last) = self.updated_at.replace(now) else {
             return;
         };
--- a/crates/mustardgate-core/tests/placement_gain.rs
+++ b/crates/mustardgate-core/tests/placement_gain.rs
@@ -160,19 +160,19 @@
 fn growing_demand_is_forecast_ahead_and_a_lull_is_followed_slowly() {
     let start = Instant::now();
     let mut estimator = DemandEstimator::new(DemandSettings::default());
-    let mut observe = |second: u64, count: u64| {
+    let mut observe = |second: u64, count: f64| {
         let arrivals = BTreeMap::from([(model(0), count)]);
         estimator.observe(start + Duration::from_secs(second), &arrivals);
         estimator.forecast(&model(0))
     };
-    let steady = (0..200).map(|second| observe(second, 10)).last().expect("observed");
+    let steady = (0..200).map(|second| observe(second, 10.0)).last().expect("observed");
     assert!((steady - 10.0).abs() < 0.5, "{steady}");
     let grown = (200..260)
-        .map(|second| observe(second, second - 190))
+        .map(|second| observe(second, second as f64 - 190.0))
         .last()
         .expect("observed");
     assert!(grown > 72.0, "the rate now is 69, ten seconds later 79: {grown}");
-    let fallen = (260..265).map(|second| observe(second, 0)).last().expect("observed");
+    let fallen = (260..265).map(|second| observe(second, 0.0)).last().expect("observed");
     assert!(fallen > 20.0, "{fallen}");
 }
 
--- a/crates/standins/src/experiment/placers/gain.rs
+++ b/crates/standins/src/experiment/placers/gain.rs
@@ -72,7 +72,7 @@
             *utilisation += (now - *utilisation) * UTILISATION_WEIGHT;
         }
         for leader in &mut self.leaders {
-            leader.estimator.observe_shares(view.now, &leader.arrivals);
+            leader.estimator.observe(view.now, &leader.arrivals);
             leader.arrivals.clear();
         }
     }
