Give each harness a loopback address of its own, and wait for readiness in a test

Two reasons: a port found by binding port 0 was taken by another process before its owner listened, so that a command reached another deployment (wrong_key); and the test applied declarations before the node had read the log (not_ready). Ruled out: a fault of apply or of the node, whose answers were right in both cases. Change: addresses come from the process id, ports from below the range of outgoing connections, each handed out once; the test waits until the node is ready and prints what apply said.

--- a/crates/standins/src/harness/scratch.rs
+++ b/crates/standins/src/harness/scratch.rs
@@ -2,17 +2,23 @@
 
 use std::{
     env, fs, io,
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener},
+    net::{Ipv4Addr, SocketAddrV4, TcpListener},
     path::{Path, PathBuf},
     process,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::atomic::{AtomicU16, AtomicU64, Ordering},
 };
 
 use snafu::ResultExt;
 
 use super::child::{HarnessError, ProcessSnafu, WriteSnafu};
 
+/// First port handed out.
+const FIRST_PORT: u16 = 20_000;
+/// Port before which handing out ends; outgoing connections take theirs from higher ones.
+const LAST_PORT: u16 = 32_000;
+
 static NEXT_FOLDER: AtomicU64 = AtomicU64::new(1);
+static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
 
 /// A folder that is removed with its handle.
 #[derive(Debug)]
@@ -56,12 +62,37 @@
     }
 }
 
-/// Returns a loopback address whose port was free a moment ago.
+/// Returns a loopback address that no other process picks, with a port that this process has not handed out before.
+///
+/// A port found by binding port 0 may be taken again, by another harness or by an outgoing connection, before the
+/// process it is meant for listens. So each harness has a loopback address of its own, and ports below the range from
+/// which outgoing connections take theirs.
 ///
 /// # Errors
 /// [`HarnessError::Process`] when no port is free.
 pub fn free_address() -> Result<SocketAddrV4, HarnessError> {
-    let found = || -> io::Result<SocketAddr> { TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr() };
-    let address = found().context(ProcessSnafu { name: "free port" })?;
-    Ok(SocketAddrV4::new(Ipv4Addr::LOCALHOST, address.port()))
+    let found = || -> io::Result<SocketAddrV4> {
+        loop {
+            let address = SocketAddrV4::new(own_address(), next_port()?);
+            if TcpListener::bind(address).is_ok() {
+                return Ok(address);
+            }
+        }
+    };
+    found().context(ProcessSnafu { name: "free port" })
+}
+
+/// Returns a loopback address derived from the process id.
+fn own_address() -> Ipv4Addr {
+    let [_, high, middle, low] = process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 | high, middle, low)
+}
+
+fn next_port() -> io::Result<u16> {
+    let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+    if port < LAST_PORT {
+        Ok(port)
+    } else {
+        Err(io::Error::from(io::ErrorKind::AddrNotAvailable))
+    }
 }
--- a/crates/standins/tests/mustardctl_deployment.rs
+++ b/crates/standins/tests/mustardctl_deployment.rs
@@ -46,6 +46,10 @@
             extra_settings: "[drain]\ngrace_ms = 0\n".to_owned(),
         };
         let cluster = TestCluster::start(options).await.expect("the deployment starts");
+        cluster.nodes[0]
+            .wait_ready(LIMIT)
+            .await
+            .expect("the node reads the log");
         let scratch = cluster.scratch();
         scratch.write("tenant.key", TENANT_KEY).expect("written");
         let folder = scratch.path().join("declared");
@@ -155,7 +159,8 @@
 async fn load_is_answered_through_the_node_and_past_it() {
     let mut bench = CtlBench::start().await;
     let folder = bench.path("declared");
-    assert_eq!(bench.operate(&["apply", "-f", &folder]).await.code, Some(0));
+    let applied = bench.operate(&["apply", "-f", &folder]).await;
+    assert_eq!(applied.code, Some(0), "{}", applied.output);
     bench.await_model().await;
     let node = bench.cluster.nodes[0].addresses.callers.to_string();
     let engine = bench.cluster.backends[0].address.to_string();
