Evaluate the slopes at the design size, count control traffic over HTTP, and measure a running deployment

Change: calls to the platform's log, its list of VMs and the engines' control are counted by kind, body bytes out and in.

--- a/crates/mustardgate/src/backends/control.rs
+++ b/crates/mustardgate/src/backends/control.rs
@@ -17,7 +17,7 @@
 };
 use mustardgate_protocol::engine::{FENCING_PATH, FencedAnswer, ORDERS_PATH, REPORT_PATH, RaiseFencing};
 
-use crate::http::{HttpClient, HttpReply, json_request, plain_request};
+use crate::http::{CallLimits, HttpClient, HttpReply, json_request, plain_request};
 
 /// Largest report accepted, in bytes.
 const MAX_REPORT_BYTES: usize = 4 << 20;
@@ -43,11 +43,20 @@
         }
     }
 
-    async fn call(&self, backend: &BackendId, request: Request<Full<Bytes>>) -> Result<HttpReply, OrderError> {
+    async fn call(
+        &self,
+        kind: &'static str,
+        backend: &BackendId,
+        request: Request<Full<Bytes>>,
+    ) -> Result<HttpReply, OrderError> {
         let address = self.addresses.read().expect("no holder panics").get(backend).copied();
         let address = address.ok_or(OrderError::Refused)?;
+        let limits = CallLimits {
+            timeout: self.timeout,
+            max_bytes: MAX_REPORT_BYTES,
+        };
         self.client
-            .call(address, request, self.timeout, MAX_REPORT_BYTES)
+            .call_counted(kind, address, request, limits)
             .await
             .map_err(|_error| OrderError::Unknown)
     }
@@ -75,12 +84,12 @@
 impl EngineControl for HttpEngineControl {
     async fn raise_fencing(&self, backend: &BackendId, fencing: FencingNumber) -> Result<EngineReport, OrderError> {
         let request = json_request(Method::POST, FENCING_PATH, &RaiseFencing { fencing });
-        parse_report(&self.call(backend, request).await?)
+        parse_report(&self.call("engine_fencing", backend, request).await?)
     }
 
     async fn send_order(&self, backend: &BackendId, order: EngineOrder) -> Result<(), OrderError> {
         let request = json_request(Method::POST, ORDERS_PATH, &order);
-        let reply = self.call(backend, request).await?;
+        let reply = self.call("engine_order", backend, request).await?;
         if reply.status == StatusCode::ACCEPTED {
             Ok(())
         } else {
@@ -89,6 +98,10 @@
     }
 
     async fn report(&self, backend: &BackendId) -> Result<EngineReport, OrderError> {
-        parse_report(&self.call(backend, plain_request(Method::GET, REPORT_PATH)).await?)
+        parse_report(
+            &self
+                .call("engine_report", backend, plain_request(Method::GET, REPORT_PATH))
+                .await?,
+        )
     }
 }
--- a/crates/mustardgate/src/http/client.rs
+++ b/crates/mustardgate/src/http/client.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri,
-    body::Incoming,
+    body::{Body, Incoming},
     header::{CONTENT_TYPE, HeaderValue},
 };
 use hyper_util::{
@@ -18,6 +18,7 @@
 use tokio::time;
 
 use super::answer::{BodyError, collect_body};
+use crate::telemetry::record_control_bytes;
 
 /// Idle connections are closed on our side before a server is likely to do so.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -75,6 +76,15 @@
 /// An answer whose body is still to come.
 pub type StreamReply = Response<Incoming>;
 
+/// Limits of one call of control traffic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallLimits {
+    /// Time for the answer's head, and again for its body.
+    pub timeout: Duration,
+    /// Longest body of the answer, in bytes.
+    pub max_bytes: usize,
+}
+
 impl HttpClient {
     /// Creates a client that keeps idle connections for further calls.
     pub fn pooled(connect_timeout: Duration) -> Self {
@@ -147,6 +157,24 @@
             body,
         })
     }
+
+    /// Sends a request of control traffic like [`HttpClient::call`] and counts the bytes of both bodies by its kind.
+    ///
+    /// # Errors
+    /// [`CallError`], as [`HttpClient::call`].
+    pub async fn call_counted(
+        &self,
+        kind: &'static str,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limits: CallLimits,
+    ) -> Result<HttpReply, CallError> {
+        let sent_bytes = request.body().size_hint().exact().unwrap_or_default();
+        record_control_bytes(kind, "out", sent_bytes);
+        let reply = self.call(address, request, limits.timeout, limits.max_bytes).await?;
+        record_control_bytes(kind, "in", reply.body.len() as u64);
+        Ok(reply)
+    }
 }
 
 fn classify(error: &ClientError, address: SocketAddr) -> CallError {
--- a/crates/mustardgate/src/http/mod.rs
+++ b/crates/mustardgate/src/http/mod.rs
@@ -9,6 +9,6 @@
     answer::{
         AnswerBody, BodyError, bytes_answer, collect_body, empty_answer, json_answer, streamed_answer, text_answer,
     },
-    client::{CallError, HttpClient, HttpReply, StreamReply},
+    client::{CallError, CallLimits, HttpClient, HttpReply, StreamReply},
     server::{ConnectionLimits, serve_connections},
 };
--- a/crates/mustardgate/src/platform/list.rs
+++ b/crates/mustardgate/src/platform/list.rs
@@ -7,7 +7,7 @@
 use mustardgate_core::ports::{ListError, LiveList, VmEntry};
 use mustardgate_protocol::platform::VMS_PATH;
 
-use crate::http::{HttpClient, plain_request};
+use crate::http::{CallLimits, HttpClient, plain_request};
 
 /// Largest list accepted, in bytes.
 const MAX_LIST_BYTES: usize = 8 << 20;
@@ -35,9 +35,13 @@
 impl LiveList for HttpLiveList {
     async fn fetch(&self) -> Result<Vec<VmEntry>, ListError> {
         let request = plain_request(Method::GET, VMS_PATH);
+        let limits = CallLimits {
+            timeout: self.timeout,
+            max_bytes: MAX_LIST_BYTES,
+        };
         let reply = self
             .client
-            .call(self.address, request, self.timeout, MAX_LIST_BYTES)
+            .call_counted("vm_list", self.address, request, limits)
             .await
             .map_err(|_error| ListError)?;
         if reply.status != StatusCode::OK {
--- a/crates/mustardgate/src/platform/log.rs
+++ b/crates/mustardgate/src/platform/log.rs
@@ -12,7 +12,7 @@
 };
 use mustardgate_protocol::platform::{APPEND_PATH, AppendAnswer, RECORDS_PATH, TrimmedAnswer};
 
-use crate::http::{HttpClient, json_request, plain_request};
+use crate::http::{CallLimits, HttpClient, json_request, plain_request};
 
 /// Largest answer accepted from the log, in bytes.
 const MAX_PAGE_BYTES: usize = 64 << 20;
@@ -34,6 +34,13 @@
             timeout,
         }
     }
+
+    fn limits(&self) -> CallLimits {
+        CallLimits {
+            timeout: self.timeout,
+            max_bytes: MAX_PAGE_BYTES,
+        }
+    }
 }
 
 #[async_trait]
@@ -42,7 +49,7 @@
         let request = json_request(Method::POST, APPEND_PATH, &record);
         let reply = match self
             .client
-            .call(self.address, request, self.timeout, MAX_PAGE_BYTES)
+            .call_counted("log_append", self.address, request, self.limits())
             .await
         {
             Ok(reply) => reply,
@@ -63,7 +70,7 @@
         let request = plain_request(Method::GET, &path);
         let reply = self
             .client
-            .call(self.address, request, self.timeout, MAX_PAGE_BYTES)
+            .call_counted("log_read", self.address, request, self.limits())
             .await
             .map_err(|_error| ReadError::Unavailable)?;
         match reply.status {
--- a/crates/standins/examples/capacity.rs
+++ b/crates/standins/examples/capacity.rs
@@ -1,10 +1,17 @@
 //! Measures what each role costs and evaluates it at the size to design for: `capacity [--json FILE]`.
 
-use std::{alloc::System, path::PathBuf, process::ExitCode};
+use std::{
+    alloc::System,
+    path::PathBuf,
+    process::{Command, ExitCode},
+};
 
 use cap::Cap;
 use lexopt::prelude::Long;
-use mustardgate_standins::capacity::{MeasuredSlope, measure_leading, measure_serving, measure_shared};
+use mustardgate_standins::capacity::{
+    MeasuredSlope, RoleFigure, RunningReport, evaluate_design, measure_leading, measure_running, measure_serving,
+    measure_shared,
+};
 use serde::Serialize;
 
 /// Counts what is allocated, for the figures of memory.
@@ -14,6 +21,8 @@
 #[derive(Debug, Serialize)]
 struct CapacityReport {
     slopes: Vec<MeasuredSlope>,
+    design: Vec<RoleFigure>,
+    running: RunningReport,
 }
 
 fn parse_json_path() -> Result<Option<PathBuf>, lexopt::Error> {
@@ -32,11 +41,28 @@
     ALLOCATOR.allocated()
 }
 
-fn measure() -> CapacityReport {
+/// Builds the programs that the running deployment consists of, which `cargo run` alone does not.
+fn build_programs() -> Result<(), Box<dyn std::error::Error>> {
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_owned());
+    let packages = ["-p", "mustardgate", "-p", "mustardctl", "-p", "mustardgate-standins"];
+    let mut command = Command::new(cargo);
+    command
+        .args(["build", "--quiet", "--bins", "--examples"])
+        .args(packages);
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    if command.status()?.success() {
+        return Ok(());
+    }
+    Err("the programs of the running deployment cannot be built".into())
+}
+
+fn measure_slopes() -> Vec<MeasuredSlope> {
     let mut slopes = measure_shared(allocated);
     slopes.extend(measure_serving(allocated));
     slopes.extend(measure_leading(allocated));
-    CapacityReport { slopes }
+    slopes
 }
 
 fn print_slopes(slopes: &[MeasuredSlope]) {
@@ -54,18 +80,64 @@
     }
 }
 
-fn run(path: Option<PathBuf>) -> Result<(), Box<dyn std::error::Error>> {
-    let report = measure();
-    print_slopes(&report.slopes);
+fn print_design(figures: &[RoleFigure]) {
+    for figure in figures {
+        let bound = match (figure.bound, figure.breaks_at) {
+            (Some(bound), Some(share)) => format!("beyond {bound}, met at {:.2}% of the size", share * 100.0),
+            (Some(bound), None) => format!("within {bound}"),
+            _ => String::new(),
+        };
+        println!(
+            "{:<23} {:<30} {:>14.3} {:<5} {bound}",
+            figure.role, figure.name, figure.value, figure.unit
+        );
+    }
+}
+
+fn print_running(report: &RunningReport) {
+    println!(
+        "{} nodes, {} runners with {:.2} models each, {} models, {:.1} s",
+        report.nodes, report.runners, report.held, report.models, report.seconds
+    );
+    for figure in &report.figures {
+        let predicted = figure
+            .predicted
+            .map_or_else(|| "-".to_owned(), |value| format!("{value:.4}"));
+        println!(
+            "{:<40} {:>14.4} {:<12} slopes say {predicted}",
+            figure.name, figure.measured, figure.unit
+        );
+    }
+}
+
+/// Returns whether every bound that the page claims as kept is kept.
+fn run(path: Option<PathBuf>) -> Result<bool, Box<dyn std::error::Error>> {
+    build_programs()?;
+    let slopes = measure_slopes();
+    print_slopes(&slopes);
+    let design = evaluate_design(&slopes);
+    print_design(&design);
+    let running = tokio::runtime::Runtime::new()?.block_on(measure_running(&slopes))?;
+    print_running(&running);
+    let report = CapacityReport {
+        slopes,
+        design,
+        running,
+    };
     if let Some(path) = path {
         std::fs::write(path, serde_json::to_string_pretty(&report)? + "\n")?;
     }
-    Ok(())
+    let missed: Vec<&RoleFigure> = report.design.iter().filter(|figure| figure.is_missed()).collect();
+    for figure in &missed {
+        println!("missed: {} of the {}", figure.name, figure.role);
+    }
+    Ok(missed.is_empty())
 }
 
 fn main() -> ExitCode {
     match parse_json_path().map_err(Into::into).and_then(run) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
         Err(error) => {
             eprintln!("capacity: {error}");
             ExitCode::from(2)
