Connect the nodes: peer listener, membership and configuration over peers

Cause: nodes had a transport, a membership view and a follower that could be fed, but nothing called them. Each node polled the log, took the platform's list alone, never succeeded a leader without the log and, restarted in an outage, stayed without a configuration.

Change: PeerHub (connections by address with backoff), the peer listener and a meter by kind; MembershipView in place of the list's directory, with heartbeats, digests, news, suspicion events and succession; feeders push frames, and a node that cannot load from the log asks others. The protocol's config_feed carries the feeder's frame instead of asking from an offset, since the feeder knows when there is something. A node's own append wakes its follower; a submission's append and its search for the end end at the deadline, as unknown.

Ruled out: sending an empty frame each second (every skipped run would leave a gap, so runs are gathered instead). Frames for both feeders (each reads the log).

Control bytes at the design size are not measured here.

--- a/crates/mustardgate-core/src/config/follower.rs
+++ b/crates/mustardgate-core/src/config/follower.rs
@@ -106,6 +106,12 @@
         self.is_feeder = is_feeder;
     }
 
+    /// Has the log read at once, because this node has just appended to it or found its end.
+    pub fn wake(&mut self) {
+        self.last_feed = None;
+        self.wait_until = None;
+    }
+
     /// Returns whether the last read of the log failed.
     pub fn is_log_away(&self) -> bool {
         self.is_log_away
--- a/crates/mustardgate-core/src/config/submission.rs
+++ b/crates/mustardgate-core/src/config/submission.rs
@@ -103,6 +103,11 @@
         &self.record.change
     }
 
+    /// Returns when the operator is told at the latest.
+    pub fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
     /// Returns what to do next.
     pub fn poll(&mut self, replica: &ConfigReplica, now: Instant) -> SubmissionAction {
         if let Stage::Finished(outcome) = &self.stage {
--- a/crates/mustardgate-core/src/membership/marks.rs
+++ b/crates/mustardgate-core/src/membership/marks.rs
@@ -51,9 +51,11 @@
         known.is_none()
     }
 
-    /// Drops evidence older than `memory`.
-    pub fn expire(&mut self, memory: Duration, now: Instant) {
+    /// Drops evidence older than `memory`; returns whether there was any.
+    pub fn expire(&mut self, memory: Duration, now: Instant) -> bool {
+        let count = self.marks.len();
         self.marks.retain(|_, age| age.at(now) <= memory);
+        self.marks.len() != count
     }
 
     /// Returns whether a server is known to be leaving.
--- a/crates/mustardgate-core/src/membership/view.rs
+++ b/crates/mustardgate-core/src/membership/view.rs
@@ -66,6 +66,7 @@
     sequence: u64,
     news: NewsScope,
     counters: MembershipCounters,
+    revision: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -92,6 +93,7 @@
             sequence: 0,
             news: NewsScope::None,
             counters: MembershipCounters::default(),
+            revision: 0,
         }
     }
 
@@ -107,6 +109,7 @@
             if entry.state == VmState::Leaving {
                 if self.marks.insert(&entry.name, entry.address, Duration::ZERO, now) {
                     self.news = NewsScope::AllDomains;
+                    self.revision += 1;
                 }
             } else {
                 is_regressed |= self.marks.contains(&entry.name, entry.address);
@@ -115,7 +118,10 @@
                 entry: entry.clone(),
                 missed_lists: 0,
             };
-            self.members.insert(entry.name.clone(), member);
+            let before = self.members.insert(entry.name.clone(), member);
+            if before.is_none_or(|before| before.entry != *entry) {
+                self.revision += 1;
+            }
         }
         self.counters.regressed_lists += u64::from(is_regressed);
         self.drop_missing();
@@ -135,7 +141,9 @@
 
     /// Forgets what is too old to matter.
     pub fn tick(&mut self, now: Instant) {
-        self.marks.expire(self.settings.leaving_memory, now);
+        if self.marks.expire(self.settings.leaving_memory, now) {
+            self.revision += 1;
+        }
     }
 
     /// Returns how far news is to be sent at once, and forgets that there is any.
@@ -233,6 +241,11 @@
         self.ranked_nodes(domain, now).first().map(|entry| (*entry).clone())
     }
 
+    /// Returns a number that grows whenever a VM appears, changes or goes, or a mark is added or dropped.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Returns what was counted.
     pub fn counters(&self) -> MembershipCounters {
         self.counters
@@ -268,6 +281,7 @@
             let is_recent = age <= self.settings.leaving_memory;
             if is_recent && self.marks.insert(&mark.backend, mark.address, age, now) {
                 self.news = self.news.max(scope);
+                self.revision += 1;
             }
         }
     }
@@ -280,6 +294,7 @@
 
     fn drop_missing(&mut self) {
         let missing_lists = self.settings.missing_lists;
+        let count = self.members.len();
         let suspicion = &mut self.suspicion;
         self.members.retain(|name, member| {
             let is_listed = member.missed_lists < missing_lists;
@@ -288,5 +303,8 @@
             }
             is_listed
         });
+        if self.members.len() != count {
+            self.revision += 1;
+        }
     }
 }
--- a/crates/mustardgate-core/tests/config_follower.rs
+++ b/crates/mustardgate-core/tests/config_follower.rs
@@ -218,6 +218,21 @@
     assert!(matches!(action, FollowAction::ReadLog { from: 101, .. }));
 }
 
+#[test]
+fn own_append_is_read_back_at_once_and_once() {
+    for is_feeder in [true, false] {
+        let mut fixture = Fixture::new(FakeLog::new(100, &[]));
+        fixture.follower.set_feeder(is_feeder);
+        fixture.settle();
+        let resting = fixture.follower.next_action(&fixture.replica, fixture.now);
+        assert!(matches!(resting, FollowAction::Wait(_)));
+        fixture.follower.wake();
+        let read = fixture.follower.next_action(&fixture.replica, fixture.now);
+        assert!(matches!(read, FollowAction::ReadLog { from: 100, .. }));
+        assert_eq!(fixture.settle(), resting);
+    }
+}
+
 /// Works out the digest that a feeder has after the change that the tests feed.
 fn fed_digest(replica: &ConfigReplica) -> StateDigest {
     let mut feeder = replica.clone();
--- a/crates/mustardgate-protocol/src/peers/connection.rs
+++ b/crates/mustardgate-protocol/src/peers/connection.rs
@@ -8,7 +8,7 @@
 
 use mustardgate_core::{
     clock,
-    ids::Offset,
+    config::FeedFrame,
     log::{BatchRecord, SnapshotRecord},
     membership::{DomainDigest, NodeHeartbeat},
 };
@@ -32,7 +32,7 @@
     key::{PROOF_HEADER, PeerKey, ProofSide},
     meter::PeerMeter,
     server::{NONCE_HEADER, UPGRADE_TIMEOUT, upgrade_error},
-    service::{ConfigFeed, PeerServiceClient, SubmissionOutcome},
+    service::{PeerServiceClient, SubmissionOutcome},
 };
 
 /// Time that one call may take.
@@ -78,12 +78,12 @@
         answered(self.client.config_state(call_context()).await)
     }
 
-    /// Asks for log entries from an offset on.
+    /// Sends what this node, a feeder of its failure domain, read from the log.
     ///
     /// # Errors
     /// [`CallError`] when no answer came.
-    pub async fn config_feed(&self, from: Offset) -> Result<ConfigFeed, CallError> {
-        answered(self.client.config_feed(call_context(), from).await)
+    pub async fn config_feed(&self, frame: FeedFrame) -> Result<(), CallError> {
+        answered(self.client.config_feed(call_context(), frame).await)
     }
 
     /// Submits claims and outcomes to the writer of the failure domain; without an answer their fate is unknown.
--- a/crates/mustardgate-protocol/src/peers/meter.rs
+++ b/crates/mustardgate-protocol/src/peers/meter.rs
@@ -6,27 +6,36 @@
 
 /// Kind of a message between nodes.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("{}", self.name())]
 pub enum MessageKind {
     /// Sign of life inside a failure domain.
-    #[display("heartbeat")]
     Heartbeat,
     /// News between failure domains.
-    #[display("digest")]
     Digest,
     /// Whole configuration.
-    #[display("config_state")]
     ConfigState,
-    /// Log entries for followers of the configuration.
-    #[display("config_feed")]
+    /// Log entries from a feeder to the other nodes of its failure domain.
     ConfigFeed,
     /// Claims and outcomes of keys on the way to the domain's writer.
-    #[display("submit_keys")]
     SubmitKeys,
     /// Cancellations and errors of the call protocol.
-    #[display("other")]
     Other,
 }
 
+impl MessageKind {
+    /// Returns the name under which the kind is counted.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Heartbeat => "heartbeat",
+            Self::Digest => "digest",
+            Self::ConfigState => "config_state",
+            Self::ConfigFeed => "config_feed",
+            Self::SubmitKeys => "submit_keys",
+            Self::Other => "other",
+        }
+    }
+}
+
 /// Counts bytes between nodes.
 pub trait PeerMeter: Debug + Send + Sync {
     /// Counts the payload of one frame that was sent.
--- a/crates/mustardgate-protocol/src/peers/mod.rs
+++ b/crates/mustardgate-protocol/src/peers/mod.rs
@@ -16,7 +16,7 @@
     key::{PeerKey, PeerKeyError},
     meter::{MessageKind, PeerMeter, SilentMeter},
     server::{PeerHandler, serve_connection},
-    service::{ConfigFeed, SubmissionOutcome},
+    service::SubmissionOutcome,
 };
 
 use snafu::Snafu;
--- a/crates/mustardgate-protocol/src/peers/server.rs
+++ b/crates/mustardgate-protocol/src/peers/server.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use futures::StreamExt;
 use mustardgate_core::{
-    ids::Offset,
+    config::FeedFrame,
     log::{BatchRecord, SnapshotRecord},
     membership::{DomainDigest, NodeHeartbeat},
 };
@@ -28,7 +28,7 @@
     frames::{FrameTransport, socket_config},
     key::{PROOF_HEADER, PeerKey, ProofSide},
     meter::PeerMeter,
-    service::{ConfigFeed, PeerService, SubmissionOutcome},
+    service::{PeerService, SubmissionOutcome},
 };
 
 /// Time that the upgrade of a connection may take.
@@ -50,8 +50,8 @@
     /// Returns the configuration as this node has it, or `None` when it has none.
     async fn config_state(&self) -> Option<SnapshotRecord>;
 
-    /// Returns log entries from an offset on.
-    async fn config_feed(&self, from: Offset) -> ConfigFeed;
+    /// Takes in what a feeder of the failure domain read from the log.
+    async fn config_feed(&self, frame: FeedFrame);
 
     /// Appends claims and outcomes with those of the whole failure domain.
     async fn submit_keys(&self, batch: BatchRecord) -> SubmissionOutcome;
@@ -132,8 +132,8 @@
         self.handler.config_state().await
     }
 
-    async fn config_feed(self, _context: Context, from: Offset) -> ConfigFeed {
-        self.handler.config_feed(from).await
+    async fn config_feed(self, _context: Context, frame: FeedFrame) {
+        self.handler.config_feed(frame).await;
     }
 
     async fn submit_keys(self, _context: Context, batch: BatchRecord) -> SubmissionOutcome {
--- a/crates/mustardgate-protocol/src/peers/service.rs
+++ b/crates/mustardgate-protocol/src/peers/service.rs
@@ -5,25 +5,17 @@
 )]
 
 use mustardgate_core::{
+    config::FeedFrame,
     ids::Offset,
     log::{BatchRecord, SnapshotRecord},
     membership::{DomainDigest, NodeHeartbeat},
-    ports::{AppendError, LogPage},
+    ports::AppendError,
 };
 use serde::{Deserialize, Serialize};
 use tarpc::{ClientMessage, Response};
 
 use super::meter::MessageKind;
 
-/// Answer to a request for log entries.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum ConfigFeed {
-    /// Entries from the offset asked for; empty when the node has none.
-    Page(LogPage),
-    /// The node no longer holds the offset asked for; ask for its state instead.
-    Trimmed,
-}
-
 /// What became of a batch at the domain's writer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SubmissionOutcome {
@@ -53,7 +45,7 @@
     async fn heartbeat(heartbeat: NodeHeartbeat);
     async fn digest(digest: DomainDigest);
     async fn config_state() -> Option<SnapshotRecord>;
-    async fn config_feed(from: Offset) -> ConfigFeed;
+    async fn config_feed(frame: FeedFrame);
     async fn submit_keys(batch: BatchRecord) -> SubmissionOutcome;
 }
 
--- a/crates/mustardgate/src/cli/mod.rs
+++ b/crates/mustardgate/src/cli/mod.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     node::{StopOutcome, run_node},
-    settings::{NodeSettings, read_secret},
+    settings::{NodeSettings, SettingsError, read_secret},
 };
 
 /// Exit code when settings or arguments are refused.
@@ -76,10 +76,8 @@
         Ok(settings) => settings,
         Err(error) => return usage_error(&error.to_string()),
     };
-    for key_file in [&settings.operators.key_file, &settings.peers.key_file] {
-        if let Err(error) = read_secret(key_file) {
-            return usage_error(&error.to_string());
-        }
+    if let Err(error) = check_keys(&settings) {
+        return usage_error(&error.to_string());
     }
     if is_check {
         println!("{}: settings are valid", path.display());
@@ -88,6 +86,12 @@
     run_runtime(settings)
 }
 
+fn check_keys(settings: &NodeSettings) -> Result<(), SettingsError> {
+    read_secret(&settings.operators.key_file)?;
+    settings.peers.read_key()?;
+    Ok(())
+}
+
 fn run_runtime(settings: NodeSettings) -> ExitCode {
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
--- a/crates/mustardgate/src/configuration/directory.rs
+++ b/crates/mustardgate/src/configuration/directory.rs
@@ -8,12 +8,15 @@
 };
 use tokio::sync::watch;
 
+use super::inbox::ConfigInbox;
+
 /// The configuration in force, shared by all tasks of the node.
 #[derive(Debug)]
 pub struct ConfigDirectory {
     replica: RwLock<ConfigReplica>,
     view: RwLock<Option<Arc<ConfigView>>>,
     applied: watch::Sender<Option<Offset>>,
+    inbox: ConfigInbox,
 }
 
 impl ConfigDirectory {
@@ -23,6 +26,7 @@
             replica: RwLock::new(ConfigReplica::new()),
             view: RwLock::new(None),
             applied: watch::Sender::new(None),
+            inbox: ConfigInbox::default(),
         }
     }
 
@@ -56,6 +60,11 @@
         result
     }
 
+    /// Returns what wakes the follower.
+    pub fn inbox(&self) -> &ConfigInbox {
+        &self.inbox
+    }
+
     /// Returns a receiver of the applied offset, which changes with every update.
     pub fn watch_applied(&self) -> watch::Receiver<Option<Offset>> {
         self.applied.subscribe()
--- a/crates/mustardgate/src/configuration/mod.rs
+++ b/crates/mustardgate/src/configuration/mod.rs
@@ -1,7 +1,9 @@
 //! The configuration follower: keeps the configuration in force from the platform's log.
 
 mod directory;
+mod feed;
 mod follow;
+mod inbox;
 mod submit;
 
-pub use self::{directory::ConfigDirectory, follow::follow_configuration, submit::submit_change};
+pub use self::{directory::ConfigDirectory, follow::follow_configuration, inbox::ConfigInbox, submit::submit_change};
--- a/crates/mustardgate/src/configuration/submit.rs
+++ b/crates/mustardgate/src/configuration/submit.rs
@@ -7,7 +7,7 @@
     config::{ChangeOutcome, ChangeSubmission, SubmissionAction},
     ids::Offset,
     log::LogRecord,
-    ports::ReadError,
+    ports::{AppendError, ReadError},
 };
 use tokio::time;
 
@@ -15,15 +15,22 @@
 
 /// Drives a submission until its outcome is known or its deadline passes.
 pub async fn submit_change(context: &NodeContext, mut submission: ChangeSubmission) -> ChangeOutcome {
+    let deadline = submission.deadline().into();
     let mut applied = context.directory.watch_applied();
     loop {
         applied.mark_unchanged();
         match context.directory.read(|replica| submission.poll(replica, clock::now())) {
             SubmissionAction::Append(record) => {
-                let answer = context.log.append(LogRecord::Change(record)).await;
-                submission.on_append(answer, clock::now());
+                let append = context.log.append(LogRecord::Change(record));
+                let answer = time::timeout_at(deadline, append).await;
+                submission.on_append(answer.unwrap_or(Err(AppendError::Unknown)), clock::now());
+                context.directory.inbox().note_append();
+            }
+            SubmissionAction::FindEnd => {
+                let end = time::timeout_at(deadline, find_end(context)).await;
+                submission.on_end(end.unwrap_or(Err(ReadError::Unavailable)), clock::now());
+                context.directory.inbox().note_append();
             }
-            SubmissionAction::FindEnd => submission.on_end(find_end(context).await, clock::now()),
             SubmissionAction::Wait(until) => wait_for_progress(&mut applied, until).await,
             SubmissionAction::Finish(outcome) => return outcome,
         }
--- a/crates/mustardgate/src/context/mod.rs
+++ b/crates/mustardgate/src/context/mod.rs
@@ -29,7 +29,7 @@
     records::RecordTail,
     runners::{DemandCounter, RunnerBoard},
     settings::NodeSettings,
-    vms::VmDirectory,
+    vms::VmMembership,
 };
 
 /// What the modules of a node need.
@@ -65,8 +65,8 @@
     pub keys: Arc<KeyDesk>,
     /// Follows leases, orders and keys in the log.
     pub tail: Arc<RecordTail>,
-    /// The platform's list of VMs.
-    pub vms: VmDirectory,
+    /// The VMs of the deployment.
+    pub vms: VmMembership,
     /// The leader role.
     pub leadership: LeadershipStatus,
     /// Retries that may still be made.
--- a/crates/mustardgate/src/lib.rs
+++ b/crates/mustardgate/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod logging;
 pub mod node;
 pub mod operator;
+pub mod peers;
 pub mod platform;
 pub mod records;
 pub mod runners;
--- a/crates/mustardgate/src/node/build.rs
+++ b/crates/mustardgate/src/node/build.rs
@@ -22,7 +22,7 @@
     records::RecordTail,
     runners::{DemandCounter, RunnerBoard},
     settings::NodeSettings,
-    vms::VmDirectory,
+    vms::VmMembership,
 };
 
 /// Builds the context of a node; nothing is sent yet.
@@ -72,7 +72,7 @@
         demand: DemandCounter::default(),
         keys: Arc::new(keys),
         tail,
-        vms: VmDirectory::default(),
+        vms: VmMembership::new(&settings),
         leadership: LeadershipStatus::default(),
         budget: Mutex::new(RetryBudget::new(retries)),
         drain: DrainController::default(),
--- a/crates/mustardgate/src/node/mod.rs
+++ b/crates/mustardgate/src/node/mod.rs
@@ -20,6 +20,7 @@
     http::{ConnectionLimits, serve_connections},
     logging::build_logger,
     operator::{OperatorContext, answer_operator},
+    peers::{MetricsMeter, PeerAnswers, PeerHub, serve_peers},
     settings::{NodeSettings, SettingsError, read_secret},
     telemetry::install_recorder,
 };
@@ -71,8 +72,11 @@
     events::STARTING.write(&logger, o!("domain" => settings.node.domain.to_string()));
     let metrics = install_recorder().map_err(|reason| StartError::Environment { reason })?;
     let operator_key = read_secret(&settings.operators.key_file)?;
+    let peer_key = settings.peers.read_key()?;
     let caller_listener = listen(settings.callers.listen).await?;
     let operator_listener = listen(settings.operators.listen).await?;
+    let peer_listener = listen(settings.peers.listen.into()).await?;
+    let hub = Arc::new(PeerHub::new(peer_key, Arc::new(MetricsMeter), logger.clone()));
     let node = build_context(settings, logger);
     let operator = Arc::new(OperatorContext {
         node: Arc::clone(&node),
@@ -82,7 +86,14 @@
     let mut signals = stop::StopSignals::install()?;
     let shutdown = CancellationToken::new();
     let tracker = TaskTracker::new();
-    tasks::spawn_tasks(&node, &tracker, &shutdown);
+    tasks::spawn_tasks(&node, &hub, &tracker, &shutdown);
+    tracker.spawn(serve_peers(
+        peer_listener,
+        hub,
+        Arc::new(PeerAnswers::new(Arc::clone(&node))),
+        node.logger.clone(),
+        shutdown.clone(),
+    ));
     let callers = tokio::spawn(serve_callers(Arc::clone(&node), caller_listener));
     tracker.spawn(serve_operators(operator, operator_listener, shutdown.clone()));
     events::LISTENING.write(&node.logger, o!("node" => identity.to_string()));
--- a/crates/mustardgate/src/node/tasks.rs
+++ b/crates/mustardgate/src/node/tasks.rs
@@ -9,14 +9,25 @@
     context::NodeContext,
     keys::append_batches,
     leader::{LeaderTask, leader_channel},
+    peers::PeerHub,
     records::{RecordObserver, follow_records},
     runners::{poll_reports, take_declarations},
-    vms::{apply_availability, poll_list},
+    vms::{apply_availability, exchange_membership, poll_list},
 };
 
 /// Spawns every task of the node; each ends when `shutdown` is cancelled.
-pub(super) fn spawn_tasks(node: &Arc<NodeContext>, tracker: &TaskTracker, shutdown: &CancellationToken) {
-    tracker.spawn(follow_configuration(Arc::clone(node), rand::random(), shutdown.clone()));
+pub(super) fn spawn_tasks(
+    node: &Arc<NodeContext>,
+    hub: &Arc<PeerHub>,
+    tracker: &TaskTracker,
+    shutdown: &CancellationToken,
+) {
+    tracker.spawn(follow_configuration(
+        Arc::clone(node),
+        Arc::clone(hub),
+        rand::random(),
+        shutdown.clone(),
+    ));
     tracker.spawn(keep_declarations(Arc::clone(node), shutdown.clone()));
     tracker.spawn(keep_list(Arc::clone(node), shutdown.clone()));
     tracker.spawn(keep_reports(Arc::clone(node), shutdown.clone()));
@@ -26,12 +37,18 @@
         Arc::clone(&node.log),
         shutdown.clone(),
     ));
-    spawn_leader(node, tracker, shutdown);
+    spawn_leader(node, hub, tracker, shutdown);
 }
 
 /// Spawns the leader role, and the reader of the log that the role and the keys follow.
-fn spawn_leader(node: &Arc<NodeContext>, tracker: &TaskTracker, shutdown: &CancellationToken) {
+fn spawn_leader(node: &Arc<NodeContext>, hub: &Arc<PeerHub>, tracker: &TaskTracker, shutdown: &CancellationToken) {
     let (sender, receiver, observer) = leader_channel();
+    tracker.spawn(exchange_membership(
+        Arc::clone(node),
+        Arc::clone(hub),
+        sender.clone(),
+        shutdown.clone(),
+    ));
     let role = LeaderTask::new(Arc::clone(node), sender, rand::random());
     tracker.spawn(role.run(receiver, shutdown.clone()));
     let keys: Arc<dyn RecordObserver> = Arc::clone(&node.keys) as Arc<dyn RecordObserver>;
--- /dev/null
+++ b/crates/mustardgate/src/peers/answers.rs
@@ -0,0 +1,57 @@
+//! What this node does with the calls of other nodes.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use mustardgate_core::{
+    clock,
+    config::FeedFrame,
+    log::{BatchRecord, LogRecord, SnapshotRecord},
+    membership::{DomainDigest, NodeHeartbeat},
+};
+use mustardgate_protocol::peers::{PeerHandler, SubmissionOutcome};
+
+use crate::{context::NodeContext, vms::apply_availability};
+
+/// Answers the calls of other nodes from the node's own state.
+#[derive(Debug)]
+pub struct PeerAnswers {
+    context: Arc<NodeContext>,
+}
+
+impl PeerAnswers {
+    /// Creates the answers of one node.
+    pub fn new(context: Arc<NodeContext>) -> Self {
+        Self { context }
+    }
+}
+
+#[async_trait]
+impl PeerHandler for PeerAnswers {
+    async fn heartbeat(&self, heartbeat: NodeHeartbeat) {
+        if self.context.vms.heartbeat_received(&heartbeat, clock::now()) {
+            apply_availability(&self.context);
+        }
+    }
+
+    async fn digest(&self, digest: DomainDigest) {
+        if self.context.vms.digest_received(&digest, clock::now()) {
+            apply_availability(&self.context);
+        }
+    }
+
+    async fn config_state(&self) -> Option<SnapshotRecord> {
+        let author = self.context.settings.node.name.clone();
+        self.context.directory.read(|replica| replica.to_snapshot(author))
+    }
+
+    async fn config_feed(&self, frame: FeedFrame) {
+        self.context.directory.inbox().push(frame);
+    }
+
+    async fn submit_keys(&self, batch: BatchRecord) -> SubmissionOutcome {
+        let appended = self.context.log.append(LogRecord::Batch(batch)).await;
+        self.context.tail.wake();
+        appended.into()
+    }
+}
--- a/crates/mustardgate/src/settings/mod.rs
+++ b/crates/mustardgate/src/settings/mod.rs
@@ -19,6 +19,7 @@
     path::{Path, PathBuf},
 };
 
+use mustardgate_protocol::peers::PeerKeyError;
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu, ensure};
 
@@ -92,6 +93,14 @@
         /// Key and range.
         fault: RangeFault,
     },
+    /// The key of the deployment is too short.
+    #[snafu(display("{}: {source}", path.display()))]
+    WeakPeerKey {
+        /// Path of the file.
+        path: PathBuf,
+        /// Cause.
+        source: PeerKeyError,
+    },
     /// A secret's file is empty.
     #[snafu(display("{} holds no key", path.display()))]
     EmptySecret {
--- a/crates/mustardgate/src/settings/peers.rs
+++ b/crates/mustardgate/src/settings/peers.rs
@@ -2,9 +2,11 @@
 
 use std::{net::SocketAddrV4, path::PathBuf, time::Duration};
 
+use mustardgate_protocol::peers::PeerKey;
 use serde::Deserialize;
+use snafu::ResultExt;
 
-use super::RangeCheck;
+use super::{RangeCheck, SettingsError, WeakPeerKeySnafu, read_secret};
 
 /// The listener for other nodes of the deployment.
 #[derive(Clone, Debug, Deserialize)]
@@ -41,6 +43,16 @@
         Duration::from_millis(self.digest_ms)
     }
 
+    /// Reads the key that all nodes of the deployment share.
+    ///
+    /// # Errors
+    /// [`SettingsError`] when the file cannot be read or its key is too short.
+    pub fn read_key(&self) -> Result<PeerKey, SettingsError> {
+        let path = &self.key_file;
+        let secret = read_secret(path)?;
+        PeerKey::new(secret.as_bytes()).context(WeakPeerKeySnafu { path })
+    }
+
     pub(super) fn check(&self, check: &mut RangeCheck) {
         check.within("peers", "heartbeat_ms", self.heartbeat_ms, 50..=10_000);
         check.within("peers", "digest_ms", self.digest_ms, 100..=60_000);
--- a/crates/mustardgate/src/vms/mod.rs
+++ b/crates/mustardgate/src/vms/mod.rs
@@ -1,9 +1,11 @@
-//! The platform's list of VMs, as this node last saw it.
+//! The VMs of the deployment: the platform's list merged with what other nodes have seen.
 
-mod directory;
+mod exchange;
+mod membership;
 mod poll;
 
 pub use self::{
-    directory::VmDirectory,
+    exchange::exchange_membership,
+    membership::{SuspicionChanges, VmMembership},
     poll::{apply_availability, poll_list},
 };
--- a/crates/mustardgate/src/vms/poll.rs
+++ b/crates/mustardgate/src/vms/poll.rs
@@ -1,6 +1,6 @@
 //! The task that fetches the list of VMs.
 
-use mustardgate_core::resources::ResourceKind;
+use mustardgate_core::{clock, resources::ResourceKind};
 use slog::o;
 use tokio::time::{self, MissedTickBehavior};
 use tokio_util::sync::CancellationToken;
@@ -20,7 +20,7 @@
         match context.list.fetch().await {
             Ok(entries) => {
                 was_away = false;
-                if context.vms.replace(entries) {
+                if context.vms.list_fetched(&entries, clock::now()) {
                     apply_availability(context);
                 }
             }
