--- a/crates/standins/examples/attainment.rs
+++ b/crates/standins/examples/attainment.rs
@@ -1,4 +1,4 @@
-//! Runs the experiment: `attainment [--deployment pinto|chaji|both] [--seeds N] [--json PATH] [--svg PATH]`.
+//! Runs the experiment: `attainment [--deployment pinto|chaji|both] [--scenario NAME]... [--seeds N] [--json PATH] [--svg PATH]`.
 //!
 //! Exits with 1 when a stated target is missed, after printing which.
 
@@ -6,7 +6,7 @@
 
 use lexopt::prelude::{Long, ValueExt};
 use mustardgate_standins::experiment::{
-    DeploymentKind, ExperimentOptions, ExperimentReport, draw_page, run_experiment,
+    DeploymentKind, ExperimentOptions, ExperimentReport, ScenarioKind, draw_page, run_experiment,
 };
 use snafu::{ResultExt, Whatever};
 
@@ -26,10 +26,18 @@
     }
 }
 
+fn parse_scenario(name: &str) -> Result<ScenarioKind, String> {
+    ScenarioKind::ALL
+        .into_iter()
+        .find(|scenario| scenario.to_string() == name)
+        .ok_or_else(|| format!("unknown scenario {name}"))
+}
+
 fn parse_arguments() -> Result<Arguments, lexopt::Error> {
     let mut arguments = Arguments {
         options: ExperimentOptions {
             deployments: vec![DeploymentKind::Pinto, DeploymentKind::Chaji],
+            scenarios: Vec::new(),
             seeds: 20,
         },
         json: None,
@@ -39,12 +47,19 @@
     while let Some(argument) = parser.next()? {
         match argument {
             Long("deployment") => arguments.options.deployments = parser.value()?.parse_with(parse_deployments)?,
+            Long("scenario") => arguments
+                .options
+                .scenarios
+                .push(parser.value()?.parse_with(parse_scenario)?),
             Long("seeds") => arguments.options.seeds = parser.value()?.parse()?,
             Long("json") => arguments.json = Some(parser.value()?.into()),
             Long("svg") => arguments.svg = Some(parser.value()?.into()),
             other => return Err(other.unexpected()),
         }
     }
+    if arguments.options.scenarios.is_empty() {
+        arguments.options.scenarios = ScenarioKind::ALL.to_vec();
+    }
     Ok(arguments)
 }
 
--- a/crates/standins/src/experiment/report.rs
+++ b/crates/standins/src/experiment/report.rs
@@ -27,6 +27,8 @@
 pub struct ExperimentOptions {
     /// Deployments to run.
     pub deployments: Vec<DeploymentKind>,
+    /// Scenarios to run; figures over all scenarios are over these.
+    pub scenarios: Vec<ScenarioKind>,
     /// Number of seeds, counted from 1.
     pub seeds: u64,
 }
@@ -112,8 +114,8 @@
 pub fn run_experiment(options: &ExperimentOptions) -> ExperimentReport {
     let mut jobs = Vec::new();
     for deployment in &options.deployments {
-        for scenario in ScenarioKind::ALL {
-            jobs.extend((1..=options.seeds).map(|seed| (*deployment, scenario, seed)));
+        for scenario in &options.scenarios {
+            jobs.extend((1..=options.seeds).map(|seed| (*deployment, *scenario, seed)));
         }
     }
     let next = AtomicUsize::new(0);
@@ -160,16 +162,15 @@
             runs,
         };
         for deployment in &options.deployments {
-            report.summarise(*deployment);
+            report.summarise(*deployment, &options.scenarios);
             report.judge_ratios(*deployment);
-            report.judge_product(*deployment);
+            report.judge_product(*deployment, &options.scenarios);
         }
         report
     }
 
-    fn summarise(&mut self, deployment: DeploymentKind) {
-        let scenarios = ScenarioKind::ALL.into_iter().map(Some).chain([None]);
-        for scenario in scenarios {
+    fn summarise(&mut self, deployment: DeploymentKind, scenarios: &[ScenarioKind]) {
+        for scenario in scenarios.iter().copied().map(Some).chain([None]) {
             for policy in PolicyKind::ALL {
                 let summary = self.summary(deployment, scenario, policy);
                 self.summaries.push(summary);
@@ -245,9 +246,9 @@
     }
 
     /// Holds the product's figures in each scenario against the targets, by the median of seeds.
-    fn judge_product(&mut self, deployment: DeploymentKind) {
+    fn judge_product(&mut self, deployment: DeploymentKind, scenarios: &[ScenarioKind]) {
         let policy = Deployment::new(deployment).policy;
-        for scenario in ScenarioKind::ALL {
+        for scenario in scenarios.iter().copied() {
             let median = |read: fn(&RunFigures) -> f64| {
                 let values = self.by_seed(deployment, Some(scenario), PolicyKind::Product, read);
                 SeedStatistics::of(&values).median
