Keep places of runners that are away, and tell leaders what other domains hold

Base placement was computed anew over the runners left: second replicas were rebuilt elsewhere, the packing changed around them, and everything moved back afterwards. Ruled out: a placement that depends on the one before, because nodes would differ by their history. Change: BaseInput::absent. Replicas on live runners stay; only what falls below its minimum is placed on live runners; everything is placed anew when that finds no room. AbsenceTracker limits it to ten minutes. The node's leader uses both and gives GainPolicy::set_remote the fresh reports of other domains' runners, which was not wired. Sharing arrivals between domains stays open: it needs messages between leaders. The node's wiring has no test of its own.

--- a/crates/mustardgate-core/src/placement/base/assign.rs
+++ b/crates/mustardgate-core/src/placement/base/assign.rs
@@ -38,8 +38,35 @@
     held: BTreeSet<&'a Artifact>,
 }
 
+/// Runners of one region.
+#[derive(Debug, Default)]
+pub(super) struct RegionRunners<'a> {
+    pub(super) live: Vec<&'a LiveRunner>,
+    pub(super) absent: Vec<&'a LiveRunner>,
+}
+
+/// Assigns over all runners, and replaces on live ones only what has too few replicas left; when that finds no room,
+/// assigns anew over the live runners, because reach goes before staying in place.
+pub(super) fn assign_region(artifacts: &[DeclaredArtifact], runners: &RegionRunners<'_>) -> RegionAssignment {
+    if runners.absent.is_empty() {
+        return assign_anew(artifacts, &runners.live);
+    }
+    let all: Vec<&LiveRunner> = runners.live.iter().chain(&runners.absent).copied().collect();
+    let home = assign_anew(artifacts, &all);
+    let kept = RegionPacker::new(&runners.live, PackingOrder::Rank).keep(artifacts, home);
+    if kept.unplaced.is_empty() {
+        return kept;
+    }
+    let anew = assign_anew(artifacts, &runners.live);
+    if anew.unplaced.len() < kept.unplaced.len() {
+        anew
+    } else {
+        kept
+    }
+}
+
 /// Assigns by rank, and packs tighter when that leaves something without any replica.
-pub(super) fn assign_region(artifacts: &[DeclaredArtifact], runners: &[&LiveRunner]) -> RegionAssignment {
+fn assign_anew(artifacts: &[DeclaredArtifact], runners: &[&LiveRunner]) -> RegionAssignment {
     let ranked = RegionPacker::new(runners, PackingOrder::Rank).assign(artifacts);
     if ranked.unplaced.is_empty() {
         return ranked;
@@ -106,6 +133,42 @@
         self.assignment
     }
 
+    /// Keeps the replicas of `home` that are on these runners, and adds what is missing to each artifact's minimum.
+    fn keep(mut self, artifacts: &'a [DeclaredArtifact], home: RegionAssignment) -> RegionAssignment {
+        let ordered = ordered_by_family(artifacts);
+        let mut replicas = home.replicas;
+        for declared in &ordered {
+            for replica in replicas.remove(&declared.artifact).into_iter().flatten() {
+                self.keep_replica(declared, replica);
+            }
+        }
+        for declared in &ordered {
+            let kept = self.assignment.replicas.get(&declared.artifact).map_or(0, Vec::len) as u32;
+            for replica in kept..declared.min_replicas.max(1) {
+                if !self.place(declared, &ordered, replica > 0) && replica == 0 {
+                    self.assignment.unplaced.push(declared.artifact.clone());
+                }
+            }
+        }
+        self.assignment
+    }
+
+    fn keep_replica(&mut self, declared: &'a DeclaredArtifact, replica: BaseReplica) {
+        let place = &replica.place;
+        let slot = self
+            .slots
+            .iter_mut()
+            .find(|slot| slot.runner.backend == place.backend && slot.accelerator == place.accelerator);
+        let Some(slot) = slot else { return };
+        let Some(free_mib) = slot.free_mib.checked_sub(declared.memory_mib) else {
+            return;
+        };
+        slot.free_mib = free_mib;
+        slot.held.insert(&declared.artifact);
+        let kept = self.assignment.replicas.entry(declared.artifact.clone()).or_default();
+        kept.push(replica);
+    }
+
     /// Places one replica; a further one goes to a failure domain without a replica while there is such a domain.
     fn place(&mut self, declared: &'a DeclaredArtifact, all: &[&DeclaredArtifact], is_further: bool) -> bool {
         let held: Vec<BaseReplica> = self
--- a/crates/mustardgate-core/src/placement/base/mod.rs
+++ b/crates/mustardgate-core/src/placement/base/mod.rs
@@ -3,12 +3,14 @@
 //! A pure function of the declarations and the live list, so that every node computes the same without messages. See
 //! `docs/design/placement.md`.
 
+mod absence;
 mod assign;
 mod rank;
 
 use std::collections::BTreeMap;
 
-use self::assign::assign_region;
+pub use self::absence::AbsenceTracker;
+use self::assign::{RegionRunners, assign_region};
 use super::BaseAssignment;
 use crate::{
     ids::{BackendId, DomainId, MemoryMib, RegionId},
@@ -22,6 +24,9 @@
     pub artifacts: Vec<DeclaredArtifact>,
     /// Runners in the live list that are not leaving.
     pub runners: Vec<LiveRunner>,
+    /// Declared runners that are away and expected back. Their places stay theirs, so that a lost runner moves only
+    /// weights that have no replica left.
+    pub absent: Vec<LiveRunner>,
 }
 
 /// Weights that must stay reachable.
@@ -80,9 +85,15 @@
 impl BasePlacement {
     /// Computes the placement; the order of the input does not matter.
     pub fn compute(input: &BaseInput) -> Self {
-        let mut regions: BTreeMap<&RegionId, Vec<&LiveRunner>> = BTreeMap::new();
+        let mut regions: BTreeMap<&RegionId, RegionRunners<'_>> = BTreeMap::new();
         for runner in &input.runners {
-            regions.entry(&runner.region).or_default().push(runner);
+            regions.entry(&runner.region).or_default().live.push(runner);
+        }
+        for runner in &input.absent {
+            // A region without a live runner is out of reach and places nothing.
+            if let Some(runners) = regions.get_mut(&runner.region) {
+                runners.absent.push(runner);
+            }
         }
         let mut placement = Self::default();
         for (region, runners) in regions {
--- a/crates/mustardgate-core/tests/placement_base.rs
+++ b/crates/mustardgate-core/tests/placement_base.rs
@@ -1,11 +1,14 @@
 //! Base placement: memory, reach, failure domains, determinism and stability.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
 
 use mustardgate_core::{
     ids::{BackendId, MemoryMib},
     log::Artifact,
-    placement::base::{BaseInput, BasePlacement, DeclaredArtifact, LiveRunner},
+    placement::base::{AbsenceTracker, BaseInput, BasePlacement, DeclaredArtifact, LiveRunner},
 };
 use proptest::prelude::*;
 use smol_str::format_smolstr;
@@ -55,6 +58,7 @@
             .chain((0..95).map(|index| adapter(index, index % 26, 200)))
             .collect(),
         runners: (0..18).map(|index| runner(index, 3, 81_920)).collect(),
+        absent: Vec::new(),
     }
 }
 
@@ -92,6 +96,56 @@
     assert!(moved <= lost * 3, "{moved} replicas moved where {lost} were lost");
 }
 
+#[test]
+fn a_domain_that_is_expected_back_moves_only_what_has_no_replica_left() {
+    let input = pinto_sized();
+    let before = BasePlacement::compute(&input);
+    let (absent, runners): (Vec<_>, Vec<_>) = input.runners.iter().cloned().partition(|runner| runner.domain == "d1");
+    let smaller = BaseInput {
+        runners,
+        absent,
+        ..input
+    };
+    let after = BasePlacement::compute(&smaller);
+    assert_eq!(after.unplaced, []);
+    assert_eq!(after.replicas.len(), before.replicas.len());
+    for (artifact, replicas) in &before.replicas {
+        let mut left = replicas.clone();
+        left.retain(|replica| replica.domain != "d1");
+        assert!(!left.is_empty(), "two domains hold {artifact:?}");
+        assert_eq!(after.replicas[artifact], left);
+    }
+}
+
+#[test]
+fn what_only_an_absent_runner_held_is_placed_on_a_live_one() {
+    let input = BaseInput {
+        artifacts: vec![model(0, 60), model(1, 60), model(2, 60)],
+        runners: (0..3).map(|index| runner(index, 3, 100)).collect(),
+        absent: Vec::new(),
+    };
+    let home = BasePlacement::compute(&input);
+    let lost = home.replicas[&model(1, 60).artifact][0].place.backend.clone();
+    let (absent, runners): (Vec<_>, Vec<_>) = input.runners.iter().cloned().partition(|runner| runner.backend == lost);
+    let crowded = BaseInput {
+        runners,
+        absent,
+        ..input.clone()
+    };
+    assert_eq!(BasePlacement::compute(&crowded).unplaced.len(), 1);
+    let mut roomy = crowded;
+    roomy.runners[0].accelerators = vec![160];
+    let placement = BasePlacement::compute(&roomy);
+    assert_eq!(placement.unplaced, []);
+    assert!(
+        placement
+            .replicas
+            .values()
+            .flatten()
+            .all(|replica| replica.place.backend != lost)
+    );
+}
+
 #[test]
 fn the_best_fit_is_tried_when_the_ranks_leave_something_out() {
     let input = BaseInput {
@@ -101,6 +155,7 @@
             .map(|(index, size)| model(index, *size))
             .collect(),
         runners: (0..3).map(|index| runner(index, 3, 100)).collect(),
+        absent: Vec::new(),
     };
     assert!(BasePlacement::compute(&input).unplaced.is_empty());
 }
@@ -112,6 +167,7 @@
     let input = BaseInput {
         artifacts: models.chain(adapters).collect(),
         runners: (0..18).map(|index| runner(index, 3, 81_920)).collect(),
+        absent: Vec::new(),
     };
     assert_eq!(BasePlacement::compute(&input).unplaced, []);
 }
@@ -121,6 +177,7 @@
     let input = BaseInput {
         artifacts: vec![model(0, 200)],
         runners: vec![runner(0, 1, 100)],
+        absent: Vec::new(),
     };
     let placement = BasePlacement::compute(&input);
     assert_eq!(placement.unplaced.len(), 1);
@@ -142,6 +199,7 @@
         let input = BaseInput {
             artifacts: models.chain(adapters).collect(),
             runners: (0..runners).map(|index| runner(index, domains, 100)).collect(),
+            absent: Vec::new(),
         };
         let placement = BasePlacement::compute(&input);
         prop_assert!(used(&input, &placement).values().all(|used| *used <= 100));
@@ -159,3 +217,19 @@
         prop_assert_eq!(placed, input.artifacts.len());
     }
 }
+
+#[test]
+fn a_runner_is_expected_back_for_a_limited_time_from_when_it_went() {
+    let start = Instant::now();
+    let mut absences = AbsenceTracker::new(Duration::from_secs(600));
+    let at = |seconds| start + Duration::from_secs(seconds);
+    absences.observe(at(0), [BackendId::from("r0")]);
+    absences.observe(at(500), [BackendId::from("r0"), BackendId::from("r1")]);
+    assert!(absences.is_expected(at(599), &"r0".into()));
+    assert!(!absences.is_expected(at(600), &"r0".into()));
+    assert!(absences.is_expected(at(600), &"r1".into()));
+    assert!(!absences.is_expected(at(600), &"r2".into()));
+    absences.observe(at(700), [BackendId::from("r1")]);
+    absences.observe(at(800), [BackendId::from("r0")]);
+    assert!(absences.is_expected(at(801), &"r0".into()));
+}
--- a/crates/mustardgate/src/leader/domain.rs
+++ b/crates/mustardgate/src/leader/domain.rs
@@ -1,16 +1,21 @@
 //! Describes the failure domain to its leader: runners, declared weights, demand and limits.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Instant,
+};
 
 use mustardgate_core::{
+    clock,
     config::ConfigView,
     ids::{BackendId, DomainId, MemoryMib},
     leader::{DomainConfig, RunnerConfig},
     log::Artifact,
     placement::{
         ArtifactDemand,
-        base::{BaseInput, BasePlacement, DeclaredArtifact, LiveRunner},
+        base::{AbsenceTracker, BaseInput, BasePlacement, DeclaredArtifact, LiveRunner},
         demand::DemandEstimator,
+        gain::RemoteReplicas,
     },
     resources::{BackendRole, BackendSpec, PolicySpec, PriorityClass, ResourceKind, ResourceSpec},
     routing::Availability,
@@ -18,21 +23,38 @@
 
 use crate::context::NodeContext;
 
-/// Describes the own failure domain from the declarations and the live list.
-pub(super) fn describe_domain(context: &NodeContext, demand: &DemandEstimator) -> Option<DomainConfig> {
+/// Intervals between reports after which a report no longer shows that a replica answers.
+pub(super) const REPORT_FRESHNESS_INTERVALS: u32 = 4;
+
+/// The own failure domain, and what its leader knows of the others.
+#[derive(Debug)]
+pub(super) struct DomainDescription {
+    pub(super) config: DomainConfig,
+    pub(super) remote: BTreeMap<Artifact, RemoteReplicas>,
+}
+
+/// Describes the failure domains from the declarations, the live list and the runners' reports.
+pub(super) fn describe_domain(
+    context: &NodeContext,
+    demand: &DemandEstimator,
+    absences: &mut AbsenceTracker,
+) -> Option<DomainDescription> {
+    let now = clock::now();
     let view = context.directory.view().ok()?;
     let own = &context.settings.node.domain;
     let engines = declared_engines(&view);
+    let is_live = |name: &BackendId| context.vms.availability(name) == Availability::Serving;
+    let (live, away): (Vec<_>, Vec<_>) = engines.iter().partition(|(name, _)| is_live(name));
+    absences.observe(now, away.iter().map(|(name, _)| name.clone()));
+    let absent = away.into_iter().filter(|(name, _)| absences.is_expected(now, name));
     let input = BaseInput {
         artifacts: declared_artifacts(&view),
-        runners: engines
-            .iter()
-            .filter_map(|(name, spec)| live_runner(context, name, spec))
-            .collect(),
+        runners: live.into_iter().map(describe_runner).collect(),
+        absent: absent.map(describe_runner).collect(),
     };
     let placement = BasePlacement::compute(&input);
     let in_domain = |spec: &&(BackendId, BackendSpec)| spec.1.domain == *own;
-    Some(DomainConfig {
+    let config = DomainConfig {
         runners: engines
             .iter()
             .filter(in_domain)
@@ -45,7 +67,9 @@
             .collect(),
         answered_elsewhere: answered_elsewhere(context, &engines, &input.artifacts),
         policy: domain_share(&view.policy(), &engines),
-    })
+    };
+    let remote = remote_replicas(context, now, &engines, &placement);
+    Some(DomainDescription { config, remote })
 }
 
 fn declared_engines(view: &ConfigView) -> Vec<(BackendId, BackendSpec)> {
@@ -99,16 +123,13 @@
         .collect()
 }
 
-fn live_runner(context: &NodeContext, name: &BackendId, spec: &BackendSpec) -> Option<LiveRunner> {
-    if context.vms.availability(name) != Availability::Serving {
-        return None;
-    }
-    Some(LiveRunner {
+fn describe_runner((name, spec): &(BackendId, BackendSpec)) -> LiveRunner {
+    LiveRunner {
         backend: name.clone(),
         domain: spec.domain.clone(),
         region: spec.region.clone(),
         accelerators: accelerator_memory(spec),
-    })
+    }
 }
 
 fn runner_config(context: &NodeContext, name: &BackendId, spec: &BackendSpec) -> RunnerConfig {
@@ -159,6 +180,47 @@
         .collect()
 }
 
+/// Returns what runners of other failure domains answer for, by reports that are fresh enough to show it. Only base
+/// replicas count as answering, because another domain may give up others at the same moment.
+fn remote_replicas(
+    context: &NodeContext,
+    now: Instant,
+    engines: &[(BackendId, BackendSpec)],
+    placement: &BasePlacement,
+) -> BTreeMap<Artifact, RemoteReplicas> {
+    let own = &context.settings.node.domain;
+    let freshness = context.settings.backends.report() * REPORT_FRESHNESS_INTERVALS;
+    let mut found: BTreeMap<Artifact, Vec<RemoteReplica>> = BTreeMap::new();
+    for (name, spec) in engines.iter().filter(|(_, spec)| spec.domain != *own) {
+        let entry = context.board.entry(name);
+        let Some(entry) = entry.filter(|entry| now.saturating_duration_since(entry.received) <= freshness) else {
+            continue;
+        };
+        let outstanding = f64::from(entry.report.running + entry.report.waiting);
+        let utilisation = outstanding / f64::from(spec.max_concurrency.max(1));
+        for resident in entry.report.resident.iter().filter(|resident| resident.is_ready) {
+            let base = placement.replicas.get(&resident.artifact).into_iter().flatten();
+            let is_base = base.map(|replica| &replica.place).any(|place| place.backend == *name);
+            let replicas = found.entry(resident.artifact.clone()).or_default();
+            replicas.push(RemoteReplica { is_base, utilisation });
+        }
+    }
+    let summarise = |replicas: Vec<RemoteReplica>| RemoteReplicas {
+        answering: replicas.iter().filter(|replica| replica.is_base).count() as u32,
+        utilisation: replicas.iter().map(|replica| replica.utilisation).sum::<f64>() / replicas.len() as f64,
+    };
+    found
+        .into_iter()
+        .map(|(artifact, replicas)| (artifact, summarise(replicas)))
+        .collect()
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RemoteReplica {
+    is_base: bool,
+    utilisation: f64,
+}
+
 /// Returns the policy with this domain's equal share of the weight store's limits.
 fn domain_share(policy: &PolicySpec, engines: &[(BackendId, BackendSpec)]) -> PolicySpec {
     let domains: BTreeSet<&DomainId> = engines.iter().map(|(_, spec)| &spec.domain).collect();
--- a/crates/mustardgate/src/leader/task.rs
+++ b/crates/mustardgate/src/leader/task.rs
@@ -9,6 +9,7 @@
     lease::LeaseSettings,
     placement::{
         PlacementPolicy,
+        base::AbsenceTracker,
         demand::{DemandEstimator, DemandSettings},
         gain::{GainPolicy, GainSettings},
     },
@@ -21,7 +22,10 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use super::{domain::describe_domain, observer::LeaderObserver};
+use super::{
+    domain::{REPORT_FRESHNESS_INTERVALS, describe_domain},
+    observer::LeaderObserver,
+};
 use crate::{context::NodeContext, events, runners::take_report};
 
 /// Interval at which the leader looks at the time.
@@ -30,6 +34,8 @@
 const PLAN_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two appends of the domain.
 const APPEND_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which the places of a runner that is away stay its own.
+const ABSENCE_EXPECTED: Duration = Duration::from_secs(600);
 /// Part of the lease's term at which the holder stops acting before its end.
 const MARGIN_DIVISOR: u32 = 6;
 /// Part of the log's retention after which open intents are logged again.
@@ -52,8 +58,9 @@
 pub struct LeaderTask {
     context: Arc<NodeContext>,
     leader: DomainLeader,
-    policy: Box<dyn PlacementPolicy>,
+    policy: GainPolicy,
     demand: DemandEstimator,
+    absences: AbsenceTracker,
     sender: UnboundedSender<LeaderEvent>,
     is_draining: bool,
 }
@@ -69,8 +76,9 @@
         Self {
             context,
             leader,
-            policy: Box::new(policy),
+            policy,
             demand: DemandEstimator::new(DemandSettings::default()),
+            absences: AbsenceTracker::new(ABSENCE_EXPECTED),
             sender,
             is_draining: false,
         }
@@ -103,10 +111,11 @@
     fn plan(&mut self) {
         let now = clock::now();
         self.demand.observe(now, &self.context.demand.collect());
-        let Some(config) = describe_domain(&self.context, &self.demand) else {
+        let Some(description) = describe_domain(&self.context, &self.demand, &mut self.absences) else {
             return;
         };
-        self.handle(LeaderEvent::DomainChanged(config));
+        self.policy.set_remote(description.remote);
+        self.handle(LeaderEvent::DomainChanged(description.config));
         if self.leader.tenure() == LeaderTenure::Follower {
             return;
         }
@@ -209,7 +218,7 @@
         address: FencingNumber::pack_address(settings.peers.listen),
         read_interval: settings.backends.report(),
         retry_interval: settings.platform.timeout(),
-        report_freshness: settings.backends.report() * 4,
+        report_freshness: settings.backends.report() * REPORT_FRESHNESS_INTERVALS,
         append_interval: APPEND_INTERVAL,
         checkpoint_interval: settings.platform.retention() / CHECKPOINT_DIVISOR,
     }
--- a/crates/standins/src/experiment/deployment.rs
+++ b/crates/standins/src/experiment/deployment.rs
@@ -115,19 +115,19 @@
         f64::from(self.runners as u32 * BATCH_SLOTS) / super::engine::MEAN_HOLD_S
     }
 
-    /// Computes the base placement over the runners that are alive.
+    /// Computes the base placement; runners that are not alive are expected back.
     pub fn base_placement(&self, is_alive: impl Fn(usize) -> bool) -> BasePlacement {
-        let runners = (0..self.runners)
-            .filter(|index| is_alive(*index))
-            .map(|index| LiveRunner {
-                backend: format_smolstr!("r{index}"),
-                domain: Self::domain_name(self.domain_of(index)),
-                region: REGION.into(),
-                accelerators: vec![ACCELERATOR_MEMORY_MIB],
-            });
+        let (live, absent): (Vec<usize>, Vec<usize>) = (0..self.runners).partition(|index| is_alive(*index));
+        let describe = |index: usize| LiveRunner {
+            backend: format_smolstr!("r{index}"),
+            domain: Self::domain_name(self.domain_of(index)),
+            region: REGION.into(),
+            accelerators: vec![ACCELERATOR_MEMORY_MIB],
+        };
         BasePlacement::compute(&BaseInput {
             artifacts: self.catalogue.declared(),
-            runners: runners.collect(),
+            runners: live.into_iter().map(describe).collect(),
+            absent: absent.into_iter().map(describe).collect(),
         })
     }
 
