--- a/crates/standins/src/capacity/samples.rs
+++ b/crates/standins/src/capacity/samples.rs
@@ -181,5 +181,6 @@
     BaseInput {
         artifacts: (0..models).map(declared).collect(),
         runners: (0..runners).map(live).collect(),
+        absent: Vec::new(),
     }
 }
