Bring faults about in a deployment of real processes

Cause: kill, freeze and cut were proved in process only, with ports and paused time; nothing showed them with real processes under load.

Ruled out: judging by the nodes' own counters alone. The judge compares what the engines and services ran with what callers and operators heard; the nodes' counters are read besides. Streams through a node that was itself killed or frozen cannot but break; they are counted apart.

Change: the example `failures` with one module a fault (leader killed, leader frozen past its lease, domain cut both ways and one way).

--- /dev/null
+++ b/crates/standins/src/failures/answers.rs
@@ -0,0 +1,139 @@
+//! Callers who stream chats and compare every word with the answer that the prompt stands for.
+
+use std::{sync::Arc, time::Duration};
+
+use hyper::{
+    Method,
+    header::{AUTHORIZATION, HeaderName, HeaderValue},
+};
+use mustardctl::client::EventReader;
+use mustardgate_protocol::callers::{CHAT_PATH, ChatChunk, ChatMessage, ChatRequest, DEADLINE_HEADER};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    bench::NodeTarget,
+    declared::{MODELS, TENANT_KEY},
+};
+use crate::{
+    engine_http::whole_answer,
+    http::{CallError, json_request, open},
+};
+
+const ANSWER_TOKENS: u32 = 32;
+const DEADLINE_MS: u64 = 6_000;
+/// Time after which a caller gives up, a second after the deadline that the node was told.
+const CALL_TIMEOUT: Duration = Duration::from_millis(DEADLINE_MS + 1_000);
+const CHAT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a caller got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ChatHeard {
+    /// The whole answer to this very prompt.
+    Whole,
+    /// Words that are not those of the answer, or too few of them under a regular end.
+    Wrong,
+    /// Some words, then an error or the end of the connection.
+    CutOff,
+    /// An error and no word.
+    Refused,
+    /// No connection.
+    Unreachable,
+    /// No end in time.
+    TimedOut,
+}
+
+/// One chat.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ChatRecord {
+    pub node: usize,
+    pub heard: ChatHeard,
+}
+
+/// A caller who asks one question after the other.
+#[derive(Debug)]
+pub(super) struct ChatCaller {
+    targets: Arc<Vec<NodeTarget>>,
+    stop: CancellationToken,
+    rng: ChaCha8Rng,
+}
+
+impl ChatCaller {
+    pub(super) fn new(targets: Arc<Vec<NodeTarget>>, stop: CancellationToken, seed: u64, number: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(number);
+        Self { targets, stop, rng }
+    }
+
+    /// Asks until told to stop.
+    pub(super) async fn run(mut self) -> Vec<ChatRecord> {
+        let mut records = Vec::new();
+        while !self.stop.is_cancelled() {
+            let node = self.rng.random_range(0..self.targets.len());
+            let model = MODELS[self.rng.random_range(0..MODELS.len())];
+            let prompt = format!("draft a menu [seed:{}]", self.rng.random::<u32>());
+            let asked = ask(&self.targets[node], model, &prompt);
+            let heard = tokio::time::timeout(CALL_TIMEOUT, asked).await;
+            let heard = heard.unwrap_or(ChatHeard::TimedOut);
+            records.push(ChatRecord { node, heard });
+            tokio::time::sleep(CHAT_PAUSE).await;
+        }
+        records
+    }
+}
+
+async fn ask(target: &NodeTarget, model: &str, prompt: &str) -> ChatHeard {
+    let message = ChatMessage {
+        role: "user".into(),
+        content: prompt.to_owned(),
+    };
+    let chat = ChatRequest {
+        model: model.into(),
+        messages: vec![message],
+        stream: true,
+        max_tokens: ANSWER_TOKENS,
+    };
+    let mut request = json_request(Method::POST, CHAT_PATH, &chat);
+    let bearer = HeaderValue::from_str(&format!("Bearer {TENANT_KEY}")).expect("the key is plain text");
+    request.headers_mut().insert(AUTHORIZATION, bearer);
+    let deadline = HeaderName::from_static(DEADLINE_HEADER);
+    request.headers_mut().insert(deadline, HeaderValue::from(DEADLINE_MS));
+    match open(target.callers, request).await {
+        Ok(response) if response.status().is_success() => {
+            read_answer(
+                EventReader::new(response.into_body()),
+                &whole_answer(prompt, ANSWER_TOKENS),
+            )
+            .await
+        }
+        Ok(_refused) => ChatHeard::Refused,
+        Err(CallError::Connect { .. }) => ChatHeard::Unreachable,
+        Err(_closed) => ChatHeard::CutOff,
+    }
+}
+
+async fn read_answer(mut reader: EventReader, wanted: &str) -> ChatHeard {
+    let mut text = String::new();
+    while let Ok(Some(data)) = reader.next_data().await {
+        if data == "[DONE]" {
+            return if text == wanted {
+                ChatHeard::Whole
+            } else {
+                ChatHeard::Wrong
+            };
+        }
+        let Ok(chunk) = serde_json::from_str::<ChatChunk>(&data) else {
+            break;
+        };
+        text.push_str(&chunk.delta);
+        if !wanted.starts_with(&text) {
+            return ChatHeard::Wrong;
+        }
+    }
+    if text.is_empty() {
+        ChatHeard::Refused
+    } else {
+        ChatHeard::CutOff
+    }
+}
--- /dev/null
+++ b/crates/standins/src/failures/changes.rs
@@ -0,0 +1,209 @@
+//! An operator who changes resources through any node, and an observer of what every node has in force.
+
+use std::{sync::Arc, time::Duration};
+
+use mustardctl::client::PutOutcome;
+use mustardgate_core::{
+    ids::{ChangeId, Offset},
+    resources::{ResourceKey, ResourceKind, ResourceSpec},
+};
+use mustardgate_protocol::operators::parse_spec;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smol_str::format_smolstr;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    bench::NodeTarget,
+    declared::{CHANGED_MODEL, CHANGED_SERVICE, model_spec, service_spec},
+};
+
+const CHANGE_PAUSE: Duration = Duration::from_millis(400);
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(4);
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
+const READ_PAUSE: Duration = Duration::from_millis(50);
+/// Nodes through which a change of unknown outcome is tried.
+const CHANGE_ATTEMPTS: usize = 3;
+/// Changes of the share between two changes of the serving version.
+const CHANGES_PER_ROLLOUT: u32 = 5;
+
+/// A change that a node accepted.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AcceptedChange {
+    pub sent_at: Instant,
+    pub version: Offset,
+    pub share: u32,
+}
+
+/// What an operator did.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ChangeLog {
+    pub sent: u64,
+    pub accepted: Vec<AcceptedChange>,
+    pub unknown: u64,
+    pub refused: u64,
+    pub rollouts: u64,
+}
+
+/// What a node showed from one moment on.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ShownVersion {
+    pub at: Instant,
+    pub version: Offset,
+    pub share: u32,
+}
+
+/// Returns the service whose share is changed.
+pub(super) fn changed_service() -> ResourceKey {
+    ResourceKey {
+        kind: ResourceKind::Service,
+        name: CHANGED_SERVICE.into(),
+    }
+}
+
+/// Returns its specification with a share.
+pub(super) fn share_spec(share: u32) -> ResourceSpec {
+    parse_spec(ResourceKind::Service, &service_spec(share)).expect("the specification has its kind's shape")
+}
+
+/// Reads the version of a resource at a node, or returns `None` when the node does not show it soon.
+pub(super) async fn read_version(target: &NodeTarget, key: &ResourceKey) -> Option<(Offset, ResourceSpec)> {
+    let read = tokio::time::timeout(READ_TIMEOUT, target.api.get(key)).await;
+    let resource = read.ok()?.ok()?.resource;
+    Some((resource.version, resource.spec))
+}
+
+/// Sends one change, and returns what became of it as far as the node says.
+pub(super) async fn send_change(
+    target: &NodeTarget,
+    key: &ResourceKey,
+    spec: &ResourceSpec,
+    expected: Offset,
+    change: &ChangeId,
+) -> ChangeHeard {
+    let put = target.api.put(key, spec, Some(expected), change);
+    match tokio::time::timeout(CHANGE_TIMEOUT, put).await {
+        Ok(Ok(PutOutcome::Accepted(answer))) => ChangeHeard::Accepted(answer.version),
+        Ok(Err(mustardctl::cli::CommandError::Conflict { .. })) => ChangeHeard::Refused,
+        Ok(Ok(PutOutcome::Unknown) | Err(_)) | Err(_) => ChangeHeard::Unknown,
+    }
+}
+
+/// What an operator heard of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ChangeHeard {
+    /// It is in force with this version.
+    Accepted(Offset),
+    /// Someone else's change came first.
+    Refused,
+    /// Not known.
+    Unknown,
+}
+
+/// An operator who makes one change after the other.
+#[derive(Debug)]
+pub(super) struct ChangingOperator {
+    targets: Arc<Vec<NodeTarget>>,
+    stop: CancellationToken,
+    rng: ChaCha8Rng,
+    log: ChangeLog,
+}
+
+impl ChangingOperator {
+    pub(super) fn new(targets: Arc<Vec<NodeTarget>>, stop: CancellationToken, seed: u64) -> Self {
+        Self {
+            targets,
+            stop,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            log: ChangeLog::default(),
+        }
+    }
+
+    /// Makes changes until told to stop.
+    pub(super) async fn run(mut self) -> ChangeLog {
+        let mut share = 1;
+        while !self.stop.is_cancelled() {
+            share += 1;
+            self.change_share(share).await;
+            if share.is_multiple_of(CHANGES_PER_ROLLOUT) {
+                self.change_serving(share).await;
+            }
+            tokio::time::sleep(CHANGE_PAUSE).await;
+        }
+        self.log
+    }
+
+    async fn change_share(&mut self, share: u32) {
+        let sent_at = Instant::now();
+        let heard = self.change(&changed_service(), &share_spec(share), share).await;
+        self.log.sent += 1;
+        match heard {
+            ChangeHeard::Accepted(version) => self.log.accepted.push(AcceptedChange {
+                sent_at,
+                version,
+                share,
+            }),
+            ChangeHeard::Refused => self.log.refused += 1,
+            ChangeHeard::Unknown => self.log.unknown += 1,
+        }
+    }
+
+    async fn change_serving(&mut self, number: u32) {
+        let serving = if (number / CHANGES_PER_ROLLOUT).is_multiple_of(2) {
+            "v1"
+        } else {
+            "v2"
+        };
+        let key = ResourceKey {
+            kind: ResourceKind::Model,
+            name: CHANGED_MODEL.into(),
+        };
+        let spec = parse_spec(ResourceKind::Model, &model_spec(serving)).expect("it has its kind's shape");
+        let heard = self.change(&key, &spec, number).await;
+        self.log.rollouts += u64::from(matches!(heard, ChangeHeard::Accepted(_)));
+    }
+
+    /// Sends a change, through other nodes too while its outcome is not known.
+    async fn change(&mut self, key: &ResourceKey, spec: &ResourceSpec, number: u32) -> ChangeHeard {
+        let change = format_smolstr!("change-{key}-{number}");
+        let mut expected = None;
+        for _ in 0..CHANGE_ATTEMPTS {
+            let target = &self.targets[self.rng.random_range(0..self.targets.len())];
+            if expected.is_none() {
+                expected = read_version(target, key).await.map(|(version, _)| version);
+            }
+            let Some(version) = expected else {
+                continue;
+            };
+            let heard = send_change(target, key, spec, version, &change).await;
+            if heard != ChangeHeard::Unknown || self.stop.is_cancelled() {
+                return heard;
+            }
+        }
+        ChangeHeard::Unknown
+    }
+}
+
+/// Observes what a node shows of the changed service until told to stop.
+pub(super) async fn observe_node(target: NodeTarget, stop: CancellationToken) -> Vec<ShownVersion> {
+    let key = changed_service();
+    let mut shown: Vec<ShownVersion> = Vec::new();
+    while !stop.is_cancelled() {
+        if let Some((version, ResourceSpec::Service(spec))) = read_version(&target, &key).await {
+            let is_new = shown
+                .last()
+                .is_none_or(|last| last.version != version || last.share != spec.share);
+            if is_new {
+                let at = Instant::now();
+                shown.push(ShownVersion {
+                    at,
+                    version,
+                    share: spec.share,
+                });
+            }
+        }
+        tokio::time::sleep(READ_PAUSE).await;
+    }
+    shown
+}
--- /dev/null
+++ b/crates/standins/src/failures/faults/domain_cut.rs
@@ -0,0 +1,42 @@
+//! A failure domain cut off from the platform and from the nodes of the others.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+
+use super::FaultScript;
+use crate::{
+    failures::{FailureBench, FailureError},
+    harness::RelayMode,
+};
+
+const DOMAIN: &str = "market";
+const CUT_TIME: Duration = Duration::from_secs(5);
+
+/// A cut in both directions or in one.
+#[derive(Clone, Copy, Debug)]
+pub struct DomainCut {
+    name: &'static str,
+    mode: RelayMode,
+}
+
+impl DomainCut {
+    /// Creates a cut that lets through what `mode` says.
+    pub fn new(name: &'static str, mode: RelayMode) -> Self {
+        Self { name, mode }
+    }
+}
+
+#[async_trait]
+impl FaultScript for DomainCut {
+    fn name(&self) -> &'static str {
+        self.name
+    }
+
+    async fn inject(&self, bench: &mut FailureBench) -> Result<(), FailureError> {
+        bench.cut_domain(DOMAIN, self.mode);
+        tokio::time::sleep(CUT_TIME).await;
+        bench.heal_domain(DOMAIN);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/failures/faults/leader_frozen.rs
@@ -0,0 +1,37 @@
+//! SIGSTOP of the node that leads a failure domain, for longer than its lease.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use tokio::time::Instant;
+
+use super::FaultScript;
+use crate::failures::{FailureBench, FailureError};
+
+const DOMAIN: &str = "pier";
+const LEADER_LIMIT: Duration = Duration::from_secs(12);
+/// Time for which the old leader goes on after it wakes up beside the new one.
+const OVERLAP: Duration = Duration::from_secs(2);
+
+/// The leader sleeps until another leads, then wakes up and still believes that it holds the lease.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaderFrozen;
+
+#[async_trait]
+impl FaultScript for LeaderFrozen {
+    fn name(&self) -> &'static str {
+        "leader-frozen"
+    }
+
+    async fn inject(&self, bench: &mut FailureBench) -> Result<(), FailureError> {
+        let leader = bench.wait_leader(DOMAIN, None, LEADER_LIMIT).await?;
+        bench.freeze(leader)?;
+        let frozen_at = Instant::now();
+        let successor = bench.wait_leader(DOMAIN, Some(leader), LEADER_LIMIT).await;
+        bench.note("without_leader_s", frozen_at.elapsed().as_secs_f64());
+        bench.resume(leader)?;
+        successor?;
+        tokio::time::sleep(OVERLAP).await;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/failures/faults/leader_killed.rs
@@ -0,0 +1,32 @@
+//! SIGKILL of the node that leads a failure domain.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use tokio::time::Instant;
+
+use super::FaultScript;
+use crate::failures::{FailureBench, FailureError};
+
+const DOMAIN: &str = "pier";
+const LEADER_LIMIT: Duration = Duration::from_secs(12);
+
+/// The leader dies; another node of its failure domain must take over.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaderKilled;
+
+#[async_trait]
+impl FaultScript for LeaderKilled {
+    fn name(&self) -> &'static str {
+        "leader-killed"
+    }
+
+    async fn inject(&self, bench: &mut FailureBench) -> Result<(), FailureError> {
+        let leader = bench.wait_leader(DOMAIN, None, LEADER_LIMIT).await?;
+        bench.kill(leader)?;
+        let killed_at = Instant::now();
+        bench.wait_leader(DOMAIN, Some(leader), LEADER_LIMIT).await?;
+        bench.note("without_leader_s", killed_at.elapsed().as_secs_f64());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/failures/run.rs
@@ -0,0 +1,82 @@
+//! Runs one fault from the start of a deployment to the verdict.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::{
+    bench::{FailureBench, wait_for},
+    changes::{changed_service, read_version},
+    error::FailureError,
+    faults::FaultScript,
+    judge::judge,
+    report::FaultReport,
+    traffic::{RunningTraffic, TrafficLog},
+};
+use crate::platform::PlatformFaults;
+
+/// Time of traffic before the fault and after it.
+const CALM: Duration = Duration::from_secs(1);
+/// Time within which every running node must have every accepted change in force once the fault is over.
+const CONVERGENCE_LIMIT: Duration = Duration::from_secs(12);
+/// Time for work that is still on its way to a backend server when the last caller has stopped.
+const SETTLE: Duration = Duration::from_secs(1);
+
+/// Starts a deployment, brings one fault about under load, and judges.
+///
+/// # Errors
+/// [`FailureError`] when the fault could not be brought about or judged.
+pub async fn run_fault(script: &dyn FaultScript, seed: u64) -> Result<FaultReport, FailureError> {
+    let begun = Instant::now();
+    let mut bench = FailureBench::start(seed).await?;
+    let mut traffic = RunningTraffic::start(&bench);
+    tokio::time::sleep(CALM).await;
+    script.inject(&mut bench).await?;
+    bench.set_platform(&PlatformFaults::default()).await?;
+    tokio::time::sleep(CALM).await;
+    let mut log = traffic.finish().await;
+    let mut report = FaultReport {
+        fault: script.name().to_owned(),
+        seed,
+        ..FaultReport::default()
+    };
+    await_convergence(&bench, &log, &mut report).await;
+    tokio::time::sleep(SETTLE).await;
+    log.shown = traffic.finish_observing().await;
+    judge(&bench, &log, &mut report).await?;
+    report.figures.append(&mut bench.figures);
+    report.violations.append(&mut bench.violations);
+    report.run_s = begun.elapsed().as_secs_f64();
+    Ok(report)
+}
+
+/// Waits until every running node shows the newest accepted change.
+async fn await_convergence(bench: &FailureBench, log: &TrafficLog, report: &mut FaultReport) {
+    let newest = log
+        .changes
+        .accepted
+        .iter()
+        .map(|change| change.version)
+        .max()
+        .unwrap_or(0);
+    let key = changed_service();
+    for (node, target) in bench.targets.iter().enumerate() {
+        if bench.ended.contains(&node) {
+            continue;
+        }
+        let is_newest = || async {
+            read_version(target, &key)
+                .await
+                .is_some_and(|(version, _)| version >= newest)
+        };
+        if let Err(error) = wait_for(
+            &format!("change {newest} at {}", target.name),
+            CONVERGENCE_LIMIT,
+            is_newest,
+        )
+        .await
+        {
+            report.break_promise(error.to_string());
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/failures/traffic.rs
@@ -0,0 +1,92 @@
+//! Everything that goes on while a fault is in force.
+
+use std::sync::Arc;
+
+use tokio::task::{JoinHandle, JoinSet};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    answers::{ChatCaller, ChatRecord},
+    bench::FailureBench,
+    changes::{ChangeLog, ChangingOperator, ShownVersion, observe_node},
+    load::{LoadCount, run_node_load},
+    orders::{OrderCaller, OrderRecord},
+};
+
+const ORDER_CALLERS: u64 = 4;
+const CHAT_CALLERS: u64 = 4;
+
+/// What callers and operators heard.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TrafficLog {
+    pub orders: Vec<OrderRecord>,
+    pub chats: Vec<ChatRecord>,
+    pub loads: Vec<LoadCount>,
+    pub changes: ChangeLog,
+    pub shown: Vec<Vec<ShownVersion>>,
+}
+
+/// Running callers and operators.
+#[derive(Debug)]
+pub(super) struct RunningTraffic {
+    stop: CancellationToken,
+    stop_observing: CancellationToken,
+    orders: JoinSet<Vec<OrderRecord>>,
+    chats: JoinSet<Vec<ChatRecord>>,
+    loads: JoinSet<LoadCount>,
+    operator: JoinHandle<ChangeLog>,
+    observers: Vec<JoinHandle<Vec<ShownVersion>>>,
+}
+
+impl RunningTraffic {
+    pub(super) fn start(bench: &FailureBench) -> Self {
+        let stop = CancellationToken::new();
+        let stop_observing = CancellationToken::new();
+        let targets = &bench.targets;
+        let seed = bench.seed;
+        let order = |number| OrderCaller::new(Arc::clone(targets), stop.clone(), seed, number).run();
+        let chat = |number| ChatCaller::new(Arc::clone(targets), stop.clone(), seed, ORDER_CALLERS + number).run();
+        let load = |node: usize| run_node_load(node, targets[node].callers, seed + node as u64, stop.clone());
+        let operator = ChangingOperator::new(Arc::clone(targets), stop.clone(), seed);
+        let observe = |node: usize| tokio::spawn(observe_node(targets[node].clone(), stop_observing.clone()));
+        Self {
+            orders: (0..ORDER_CALLERS).map(order).collect(),
+            chats: (0..CHAT_CALLERS).map(chat).collect(),
+            loads: (0..targets.len()).map(load).collect(),
+            operator: tokio::spawn(operator.run()),
+            observers: (0..targets.len()).map(observe).collect(),
+            stop,
+            stop_observing,
+        }
+    }
+
+    /// Lets every caller and the operator end what they are at; nodes are still observed.
+    pub(super) async fn finish(&mut self) -> TrafficLog {
+        self.stop.cancel();
+        TrafficLog {
+            orders: join_all(&mut self.orders).await.into_iter().flatten().collect(),
+            chats: join_all(&mut self.chats).await.into_iter().flatten().collect(),
+            loads: join_all(&mut self.loads).await,
+            changes: (&mut self.operator).await.expect("the operator does not panic"),
+            shown: Vec::new(),
+        }
+    }
+
+    /// Ends the observation.
+    pub(super) async fn finish_observing(self) -> Vec<Vec<ShownVersion>> {
+        self.stop_observing.cancel();
+        let mut shown = Vec::new();
+        for observer in self.observers {
+            shown.push(observer.await.expect("an observer does not panic"));
+        }
+        shown
+    }
+}
+
+async fn join_all<T: 'static>(set: &mut JoinSet<T>) -> Vec<T> {
+    let mut all = Vec::new();
+    while let Some(joined) = set.join_next().await {
+        all.push(joined.expect("a caller does not panic"));
+    }
+    all
+}
--- a/crates/standins/src/harness/cluster.rs
+++ b/crates/standins/src/harness/cluster.rs
@@ -25,6 +25,8 @@
 
 /// Time within which a process must answer after its start.
 const START_LIMIT: Duration = Duration::from_secs(20);
+const OPERATOR_KEY_FILE: &str = "operators.key";
+const PEER_KEY_FILE: &str = "peers.key";
 
 /// What to start.
 #[derive(Clone, Debug, Default)]
@@ -160,6 +162,9 @@
             operator_key: format!("operators-{}", std::process::id()),
             scratch,
         };
+        // Once, before any node: a file that is written again is empty for a moment, in which a node may read it.
+        cluster.scratch.write(OPERATOR_KEY_FILE, &cluster.operator_key)?;
+        cluster.scratch.write(PEER_KEY_FILE, "peers of one test")?;
         for (domain, view) in options.domains.iter().zip(views) {
             cluster.start_domain(domain, view.into(), &binaries, &options).await?;
         }
@@ -236,8 +241,8 @@
             domain: domain.name.clone(),
             region: domain.region.clone(),
             platform: relay.address(),
-            operator_key_file: self.scratch.write("operators.key", &self.operator_key)?,
-            peer_key_file: self.scratch.write("peers.key", "peers of one test")?,
+            operator_key_file: self.scratch.path().join(OPERATOR_KEY_FILE),
+            peer_key_file: self.scratch.path().join(PEER_KEY_FILE),
             platform_settings: options.platform_settings.clone(),
             extra_settings: options.extra_settings.clone(),
         };
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod engine_http;
 pub mod experiment;
+pub mod failures;
 pub mod harness;
 pub mod http;
 pub mod platform;
--- a/crates/standins/src/proof/at_most_once.rs
+++ b/crates/standins/src/proof/at_most_once.rs
@@ -11,7 +11,7 @@
 
 impl ProofScenario for AtMostOnceScenario {
     fn name(&self) -> &'static str {
-        "at_most_once"
+        "at-most-once"
     }
 
     fn run(&self, seed: u64, guard: GuardMode) -> Result<ProofFigures, PromiseViolation> {
--- a/crates/standins/src/proof/told_not_run.rs
+++ b/crates/standins/src/proof/told_not_run.rs
@@ -11,7 +11,7 @@
 
 impl ProofScenario for ToldNotRunScenario {
     fn name(&self) -> &'static str {
-        "told_not_run"
+        "told-not-run"
     }
 
     fn run(&self, seed: u64, guard: GuardMode) -> Result<ProofFigures, PromiseViolation> {
--- a/crates/standins/src/proof/whole_answers.rs
+++ b/crates/standins/src/proof/whole_answers.rs
@@ -24,7 +24,7 @@
 
 impl ProofScenario for WholeAnswersScenario {
     fn name(&self) -> &'static str {
-        "whole_answers"
+        "whole-answers"
     }
 
     fn run(&self, seed: u64, guard: GuardMode) -> Result<ProofFigures, PromiseViolation> {
