--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod engine_http;
 pub mod experiment;
+pub mod failures;
 pub mod harness;
 pub mod http;
 pub mod platform;
