--- a/crates/standins/src/capacity/design.rs
+++ b/crates/standins/src/capacity/design.rs
@@ -48,7 +48,7 @@
 const MAX_APPENDS: f64 = 400.0;
 
 /// One figure of one role at the size to design for.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct RoleFigure {
     /// Role that bears it.
     pub role: &'static str,
