Have only a domain's leader read its engines' reports

Cause: every node read the report of every engine of every failure domain twice a second, which grows with nodes times runners and cannot stand at the design size.

Change: the leader of a domain tells the others. ReportPublisher and ReportFollower (core) number runners and versions; frames carry what became ready or stopped being so at once, and load that changed by a quarter each 2 s inside the domain and each 10 s to two nodes of each other domain, which pass frames on. Whoever misses a version asks the frame's sender for the catalogue. Without a leader the first node in rank polls its own domain each 2 s, every node after 10 s of silence. Nodes tell the leader the requests they counted, which its estimator then sees. Report bytes are counted under engine_report.

Ruled out: sending whole lists of artifacts (length times nodes for each load); a digest of the list in each frame (every receiver asks for each new list). Sharing one numbering of load between audiences was not needed: only readiness has versions.

The design size, the bytes under load and those after a change of leader were not measured.

--- a/crates/mustardgate-protocol/src/peers/connection.rs
+++ b/crates/mustardgate-protocol/src/peers/connection.rs
@@ -9,8 +9,10 @@
 use mustardgate_core::{
     clock,
     config::FeedFrame,
+    ids::DomainId,
     log::{BatchRecord, SnapshotRecord},
     membership::{DomainDigest, NodeHeartbeat},
+    reports::{DemandReport, ReportCatalogue, ReportFrame},
 };
 use tarpc::{
     client::{Config, RpcError},
@@ -92,6 +94,30 @@
         outcome.unwrap_or(SubmissionOutcome::Unknown)
     }
 
+    /// Sends what changed at the runners of a failure domain.
+    ///
+    /// # Errors
+    /// [`CallError`] when no answer came.
+    pub async fn report_frame(&self, frame: ReportFrame) -> Result<(), CallError> {
+        answered(self.client.report_frame(call_context(), frame).await)
+    }
+
+    /// Asks for the runners of a failure domain as the other node knows them.
+    ///
+    /// # Errors
+    /// [`CallError`] when no answer came.
+    pub async fn report_catalogue(&self, domain: DomainId) -> Result<Option<ReportCatalogue>, CallError> {
+        answered(self.client.report_catalogue(call_context(), domain).await)
+    }
+
+    /// Tells the leader of the failure domain which requests this node counted.
+    ///
+    /// # Errors
+    /// [`CallError`] when no answer came.
+    pub async fn demand(&self, report: DemandReport) -> Result<(), CallError> {
+        answered(self.client.demand(call_context(), report).await)
+    }
+
     async fn upgrade(address: SocketAddr, key: &PeerKey, meter: Arc<dyn PeerMeter>) -> Result<Self, PeerError> {
         let stream = TcpStream::connect(address).await.ok();
         let stream = stream.ok_or(PeerError::Unreachable)?;
--- a/crates/mustardgate-protocol/src/peers/meter.rs
+++ b/crates/mustardgate-protocol/src/peers/meter.rs
@@ -18,6 +18,12 @@
     ConfigFeed,
     /// Claims and outcomes of keys on the way to the domain's writer.
     SubmitKeys,
+    /// Changes at the runners of a failure domain.
+    ReportFrame,
+    /// All runners of a failure domain.
+    ReportCatalogue,
+    /// Counted requests on the way to the domain's leader.
+    Demand,
     /// Cancellations and errors of the call protocol.
     Other,
 }
@@ -31,6 +37,9 @@
             Self::ConfigState => "config_state",
             Self::ConfigFeed => "config_feed",
             Self::SubmitKeys => "submit_keys",
+            Self::ReportFrame => "report_frame",
+            Self::ReportCatalogue => "report_catalogue",
+            Self::Demand => "demand",
             Self::Other => "other",
         }
     }
--- a/crates/mustardgate-protocol/src/peers/server.rs
+++ b/crates/mustardgate-protocol/src/peers/server.rs
@@ -6,8 +6,10 @@
 use futures::StreamExt;
 use mustardgate_core::{
     config::FeedFrame,
+    ids::DomainId,
     log::{BatchRecord, SnapshotRecord},
     membership::{DomainDigest, NodeHeartbeat},
+    reports::{DemandReport, ReportCatalogue, ReportFrame},
 };
 use tarpc::{
     context::Context,
@@ -55,6 +57,15 @@
 
     /// Appends claims and outcomes with those of the whole failure domain.
     async fn submit_keys(&self, batch: BatchRecord) -> SubmissionOutcome;
+
+    /// Takes in what changed at the runners of a failure domain.
+    async fn report_frame(&self, frame: ReportFrame);
+
+    /// Returns the runners of a failure domain as this node knows them, or `None` when it knows none.
+    async fn report_catalogue(&self, domain: DomainId) -> Option<ReportCatalogue>;
+
+    /// Takes in the requests that a neighbour counted.
+    async fn demand(&self, report: DemandReport);
 }
 
 /// Answers the calls of one accepted connection until it ends.
@@ -139,4 +150,16 @@
     async fn submit_keys(self, _context: Context, batch: BatchRecord) -> SubmissionOutcome {
         self.handler.submit_keys(batch).await
     }
+
+    async fn report_frame(self, _context: Context, frame: ReportFrame) {
+        self.handler.report_frame(frame).await;
+    }
+
+    async fn report_catalogue(self, _context: Context, domain: DomainId) -> Option<ReportCatalogue> {
+        self.handler.report_catalogue(domain).await
+    }
+
+    async fn demand(self, _context: Context, report: DemandReport) {
+        self.handler.demand(report).await;
+    }
 }
--- a/crates/mustardgate-protocol/src/peers/service.rs
+++ b/crates/mustardgate-protocol/src/peers/service.rs
@@ -6,10 +6,11 @@
 
 use mustardgate_core::{
     config::FeedFrame,
-    ids::Offset,
+    ids::{DomainId, Offset},
     log::{BatchRecord, SnapshotRecord},
     membership::{DomainDigest, NodeHeartbeat},
     ports::AppendError,
+    reports::{DemandReport, ReportCatalogue, ReportFrame},
 };
 use serde::{Deserialize, Serialize};
 use tarpc::{ClientMessage, Response};
@@ -47,6 +48,9 @@
     async fn config_state() -> Option<SnapshotRecord>;
     async fn config_feed(frame: FeedFrame);
     async fn submit_keys(batch: BatchRecord) -> SubmissionOutcome;
+    async fn report_frame(frame: ReportFrame);
+    async fn report_catalogue(domain: DomainId) -> Option<ReportCatalogue>;
+    async fn demand(report: DemandReport);
 }
 
 /// A message whose kind is counted.
@@ -66,6 +70,9 @@
             PeerServiceRequest::ConfigState { .. } => MessageKind::ConfigState,
             PeerServiceRequest::ConfigFeed { .. } => MessageKind::ConfigFeed,
             PeerServiceRequest::SubmitKeys { .. } => MessageKind::SubmitKeys,
+            PeerServiceRequest::ReportFrame { .. } => MessageKind::ReportFrame,
+            PeerServiceRequest::ReportCatalogue { .. } => MessageKind::ReportCatalogue,
+            PeerServiceRequest::Demand { .. } => MessageKind::Demand,
         }
     }
 }
@@ -78,6 +85,9 @@
             Ok(PeerServiceResponse::ConfigState(..)) => MessageKind::ConfigState,
             Ok(PeerServiceResponse::ConfigFeed(..)) => MessageKind::ConfigFeed,
             Ok(PeerServiceResponse::SubmitKeys(..)) => MessageKind::SubmitKeys,
+            Ok(PeerServiceResponse::ReportFrame(..)) => MessageKind::ReportFrame,
+            Ok(PeerServiceResponse::ReportCatalogue(..)) => MessageKind::ReportCatalogue,
+            Ok(PeerServiceResponse::Demand(..)) => MessageKind::Demand,
             Err(_) => MessageKind::Other,
         }
     }
--- a/crates/mustardgate-protocol/tests/peers.rs
+++ b/crates/mustardgate-protocol/tests/peers.rs
@@ -11,10 +11,11 @@
 use hmac::{Hmac, Mac};
 use mustardgate_core::{
     config::{ConfigSpan, FeedFrame, StateDigest},
-    ids::Offset,
-    log::{BatchRecord, KeyClaim, LogRecord, SnapshotRecord},
+    ids::{DomainId, Offset},
+    log::{Artifact, BatchRecord, KeyClaim, LogRecord, SnapshotRecord},
     membership::{DomainDigest, LeavingMark, NodeHeartbeat},
     ports::LogEntry,
+    reports::{DemandReport, ReadyChange, ReportCatalogue, ReportFrame, RunnerState},
 };
 use mustardgate_protocol::peers::{
     MAX_FRAME_BYTES, MessageKind, PeerClient, PeerError, PeerHandler, PeerKey, PeerMeter, SilentMeter,
@@ -37,6 +38,8 @@
     heartbeats: Mutex<Vec<NodeHeartbeat>>,
     digests: Mutex<Vec<DomainDigest>>,
     frames: Mutex<Vec<FeedFrame>>,
+    reports: Mutex<Vec<ReportFrame>>,
+    demands: Mutex<Vec<DemandReport>>,
     submissions: Notify,
 }
 
@@ -65,6 +68,18 @@
         }
         SubmissionOutcome::Appended { offset: 41 }
     }
+
+    async fn report_frame(&self, frame: ReportFrame) {
+        self.reports.lock().unwrap().push(frame);
+    }
+
+    async fn report_catalogue(&self, domain: DomainId) -> Option<ReportCatalogue> {
+        (domain == "d1").then(catalogue)
+    }
+
+    async fn demand(&self, report: DemandReport) {
+        self.demands.lock().unwrap().push(report);
+    }
 }
 
 #[derive(Debug, Default)]
@@ -127,6 +142,54 @@
     }
 }
 
+fn artifact() -> Artifact {
+    Artifact {
+        model: "menu".into(),
+        adapter: None,
+        version: "v1".into(),
+    }
+}
+
+fn catalogue() -> ReportCatalogue {
+    let state = RunnerState {
+        ready: [artifact()].into(),
+        outstanding: 3,
+    };
+    ReportCatalogue {
+        domain: "d1".into(),
+        leader: "n1".into(),
+        session: u64::MAX,
+        version: 2,
+        runners: vec![("b1".into(), state)],
+    }
+}
+
+fn report() -> ReportFrame {
+    let change = ReadyChange {
+        index: 0,
+        backend: Some("b1".into()),
+        added: vec![artifact()],
+        removed: Vec::new(),
+    };
+    ReportFrame {
+        domain: "d1".into(),
+        leader: "n1".into(),
+        session: u64::MAX,
+        sender: "n2".into(),
+        base: 1,
+        version: 2,
+        changes: vec![change],
+        loads: vec![(0, 3)],
+    }
+}
+
+fn demand() -> DemandReport {
+    DemandReport {
+        node: "n1".into(),
+        counts: vec![(artifact(), 5)],
+    }
+}
+
 fn heartbeat() -> NodeHeartbeat {
     let mark = LeavingMark {
         backend: "b1".into(),
@@ -192,6 +255,12 @@
         client.submit_keys(batch()).await,
         SubmissionOutcome::Appended { offset: 41 }
     );
+    client.report_frame(report()).await.unwrap();
+    assert_eq!(client.report_catalogue("d1".into()).await, Ok(Some(catalogue())));
+    assert_eq!(client.report_catalogue("d2".into()).await, Ok(None));
+    client.demand(demand()).await.unwrap();
+    assert_eq!(*handler.reports.lock().unwrap(), vec![report()]);
+    assert_eq!(*handler.demands.lock().unwrap(), vec![demand()]);
     assert_eq!(*handler.heartbeats.lock().unwrap(), vec![heartbeat()]);
     assert_eq!(*handler.digests.lock().unwrap(), vec![digest]);
     assert_eq!(*handler.frames.lock().unwrap(), vec![frame(4), frame(9)]);
@@ -201,6 +270,9 @@
         MessageKind::ConfigState,
         MessageKind::ConfigFeed,
         MessageKind::SubmitKeys,
+        MessageKind::ReportFrame,
+        MessageKind::ReportCatalogue,
+        MessageKind::Demand,
     ];
     for counts in [&meter.sent, &meter.received] {
         let counts = counts.lock().unwrap();
--- a/crates/mustardgate/src/backends/control.rs
+++ b/crates/mustardgate/src/backends/control.rs
@@ -17,7 +17,10 @@
 };
 use mustardgate_protocol::engine::{FENCING_PATH, FencedAnswer, ORDERS_PATH, REPORT_PATH, RaiseFencing};
 
-use crate::http::{HttpClient, HttpReply, json_request, plain_request};
+use crate::{
+    http::{HttpClient, HttpReply, json_request, plain_request},
+    telemetry::record_control_bytes,
+};
 
 /// Largest report accepted, in bytes.
 const MAX_REPORT_BYTES: usize = 4 << 20;
@@ -89,6 +92,8 @@
     }
 
     async fn report(&self, backend: &BackendId) -> Result<EngineReport, OrderError> {
-        parse_report(&self.call(backend, plain_request(Method::GET, REPORT_PATH)).await?)
+        let reply = self.call(backend, plain_request(Method::GET, REPORT_PATH)).await?;
+        record_control_bytes("engine_report", "received", reply.body.len() as u64);
+        parse_report(&reply)
     }
 }
--- a/crates/mustardgate/src/context/mod.rs
+++ b/crates/mustardgate/src/context/mod.rs
@@ -27,7 +27,7 @@
     keys::KeyDesk,
     leader::LeadershipStatus,
     records::RecordTail,
-    runners::{DemandCounter, RunnerBoard},
+    runners::{DemandCounter, ReportDesk, RunnerBoard},
     settings::NodeSettings,
     vms::VmMembership,
 };
@@ -55,6 +55,8 @@
     pub directory: ConfigDirectory,
     /// Reports of runners.
     pub board: RunnerBoard,
+    /// What leaders tell of the runners.
+    pub reports: ReportDesk,
     /// Choice of runners.
     pub selector: Arc<RunnerSelector>,
     /// Admission of requests.
--- a/crates/mustardgate/src/leader/task.rs
+++ b/crates/mustardgate/src/leader/task.rs
@@ -228,7 +228,7 @@
     let asked = clock::now();
     let outcome = context.engines.raise_fencing(backend, fencing).await;
     if let Ok(report) = &outcome {
-        take_report(context, backend, report.clone(), asked);
+        take_report(context, backend, report, asked);
     }
     outcome
 }
@@ -237,7 +237,7 @@
     let asked = clock::now();
     let outcome = context.engines.report(backend).await;
     if let Ok(report) = &outcome {
-        take_report(context, backend, report.clone(), asked);
+        take_report(context, backend, report, asked);
     }
     outcome
 }
--- a/crates/mustardgate/src/node/build.rs
+++ b/crates/mustardgate/src/node/build.rs
@@ -20,7 +20,7 @@
     leader::LeadershipStatus,
     platform::{HttpLiveList, HttpPlatformLog},
     records::RecordTail,
-    runners::{DemandCounter, RunnerBoard},
+    runners::{DemandCounter, ReportDesk, RunnerBoard},
     settings::NodeSettings,
     vms::VmMembership,
 };
@@ -67,6 +67,7 @@
         addresses,
         directory: ConfigDirectory::new(),
         board: RunnerBoard::default(),
+        reports: ReportDesk::new(settings.node.name.clone(), settings.node.domain.clone()),
         desk: AdmissionDesk::new(Arc::clone(&selector), limits, rand::random()),
         selector,
         demand: DemandCounter::default(),
--- a/crates/mustardgate/src/node/mod.rs
+++ b/crates/mustardgate/src/node/mod.rs
@@ -89,8 +89,8 @@
     tasks::spawn_tasks(&node, &hub, &tracker, &shutdown);
     tracker.spawn(serve_peers(
         peer_listener,
-        hub,
-        Arc::new(PeerAnswers::new(Arc::clone(&node))),
+        Arc::clone(&hub),
+        Arc::new(PeerAnswers::new(Arc::clone(&node), hub)),
         node.logger.clone(),
         shutdown.clone(),
     ));
--- a/crates/mustardgate/src/node/tasks.rs
+++ b/crates/mustardgate/src/node/tasks.rs
@@ -11,7 +11,7 @@
     leader::{LeaderTask, leader_channel},
     peers::PeerHub,
     records::{RecordObserver, follow_records},
-    runners::{poll_reports, take_declarations},
+    runners::{exchange_reports, poll_reports, take_declarations},
     vms::{apply_availability, exchange_membership, poll_list},
 };
 
@@ -31,6 +31,7 @@
     tracker.spawn(keep_declarations(Arc::clone(node), shutdown.clone()));
     tracker.spawn(keep_list(Arc::clone(node), shutdown.clone()));
     tracker.spawn(keep_reports(Arc::clone(node), shutdown.clone()));
+    tracker.spawn(exchange_reports(Arc::clone(node), Arc::clone(hub), shutdown.clone()));
     tracker.spawn(review_queue(Arc::clone(node), shutdown.clone()));
     tracker.spawn(append_batches(
         Arc::clone(&node.keys),
--- a/crates/mustardgate/src/operator/status.rs
+++ b/crates/mustardgate/src/operator/status.rs
@@ -58,13 +58,12 @@
     backends
         .map(|backend| {
             let name = &backend.key.name;
-            let report = node.board.entry(name).map(|entry| entry.report).unwrap_or_default();
-            let ready = report.resident.iter().filter(|resident| resident.is_ready);
+            let state = node.board.entry(name).map(|entry| entry.state).unwrap_or_default();
             BackendStatus {
                 backend: name.clone(),
                 is_eligible: node.vms.availability(name) == Availability::Serving,
                 in_flight: 0,
-                resident: ready.map(|resident| artifact_name(&resident.artifact)).collect(),
+                resident: state.ready.iter().map(artifact_name).collect(),
             }
         })
         .collect()
--- a/crates/mustardgate/src/peers/answers.rs
+++ b/crates/mustardgate/src/peers/answers.rs
@@ -6,23 +6,27 @@
 use mustardgate_core::{
     clock,
     config::FeedFrame,
+    ids::DomainId,
     log::{BatchRecord, LogRecord, SnapshotRecord},
     membership::{DomainDigest, NodeHeartbeat},
+    reports::{DemandReport, ReportCatalogue, ReportFrame},
 };
 use mustardgate_protocol::peers::{PeerHandler, SubmissionOutcome};
 
-use crate::{context::NodeContext, vms::apply_availability};
+use super::PeerHub;
+use crate::{context::NodeContext, runners::take_frame, vms::apply_availability};
 
 /// Answers the calls of other nodes from the node's own state.
 #[derive(Debug)]
 pub struct PeerAnswers {
     context: Arc<NodeContext>,
+    hub: Arc<PeerHub>,
 }
 
 impl PeerAnswers {
     /// Creates the answers of one node.
-    pub fn new(context: Arc<NodeContext>) -> Self {
-        Self { context }
+    pub fn new(context: Arc<NodeContext>, hub: Arc<PeerHub>) -> Self {
+        Self { context, hub }
     }
 }
 
@@ -54,4 +58,16 @@
         self.context.tail.wake();
         appended.into()
     }
+
+    async fn report_frame(&self, frame: ReportFrame) {
+        take_frame(&self.context, &self.hub, frame);
+    }
+
+    async fn report_catalogue(&self, domain: DomainId) -> Option<ReportCatalogue> {
+        self.context.reports.catalogue(&domain)
+    }
+
+    async fn demand(&self, report: DemandReport) {
+        self.context.demand.add(&report.counts);
+    }
 }
--- a/crates/mustardgate/src/runners/board.rs
+++ b/crates/mustardgate/src/runners/board.rs
@@ -6,7 +6,7 @@
     time::Instant,
 };
 
-use mustardgate_core::{ids::BackendId, log::Artifact, ports::EngineReport};
+use mustardgate_core::{ids::BackendId, log::Artifact, reports::RunnerState};
 
 /// The latest report of each runner, shared by all tasks of the node.
 #[derive(Debug, Default)]
@@ -20,28 +20,30 @@
     ready: BTreeMap<Artifact, BTreeSet<BackendId>>,
 }
 
-/// One runner's report and when it was received.
+/// One runner's state and when it was received.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BoardEntry {
-    /// The report.
-    pub report: EngineReport,
+    /// What the runner answers for, and its load.
+    pub state: RunnerState,
     /// When it was received.
     pub received: Instant,
 }
 
 impl RunnerBoard {
-    /// Replaces the report of a runner.
-    pub fn update(&self, backend: &BackendId, report: EngineReport, received: Instant) {
+    /// Replaces the state of a runner.
+    pub fn update(&self, backend: &BackendId, runner: RunnerState, received: Instant) {
         let mut state = self.state.write().expect("no holder panics");
         state.unlink(backend);
-        for resident in report.resident.iter().filter(|resident| resident.is_ready) {
-            state
-                .ready
-                .entry(resident.artifact.clone())
-                .or_default()
-                .insert(backend.clone());
+        for artifact in &runner.ready {
+            state.ready.entry(artifact.clone()).or_default().insert(backend.clone());
         }
-        state.entries.insert(backend.clone(), BoardEntry { report, received });
+        state.entries.insert(
+            backend.clone(),
+            BoardEntry {
+                state: runner,
+                received,
+            },
+        );
     }
 
     /// Forgets runners that are no longer declared.
--- a/crates/mustardgate/src/runners/mod.rs
+++ b/crates/mustardgate/src/runners/mod.rs
@@ -2,10 +2,14 @@
 
 mod board;
 mod demand;
+mod exchange;
 mod poll;
+mod reports;
 
 pub use self::{
     board::{BoardEntry, RunnerBoard},
     demand::DemandCounter,
+    exchange::{exchange_reports, take_frame},
     poll::{poll_reports, take_declarations, take_report},
+    reports::ReportDesk,
 };
--- a/crates/mustardgate/src/runners/poll.rs
+++ b/crates/mustardgate/src/runners/poll.rs
@@ -1,10 +1,13 @@
-//! Reads the reports of runners in turn.
+//! Reads the reports of runners, and takes their state into routing.
+
+use std::time::{Duration, Instant};
 
 use futures::future::join_all;
 use mustardgate_core::{
     clock,
     ids::BackendId,
     ports::EngineReport,
+    reports::RunnerState,
     resources::{BackendRole, BackendSpec, ResourceKind, ResourceSpec},
     routing::{LoadReport, RunnerProfile, service_artifact},
 };
@@ -13,31 +16,55 @@
 
 use crate::context::NodeContext;
 
-/// Reads the reports of the declared engines, once an interval, until `shutdown`.
+/// Time between two reads while the leader of the own failure domain is not heard.
+const POLL_INTERVAL: Duration = Duration::from_secs(2);
+/// Silence of the leader after which the first node in rank reads.
+const FIRST_SILENCE: Duration = Duration::from_secs(4);
+/// Silence of the leader after which every node reads.
+const LAST_SILENCE: Duration = Duration::from_secs(10);
+
+/// Reads the reports of the own failure domain's engines until `shutdown`, but only while no leader tells of them.
+///
+/// Runners of other failure domains keep the state that was last told.
 pub async fn poll_reports(context: &NodeContext, shutdown: CancellationToken) {
-    let mut ticks = time::interval(context.settings.backends.report());
+    let mut ticks = time::interval(POLL_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             () = shutdown.cancelled() => return,
             _ = ticks.tick() => {}
         }
-        let engines = declared_engines(context);
-        join_all(engines.iter().map(|backend| read_report(context, backend))).await;
+        if is_left_alone(context) {
+            let engines = own_engines(context);
+            join_all(engines.iter().map(|backend| read_report(context, backend))).await;
+        }
+    }
+}
+
+/// Returns whether this node has to read the reports itself; a leader reads them for its own purposes.
+fn is_left_alone(context: &NodeContext) -> bool {
+    if context.leadership.is_leading() {
+        return false;
     }
+    let now = clock::now();
+    let is_unknown = context.reports.is_unknown(&context.settings.node.domain);
+    let is_first = context
+        .vms
+        .read(|view| view.is_speaker(now) || view.entries().next().is_none());
+    let silence = context.reports.silence(now);
+    if is_first {
+        return is_unknown || silence >= FIRST_SILENCE;
+    }
+    silence >= LAST_SILENCE
 }
 
-fn declared_engines(context: &NodeContext) -> Vec<BackendId> {
+fn own_engines(context: &NodeContext) -> Vec<BackendId> {
     let Ok(view) = context.directory.view() else {
         return Vec::new();
     };
     let own = &context.settings.node.domain;
-    let is_leading = context.leadership.is_leading();
-    // A leader reads the reports of its own domain for its own purposes, and routing gets them from there.
     let is_engine = |spec: &ResourceSpec| match spec {
-        ResourceSpec::Backend(backend) => {
-            backend.role == BackendRole::Engine && !(is_leading && backend.domain == *own)
-        }
+        ResourceSpec::Backend(backend) => backend.role == BackendRole::Engine && backend.domain == *own,
         _ => false,
     };
     let backends = view
@@ -51,25 +78,33 @@
     let Ok(report) = context.engines.report(backend).await else {
         return;
     };
-    take_report(context, backend, report, asked);
+    take_report(context, backend, &report, asked);
+}
+
+/// Takes a report that this node read into routing and status, and has the other nodes told when it leads.
+pub fn take_report(context: &NodeContext, backend: &BackendId, report: &EngineReport, measured_at: Instant) {
+    let Ok(view) = context.directory.view() else { return };
+    let Some(spec) = view.backend(backend) else { return };
+    let state = RunnerState::from_report(report);
+    context.reports.observe(&spec.domain, backend, &state);
+    take_state(context, backend, state, measured_at);
 }
 
-/// Takes a report, read by this node or by a neighbour, into routing and status.
-pub fn take_report(context: &NodeContext, backend: &BackendId, report: EngineReport, measured_at: std::time::Instant) {
+/// Takes the state of a runner, read by this node or told by a leader, into routing and status.
+pub fn take_state(context: &NodeContext, backend: &BackendId, state: RunnerState, measured_at: Instant) {
     let Ok(view) = context.directory.view() else { return };
     let Some(spec) = view.backend(backend) else { return };
     let load = LoadReport {
         measured_at,
-        outstanding: report.running + report.waiting,
+        outstanding: state.outstanding,
     };
-    let ready = report.resident.iter().filter(|resident| resident.is_ready);
-    let profile = profile_of(backend, spec, ready.map(|resident| resident.artifact.clone()).collect());
+    let profile = profile_of(backend, spec, state.ready.iter().cloned().collect());
     context.selector.upsert_runner(profile);
     context
         .selector
         .set_availability(backend, context.vms.availability(backend));
     context.selector.apply_report(backend, load);
-    context.board.update(backend, report, measured_at);
+    context.board.update(backend, state, measured_at);
 }
 
 /// Takes the declared instances of plain services into routing, and forgets what is no longer declared.
--- a/crates/mustardgate/tests/peers.rs
+++ b/crates/mustardgate/tests/peers.rs
@@ -11,8 +11,10 @@
 use mustardgate_core::{
     clock,
     config::ConfigReplica,
+    log::Artifact,
     membership::{LeavingMark, NewsScope, NodeHeartbeat},
     ports::{VmEntry, VmRole, VmState},
+    reports::DemandReport,
     routing::Availability,
 };
 use mustardgate_protocol::peers::PeerKey;
@@ -31,7 +33,7 @@
 async fn serve(context: &Arc<NodeContext>, shutdown: &CancellationToken) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("bound");
-    let answers = Arc::new(PeerAnswers::new(Arc::clone(context)));
+    let answers = Arc::new(PeerAnswers::new(Arc::clone(context), hub(SECRET)));
     let logger = context.logger.clone();
     tokio::spawn(serve_peers(listener, hub(SECRET), answers, logger, shutdown.clone()));
     address
@@ -112,6 +114,30 @@
     assert!(snapshot.resources.iter().any(|resource| resource.key.name == "menu"));
 }
 
+#[tokio::test]
+async fn a_leader_collects_its_neighbours_demand_and_tells_it_to_nobody() {
+    let context = support::context();
+    let address = serve(&context, &CancellationToken::new()).await;
+    let artifact = Artifact {
+        model: "menu".into(),
+        adapter: None,
+        version: "v1".into(),
+    };
+    context.demand.record(&artifact);
+    let report = DemandReport {
+        node: "entry-b".into(),
+        counts: vec![(artifact.clone(), 3)],
+    };
+    let told = hub(SECRET)
+        .call(address, |peer| async move { peer.demand(report).await })
+        .await;
+    assert_eq!(told, Some(()));
+    assert_eq!(context.demand.take_untold(), vec![(artifact.clone(), 1)]);
+    assert_eq!(context.demand.take_untold(), vec![]);
+    assert_eq!(context.demand.collect(), [(artifact, 4.0)].into());
+    assert!(context.demand.collect().is_empty());
+}
+
 #[tokio::test]
 async fn another_key_is_refused_and_a_connection_is_made_anew() {
     let context = support::context();
@@ -130,7 +156,7 @@
         }
         tokio::task::yield_now().await;
     };
-    let answers = Arc::new(PeerAnswers::new(Arc::clone(&context)));
+    let answers = Arc::new(PeerAnswers::new(Arc::clone(&context), self::hub(SECRET)));
     let logger = context.logger.clone();
     while hub.call(address, call).await.is_some() {}
     tokio::spawn(serve_peers(
--- a/crates/standins/examples/peer_traffic.rs
+++ b/crates/standins/examples/peer_traffic.rs
@@ -9,8 +9,10 @@
 use async_trait::async_trait;
 use mustardgate_core::{
     config::FeedFrame,
+    ids::DomainId,
     log::{BatchRecord, SnapshotRecord},
     membership::{DomainDigest, LeavingMark, MembershipSettings, NodeHeartbeat},
+    reports::{DemandReport, ReportCatalogue, ReportFrame},
 };
 use mustardgate_protocol::peers::{
     MessageKind, PeerClient, PeerHandler, PeerKey, PeerMeter, SubmissionOutcome, serve_connection,
@@ -41,6 +43,14 @@
     async fn submit_keys(&self, _batch: BatchRecord) -> SubmissionOutcome {
         SubmissionOutcome::Unknown
     }
+
+    async fn report_frame(&self, _frame: ReportFrame) {}
+
+    async fn report_catalogue(&self, _domain: DomainId) -> Option<ReportCatalogue> {
+        None
+    }
+
+    async fn demand(&self, _report: DemandReport) {}
 }
 
 /// Bytes of calls and answers by kind.
--- a/crates/standins/src/capacity/serving.rs
+++ b/crates/standins/src/capacity/serving.rs
@@ -7,6 +7,7 @@
     admission::{AdmissionLimits, AdmissionQueue, PoolLoad, QueuedRequest},
     clock,
     ports::EngineReport,
+    reports::RunnerState,
     resources::PriorityClass,
     routing::{AttemptOutcome, Locality, RouteRequest, RoutingSettings, RunnerProfile, RunnerSelector},
 };
@@ -43,7 +44,11 @@
     let now = clock::now();
     for runner in 0..runners {
         let first = runner * HELD_MODELS % models;
-        board.update(&samples::backend(runner), samples::report(1, first, HELD_MODELS), now);
+        board.update(
+            &samples::backend(runner),
+            RunnerState::from_report(&samples::report(1, first, HELD_MODELS)),
+            now,
+        );
     }
     board
 }
@@ -60,7 +65,7 @@
         let mut runner = 0;
         processor_us(|| {
             let report = samples::report(2, runner * HELD_MODELS % models, HELD_MODELS);
-            board.update(&samples::backend(runner), report, now);
+            board.update(&samples::backend(runner), RunnerState::from_report(&report), now);
             runner = (runner + 1) % RUNNERS_ON_BOARD;
         })
     };
--- a/crates/standins/tests/peer_deployment.rs
+++ b/crates/standins/tests/peer_deployment.rs
@@ -6,20 +6,23 @@
     HeaderMap, Method, StatusCode,
     header::{AUTHORIZATION, HeaderValue, IF_NONE_MATCH},
 };
-use mustardgate_core::resources::ResourceKind;
 use mustardgate_protocol::operators::{API_PREFIX, PutRequest};
 use mustardgate_standins::{
-    harness::{BinarySet, ChildProcess, ClusterOptions, DomainOptions, RunningNode, TestCluster},
+    harness::{
+        BackendKind, BackendOptions, BinarySet, ChildProcess, ClusterOptions, DomainOptions, RunningNode, TestCluster,
+    },
     http::{CallAnswer, call, json_request, plain_request},
     platform::{LogFaults, PlatformFaults},
 };
-use serde_json::json;
+use serde_json::{Value, json};
 
 const LIMIT: Duration = Duration::from_secs(10);
 const POLL_STEP: Duration = Duration::from_millis(50);
 const MAX_POLLS: u32 = 180;
 /// Bytes of heartbeats received after which each of two nodes has heard the other.
 const SETTLED_HEARTBEAT_BYTES: u64 = 600;
+const TENANT: &str = "tenant/kitchen";
+const MODEL: &str = "model/menu";
 const CONFLICTING_KEY: &str = "not the key of this deployment";
 
 fn options(domains: &[(&str, usize)]) -> ClusterOptions {
@@ -37,17 +40,13 @@
     }
 }
 
-/// Reads or writes one tenant through a node's resource API.
-async fn operate(cluster: &TestCluster, node: &RunningNode, method: Method, name: &str) -> CallAnswer {
-    let path = format!("{API_PREFIX}{}/{name}", ResourceKind::Tenant);
-    let mut request = if method == Method::PUT {
-        let put = PutRequest {
-            spec: json!({ "key_digests": [] }),
-            change: format!("create-{name}").into(),
-        };
-        json_request(method, &path, &put)
-    } else {
-        plain_request(method, &path)
+/// Creates a resource, or reads it without a specification, through a node's resource API.
+async fn operate(cluster: &TestCluster, node: &RunningNode, resource: &str, spec: Option<Value>) -> CallAnswer {
+    let path = format!("{API_PREFIX}{resource}");
+    let change = format!("create-{resource}").into();
+    let mut request = match spec {
+        Some(spec) => json_request(Method::PUT, &path, &PutRequest { spec, change }),
+        None => plain_request(Method::GET, &path),
     };
     let bearer = format!("Bearer {}", cluster.operator_key);
     let headers: &mut HeaderMap = request.headers_mut();
@@ -68,9 +67,9 @@
     cluster.set_platform_faults(&faults).await.expect("taken");
 }
 
-async fn await_tenant(cluster: &TestCluster, node: &RunningNode, name: &str) {
+async fn await_resource(cluster: &TestCluster, node: &RunningNode, name: &str) {
     for _ in 0..MAX_POLLS {
-        if operate(cluster, node, Method::GET, name).await.status == StatusCode::OK {
+        if operate(cluster, node, name, None).await.status == StatusCode::OK {
             return;
         }
         tokio::time::sleep(POLL_STEP).await;
@@ -122,10 +121,10 @@
     for node in &cluster.nodes {
         node.wait_ready(LIMIT).await.expect("the log answers");
     }
-    let put = operate(&cluster, &cluster.nodes[0], Method::PUT, "kitchen").await;
+    let put = operate(&cluster, &cluster.nodes[0], TENANT, Some(json!({ "key_digests": [] }))).await;
     assert_eq!(put.status, StatusCode::OK, "{:?}", put.body);
     for node in &cluster.nodes {
-        await_tenant(&cluster, node, "kitchen").await;
+        await_resource(&cluster, node, TENANT).await;
     }
     for kind in ["heartbeat", "digest", "config_feed"] {
         await_bytes(&cluster, kind).await;
@@ -139,7 +138,54 @@
         .await
         .expect("a neighbour hands its configuration over");
     await_event(&cluster.nodes[1], "configuration taken from a neighbour").await;
-    await_tenant(&cluster, &cluster.nodes[1], "kitchen").await;
+    await_resource(&cluster, &cluster.nodes[1], TENANT).await;
+}
+
+/// Waits until a model answers, as the node sees it.
+async fn await_model(cluster: &TestCluster, node: &RunningNode) {
+    for _ in 0..MAX_POLLS {
+        let shown: Value = operate(cluster, node, MODEL, None).await.json().expect("JSON");
+        if shown["status"]["conditions"][0]["holds"] == true {
+            return;
+        }
+        tokio::time::sleep(POLL_STEP).await;
+    }
+    panic!("{} never hears of a replica", node.name);
+}
+
+#[tokio::test]
+async fn a_leader_tells_all_nodes_of_its_runners_and_no_other_domain_reads_them() {
+    let mut options = options(&[("a", 2), ("b", 2)]);
+    options.backends.push(BackendOptions {
+        name: "runner-1".into(),
+        domain: "a".into(),
+        kind: BackendKind::Engine,
+        address: None,
+        arguments: ["--load-ms", "0", "--report-lag-ms", "0"].map(str::to_owned).to_vec(),
+    });
+    let cluster = TestCluster::start(options).await.expect("started");
+    let first = &cluster.nodes[0];
+    first.wait_ready(LIMIT).await.expect("the log answers");
+    let address = cluster.backend("runner-1").expect("started").address;
+    let runner = json!({
+        "domain": "a", "region": "north", "address": address, "role": "engine",
+        "accelerators": [{ "memory_mib": 24_576 }],
+    });
+    let model = json!({ "serving": "v1", "versions": [{ "name": "v1", "memory_mib": 1_000 }] });
+    for (resource, spec) in [("backend/runner-1", runner), (MODEL, model)] {
+        let put = operate(&cluster, first, resource, Some(spec)).await;
+        assert_eq!(put.status, StatusCode::OK, "{:?}", put.body);
+    }
+    for node in &cluster.nodes {
+        await_model(&cluster, node).await;
+    }
+    for node in cluster.nodes.iter().filter(|node| node.domain == "b") {
+        assert!(
+            !metrics(node).await.contains("engine_report"),
+            "{} reads reports",
+            node.name
+        );
+    }
 }
 
 #[tokio::test]
