--- a/crates/mustardgate/src/leader/domain.rs
+++ b/crates/mustardgate/src/leader/domain.rs
@@ -196,12 +196,11 @@
         let Some(entry) = entry.filter(|entry| now.saturating_duration_since(entry.received) <= freshness) else {
             continue;
         };
-        let outstanding = f64::from(entry.report.running + entry.report.waiting);
-        let utilisation = outstanding / f64::from(spec.max_concurrency.max(1));
-        for resident in entry.report.resident.iter().filter(|resident| resident.is_ready) {
-            let base = placement.replicas.get(&resident.artifact).into_iter().flatten();
+        let utilisation = f64::from(entry.state.outstanding) / f64::from(spec.max_concurrency.max(1));
+        for artifact in &entry.state.ready {
+            let base = placement.replicas.get(artifact).into_iter().flatten();
             let is_base = base.map(|replica| &replica.place).any(|place| place.backend == *name);
-            let replicas = found.entry(resident.artifact.clone()).or_default();
+            let replicas = found.entry(artifact.clone()).or_default();
             replicas.push(RemoteReplica { is_base, utilisation });
         }
     }
