--- a/crates/mustardgate/src/leader/domain.rs
+++ b/crates/mustardgate/src/leader/domain.rs
@@ -1,38 +1,64 @@
 //! Describes the failure domain to its leader: runners, declared weights, demand and limits.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Instant,
+};
 
 use mustardgate_core::{
+    clock,
     config::ConfigView,
     ids::{BackendId, DomainId, MemoryMib},
     leader::{DomainConfig, RunnerConfig},
     log::Artifact,
     placement::{
         ArtifactDemand,
-        base::{BaseInput, BasePlacement, DeclaredArtifact, LiveRunner},
+        base::{AbsenceTracker, BaseInput, BasePlacement, DeclaredArtifact, LiveRunner},
         demand::DemandEstimator,
+        gain::RemoteReplicas,
     },
+    reports::RELAY_LOAD_INTERVAL,
     resources::{BackendRole, BackendSpec, PolicySpec, PriorityClass, ResourceKind, ResourceSpec},
     routing::Availability,
 };
 
 use crate::context::NodeContext;
 
-/// Describes the own failure domain from the declarations and the live list.
-pub(super) fn describe_domain(context: &NodeContext, demand: &DemandEstimator) -> Option<DomainConfig> {
+/// Intervals between reports after which a report no longer shows that a replica answers.
+pub(super) const REPORT_FRESHNESS_INTERVALS: u32 = 4;
+
+/// Intervals between frames of another failure domain after which they no longer show that a replica answers.
+const RELAY_FRESHNESS_INTERVALS: u32 = 3;
+
+/// The own failure domain, and what its leader knows of the others.
+#[derive(Debug)]
+pub(super) struct DomainDescription {
+    pub(super) config: DomainConfig,
+    pub(super) remote: BTreeMap<Artifact, RemoteReplicas>,
+}
+
+/// Describes the failure domains from the declarations, the live list and the runners' reports.
+pub(super) fn describe_domain(
+    context: &NodeContext,
+    demand: &DemandEstimator,
+    absences: &mut AbsenceTracker,
+) -> Option<DomainDescription> {
+    let now = clock::now();
     let view = context.directory.view().ok()?;
     let own = &context.settings.node.domain;
     let engines = declared_engines(&view);
+    let is_live = |name: &BackendId| context.vms.availability(name) == Availability::Serving;
+    let (live, away): (Vec<_>, Vec<_>) = engines.iter().partition(|(name, _)| is_live(name));
+    absences.observe(now, away.iter().map(|(name, _)| name.clone()));
+    let absent = away.into_iter().filter(|(name, _)| absences.is_expected(now, name));
     let input = BaseInput {
         artifacts: declared_artifacts(&view),
-        runners: engines
-            .iter()
-            .filter_map(|(name, spec)| live_runner(context, name, spec))
-            .collect(),
+        runners: live.into_iter().map(describe_runner).collect(),
+        absent: absent.map(describe_runner).collect(),
     };
     let placement = BasePlacement::compute(&input);
     let in_domain = |spec: &&(BackendId, BackendSpec)| spec.1.domain == *own;
-    Some(DomainConfig {
+    let config = DomainConfig {
         runners: engines
             .iter()
             .filter(in_domain)
@@ -45,7 +71,9 @@
             .collect(),
         answered_elsewhere: answered_elsewhere(context, &engines, &input.artifacts),
         policy: domain_share(&view.policy(), &engines),
-    })
+    };
+    let remote = remote_replicas(context, now, &engines, &placement);
+    Some(DomainDescription { config, remote })
 }
 
 fn declared_engines(view: &ConfigView) -> Vec<(BackendId, BackendSpec)> {
@@ -99,16 +127,13 @@
         .collect()
 }
 
-fn live_runner(context: &NodeContext, name: &BackendId, spec: &BackendSpec) -> Option<LiveRunner> {
-    if context.vms.availability(name) != Availability::Serving {
-        return None;
-    }
-    Some(LiveRunner {
+fn describe_runner((name, spec): &(BackendId, BackendSpec)) -> LiveRunner {
+    LiveRunner {
         backend: name.clone(),
         domain: spec.domain.clone(),
         region: spec.region.clone(),
         accelerators: accelerator_memory(spec),
-    })
+    }
 }
 
 fn runner_config(context: &NodeContext, name: &BackendId, spec: &BackendSpec) -> RunnerConfig {
@@ -159,6 +184,55 @@
         .collect()
 }
 
+/// Returns what runners of other failure domains answer for, as long as their leader is heard. Only base
+/// replicas count as answering, because another domain may give up others at the same moment.
+fn remote_replicas(
+    context: &NodeContext,
+    now: Instant,
+    engines: &[(BackendId, BackendSpec)],
+    placement: &BasePlacement,
+) -> BTreeMap<Artifact, RemoteReplicas> {
+    let own = &context.settings.node.domain;
+    let freshness = RELAY_LOAD_INTERVAL * RELAY_FRESHNESS_INTERVALS;
+    let is_heard = |domain: &DomainId| {
+        let silence = context.reports.silence_of(domain, now);
+        silence.is_some_and(|silence| silence <= freshness)
+    };
+    let mut found: BTreeMap<Artifact, Vec<RemoteReplica>> = BTreeMap::new();
+    let heard: BTreeSet<&DomainId> = engines
+        .iter()
+        .map(|(_, spec)| &spec.domain)
+        .filter(|domain| is_heard(domain))
+        .collect();
+    let is_remote = |spec: &BackendSpec| spec.domain != *own && heard.contains(&spec.domain);
+    for (name, spec) in engines.iter().filter(|(_, spec)| is_remote(spec)) {
+        let Some(entry) = context.board.entry(name) else {
+            continue;
+        };
+        let utilisation = f64::from(entry.state.outstanding) / f64::from(spec.max_concurrency.max(1));
+        for artifact in entry.state.ready {
+            let base = placement.replicas.get(&artifact).into_iter().flatten();
+            let is_base = base.map(|replica| &replica.place).any(|place| place.backend == *name);
+            let replicas = found.entry(artifact).or_default();
+            replicas.push(RemoteReplica { is_base, utilisation });
+        }
+    }
+    let summarise = |replicas: Vec<RemoteReplica>| RemoteReplicas {
+        answering: replicas.iter().filter(|replica| replica.is_base).count() as u32,
+        utilisation: replicas.iter().map(|replica| replica.utilisation).sum::<f64>() / replicas.len() as f64,
+    };
+    found
+        .into_iter()
+        .map(|(artifact, replicas)| (artifact, summarise(replicas)))
+        .collect()
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RemoteReplica {
+    is_base: bool,
+    utilisation: f64,
+}
+
 /// Returns the policy with this domain's equal share of the weight store's limits.
 fn domain_share(policy: &PolicySpec, engines: &[(BackendId, BackendSpec)]) -> PolicySpec {
     let domains: BTreeSet<&DomainId> = engines.iter().map(|(_, spec)| &spec.domain).collect();
--- a/crates/mustardgate/src/runners/reports.rs
+++ b/crates/mustardgate/src/runners/reports.rs
@@ -98,9 +98,14 @@
 
     /// Returns for how long no frame of the own failure domain came.
     pub fn silence(&self, now: Instant) -> Duration {
-        let followers = self.followers();
-        let heard = followers.get(&self.domain).and_then(ReportFollower::last_heard);
-        now.saturating_duration_since(heard.unwrap_or(self.started))
+        let silence = self.silence_of(&self.domain, now);
+        silence.unwrap_or_else(|| now.saturating_duration_since(self.started))
+    }
+
+    /// Returns for how long no frame of a failure domain came, or `None` when there never was one.
+    pub fn silence_of(&self, domain: &DomainId, now: Instant) -> Option<Duration> {
+        let heard = self.followers().get(domain)?.last_heard()?;
+        Some(now.saturating_duration_since(heard))
     }
 
     fn followers(&self) -> MutexGuard<'_, BTreeMap<DomainId, ReportFollower>> {
