--- a/crates/mustardgate-core/src/reports/mod.rs
+++ b/crates/mustardgate-core/src/reports/mod.rs
@@ -11,5 +11,5 @@
 pub use self::{
     follower::{FrameOutcome, ReportFollower},
     message::{DemandReport, ReadyChange, ReportCatalogue, ReportFrame, RunnerState},
-    publisher::{ReportAudience, ReportPublisher},
+    publisher::{RELAY_LOAD_INTERVAL, ReportAudience, ReportPublisher},
 };
--- a/crates/mustardgate-core/src/reports/publisher.rs
+++ b/crates/mustardgate-core/src/reports/publisher.rs
@@ -11,7 +11,7 @@
 /// Time between two frames with load to the own failure domain, also when nothing changed.
 const NEIGHBOUR_LOAD_INTERVAL: Duration = Duration::from_secs(2);
 /// Time between two frames with load to other failure domains, also when nothing changed.
-const RELAY_LOAD_INTERVAL: Duration = Duration::from_secs(10);
+pub const RELAY_LOAD_INTERVAL: Duration = Duration::from_secs(10);
 /// Divisor of the load last told that gives the smallest change worth telling.
 const LOAD_CHANGE_DIVISOR: u32 = 4;
 
--- a/crates/mustardgate/src/leader/domain.rs
+++ b/crates/mustardgate/src/leader/domain.rs
@@ -17,6 +17,7 @@
         demand::DemandEstimator,
         gain::RemoteReplicas,
     },
+    reports::RELAY_LOAD_INTERVAL,
     resources::{BackendRole, BackendSpec, PolicySpec, PriorityClass, ResourceKind, ResourceSpec},
     routing::Availability,
 };
@@ -26,6 +27,9 @@
 /// Intervals between reports after which a report no longer shows that a replica answers.
 pub(super) const REPORT_FRESHNESS_INTERVALS: u32 = 4;
 
+/// Intervals between frames of another failure domain after which they no longer show that a replica answers.
+const RELAY_FRESHNESS_INTERVALS: u32 = 3;
+
 /// The own failure domain, and what its leader knows of the others.
 #[derive(Debug)]
 pub(super) struct DomainDescription {
@@ -180,7 +184,7 @@
         .collect()
 }
 
-/// Returns what runners of other failure domains answer for, by reports that are fresh enough to show it. Only base
+/// Returns what runners of other failure domains answer for, as long as their leader is heard. Only base
 /// replicas count as answering, because another domain may give up others at the same moment.
 fn remote_replicas(
     context: &NodeContext,
@@ -189,18 +193,27 @@
     placement: &BasePlacement,
 ) -> BTreeMap<Artifact, RemoteReplicas> {
     let own = &context.settings.node.domain;
-    let freshness = context.settings.backends.report() * REPORT_FRESHNESS_INTERVALS;
+    let freshness = RELAY_LOAD_INTERVAL * RELAY_FRESHNESS_INTERVALS;
+    let is_heard = |domain: &DomainId| {
+        let silence = context.reports.silence_of(domain, now);
+        silence.is_some_and(|silence| silence <= freshness)
+    };
     let mut found: BTreeMap<Artifact, Vec<RemoteReplica>> = BTreeMap::new();
-    for (name, spec) in engines.iter().filter(|(_, spec)| spec.domain != *own) {
-        let entry = context.board.entry(name);
-        let Some(entry) = entry.filter(|entry| now.saturating_duration_since(entry.received) <= freshness) else {
+    let heard: BTreeSet<&DomainId> = engines
+        .iter()
+        .map(|(_, spec)| &spec.domain)
+        .filter(|domain| is_heard(domain))
+        .collect();
+    let is_remote = |spec: &BackendSpec| spec.domain != *own && heard.contains(&spec.domain);
+    for (name, spec) in engines.iter().filter(|(_, spec)| is_remote(spec)) {
+        let Some(entry) = context.board.entry(name) else {
             continue;
         };
         let utilisation = f64::from(entry.state.outstanding) / f64::from(spec.max_concurrency.max(1));
-        for artifact in &entry.state.ready {
-            let base = placement.replicas.get(artifact).into_iter().flatten();
+        for artifact in entry.state.ready {
+            let base = placement.replicas.get(&artifact).into_iter().flatten();
             let is_base = base.map(|replica| &replica.place).any(|place| place.backend == *name);
-            let replicas = found.entry(artifact.clone()).or_default();
+            let replicas = found.entry(artifact).or_default();
             replicas.push(RemoteReplica { is_base, utilisation });
         }
     }
