Let the mean of load reports outlast their lag

Every node weighs reports that are three seconds old by a mean of about 2.5 s, so all send and all stop together: the load swings with the delay. Change: a mean over 10 s, by elapsed time rather than by the number of reports.

--- a/crates/mustardgate-core/src/routing/load.rs
+++ b/crates/mustardgate-core/src/routing/load.rs
@@ -9,7 +9,7 @@
 const HISTORY_ENTRIES: usize = 512;
 const REPORT_EXPIRY_MS: u64 = 5_000;
 const REPORT_MEMORY_S: f64 = 1.0;
-const MEAN_WEIGHT: f64 = 0.2;
+const MEAN_MEMORY_S: f64 = 10.0;
 
 /// A runner's report of its load, through whichever node read it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,7 +41,8 @@
     ///
     /// What a report says about others loses its value within about a second, so the estimate goes from the report
     /// towards the mean of past reports. Otherwise a lagging peak keeps a runner shut, and a lagging trough draws
-    /// everyone to it.
+    /// everyone to it. The mean is longer than any lag to be expected: a mean about as long as the lag swings with the load
+    /// that it causes itself.
     pub(super) fn total(&self, now: Instant) -> u32 {
         let Some(at) = self.others_at else {
             return self.own;
@@ -85,7 +86,11 @@
         let own_then = self.own_at(report.measured_at);
         self.others = f64::from(report.outstanding.saturating_sub(own_then));
         self.others_mean = match self.others_at {
-            Some(_) => self.others_mean + (self.others - self.others_mean) * MEAN_WEIGHT,
+            Some(at) => {
+                let elapsed_s = report.measured_at.duration_since(at).as_secs_f64();
+                let weight = 1.0 - (-elapsed_s / MEAN_MEMORY_S).exp();
+                self.others_mean + (self.others - self.others_mean) * weight
+            }
             None => self.others,
         };
         self.others_at = Some(report.measured_at);
