--- a/crates/standins/src/failures/answers.rs
+++ b/crates/standins/src/failures/answers.rs
@@ -34,7 +34,7 @@
     Whole,
     /// Words that are not those of the answer, or too few of them under a regular end.
     Wrong,
-    /// Some words, then an error or the end of the connection.
+    /// Some words and then an error, or a connection that ended before the end of the answer.
     CutOff,
     /// An error and no word.
     Refused,
@@ -124,16 +124,17 @@
             };
         }
         let Ok(chunk) = serde_json::from_str::<ChatChunk>(&data) else {
-            break;
+            // An error told before the first word is a refusal; the request was not cut off.
+            return if text.is_empty() {
+                ChatHeard::Refused
+            } else {
+                ChatHeard::CutOff
+            };
         };
         text.push_str(&chunk.delta);
         if !wanted.starts_with(&text) {
             return ChatHeard::Wrong;
         }
     }
-    if text.is_empty() {
-        ChatHeard::Refused
-    } else {
-        ChatHeard::CutOff
-    }
+    ChatHeard::CutOff
 }
--- /dev/null
+++ b/crates/standins/src/failures/faults/backend_leaving.rs
@@ -0,0 +1,65 @@
+//! Backend servers that the platform's list marks as leaving.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use tokio::time::Instant;
+
+use super::FaultScript;
+use crate::{
+    engine_http::EngineStats,
+    failures::{FailureBench, FailureError},
+    service::ServiceStats,
+};
+
+const SERVICE: &str = "pier-orders-1";
+const ENGINE: &str = "pier-runner-1";
+const OBSERVED_TIME: Duration = Duration::from_secs(8);
+/// Seconds after which a leaving backend server must have no new work; the list itself lags by half a second.
+const NEW_WORK_LIMIT_S: f64 = 5.0;
+const POLL_STEP: Duration = Duration::from_millis(50);
+
+/// A service and an engine are marked as leaving while they serve.
+#[derive(Clone, Copy, Debug)]
+pub struct BackendLeaving;
+
+#[async_trait]
+impl FaultScript for BackendLeaving {
+    fn name(&self) -> &'static str {
+        "backend-leaving"
+    }
+
+    async fn inject(&self, bench: &mut FailureBench) -> Result<(), FailureError> {
+        bench.mark_leaving(SERVICE).await?;
+        bench.mark_leaving(ENGINE).await?;
+        let marked_at = Instant::now();
+        let mut begun = work_begun(bench).await?;
+        let mut last_work_s = [0.0; 2];
+        while marked_at.elapsed() < OBSERVED_TIME {
+            let now = work_begun(bench).await?;
+            for (index, last_s) in last_work_s.iter_mut().enumerate() {
+                if now[index] > begun[index] {
+                    *last_s = marked_at.elapsed().as_secs_f64();
+                }
+            }
+            begun = now;
+            tokio::time::sleep(POLL_STEP).await;
+        }
+        for (backend, last_s) in [SERVICE, ENGINE].into_iter().zip(last_work_s) {
+            bench.note(&format!("{backend}_last_new_work_s"), last_s);
+            if last_s > NEW_WORK_LIMIT_S {
+                let broken = format!("{backend} got new work {last_s:.1} s after it was marked as leaving");
+                bench.violations.push(broken);
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Returns how much work the service and the engine have begun so far.
+async fn work_begun(bench: &FailureBench) -> Result<[u64; 2], FailureError> {
+    let service: ServiceStats = bench.cluster.backend_stats(SERVICE).await?;
+    let engine: EngineStats = bench.cluster.backend_stats(ENGINE).await?;
+    let generations = engine.runs.iter().map(|run| u64::from(run.runs)).sum();
+    Ok([service.runs, generations])
+}
--- a/crates/standins/src/failures/faults/mod.rs
+++ b/crates/standins/src/failures/faults/mod.rs
@@ -1,8 +1,17 @@
 //! The faults, one module each.
 
+mod answers_lost;
+mod backend_leaving;
+mod cut_and_freeze;
 mod domain_cut;
 mod leader_frozen;
 mod leader_killed;
+mod node_frozen;
+mod outage_and_kill;
+mod planned_stop;
+mod platform_down;
+mod platform_slow;
+mod racing_operators;
 
 use std::fmt::Debug;
 
@@ -34,5 +43,14 @@
             "domain-cut-one-way",
             RelayMode::TowardsTarget,
         )),
+        Box::new(node_frozen::NodeFrozen),
+        Box::new(platform_down::PlatformDown),
+        Box::new(platform_slow::PlatformSlow),
+        Box::new(answers_lost::AnswersLost),
+        Box::new(racing_operators::RacingOperators),
+        Box::new(planned_stop::PlannedStop),
+        Box::new(backend_leaving::BackendLeaving),
+        Box::new(outage_and_kill::OutageAndKill),
+        Box::new(cut_and_freeze::CutAndFreeze),
     ]
 }
--- /dev/null
+++ b/crates/standins/src/failures/faults/node_frozen.rs
@@ -0,0 +1,51 @@
+//! SIGSTOP of a node with keyed calls under way.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+
+use super::FaultScript;
+use crate::{
+    failures::{FailureBench, FailureError},
+    service::ServiceFaults,
+};
+
+const DOMAIN: &str = "market";
+const SERVICE: &str = "market-orders-1";
+const FROZEN_TIME: Duration = Duration::from_secs(5);
+/// Time that each call takes at the service, so that some are under way when the node is frozen.
+const CALL_TIME_MS: u64 = 300;
+const CALLS_BEGIN: Duration = Duration::from_millis(500);
+
+/// A node that does not lead sleeps through the outcome of calls that it sent.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeFrozen;
+
+#[async_trait]
+impl FaultScript for NodeFrozen {
+    fn name(&self) -> &'static str {
+        "node-frozen"
+    }
+
+    async fn inject(&self, bench: &mut FailureBench) -> Result<(), FailureError> {
+        let slow = ServiceFaults {
+            delay_ms: CALL_TIME_MS,
+            ..ServiceFaults::default()
+        };
+        bench.cluster.set_backend_faults(SERVICE, &slow).await?;
+        tokio::time::sleep(CALLS_BEGIN).await;
+        let leader = bench.wait_leader(DOMAIN, None, FROZEN_TIME).await?;
+        let nodes = bench.nodes_of(DOMAIN);
+        let Some(follower) = nodes.into_iter().find(|node| *node != leader) else {
+            return Ok(());
+        };
+        bench.freeze(follower)?;
+        tokio::time::sleep(FROZEN_TIME).await;
+        bench.resume(follower)?;
+        bench
+            .cluster
+            .set_backend_faults(SERVICE, &ServiceFaults::default())
+            .await?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/failures/faults/platform_slow.rs
@@ -0,0 +1,41 @@
+//! A platform that answers late.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+
+use super::FaultScript;
+use crate::{
+    failures::{FailureBench, FailureError},
+    platform::{ListFaults, LogFaults, PlatformFaults},
+};
+
+const SLOW_TIME: Duration = Duration::from_secs(6);
+const DELAY_MS: u64 = 700;
+
+/// Every answer of the platform is late, though within the nodes' timeout.
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformSlow;
+
+#[async_trait]
+impl FaultScript for PlatformSlow {
+    fn name(&self) -> &'static str {
+        "platform-slow"
+    }
+
+    async fn inject(&self, bench: &mut FailureBench) -> Result<(), FailureError> {
+        let faults = PlatformFaults {
+            log: LogFaults {
+                delay_ms: DELAY_MS,
+                ..LogFaults::default()
+            },
+            list: ListFaults {
+                delay_ms: DELAY_MS,
+                ..ListFaults::default()
+            },
+        };
+        bench.set_platform(&faults).await?;
+        tokio::time::sleep(SLOW_TIME).await;
+        Ok(())
+    }
+}
