--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod experiment;
 pub mod harness;
 pub mod http;
+pub mod performance;
 pub mod platform;
 pub mod proof;
 pub mod service;
