Take the first baseline of a runner's latency from its first 32 answers

Cause: the baseline was the very first latency and followed later ones by two thousandths. Ruled out: a cumulative mean without an end; it follows an overload and fails `the_limit_follows_latency`, which stays as it is. Change: plain mean of the first 32 answers, then as before.

--- a/crates/mustardgate-core/src/routing/limit.rs
+++ b/crates/mustardgate-core/src/routing/limit.rs
@@ -29,6 +29,8 @@
 
 const RECENT_WEIGHT: f64 = 0.1;
 const BASELINE_WEIGHT: f64 = 0.002;
+/// Answers whose plain mean is the first baseline.
+const BASELINE_ANSWERS: u32 = 32;
 const GRADIENT_MIN: f64 = 0.5;
 const OVERLOAD_FACTOR: f64 = 0.7;
 
@@ -40,8 +42,9 @@
 pub struct ConcurrencyLimit {
     settings: LimitSettings,
     limit: f64,
-    baseline_s: Option<f64>,
+    baseline_s: f64,
     recent_s: f64,
+    measured: u32,
 }
 
 impl ConcurrencyLimit {
@@ -50,8 +53,9 @@
         Self {
             settings,
             limit: settings.max,
-            baseline_s: None,
+            baseline_s: 0.0,
             recent_s: 0.0,
+            measured: 0,
         }
     }
 
@@ -62,15 +66,20 @@
 
     /// Returns the recent latency, or `None` before the first measurement.
     pub fn recent_latency(&self) -> Option<Duration> {
-        self.baseline_s.map(|_| Duration::from_secs_f64(self.recent_s))
+        (self.measured > 0).then(|| Duration::from_secs_f64(self.recent_s))
     }
 
     /// Learns from one answer that took `latency` while `in_flight` requests were out.
     pub fn record_latency(&mut self, latency: Duration, in_flight: u32) {
         let latency_s = latency.as_secs_f64().max(1e-6);
-        let baseline_s = self.follow_baseline(latency_s);
-        self.recent_s += (latency_s - self.recent_s) * RECENT_WEIGHT;
-        let gradient = (self.settings.tolerance * baseline_s / self.recent_s).clamp(GRADIENT_MIN, 1.0);
+        self.measured = self.measured.saturating_add(1);
+        let first_weight = match self.measured {
+            measured @ ..=BASELINE_ANSWERS => 1.0 / f64::from(measured),
+            _ => 0.0,
+        };
+        self.baseline_s += (latency_s - self.baseline_s) * first_weight.max(BASELINE_WEIGHT);
+        self.recent_s += (latency_s - self.recent_s) * first_weight.max(RECENT_WEIGHT);
+        let gradient = (self.settings.tolerance * self.baseline_s / self.recent_s).clamp(GRADIENT_MIN, 1.0);
         let is_used = f64::from(in_flight) * 2.0 >= self.limit;
         if gradient >= 1.0 && !is_used {
             return;
@@ -84,17 +93,6 @@
         self.set(self.limit * OVERLOAD_FACTOR);
     }
 
-    fn follow_baseline(&mut self, latency_s: f64) -> f64 {
-        let Some(baseline_s) = self.baseline_s else {
-            self.baseline_s = Some(latency_s);
-            self.recent_s = latency_s;
-            return latency_s;
-        };
-        let followed_s = baseline_s + (latency_s - baseline_s) * BASELINE_WEIGHT;
-        self.baseline_s = Some(followed_s);
-        followed_s
-    }
-
     fn set(&mut self, limit: f64) {
         self.limit = limit.clamp(self.settings.min, self.settings.max);
     }
--- a/crates/mustardgate-core/tests/routing.rs
+++ b/crates/mustardgate-core/tests/routing.rs
@@ -237,6 +237,17 @@
     assert_eq!(limit.current(), 22);
 }
 
+#[test]
+fn the_limit_does_not_hang_on_the_first_latency() {
+    let mut limit = ConcurrencyLimit::new(LimitSettings::for_runner(160));
+    limit.record_latency(Duration::from_millis(2), 1);
+    // An engine that steps every 20 ms gives a first token 1 to 20 ms after the dispatch, whatever its load.
+    for number in 0..2_000 {
+        limit.record_latency(Duration::from_millis(1 + number * 7 % 20), 10);
+        assert_eq!(limit.current(), 160, "after {number} answers");
+    }
+}
+
 #[test]
 fn limits_hold_under_threads() {
     let now = Instant::now();
