Name the request in the answers of chat completions

Cause: only plain calls answered with x-request-id, so a caller could not quote a stream to operators. No measurement: one header an answer.

--- a/crates/mustardgate/src/gateway/chat.rs
+++ b/crates/mustardgate/src/gateway/chat.rs
@@ -13,7 +13,7 @@
 
 use super::{
     errors::CallerError,
-    request::{read_body, read_deadline},
+    request::{name_request, read_body, read_deadline},
     tenants::{CallerScope, identify},
 };
 use crate::{
@@ -70,12 +70,15 @@
         tenant: scope.tenant,
         class,
     };
+    let id = job.origin.request.clone();
     let exchange = start_exchange(context, job, chat.model.clone(), labels, flight);
-    if chat.stream {
-        answer_streamed(exchange).await
+    let mut response = if chat.stream {
+        answer_streamed(exchange).await?
     } else {
-        answer_whole(exchange).await
-    }
+        answer_whole(exchange).await?
+    };
+    name_request(response.headers_mut(), &id);
+    Ok(response)
 }
 
 fn parse_chat(body: &Bytes) -> Result<ChatRequest, CallerError> {
--- a/crates/mustardgate/src/gateway/request.rs
+++ b/crates/mustardgate/src/gateway/request.rs
@@ -3,9 +3,16 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hyper::{HeaderMap, body::Incoming, header::AUTHORIZATION};
-use mustardgate_core::{clock, ids::IdempotencyKey};
-use mustardgate_protocol::callers::{DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER};
+use hyper::{
+    HeaderMap,
+    body::Incoming,
+    header::{AUTHORIZATION, HeaderName, HeaderValue},
+};
+use mustardgate_core::{
+    clock,
+    ids::{IdempotencyKey, RequestId},
+};
+use mustardgate_protocol::callers::{DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER};
 use sha2::{Digest, Sha256};
 use smol_str::SmolStr;
 
@@ -87,3 +94,10 @@
         .await
         .map_err(|source| CallerError::Body { source })
 }
+
+/// Names the request in its answer, so that a caller can quote it to operators.
+pub(super) fn name_request(headers: &mut HeaderMap, request: &RequestId) {
+    if let Ok(value) = HeaderValue::from_str(request) {
+        headers.insert(HeaderName::from_static(REQUEST_ID_HEADER), value);
+    }
+}
--- a/crates/mustardgate/src/gateway/services.rs
+++ b/crates/mustardgate/src/gateway/services.rs
@@ -8,12 +8,12 @@
     header::{CONTENT_TYPE, HeaderName, HeaderValue},
 };
 use mustardgate_core::{clock, verdict::RunVerdict};
-use mustardgate_protocol::callers::{REQUEST_ID_HEADER, SERVICES_PREFIX, VERDICT_HEADER};
+use mustardgate_protocol::callers::{SERVICES_PREFIX, VERDICT_HEADER};
 
 use super::{
     errors::CallerError,
     keyed::run_keyed,
-    request::{read_body, read_deadline, read_key},
+    request::{name_request, read_body, read_deadline, read_key},
     tenants::identify,
 };
 use crate::{
@@ -116,9 +116,7 @@
     let content_type = reply.headers.get(CONTENT_TYPE).cloned();
     let mut response = bytes_answer(reply.status, content_type, reply.body);
     let headers = response.headers_mut();
-    if let Ok(value) = HeaderValue::from_str(&call.request) {
-        headers.insert(HeaderName::from_static(REQUEST_ID_HEADER), value);
-    }
+    name_request(headers, &call.request);
     headers.insert(HeaderName::from_static(VERDICT_HEADER), HeaderValue::from_static("ran"));
     response
 }
