--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,9 +3,11 @@
 //! Nothing here ships. The stand-ins' states are plain values, used directly by randomised proofs and, behind a small
 //! HTTP listener, by the example processes.
 
+pub mod capacity;
 pub mod engine;
 pub mod engine_http;
 pub mod experiment;
+pub mod failures;
 pub mod harness;
 pub mod http;
 pub mod performance;
