--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod failures;
 pub mod harness;
 pub mod http;
+pub mod performance;
 pub mod platform;
 pub mod proof;
 pub mod service;
