--- a/crates/mustardgate/src/http/client.rs
+++ b/crates/mustardgate/src/http/client.rs
@@ -170,9 +170,9 @@
         limits: CallLimits,
     ) -> Result<HttpReply, CallError> {
         let sent_bytes = request.body().size_hint().exact().unwrap_or_default();
-        record_control_bytes(kind, "out", sent_bytes);
+        record_control_bytes(kind, "sent", sent_bytes);
         let reply = self.call(address, request, limits.timeout, limits.max_bytes).await?;
-        record_control_bytes(kind, "in", reply.body.len() as u64);
+        record_control_bytes(kind, "received", reply.body.len() as u64);
         Ok(reply)
     }
 }
--- a/crates/standins/src/capacity/design.rs
+++ b/crates/standins/src/capacity/design.rs
@@ -1,5 +1,6 @@
 //! Evaluates the measured slopes at the size to design for, and finds what breaks first on the way there.
 
+use mustardgate_core::config::FEEDERS_PER_DOMAIN;
 use serde::Serialize;
 
 use super::{serving::HELD_MODELS, slope::MeasuredSlope};
@@ -22,8 +23,11 @@
 /// Replicas of a model that one choice looks at.
 const REPLICAS: f64 = 4.0;
 
-/// Reads of the log that one node makes a second, by its two readers together.
-pub const READS_PER_SECOND: f64 = 2.0;
+/// Reads of the log a second by one reader. Every node follows the records of keys and leases; only the feeders of a
+/// failure domain follow the configuration as well, with a reader of its own.
+pub const READS_PER_SECOND: f64 = 1.0;
+/// Readers of the log in a node that feeds its failure domain.
+const FEEDER_READERS: f64 = 2.0;
 /// Reads of one runner's report a second, by one node.
 pub const REPORTS_PER_SECOND: f64 = 2.0;
 /// Renewals of one domain's lease a second.
@@ -178,6 +182,11 @@
     ]
 }
 
+/// Returns the reads of the log a second by all nodes.
+pub fn reads_per_second(nodes: f64, domains: f64) -> f64 {
+    (nodes + domains * FEEDERS_PER_DOMAIN as f64) * READS_PER_SECOND
+}
+
 fn lease_bytes(book: SlopeBook<'_>) -> f64 {
     DOMAINS * RENEWALS_PER_SECOND * book.step("lease_log")
 }
@@ -190,8 +199,8 @@
     let role = "configuration follower";
     let declared = RUNNERS + MODELS;
     let changes = CHANGES_PER_DAY / SECONDS_PER_DAY;
-    let quiet = READS_PER_SECOND * (lease_bytes(book) + changes * book.step("config_log"));
-    let keyed = quiet + READS_PER_SECOND * key_bytes(book);
+    let quiet = FEEDER_READERS * (lease_bytes(book) + changes * book.step("config_log"));
+    let keyed = quiet + FEEDER_READERS * key_bytes(book);
     let replay = REQUESTS_PER_SECOND * KEYED_RATIO * book.step("key_replay") / 1e6;
     vec![
         plain(role, "configuration held", "B", book.at("config_memory", declared)),
@@ -285,8 +294,13 @@
             book.at("digest_frame", nodes_in_domain),
         ),
         plain("stand-by", "heartbeat frame", "B", book.at("heartbeat_frame", 0.0)),
-        plain(log, "reads, two readers a node", "1/s", NODES * READS_PER_SECOND),
-        plain(log, "reads, one reader a node", "1/s", NODES),
+        plain(log, "reads", "1/s", reads_per_second(NODES, DOMAINS)),
+        plain(
+            log,
+            "reads, were every node to follow twice",
+            "1/s",
+            NODES * FEEDER_READERS * READS_PER_SECOND,
+        ),
         bounded(
             plain(log, "appends, without keys", "1/s", quiet_appends),
             MAX_APPENDS,
--- a/crates/standins/src/capacity/running.rs
+++ b/crates/standins/src/capacity/running.rs
@@ -11,7 +11,7 @@
 
 use super::{
     design::{
-        BASE_ROUNDS_PER_SECOND, LISTS_PER_SECOND, READS_PER_SECOND, RENEWALS_PER_SECOND, REPORTS_PER_SECOND, SlopeBook,
+        BASE_ROUNDS_PER_SECOND, LISTS_PER_SECOND, RENEWALS_PER_SECOND, REPORTS_PER_SECOND, SlopeBook, reads_per_second,
     },
     slope::MeasuredSlope,
 };
@@ -253,7 +253,7 @@
     push("resident memory", "B a node", last.resident_bytes() / nodes, None);
     let rate = |now: u64, before: u64| (now - before) as f64 / report.seconds;
     let reads = rate(last.stats.reads, first.stats.reads);
-    push("log reads", "1/s", reads, Some(nodes * READS_PER_SECOND));
+    push("log reads", "1/s", reads, Some(reads_per_second(nodes, DOMAINS as f64)));
     let appends = rate(last.stats.appends, first.stats.appends);
     push(
         "log appends",
@@ -267,7 +267,7 @@
 }
 
 fn predicted_bytes(report: &RunningReport, book: SlopeBook<'_>, labels: &str) -> Option<f64> {
-    if !labels.contains("\"in\"") {
+    if !labels.contains("\"received\"") {
         return None;
     }
     let runners = report.runners as f64;
@@ -277,7 +277,8 @@
     } else if labels.contains("vm_list") {
         Some(LISTS_PER_SECOND * book.at("list_body", vms))
     } else if labels.contains("log_read") {
-        Some(READS_PER_SECOND * DOMAINS as f64 * RENEWALS_PER_SECOND * book.step("lease_log"))
+        let readers = reads_per_second(report.nodes as f64, DOMAINS as f64) / report.nodes as f64;
+        Some(readers * DOMAINS as f64 * RENEWALS_PER_SECOND * book.step("lease_log"))
     } else {
         None
     }
