--- a/crates/standins/tests/mustardctl_deployment.rs
+++ b/crates/standins/tests/mustardctl_deployment.rs
@@ -91,6 +91,7 @@
     async fn await_model(&mut self) {
         for _ in 0..MAX_POLLS {
             let shown = self.operate(&["get", "model", "menu"]).await;
+            assert_eq!(shown.code, Some(0), "{}", shown.output);
             let items: Value = serde_json::from_str(&shown.output).expect("JSON");
             if items[0]["status"]["conditions"][0]["holds"] == true {
                 return;
