Compute the base placement only when its input changed, and index reports by what a runner holds

Ruled out: computing on the leader alone, since a stand-by would then begin with an empty description. Change: a tracker keeps the placement until declarations, the live list or an expected absence change; the board unlinks a report by the weights it named. The planned stop also waits until every answer has left to a slow caller, up to the drain limit (no test brings that about: socket buffers hide it).

--- a/crates/mustardgate/src/leader/domain.rs
+++ b/crates/mustardgate/src/leader/domain.rs
@@ -13,7 +13,7 @@
     log::Artifact,
     placement::{
         ArtifactDemand,
-        base::{AbsenceTracker, BaseInput, BasePlacement, DeclaredArtifact, LiveRunner},
+        base::{BasePlacement, DeclaredArtifact, LiveRunner},
         demand::DemandEstimator,
         gain::RemoteReplicas,
     },
@@ -22,6 +22,7 @@
     routing::Availability,
 };
 
+use super::base::{BaseTracker, ListedRunner};
 use crate::context::NodeContext;
 
 /// Intervals between reports after which a report no longer shows that a replica answers.
@@ -41,22 +42,18 @@
 pub(super) fn describe_domain(
     context: &NodeContext,
     demand: &DemandEstimator,
-    absences: &mut AbsenceTracker,
+    base: &mut BaseTracker,
 ) -> Option<DomainDescription> {
     let now = clock::now();
     let view = context.directory.view().ok()?;
     let own = &context.settings.node.domain;
     let engines = declared_engines(&view);
-    let is_live = |name: &BackendId| context.vms.availability(name) == Availability::Serving;
-    let (live, away): (Vec<_>, Vec<_>) = engines.iter().partition(|(name, _)| is_live(name));
-    absences.observe(now, away.iter().map(|(name, _)| name.clone()));
-    let absent = away.into_iter().filter(|(name, _)| absences.is_expected(now, name));
-    let input = BaseInput {
-        artifacts: declared_artifacts(&view),
-        runners: live.into_iter().map(describe_runner).collect(),
-        absent: absent.map(describe_runner).collect(),
-    };
-    let placement = BasePlacement::compute(&input);
+    let listed = engines.iter().map(|engine| ListedRunner {
+        runner: describe_runner(engine),
+        is_live: context.vms.availability(&engine.0) == Availability::Serving,
+    });
+    base.refresh(now, declared_artifacts(&view), listed.collect());
+    let (artifacts, placement) = (base.artifacts(), base.placement());
     let in_domain = |spec: &&(BackendId, BackendSpec)| spec.1.domain == *own;
     let config = DomainConfig {
         runners: engines
@@ -64,15 +61,14 @@
             .filter(in_domain)
             .map(|(name, spec)| runner_config(context, name, spec))
             .collect(),
-        demands: input
-            .artifacts
+        demands: artifacts
             .iter()
-            .map(|artifact| describe_demand(&view, &placement, own, artifact, demand))
+            .map(|artifact| describe_demand(&view, placement, own, artifact, demand))
             .collect(),
-        answered_elsewhere: answered_elsewhere(context, &engines, &input.artifacts),
+        answered_elsewhere: answered_elsewhere(context, &engines, artifacts),
         policy: domain_share(&view.policy(), &engines),
     };
-    let remote = remote_replicas(context, now, &engines, &placement);
+    let remote = remote_replicas(context, now, &engines, placement);
     Some(DomainDescription { config, remote })
 }
 
--- a/crates/mustardgate/src/leader/mod.rs
+++ b/crates/mustardgate/src/leader/mod.rs
@@ -1,5 +1,6 @@
 //! The leader role: runs the decisions of `mustardgate_core::leader` against the log and the engines.
 
+mod base;
 mod domain;
 mod observer;
 mod status;
--- a/crates/mustardgate/src/leader/task.rs
+++ b/crates/mustardgate/src/leader/task.rs
@@ -9,7 +9,6 @@
     lease::LeaseSettings,
     placement::{
         PlacementPolicy,
-        base::AbsenceTracker,
         demand::{DemandEstimator, DemandSettings},
         gain::{GainPolicy, GainSettings},
     },
@@ -23,6 +22,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
+    base::BaseTracker,
     domain::{REPORT_FRESHNESS_INTERVALS, describe_domain},
     observer::LeaderObserver,
 };
@@ -60,7 +60,7 @@
     leader: DomainLeader,
     policy: GainPolicy,
     demand: DemandEstimator,
-    absences: AbsenceTracker,
+    base: BaseTracker,
     sender: UnboundedSender<LeaderEvent>,
     is_draining: bool,
 }
@@ -78,7 +78,7 @@
             leader,
             policy,
             demand: DemandEstimator::new(DemandSettings::default()),
-            absences: AbsenceTracker::new(ABSENCE_EXPECTED),
+            base: BaseTracker::new(ABSENCE_EXPECTED),
             sender,
             is_draining: false,
         }
@@ -111,7 +111,7 @@
     fn plan(&mut self) {
         let now = clock::now();
         self.demand.observe(now, &self.context.demand.collect());
-        let Some(description) = describe_domain(&self.context, &self.demand, &mut self.absences) else {
+        let Some(description) = describe_domain(&self.context, &self.demand, &mut self.base) else {
             return;
         };
         self.policy.set_remote(description.remote);
--- a/crates/mustardgate/src/node/mod.rs
+++ b/crates/mustardgate/src/node/mod.rs
@@ -99,8 +99,7 @@
     events::LISTENING.write(&node.logger, o!("node" => identity.to_string()));
     signals.next().await;
     let outcome = stop::drain_node(&node, &mut signals).await;
-    // The callers' connections end by themselves once no request is in flight.
-    drop(tokio::time::timeout(stop::CLOSE_LIMIT, callers).await);
+    let outcome = stop::close_callers(&node, &mut signals, callers, outcome).await;
     shutdown.cancel();
     tracker.close();
     drop(tokio::time::timeout(stop::CLOSE_LIMIT, tracker.wait()).await);
--- a/crates/mustardgate/src/node/stop.rs
+++ b/crates/mustardgate/src/node/stop.rs
@@ -5,6 +5,7 @@
 use slog::o;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
+    task::JoinHandle,
     time,
 };
 
@@ -61,6 +62,28 @@
     if is_idle { StopOutcome::Drained } else { cut(node).await }
 }
 
+/// Waits until every answer has left: one whose pieces are all there may still be on its way to a slow caller.
+pub(super) async fn close_callers(
+    node: &NodeContext,
+    signals: &mut StopSignals,
+    callers: JoinHandle<()>,
+    outcome: StopOutcome,
+) -> StopOutcome {
+    if outcome == StopOutcome::Cut {
+        drop(time::timeout(CLOSE_LIMIT, callers).await);
+        return outcome;
+    }
+    let is_closed = tokio::select! {
+        closed = time::timeout(node.settings.drain.limit(), callers) => closed.is_ok(),
+        () = signals.next() => false,
+    };
+    if is_closed {
+        StopOutcome::Drained
+    } else {
+        StopOutcome::Cut
+    }
+}
+
 async fn cut(node: &NodeContext) -> StopOutcome {
     events::DRAIN_CUT.write(&node.logger, o!("in_flight" => node.drain.in_flight()));
     node.drain.closing().cancel();
--- a/crates/mustardgate/src/runners/board.rs
+++ b/crates/mustardgate/src/runners/board.rs
@@ -80,23 +80,22 @@
             .get(backend)
             .cloned()
     }
-
-    /// Returns the number of runners that answer for each artifact.
-    pub fn replica_counts(&self) -> BTreeMap<Artifact, usize> {
-        let state = self.state.read().expect("no holder panics");
-        state
-            .ready
-            .iter()
-            .map(|(artifact, backends)| (artifact.clone(), backends.len()))
-            .collect()
-    }
 }
 
 impl BoardState {
+    /// Takes a runner out of the index; the cost grows with what it holds, not with all that is declared.
     fn unlink(&mut self, backend: &BackendId) {
-        self.ready.retain(|_, backends| {
+        let Some(entry) = self.entries.get(backend) else {
+            return;
+        };
+        for artifact in &entry.state.ready {
+            let Some(backends) = self.ready.get_mut(artifact) else {
+                continue;
+            };
             backends.remove(backend);
-            !backends.is_empty()
-        });
+            if backends.is_empty() {
+                self.ready.remove(artifact);
+            }
+        }
     }
 }
