Keep a model reachable through a change of its version

Cause: the gateway asked for the serving version at once, which no runner had loaded yet, so callers were refused for a second or two after an operator's change; and the leader no longer knew the former version as declared. Ruled out: delaying the change of version in the configuration, which must be in force within seconds. Change: another declared version that answers serves until the serving version does; the leader keeps the last replica of a former version in its domain until the serving version answers there. An adapter names one version only and has no fallback. The new gateway test answers no_capacity without the change. Not covered: a domain whose memory cannot hold both versions keeps the former one until memory is free.

--- a/crates/mustardgate-core/src/resources/model.rs
+++ b/crates/mustardgate-core/src/resources/model.rs
@@ -2,7 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{MemoryMib, ModelId, VersionId};
+use crate::{
+    ids::{MemoryMib, ModelId, VersionId},
+    log::Artifact,
+};
 
 /// Specification of a model.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,6 +25,15 @@
 }
 
 impl ModelSpec {
+    /// Returns the weights of a version of the model `name`.
+    pub fn artifact_of(&self, name: &ModelId, version: &VersionId) -> Artifact {
+        Artifact {
+            model: name.clone(),
+            adapter: None,
+            version: version.clone(),
+        }
+    }
+
     /// Returns the version that serves requests, or `None` when it is not among the versions.
     pub fn serving_version(&self) -> Option<&VersionSpec> {
         self.versions.iter().find(|version| version.name == self.serving)
--- a/crates/mustardgate/src/gateway/chat.rs
+++ b/crates/mustardgate/src/gateway/chat.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use futures::{StreamExt, stream};
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use mustardgate_core::{clock, log::Artifact, verdict::RunVerdict};
+use mustardgate_core::{clock, log::Artifact, resources::ModelSpec, verdict::RunVerdict};
 use mustardgate_protocol::callers::{ChatAnswer, ChatChoice, ChatChunk, ChatMessage, ChatRequest, ChatUsage};
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -48,7 +48,7 @@
     let deadline = read_deadline(&head.headers, &context.settings.callers)?;
     let body = read_body(body, &context.settings.callers).await?;
     let chat = parse_chat(&body)?;
-    let artifact = resolve_artifact(&scope, &chat.model)?;
+    let artifact = resolve_artifact(&context, &scope, &chat.model)?;
     let service = scope.service_of_model(&artifact.model)?;
     let class = scope.service(&service)?.priority;
     let origin = JobOrigin {
@@ -99,13 +99,9 @@
 }
 
 /// Finds the weights for the name of a model or of an adapter.
-fn resolve_artifact(scope: &CallerScope, name: &SmolStr) -> Result<Artifact, CallerError> {
+fn resolve_artifact(context: &NodeContext, scope: &CallerScope, name: &SmolStr) -> Result<Artifact, CallerError> {
     if let Some(model) = scope.view.model(name) {
-        return Ok(Artifact {
-            model: name.clone(),
-            adapter: None,
-            version: model.serving.clone(),
-        });
+        return Ok(answering_version(context, name, model));
     }
     let adapter = scope
         .view
@@ -118,6 +114,22 @@
     })
 }
 
+/// Returns the serving version, or another declared one that answers while no runner has loaded the serving version yet:
+/// a change of version must not take the model away from its callers.
+fn answering_version(context: &NodeContext, name: &SmolStr, model: &ModelSpec) -> Artifact {
+    let serving = model.artifact_of(name, &model.serving);
+    if !context.board.ready(&serving).is_empty() {
+        return serving;
+    }
+    let others = model
+        .versions
+        .iter()
+        .rev()
+        .map(|version| model.artifact_of(name, &version.name));
+    let mut answering = others.filter(|artifact| !context.board.ready(artifact).is_empty());
+    answering.next().unwrap_or(serving)
+}
+
 fn prompt_text(chat: &ChatRequest) -> String {
     let mut text = String::new();
     for message in &chat.messages {
--- a/crates/mustardgate/src/leader/domain.rs
+++ b/crates/mustardgate/src/leader/domain.rs
@@ -12,7 +12,7 @@
     leader::{DomainConfig, RunnerConfig},
     log::Artifact,
     placement::{
-        ArtifactDemand,
+        ArtifactDemand, BaseAssignment,
         base::{BasePlacement, DeclaredArtifact, LiveRunner},
         demand::DemandEstimator,
         gain::RemoteReplicas,
@@ -55,16 +55,24 @@
     base.refresh(now, declared_artifacts(&view), listed.collect());
     let (artifacts, placement) = (base.artifacts(), base.placement());
     let in_domain = |spec: &&(BackendId, BackendSpec)| spec.1.domain == *own;
+    let mut demands: Vec<ArtifactDemand> = artifacts
+        .iter()
+        .map(|artifact| describe_demand(&view, placement.in_domain(own, &artifact.artifact), artifact, demand))
+        .collect();
+    let retained = retained_versions(context, &view, own);
+    demands.extend(
+        retained
+            .iter()
+            .map(|artifact| describe_demand(&view, Vec::new(), artifact, demand)),
+    );
+    demands.sort_by(|left, right| left.artifact.cmp(&right.artifact));
     let config = DomainConfig {
         runners: engines
             .iter()
             .filter(in_domain)
             .map(|(name, spec)| runner_config(context, name, spec))
             .collect(),
-        demands: artifacts
-            .iter()
-            .map(|artifact| describe_demand(&view, placement, own, artifact, demand))
-            .collect(),
+        demands,
         answered_elsewhere: answered_elsewhere(context, &engines, artifacts),
         policy: domain_share(&view.policy(), &engines),
     };
@@ -144,8 +152,7 @@
 
 fn describe_demand(
     view: &ConfigView,
-    placement: &BasePlacement,
-    own: &DomainId,
+    base: Vec<BaseAssignment>,
     declared: &DeclaredArtifact,
     demand: &DemandEstimator,
 ) -> ArtifactDemand {
@@ -160,8 +167,39 @@
             .map(|service| service.priority)
             .min()
             .unwrap_or(PriorityClass::Batch),
-        base: placement.in_domain(own, &declared.artifact),
+        base,
+    }
+}
+
+/// Lists former versions that still answer in the own failure domain while the serving version does not, so that the
+/// last replica of a model is not unloaded in the middle of a change of version.
+fn retained_versions(context: &NodeContext, view: &ConfigView, own: &DomainId) -> Vec<DeclaredArtifact> {
+    let in_domain: BTreeSet<&BackendId> = view.backends_in(own).collect();
+    let answers = |artifact: &Artifact| {
+        context
+            .board
+            .ready(artifact)
+            .iter()
+            .any(|name| in_domain.contains(name))
+    };
+    let mut retained = Vec::new();
+    for resource in view.list(ResourceKind::Model) {
+        let ResourceSpec::Model(model) = &resource.spec else {
+            continue;
+        };
+        let name = &resource.key.name;
+        if answers(&model.artifact_of(name, &model.serving)) {
+            continue;
+        }
+        let versions = model.versions.iter().filter(|version| version.name != model.serving);
+        let described = versions.map(|version| DeclaredArtifact {
+            artifact: model.artifact_of(name, &version.name),
+            memory_mib: version.memory_mib,
+            min_replicas: 1,
+        });
+        retained.extend(described.filter(|declared| answers(&declared.artifact)));
     }
+    retained
 }
 
 /// Lists the weights that a runner of another failure domain answers for, as far as this node knows.
--- a/crates/mustardgate/tests/gateway.rs
+++ b/crates/mustardgate/tests/gateway.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
+
+use mustardgate::context::NodeContext;
+use mustardgate_core::{clock, ids::BackendId, log::Artifact, reports::RunnerState, routing::RunnerProfile};
 
 use mustardgate_protocol::callers::ErrorAnswer;
 use tokio::{
@@ -166,6 +169,47 @@
     }
 }
 
+/// Makes a runner known that holds one version of the model and listens nowhere.
+fn hold_version(context: &NodeContext, version: &str) {
+    let artifact = Artifact {
+        model: "menu".into(),
+        adapter: None,
+        version: version.into(),
+    };
+    let backend = BackendId::from("runner-1");
+    let nowhere = "127.0.0.1:1".parse().expect("an address");
+    context
+        .addresses
+        .write()
+        .expect("no holder panics")
+        .insert(backend.clone(), nowhere);
+    context.selector.upsert_runner(RunnerProfile {
+        backend: backend.clone(),
+        domain: "th-a".into(),
+        region: "th-central".into(),
+        max_concurrency: 4,
+        ready: vec![artifact.clone()],
+    });
+    let state = RunnerState {
+        ready: [artifact].into(),
+        outstanding: 0,
+    };
+    context.board.update(&backend, state, clock::now());
+}
+
+#[tokio::test]
+async fn a_former_version_answers_until_the_serving_one_is_loaded() {
+    let context = support::context();
+    hold_version(&context, "v1");
+    let address = support::serve(Arc::clone(&context)).await;
+    let chat = request("POST", "/v1/chat/completions", Some(KITCHEN_KEY), "", CHAT);
+    let (status, _, body) = exchange(address, &chat).await;
+    let answer: ErrorAnswer = serde_json::from_str(&body).expect("errors are typed");
+    // The runner was tried, and nobody listens there; without the fallback the model would have no capacity.
+    assert_eq!((status, answer.error.code.as_str()), (502, "attempts_failed"));
+    assert_eq!(answer.error.verdict.to_string(), "not_run");
+}
+
 #[tokio::test]
 async fn a_keyed_call_is_refused_while_the_record_of_keys_is_unknown() {
     let address = support::serve(support::context()).await;
--- a/crates/mustardgate/tests/support/mod.rs
+++ b/crates/mustardgate/tests/support/mod.rs
@@ -66,13 +66,13 @@
 }
 
 fn declarations() -> Vec<(&'static str, ResourceSpec)> {
-    let versions = vec![VersionSpec {
-        name: "v1".into(),
+    let version = |name: &str| VersionSpec {
+        name: name.into(),
         memory_mib: 8_000,
-    }];
+    };
     let model = ModelSpec {
-        versions,
-        serving: "v1".into(),
+        versions: vec![version("v1"), version("v2")],
+        serving: "v2".into(),
         min_replicas: 1,
     };
     vec![
