--- a/crates/mustardgate/src/gateway/chat.rs
+++ b/crates/mustardgate/src/gateway/chat.rs
@@ -37,25 +37,46 @@
     pieces: mpsc::Receiver<GenerationEvent>,
 }
 
+/// A chat completion as it was asked for.
+#[derive(Debug)]
+struct ChatOrder {
+    job: GenerationJob,
+    model: SmolStr,
+    is_streamed: bool,
+}
+
 pub(super) async fn answer_chat(
     context: Arc<NodeContext>,
     request: Request<Incoming>,
     flight: FlightGuard,
 ) -> Result<Response<AnswerBody>, CallerError> {
+    let order = read_order(&context, request).await?;
+    let id = order.job.origin.request.clone();
+    let is_streamed = order.is_streamed;
+    let exchange = start_exchange(context, order, flight);
+    let mut response = if is_streamed {
+        answer_streamed(exchange).await?
+    } else {
+        answer_whole(exchange).await?
+    };
+    name_request(response.headers_mut(), &id);
+    Ok(response)
+}
+
+async fn read_order(context: &NodeContext, request: Request<Incoming>) -> Result<ChatOrder, CallerError> {
     let arrived = clock::now();
     let (head, body) = request.into_parts();
-    let scope = identify(&context, &head.headers)?;
+    let scope = identify(context, &head.headers)?;
     let deadline = read_deadline(&head.headers, &context.settings.callers)?;
     let body = read_body(body, &context.settings.callers).await?;
     let chat = parse_chat(&body)?;
-    let artifact = resolve_artifact(&context, &scope, &chat.model)?;
+    let artifact = resolve_artifact(context, &scope, &chat.model)?;
     let service = scope.service_of_model(&artifact.model)?;
-    let class = scope.service(&service)?.priority;
     let origin = JobOrigin {
         request: context.identifiers.next(),
         tenant: scope.tenant.clone(),
         weight: scope.weight(),
-        class,
+        class: scope.service(&service)?.priority,
         arrived,
         deadline,
         bytes: body.len(),
@@ -66,19 +87,11 @@
         prompt: prompt_text(&chat),
         max_tokens: chat.max_tokens,
     };
-    let labels = RequestLabels {
-        tenant: scope.tenant,
-        class,
-    };
-    let id = job.origin.request.clone();
-    let exchange = start_exchange(context, job, chat.model.clone(), labels, flight);
-    let mut response = if chat.stream {
-        answer_streamed(exchange).await?
-    } else {
-        answer_whole(exchange).await?
-    };
-    name_request(response.headers_mut(), &id);
-    Ok(response)
+    Ok(ChatOrder {
+        job,
+        model: chat.model,
+        is_streamed: chat.stream,
+    })
 }
 
 fn parse_chat(body: &Bytes) -> Result<ChatRequest, CallerError> {
@@ -141,18 +154,16 @@
     text
 }
 
-fn start_exchange(
-    context: Arc<NodeContext>,
-    job: GenerationJob,
-    model: SmolStr,
-    labels: RequestLabels,
-    flight: FlightGuard,
-) -> ChatExchange {
+fn start_exchange(context: Arc<NodeContext>, order: ChatOrder, flight: FlightGuard) -> ChatExchange {
     let (sender, mut events) = mpsc::channel(PIECE_BUFFER);
     let (forward, pieces) = mpsc::channel(PIECE_BUFFER);
-    let id = job.origin.request.clone();
-    let arrived = job.origin.arrived;
-    tokio::spawn(run_generation(context, job, sender));
+    let origin = &order.job.origin;
+    let (id, arrived) = (origin.request.clone(), origin.arrived);
+    let labels = RequestLabels {
+        tenant: origin.tenant.clone(),
+        class: origin.class,
+    };
+    tokio::spawn(run_generation(context, order.job, sender));
     tokio::spawn(async move {
         while let Some(event) = events.recv().await {
             record_event(&labels, &event, clock::now() - arrived);
@@ -162,7 +173,11 @@
         }
         drop(flight);
     });
-    ChatExchange { id, model, pieces }
+    ChatExchange {
+        id,
+        model: order.model,
+        pieces,
+    }
 }
 
 fn record_event(labels: &RequestLabels, event: &GenerationEvent, elapsed: Duration) {
