Summarise latencies in one place

Cause: the load report and the performance report each summarised a histogram of microseconds, line for line alike. Ruled out: sharing the histograms' bounds, which differ on purpose. Change: LatencySummary::of, used by both.

--- a/crates/mustardctl/src/load/report.rs
+++ b/crates/mustardctl/src/load/report.rs
@@ -135,13 +135,13 @@
     }
 
     pub(super) fn finish(mut self) -> LoadReport {
-        self.report.first_token_ms = summarise(&self.first);
-        self.report.token_gap_ms = summarise(&self.gaps);
-        self.report.whole_answer_ms = summarise(&self.whole);
-        self.report.sender_delay_ms = summarise(&self.delays);
+        self.report.first_token_ms = LatencySummary::of(&self.first);
+        self.report.token_gap_ms = LatencySummary::of(&self.gaps);
+        self.report.whole_answer_ms = LatencySummary::of(&self.whole);
+        self.report.sender_delay_ms = LatencySummary::of(&self.delays);
         for (tenant, histogram) in &self.tenants {
             if let Some(report) = self.report.by_tenant.get_mut(tenant) {
-                report.first_token_ms = summarise(histogram);
+                report.first_token_ms = LatencySummary::of(histogram);
             }
         }
         self.report
@@ -156,15 +156,18 @@
     histogram.saturating_record(latency.as_micros() as u64);
 }
 
-fn summarise(histogram: &Histogram<u64>) -> LatencySummary {
-    let quantile = |quantile| histogram.value_at_quantile(quantile) as f64 / MICROSECONDS_PER_MILLISECOND;
-    LatencySummary {
-        count: histogram.len(),
-        mean: histogram.mean() / MICROSECONDS_PER_MILLISECOND,
-        p50: quantile(0.5),
-        p90: quantile(0.9),
-        p95: quantile(0.95),
-        p99: quantile(0.99),
-        max: histogram.max() as f64 / MICROSECONDS_PER_MILLISECOND,
+impl LatencySummary {
+    /// Summarises a histogram of microseconds in milliseconds.
+    pub fn of(histogram: &Histogram<u64>) -> Self {
+        let quantile = |quantile| histogram.value_at_quantile(quantile) as f64 / MICROSECONDS_PER_MILLISECOND;
+        Self {
+            count: histogram.len(),
+            mean: histogram.mean() / MICROSECONDS_PER_MILLISECOND,
+            p50: quantile(0.5),
+            p90: quantile(0.9),
+            p95: quantile(0.95),
+            p99: quantile(0.99),
+            max: histogram.max() as f64 / MICROSECONDS_PER_MILLISECOND,
+        }
     }
 }
--- a/crates/standins/src/performance/report.rs
+++ b/crates/standins/src/performance/report.rs
@@ -11,7 +11,6 @@
 use super::streams::FIRST_TOKEN_TARGET;
 
 const MILLISECONDS_PER_SECOND: f64 = 1_000.0;
-const MICROSECONDS_PER_MILLISECOND: f64 = 1_000.0;
 const TOKEN_GAP_TARGET_MS: f64 = 28.0;
 const MAX_LATENCY_US: u64 = 600_000_000;
 const HISTOGRAM_DIGITS: u8 = 3;
@@ -217,7 +216,7 @@
 
     pub(super) fn finish(mut self) -> Self {
         if let Some(histogram) = self.histogram.take() {
-            self.latency_ms = summarise(&histogram);
+            self.latency_ms = LatencySummary::of(&histogram);
         }
         self
     }
@@ -262,7 +261,7 @@
     }
 
     pub(super) fn finish(mut self) -> Self {
-        self.latency_ms = summarise(&self.histogram);
+        self.latency_ms = LatencySummary::of(&self.histogram);
         self
     }
 }
@@ -281,16 +280,3 @@
 fn new_histogram() -> Histogram<u64> {
     Histogram::new_with_bounds(1, MAX_LATENCY_US, HISTOGRAM_DIGITS).expect("bounds and digits are in range")
 }
-
-fn summarise(histogram: &Histogram<u64>) -> LatencySummary {
-    let quantile = |quantile| histogram.value_at_quantile(quantile) as f64 / MICROSECONDS_PER_MILLISECOND;
-    LatencySummary {
-        count: histogram.len(),
-        mean: histogram.mean() / MICROSECONDS_PER_MILLISECOND,
-        p50: quantile(0.5),
-        p90: quantile(0.9),
-        p95: quantile(0.95),
-        p99: quantile(0.99),
-        max: histogram.max() as f64 / MICROSECONDS_PER_MILLISECOND,
-    }
-}
