Count evictions that are done at once, and let only idle adapters give way

Change: such evictions count, reports older than the own count are not used, adapters used within a second stay, a request asks up to three runners for its adapter, and the planner's capacity comes from idle runners only.

--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -27,7 +27,7 @@
     events::{EventSplitter, StreamEvent},
     health::{HealthSettings, OutcomeTracker},
     load::{LoadFigure, ReportedLoad},
-    planner::{AdapterPlan, OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
+    planner::{AdapterPlan, AllInUse, OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
     prompt::PromptMemory,
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
 };
--- a/crates/mustardgate-core/src/relay/planner.rs
+++ b/crates/mustardgate-core/src/relay/planner.rs
@@ -131,6 +131,11 @@
         self.runner_rate = rate.max(0.1);
     }
 
+    /// Returns the requests a second that one runner is taken to answer in time.
+    pub fn runner_rate(&self) -> f64 {
+        self.runner_rate
+    }
+
     /// Returns the rate at which a model is asked for.
     pub fn rate_of(&self, model: &ModelId) -> f64 {
         self.demand.forecast(&model_artifact(model))
@@ -284,6 +289,13 @@
     }
 }
 
+/// Time since its last use after which an adapter is taken to be idle.
+const ADAPTER_IDLE: Duration = Duration::from_secs(1);
+
+/// Every adapter of a runner was used a moment ago, so that none can give way at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AllInUse;
+
 /// Which adapter gives way on a runner whose places are taken.
 #[derive(Clone, Debug, Default)]
 pub struct AdapterPlan {
@@ -301,13 +313,18 @@
         self.used_at.retain(|(known, _), _| known != backend);
     }
 
-    /// Returns the adapter that was used longest ago, if the places are taken.
+    /// Returns the adapter that was used longest ago if the places are taken, or nothing if one is free.
+    ///
+    /// # Errors
+    /// [`AllInUse`] when the places are taken and requests may be under way for each of them: an eviction would wait for
+    /// these, and the runner would take no other order meanwhile.
     pub fn victim(
         &self,
+        now: Instant,
         backend: &BackendId,
         held: &BTreeMap<ModelId, BTreeSet<AdapterId>>,
         slots: u32,
-    ) -> Option<ModelName> {
+    ) -> Result<Option<ModelName>, AllInUse> {
         let names: Vec<ModelName> = held
             .iter()
             .flat_map(|(model, adapters)| {
@@ -318,10 +335,12 @@
             })
             .collect();
         if names.len() < slots as usize {
-            return None;
+            return Ok(None);
         }
-        names
+        let used_at = |name: &ModelName| self.used_at.get(&(backend.clone(), name.clone())).copied();
+        let idle = names
             .into_iter()
-            .min_by_key(|name| self.used_at.get(&(backend.clone(), name.clone())).copied())
+            .filter(|name| used_at(name).is_none_or(|at| now.saturating_duration_since(at) >= ADAPTER_IDLE));
+        idle.min_by_key(used_at).map(Some).ok_or(AllInUse)
     }
 }
--- a/crates/mustardgate-relay/src/context/demand.rs
+++ b/crates/mustardgate-relay/src/context/demand.rs
@@ -12,8 +12,8 @@
 };
 use serde::{Deserialize, Serialize};
 
-/// Weight of the newest measurement in the estimate of the shortest time to a first event.
-const RISE_WEIGHT: f64 = 0.02;
+/// Weight of the newest measurement in the time that an idle runner needs to a first event.
+const MEASURE_WEIGHT: f64 = 0.05;
 
 /// Demand since the last digest.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -50,16 +50,12 @@
         names.insert(name.to_text().to_string());
     }
 
-    /// Learns from the time to a first event; the estimate follows the shortest times and rises slowly.
+    /// Learns from the time that an idle runner took to a first event.
     pub fn record_first_event(&self, service: &ServiceId, elapsed: Duration) {
         let mut digest = self.lock();
         let measured_s = elapsed.as_secs_f64();
         let known_s = digest.service_time_s.entry(service.clone()).or_insert(measured_s);
-        if measured_s < *known_s {
-            *known_s = measured_s;
-        } else {
-            *known_s += (measured_s - *known_s).min(*known_s) * RISE_WEIGHT;
-        }
+        *known_s += (measured_s - *known_s) * MEASURE_WEIGHT;
     }
 
     /// Returns the digest and begins a new one.
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -28,6 +28,10 @@
 
 /// Time kept back from the runner's deadline for the way back to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(5);
+/// Expected requests at a runner below which its time to a first event is that of an idle one.
+const IDLE_LOAD: f64 = 0.5;
+/// Runners that are asked to load an adapter for one request.
+const ADAPTER_TRIES: usize = 3;
 /// Longest wait for a leader to load an adapter.
 const ADAPTER_WAIT: Duration = Duration::from_millis(250);
 
@@ -91,30 +95,32 @@
 impl ReceivedRequest {
     /// Chooses a runner that was not tried yet and has the adapter that the request names, loading it where needed.
     pub(super) async fn choose(&self, tried: &[BackendId]) -> Result<RunnerPick, AttemptError> {
-        let query = SelectionQuery {
-            service: &self.service,
-            request: &self.request,
-            excluded: tried,
-        };
-        let pick = self
-            .context
-            .fleet
-            .select(clock::now(), &query)
-            .map_err(|error| AttemptError::unplaced(error.cause))?;
-        let (Some(name), true) = (&self.request.model, pick.candidate.lacks_adapter) else {
-            return Ok(pick);
-        };
-        let backend = pick.cell.listed().id.clone();
-        let left = self.expires_at.saturating_duration_since(clock::now());
-        let asking = self.context.want_adapter(&self.service, &backend, name);
-        let is_loaded = tokio::time::timeout(ADAPTER_WAIT.min(left), asking)
-            .await
-            .unwrap_or(false);
-        if !is_loaded {
-            return Err(AttemptError::unplaced(RefusalCause::AdapterAbsent));
+        let mut excluded = tried.to_vec();
+        for _ in 0..ADAPTER_TRIES {
+            let query = SelectionQuery {
+                service: &self.service,
+                request: &self.request,
+                excluded: &excluded,
+            };
+            let pick = match self.context.fleet.select(clock::now(), &query) {
+                Ok(pick) => pick,
+                Err(error) if excluded.len() == tried.len() => return Err(AttemptError::unplaced(error.cause)),
+                Err(_) => break,
+            };
+            let (Some(name), true) = (&self.request.model, pick.candidate.lacks_adapter) else {
+                return Ok(pick);
+            };
+            let backend = pick.cell.listed().id.clone();
+            let left = self.expires_at.saturating_duration_since(clock::now());
+            let asking = self.context.want_adapter(&self.service, &backend, name);
+            let asked = tokio::time::timeout(ADAPTER_WAIT.min(left), asking).await;
+            if asked.unwrap_or(false) {
+                pick.cell.note_added(name);
+                return Ok(pick);
+            }
+            excluded.push(backend);
         }
-        pick.cell.note_added(name);
-        Ok(pick)
+        Err(AttemptError::unplaced(RefusalCause::AdapterAbsent))
     }
 
     /// Sends the request to the chosen runner and reads the head of its answer.
@@ -156,7 +162,7 @@
             cell.report_load(clock::now(), load);
         }
         self.check_head(&mut ticket, &head, &marks)?;
-        if self.route.is_stream {
+        if self.route.is_stream && pick.candidate.load < IDLE_LOAD {
             let elapsed = clock::now().saturating_duration_since(sent_at);
             self.context.demand.record_first_event(&self.service, elapsed);
         }
@@ -184,7 +190,9 @@
                 return Err(AttemptError::at(&backend, RunVerdict::MayHaveRun, "other_request"));
             }
             AnswerKind::Misdirected | AnswerKind::NotRun => {
-                if marks.kind == AnswerKind::Misdirected {
+                let is_full = marks.load.is_none_or(|load| load.running >= load.slots);
+                if marks.kind == AnswerKind::Misdirected || !is_full {
+                    // A runner that refuses while it has places is about to drop the model, or still loads it.
                     self.note_misdirected(ticket, marks);
                 }
                 let reason = format!("not_run_{}", head.status.as_u16());
--- a/crates/mustardgate-relay/src/leader/adapters.rs
+++ b/crates/mustardgate-relay/src/leader/adapters.rs
@@ -5,7 +5,7 @@
 use mustardgate_core::{
     clock,
     ids::{BackendId, ServiceId},
-    relay::{ModelName, OrderKind},
+    relay::{AllInUse, ModelName, OrderKind},
 };
 use tokio::time;
 
@@ -53,11 +53,23 @@
             if adapters.contains(adapter) {
                 return true;
             }
-            let victim = self.leader.lock().adapters.victim(backend, &report.models, slots);
-            if let Some(victim) = victim
-                && give(self, &listed, &mut memory, OrderKind::Evict, &victim).await != OrderReply::Accepted
-            {
-                continue;
+            let victim = self
+                .leader
+                .lock()
+                .adapters
+                .victim(clock::now(), backend, &report.models, slots);
+            match victim {
+                Ok(None) => {}
+                Err(AllInUse) => return false,
+                Ok(Some(victim)) => match give(self, &listed, &mut memory, OrderKind::Evict, &victim).await {
+                    OrderReply::AlreadyHolds => {}
+                    // The eviction waits for requests to end, and no other order is taken meanwhile.
+                    OrderReply::Accepted => {
+                        memory.doubt();
+                        return false;
+                    }
+                    _ => return false,
+                },
             }
             match give(self, &listed, &mut memory, OrderKind::Load, name).await {
                 OrderReply::Accepted => {
--- a/crates/mustardgate-relay/src/leader/desk.rs
+++ b/crates/mustardgate-relay/src/leader/desk.rs
@@ -22,6 +22,8 @@
 const LOAD_PATIENCE: u32 = 2;
 /// Time for an eviction, which waits for runs to finish.
 const EVICTION_PATIENCE: Duration = Duration::from_secs(8);
+/// Time by which a runner's report lags behind its state.
+const REPORT_LAG: Duration = Duration::from_millis(300);
 /// Time within which an answer of the leader shows that it still leads.
 const CONTACT_MEMORY: Duration = Duration::from_millis(2_500);
 
@@ -55,6 +57,23 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct OrderMemory {
     pub(super) report: Option<RunnerReport>,
+    /// Orders that the runner has accepted at least. Reports lag, and a count never falls within one start.
+    pub(super) least_count: u64,
+    /// When a report shows what the last refused or doubtful order left behind.
+    pub(super) settled_at: Option<Instant>,
+}
+
+impl OrderMemory {
+    /// Forgets the runner's state until reports show what an order left behind.
+    pub(super) fn doubt(&mut self) {
+        self.report = None;
+        self.settled_at = Some(clock::now() + REPORT_LAG);
+    }
+
+    /// Returns whether a report read now would show everything that was ordered.
+    pub(super) fn is_settled(&self) -> bool {
+        self.settled_at.is_none_or(|at| clock::now() >= at)
+    }
 }
 
 /// Orders about models whose outcome the runner's entry does not show yet.
--- a/crates/mustardgate-relay/src/leader/orders.rs
+++ b/crates/mustardgate-relay/src/leader/orders.rs
@@ -22,8 +22,10 @@
     let desk = context.leader.runner(&listed);
     let mut memory = desk.orders.lock().await;
     // Models move rarely, so the report is always read anew.
-    memory.report = context.ports.control.report(&listed.id, listed.address).await;
-    let Some(report) = memory.report.clone() else { return };
+    memory.report = None;
+    let Some(report) = ensure_report(&context, &listed, &mut memory).await.cloned() else {
+        return;
+    };
     if report.is_busy || !is_sound(&engine, &report, &order) {
         return;
     }
@@ -69,17 +71,17 @@
     );
     events::RELAY_ORDER_SENT.write(context.log.logger(), values);
     match reply {
-        OrderReply::Accepted => {
+        // An eviction that is done at once is answered as one that holds already, and counts.
+        OrderReply::Accepted | OrderReply::AlreadyHolds
+            if reply == OrderReply::Accepted || kind == OrderKind::Evict =>
+        {
             report.order_count += 1;
             bring_forward(report, kind, name);
+            memory.least_count = report.order_count;
         }
         OrderReply::Fenced => context.leader.forfeit(),
-        OrderReply::AlreadyHolds | OrderReply::Refused | OrderReply::NotSent => {}
-        OrderReply::Conflict | OrderReply::Unknown => memory.report = None,
-    }
-    if reply == OrderReply::AlreadyHolds {
-        // The runner may count such an order or not; only its report tells.
-        memory.report = None;
+        OrderReply::Refused | OrderReply::NotSent => {}
+        OrderReply::Accepted | OrderReply::AlreadyHolds | OrderReply::Conflict | OrderReply::Unknown => memory.doubt(),
     }
     reply
 }
@@ -131,8 +133,11 @@
     listed: &ListedRunner,
     memory: &'a mut OrderMemory,
 ) -> Option<&'a RunnerReport> {
-    if memory.report.is_none() {
-        memory.report = context.ports.control.report(&listed.id, listed.address).await;
+    if memory.report.is_none() && memory.is_settled() {
+        let report = context.ports.control.report(&listed.id, listed.address).await;
+        // A report from before the last order would have the next one refused.
+        memory.report = report.filter(|report| report.order_count >= memory.least_count);
+        memory.settled_at = None;
     }
     memory.report.as_ref()
 }
--- a/crates/mustardgate-relay/src/leader/plan.rs
+++ b/crates/mustardgate-relay/src/leader/plan.rs
@@ -2,11 +2,13 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
+use mustardgate::events;
 use mustardgate_core::{
     clock,
     ids::ServiceId,
-    relay::{EngineProfile, RunnerHoldings, RunnerState},
+    relay::{EngineProfile, PlacementPlanner, RunnerHoldings, RunnerState},
 };
+use slog::o;
 use tokio::time;
 
 use super::orders::order_model;
@@ -51,16 +53,21 @@
     fn plan_service(&self, service: &ServiceId, engine: &EngineProfile) {
         let now = clock::now();
         let runners = self.holdings(service);
-        let orders = {
+        let (orders, demand) = {
             let mut state = self.context.leader.lock();
             let arrivals = state.arrivals.remove(service).unwrap_or_default();
             let planner = state.planner(service);
             planner.observe_demand(now, &arrivals);
-            planner.plan(now, engine, &runners)
+            let orders = planner.plan(now, engine, &runners);
+            (orders, describe_demand(planner, engine, &runners))
         };
         if orders.is_empty() {
             return;
         }
+        events::RELAY_PLACEMENT_PLANNED.write(
+            self.context.log.logger(),
+            o!("demand" => demand, "orders" => orders.len(), "service" => service.to_string()),
+        );
         let engine = Arc::new(engine.clone());
         for order in orders {
             tokio::spawn(order_model(Arc::clone(&self.context), Arc::clone(&engine), order));
@@ -86,3 +93,21 @@
         holdings.collect::<BTreeMap<_, _>>().into_values().collect()
     }
 }
+
+/// Returns the models asked for most, each with its requests a second and its holders.
+fn describe_demand(planner: &PlacementPlanner, engine: &EngineProfile, runners: &[RunnerHoldings]) -> String {
+    /// Models that are named.
+    const NAMED: usize = 8;
+    let mut rates: Vec<_> = engine
+        .models
+        .keys()
+        .map(|model| (planner.rate_of(model), model))
+        .collect();
+    rates.sort_by(|left, right| right.0.total_cmp(&left.0));
+    let named = rates.into_iter().take(NAMED).map(|(rate, model)| {
+        let holders = runners.iter().filter(|runner| runner.resident.contains(model)).count();
+        format!("{model}:{rate:.1}/{holders}")
+    });
+    let named: Vec<String> = named.collect();
+    format!("{} capacity:{:.1}", named.join(" "), planner.runner_rate())
+}
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -106,6 +106,8 @@
 pub const RELAY_LEASE_DOUBTED: EventKind = event(620, Level::Warning, "lease doubted");
 /// An order was given to a runner; says the reply.
 pub const RELAY_ORDER_SENT: EventKind = event(621, Level::Info, "order given");
+/// A plan wants orders given; says the demand that it rests on.
+pub const RELAY_PLACEMENT_PLANNED: EventKind = event(622, Level::Info, "placement planned");
 /// The settings file changed; says what is taken up and what waits for a restart.
 pub const RELAY_SETTINGS_CHANGED: EventKind = event(630, Level::Info, "settings file changed");
 /// The changed settings file has an error, and the old settings stay.
@@ -156,6 +158,7 @@
     RELAY_TOPIC_REGAINED,
     RELAY_LEASE_DOUBTED,
     RELAY_ORDER_SENT,
+    RELAY_PLACEMENT_PLANNED,
     RELAY_SETTINGS_CHANGED,
     RELAY_SETTINGS_REFUSED,
 ];
