Place models by shares of the demand, and trust reports again after their lag

Cause: demand moves to another model within five seconds (model_shift); the gain policy made one move at a time, and an order was withheld for ever once an accepted eviction had not raised the runner's count. Change: SharePolicy gives each model replicas in proportion to its demand, makes room and remembers what for, prefers runners with copies and those that lose least; counts are doubted only while reports lag; withheld orders are logged.

--- a/crates/mustardgate-core/src/placement/gain/budget.rs
+++ b/crates/mustardgate-core/src/placement/gain/budget.rs
@@ -6,7 +6,7 @@
 
 /// Loads that this domain may still begin.
 #[derive(Clone, Debug)]
-pub(super) struct LoadBudget {
+pub(in crate::placement) struct LoadBudget {
     domain_share: f64,
     tokens: f64,
     refilled_at: Option<Instant>,
@@ -14,13 +14,13 @@
 
 /// Loads that may be begun in one plan.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct LoadAllowance {
-    pub(super) models: u32,
-    pub(super) adapters: u32,
+pub(in crate::placement) struct LoadAllowance {
+    pub(in crate::placement) models: u32,
+    pub(in crate::placement) adapters: u32,
 }
 
 impl LoadBudget {
-    pub(super) fn new(domain_share: f64) -> Self {
+    pub(in crate::placement) fn new(domain_share: f64) -> Self {
         Self {
             domain_share,
             tokens: 0.0,
@@ -29,7 +29,7 @@
     }
 
     /// Returns the allowance now: rate and concurrency for models, concurrency alone for adapters.
-    pub(super) fn allowance(
+    pub(in crate::placement) fn allowance(
         &mut self,
         now: Instant,
         policy: &PolicySpec,
@@ -52,7 +52,7 @@
     }
 
     /// Pays for a model load that was proposed.
-    pub(super) fn spend_model(&mut self) {
+    pub(in crate::placement) fn spend_model(&mut self) {
         self.tokens -= 1.0;
     }
 }
--- a/crates/mustardgate-core/src/placement/gain/evict.rs
+++ b/crates/mustardgate-core/src/placement/gain/evict.rs
@@ -13,21 +13,21 @@
 
 /// A place where weights are resident.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct ReplicaPlace {
-    pub(super) backend: BackendId,
-    pub(super) accelerator: AcceleratorIndex,
-    pub(super) artifact: Artifact,
+pub(in crate::placement) struct ReplicaPlace {
+    pub(in crate::placement) backend: BackendId,
+    pub(in crate::placement) accelerator: AcceleratorIndex,
+    pub(in crate::placement) artifact: Artifact,
 }
 
 /// When each replica was first seen.
 #[derive(Clone, Debug, Default)]
-pub(super) struct ResidenceBook {
+pub(in crate::placement) struct ResidenceBook {
     since: BTreeMap<ReplicaPlace, Instant>,
 }
 
 impl ResidenceBook {
     /// Notes new replicas and forgets those that are gone.
-    pub(super) fn update(&mut self, now: Instant, view: &DomainView) {
+    pub(in crate::placement) fn update(&mut self, now: Instant, view: &DomainView) {
         let mut since = BTreeMap::new();
         for runner in &view.runners {
             for (accelerator, state) in (0..).zip(&runner.accelerators) {
@@ -45,7 +45,7 @@
         self.since = since;
     }
 
-    pub(super) fn has_stayed(&self, now: Instant, place: &ReplicaPlace, least: Duration) -> bool {
+    pub(in crate::placement) fn has_stayed(&self, now: Instant, place: &ReplicaPlace, least: Duration) -> bool {
         self.since
             .get(place)
             .is_some_and(|since| now.saturating_duration_since(*since) >= least)
--- a/crates/mustardgate-core/src/placement/gain/load_times.rs
+++ b/crates/mustardgate-core/src/placement/gain/load_times.rs
@@ -15,12 +15,12 @@
 
 impl LoadTimes {
     /// Returns the time of a load from the runner's own copy, if it has one.
-    pub(super) fn copy_time(&self, backend: &BackendId, artifact: &Artifact) -> Option<Duration> {
+    pub(in crate::placement) fn copy_time(&self, backend: &BackendId, artifact: &Artifact) -> Option<Duration> {
         self.from_copy.get(backend)?.get(artifact).copied()
     }
 
     /// Returns the time that a load takes on a runner.
-    pub(super) fn load_time(&self, backend: &BackendId, artifact: &Artifact) -> Duration {
+    pub(in crate::placement) fn load_time(&self, backend: &BackendId, artifact: &Artifact) -> Duration {
         let from_store = || self.from_store.get(artifact).copied().unwrap_or_default();
         self.copy_time(backend, artifact).unwrap_or_else(from_store)
     }
--- a/crates/mustardgate-core/src/placement/mod.rs
+++ b/crates/mustardgate-core/src/placement/mod.rs
@@ -5,6 +5,7 @@
 pub mod base;
 pub mod demand;
 pub mod gain;
+pub mod share;
 mod view;
 
 use std::{fmt::Debug, time::Instant};
--- a/crates/mustardgate-core/src/relay/planner.rs
+++ b/crates/mustardgate-core/src/relay/planner.rs
@@ -12,10 +12,10 @@
     ids::{AdapterId, BackendId, ModelId},
     log::Artifact,
     placement::{
-        AcceleratorView, ArtifactDemand, BaseAssignment, DomainView, Holding, HoldingState, PlacementPolicy,
-        PlannedMove, RunnerView,
+        AcceleratorView, ArtifactDemand, DomainView, Holding, HoldingState, PlacementPolicy, PlannedMove, RunnerView,
         demand::{DemandEstimator, DemandSettings},
-        gain::{GainPolicy, GainSettings, LoadTimes},
+        gain::LoadTimes,
+        share::{SharePolicy, ShareSettings},
     },
     resources::{PolicySpec, PriorityClass},
 };
@@ -29,24 +29,15 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlannerSettings {
     /// Settings of the placement policy.
-    pub gain: GainSettings,
+    pub share: ShareSettings,
     /// Settings of the demand estimate.
     pub demand: DemandSettings,
-    /// Price of a move, in requests answered in time.
-    pub move_price: f64,
 }
 
 impl Default for PlannerSettings {
     fn default() -> Self {
         Self {
-            gain: GainSettings {
-                horizon: Duration::from_secs(10),
-                min_residence: Duration::from_secs(4),
-                hysteresis: 0.25,
-                mean_hold: Duration::from_secs(1),
-                domain_share: 1.0,
-                max_moves: 8,
-            },
+            share: ShareSettings::default(),
             demand: DemandSettings {
                 fast: Duration::from_millis(1_500),
                 slow: Duration::from_secs(4),
@@ -54,7 +45,6 @@
                 max_growth: 2.5,
                 follows_fall: true,
             },
-            move_price: 1.0,
         }
     }
 }
@@ -103,8 +93,7 @@
 /// Plans the loads and evictions of models.
 #[derive(Debug)]
 pub struct PlacementPlanner {
-    settings: PlannerSettings,
-    policy: GainPolicy,
+    policy: SharePolicy,
     demand: DemandEstimator,
     runner_rate: f64,
 }
@@ -113,8 +102,7 @@
     /// Creates a planner that has seen no demand.
     pub fn new(settings: PlannerSettings) -> Self {
         Self {
-            settings,
-            policy: GainPolicy::new(settings.gain),
+            policy: SharePolicy::new(settings.share),
             demand: DemandEstimator::new(settings.demand),
             runner_rate: DEFAULT_RUNNER_RATE,
         }
@@ -179,10 +167,9 @@
             .collect();
         let arriving = runners.iter().map(|runner| runner.arriving.len() as u32).sum();
         DomainView {
-            demands: self.demands(engine, runners, capacity_mib),
+            demands: self.demands(engine),
             runners: views,
             policy: PolicySpec {
-                move_price: self.settings.move_price,
                 store_loads_per_second: engine.loads_per_s * STORE_RATE_SHARE,
                 store_concurrent_loads: (engine.loads_per_s * longest_load(engine).as_secs_f64()).ceil() as u32,
                 ..PolicySpec::default()
@@ -192,16 +179,8 @@
         }
     }
 
-    fn demands(&self, engine: &EngineProfile, runners: &[RunnerHoldings], capacity_mib: u64) -> Vec<ArtifactDemand> {
-        let mut room: BTreeMap<&BackendId, u64> = runners
-            .iter()
-            .filter(|runner| runner.is_usable && !runner.is_busy)
-            .map(|runner| {
-                let held: u64 = holdings(engine, runner).iter().map(|holding| holding.memory_mib).sum();
-                (&runner.backend, capacity_mib.saturating_sub(held))
-            })
-            .collect();
-        let mut demands: Vec<ArtifactDemand> = engine
+    fn demands(&self, engine: &EngineProfile) -> Vec<ArtifactDemand> {
+        engine
             .models
             .iter()
             .map(|(model, profile)| ArtifactDemand {
@@ -211,27 +190,7 @@
                 priority: PriorityClass::Interactive,
                 base: Vec::new(),
             })
-            .collect();
-        demands.sort_by(|left, right| right.requests_per_second.total_cmp(&left.requests_per_second));
-        for demand in &mut demands {
-            let model = &demand.artifact.model;
-            let is_held = runners
-                .iter()
-                .any(|runner| runner.is_usable && (runner.resident.contains(model) || runner.arriving.contains(model)));
-            if is_held {
-                continue;
-            }
-            // A model that nobody holds goes where most room is; what gives way there is the policy's choice.
-            let Some((backend, free)) = room.iter_mut().max_by_key(|(_, free)| **free) else {
-                continue;
-            };
-            *free = free.saturating_sub(demand.memory_mib);
-            demand.base = vec![BaseAssignment {
-                backend: (*backend).clone(),
-                accelerator: 0,
-            }];
-        }
-        demands
+            .collect()
     }
 }
 
--- a/crates/mustardgate-relay/src/leader/desk.rs
+++ b/crates/mustardgate-relay/src/leader/desk.rs
@@ -22,6 +22,8 @@
 const LOAD_PATIENCE: u32 = 2;
 /// Time for an eviction, which waits for runs to finish.
 const EVICTION_PATIENCE: Duration = Duration::from_secs(8);
+/// Time for which a runner that cannot take an order gets no other.
+const DEFER_TIME: Duration = Duration::from_millis(800);
 /// Time by which a runner's report lags behind its state.
 const REPORT_LAG: Duration = Duration::from_millis(300);
 /// Time within which an answer of the leader shows that it still leads.
@@ -57,8 +59,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct OrderMemory {
     pub(super) report: Option<RunnerReport>,
-    /// Orders that the runner has accepted at least. Reports lag, and a count never falls within one start.
-    pub(super) least_count: u64,
+    /// Count after the last accepted order, and when that was. Reports lag behind it for a while.
+    pub(super) counted: Option<(u64, Instant)>,
     /// When a report shows what the last refused or doubtful order left behind.
     pub(super) settled_at: Option<Instant>,
 }
@@ -70,6 +72,14 @@
         self.settled_at = Some(clock::now() + REPORT_LAG);
     }
 
+    /// Returns whether a report may be from before the last accepted order. A count that still lags later is right: an
+    /// accepted eviction counts only once it is done.
+    pub(super) fn is_outdated(&self, report: &RunnerReport) -> bool {
+        self.counted.is_some_and(|(count, at)| {
+            report.order_count < count && clock::now().saturating_duration_since(at) < REPORT_LAG
+        })
+    }
+
     /// Returns whether a report read now would show everything that was ordered.
     pub(super) fn is_settled(&self) -> bool {
         self.settled_at.is_none_or(|at| clock::now() >= at)
@@ -81,6 +91,8 @@
 struct PendingMoves {
     arriving: BTreeMap<ModelId, Instant>,
     leaving: BTreeMap<ModelId, Instant>,
+    /// Until when the runner gets no further order about models.
+    deferred_until: Option<Instant>,
 }
 
 impl LeaderDesk {
@@ -237,6 +249,16 @@
         (names(&pending.arriving), names(&pending.leaving))
     }
 
+    /// Leaves the runner alone for a while, since it cannot take an order about models.
+    pub(super) fn defer(&self) {
+        self.pending().deferred_until = Some(clock::now() + DEFER_TIME);
+    }
+
+    /// Returns whether the runner is left alone now.
+    pub(super) fn is_deferred(&self) -> bool {
+        self.pending().deferred_until.is_some_and(|until| clock::now() < until)
+    }
+
     fn pending(&self) -> MutexGuard<'_, PendingMoves> {
         self.pending.lock().expect("no holder of the lock panics")
     }
--- a/crates/mustardgate-relay/src/leader/orders.rs
+++ b/crates/mustardgate-relay/src/leader/orders.rs
@@ -4,7 +4,10 @@
 
 use metrics::counter;
 use mustardgate::events;
-use mustardgate_core::relay::{EngineProfile, ListedRunner, ModelName, OrderKind, PlacementOrder};
+use mustardgate_core::{
+    clock,
+    relay::{EngineProfile, ListedRunner, ModelName, OrderKind, PlacementOrder},
+};
 use slog::o;
 
 use super::desk::{OrderMemory, RunnerDesk};
@@ -23,10 +26,22 @@
     let mut memory = desk.orders.lock().await;
     // Models move rarely, so the report is always read anew.
     memory.report = None;
-    let Some(report) = ensure_report(&context, &listed, &mut memory).await.cloned() else {
-        return;
+    let report = ensure_report(&context, &listed, &mut memory).await.cloned();
+    let withheld = match &report {
+        None => Some("no_report"),
+        Some(report) if report.is_busy => Some("busy"),
+        Some(report) => (!is_sound(&engine, report, &order)).then_some("unsound"),
     };
-    if report.is_busy || !is_sound(&engine, &report, &order) {
+    if let Some(reason) = withheld {
+        desk.defer();
+        let values = o!(
+            "reason" => reason,
+            "report" => format!("{report:?}"),
+            "name" => order.name.to_text().to_string(),
+            "kind" => order.kind.to_string(),
+            "backend" => listed.id.to_string(),
+        );
+        events::RELAY_ORDER_WITHHELD.write(context.log.logger(), values);
         return;
     }
     let reply = give(&context, &listed, &mut memory, order.kind, &order.name).await;
@@ -77,7 +92,7 @@
         {
             report.order_count += 1;
             bring_forward(report, kind, name);
-            memory.least_count = report.order_count;
+            memory.counted = Some((report.order_count, clock::now()));
         }
         OrderReply::Fenced => context.leader.forfeit(),
         OrderReply::Refused | OrderReply::NotSent => {}
@@ -136,7 +151,7 @@
     if memory.report.is_none() && memory.is_settled() {
         let report = context.ports.control.report(&listed.id, listed.address).await;
         // A report from before the last order would have the next one refused.
-        memory.report = report.filter(|report| report.order_count >= memory.least_count);
+        memory.report = report.filter(|report| !memory.is_outdated(report));
         memory.settled_at = None;
     }
     memory.report.as_ref()
--- a/crates/mustardgate-relay/src/leader/plan.rs
+++ b/crates/mustardgate-relay/src/leader/plan.rs
@@ -83,7 +83,10 @@
             let holdings = RunnerHoldings {
                 backend: listed.id.clone(),
                 is_usable: listed.state == RunnerState::Ready,
-                is_busy: !arriving.is_empty() || !leaving.is_empty() || desk.orders.try_lock().is_err(),
+                is_busy: !arriving.is_empty()
+                    || !leaving.is_empty()
+                    || desk.is_deferred()
+                    || desk.orders.try_lock().is_err(),
                 resident: listed.models.keys().cloned().collect(),
                 arriving,
                 leaving,
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -110,6 +110,8 @@
 pub const RELAY_ORDER_SENT: EventKind = event(621, Level::Info, "order given");
 /// A plan wants orders given; says the demand that it rests on.
 pub const RELAY_PLACEMENT_PLANNED: EventKind = event(622, Level::Info, "placement planned");
+/// A planned order was not given, because the runner's own report does not allow it or did not come.
+pub const RELAY_ORDER_WITHHELD: EventKind = event(623, Level::Info, "order withheld");
 /// The settings file changed; says what is taken up and what waits for a restart.
 pub const RELAY_SETTINGS_CHANGED: EventKind = event(630, Level::Info, "settings file changed");
 /// The changed settings file has an error, and the old settings stay.
@@ -162,6 +164,7 @@
     RELAY_LEASE_DOUBTED,
     RELAY_ORDER_SENT,
     RELAY_PLACEMENT_PLANNED,
+    RELAY_ORDER_WITHHELD,
     RELAY_SETTINGS_CHANGED,
     RELAY_SETTINGS_REFUSED,
 ];
--- a/crates/standins/src/harness/child.rs
+++ b/crates/standins/src/harness/child.rs
@@ -16,6 +16,10 @@
 
 use super::usage::ProcessUsage;
 
+/// Looks at a process that was told to stop, and the time between two of them.
+const STOP_CHECKS: u32 = 2_000;
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Time between two looks at whether a child has ended.
 const WAIT_STEP: Duration = Duration::from_millis(10);
 
@@ -128,12 +132,21 @@
         Ok(())
     }
 
-    /// Stops the process until it is continued (SIGSTOP).
+    /// Stops the process until it is continued (SIGSTOP), and returns once every thread has stopped: the signal is only
+    /// queued when the call returns, and on a busy machine a thread may answer a request before it stops.
     ///
     /// # Errors
     /// [`HarnessError::Process`] when that fails.
     pub fn freeze(&mut self) -> Result<(), HarnessError> {
-        self.signal(Signal::SIGSTOP)
+        self.signal(Signal::SIGSTOP)?;
+        let id = self.id();
+        for _ in 0..STOP_CHECKS {
+            if is_stopped(id) {
+                break;
+            }
+            std::thread::sleep(STOP_CHECK_INTERVAL);
+        }
+        Ok(())
     }
 
     /// Continues a frozen process (SIGCONT).
@@ -205,3 +218,15 @@
         }
     }
 }
+
+/// Returns whether every thread of a process is stopped, as far as the system tells.
+fn is_stopped(id: u32) -> bool {
+    let Ok(threads) = std::fs::read_dir(format!("/proc/{id}/task")) else {
+        return true;
+    };
+    threads.flatten().all(|thread| {
+        let stat = std::fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+        // The state follows the name, which stands in parentheses and may hold any character.
+        stat.rsplit_once(") ").is_none_or(|(_, rest)| rest.starts_with('T'))
+    })
+}
