Refuse at once what no runner could begin in time, and never evict a model that is growing

Change: BacklogFigure foretells the wait from this node's own waiting requests, AdmissionGate refuses what would miss its target, callers that have come back only take what others leave; growing models are no victims.

--- a/crates/mustardgate-core/src/placement/share/policy.rs
+++ b/crates/mustardgate-core/src/placement/share/policy.rs
@@ -78,6 +78,8 @@
     ledger: ReplicaLedger,
     allowance: LoadAllowance,
     touched: BTreeSet<BackendId>,
+    /// What this plan, or room made earlier, adds replicas of.
+    growing: BTreeSet<Artifact>,
     moves: Vec<PlannedMove>,
 }
 
@@ -103,6 +105,7 @@
             ledger: ReplicaLedger::new(view),
             allowance,
             touched: BTreeSet::new(),
+            growing: BTreeSet::new(),
             moves: Vec::new(),
         };
         self.follow_intents(&mut plan);
@@ -149,6 +152,7 @@
                 continue;
             };
             plan.ledger.add(&artifact);
+            plan.growing.insert(artifact.clone());
             plan.touched.insert(backend.clone());
             let has_room = free_mib(runner) >= plan.ledger.size(&artifact);
             if is_idle(runner) && has_room && self.pay(plan, &backend, &artifact) {
@@ -173,6 +177,7 @@
         };
         plan.touched.insert(runner.backend.clone());
         plan.ledger.add(artifact);
+        plan.growing.insert(artifact.clone());
         let Some(victim) = victims.first() else {
             let is_paid = self.pay(plan, &runner.backend, artifact);
             if is_paid {
@@ -250,7 +255,7 @@
         (missing == 0).then_some(victims)
     }
 
-    /// Never the last replica, and nothing that has just come.
+    /// Never the last replica, nothing that has just come, and nothing that more replicas are wanted of.
     fn may_go(&self, plan: &SharePlan<'_>, runner: &RunnerView, artifact: &Artifact) -> bool {
         let place = ReplicaPlace {
             backend: runner.backend.clone(),
@@ -258,7 +263,9 @@
             artifact: artifact.clone(),
         };
         let copies = plan.ledger.copies(artifact);
-        copies >= 2 && self.residence.has_stayed(plan.now, &place, self.settings.min_residence)
+        copies >= 2
+            && !plan.growing.contains(artifact)
+            && self.residence.has_stayed(plan.now, &place, self.settings.min_residence)
     }
 
     fn is_affordable(&self, plan: &SharePlan<'_>, backend: &BackendId, artifact: &Artifact) -> bool {
--- a/crates/mustardgate-core/src/relay/admission.rs
+++ b/crates/mustardgate-core/src/relay/admission.rs
@@ -1,4 +1,4 @@
-//! When a refused caller should come back.
+//! Which requests are refused under load, and when a refused caller should come back.
 
 use std::time::Duration;
 
@@ -30,6 +30,68 @@
     Stopping,
 }
 
+/// Settings of [`AdmissionGate`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GateSettings {
+    /// Part of a route's target latency up to which a wait is accepted.
+    pub target_share: f64,
+    /// The same for a caller that has come back, whose target is missed already: it only takes what others leave.
+    pub late_share: f64,
+    /// Longest wait that a patient request adds to, so that it does not push urgent ones past their targets.
+    pub patient_wait: Duration,
+}
+
+impl Default for GateSettings {
+    fn default() -> Self {
+        Self {
+            target_share: 0.85,
+            late_share: 0.5,
+            patient_wait: Duration::from_millis(1_200),
+        }
+    }
+}
+
+/// What the gate is asked about one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionQuestion {
+    /// Expected wait for the first word at the best runner.
+    pub wait: Duration,
+    /// Time since the request came.
+    pub elapsed: Duration,
+    /// Target latency of its route.
+    pub target: Duration,
+    /// Time that the caller will still wait.
+    pub left: Duration,
+    /// Whether the caller has come back, so that the target is missed already.
+    pub is_late: bool,
+}
+
+/// Refuses at once what a runner could not begin in time.
+///
+/// Engines read prompts in order, so under a burst, or while demand moves to a model with few replicas, every request that
+/// is let in late makes those behind it late too. Turning away what cannot meet its target keeps the rest within theirs.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AdmissionGate {
+    settings: GateSettings,
+}
+
+impl AdmissionGate {
+    /// Creates a gate.
+    pub fn new(settings: GateSettings) -> Self {
+        Self { settings }
+    }
+
+    /// Returns whether the request is sent to the runner.
+    pub fn admits(&self, question: &AdmissionQuestion) -> bool {
+        let bound = if question.is_late {
+            question.target.mul_f64(self.settings.late_share)
+        } else {
+            question.target.mul_f64(self.settings.target_share)
+        };
+        question.wait + question.elapsed <= bound.min(self.settings.patient_wait)
+    }
+}
+
 /// Settings of [`RetryAdvisor`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryAdvisorSettings {
--- a/crates/mustardgate-core/src/relay/choice.rs
+++ b/crates/mustardgate-core/src/relay/choice.rs
@@ -1,10 +1,14 @@
 //! The choice of a runner among those that can answer a request.
 
+use std::time::Duration;
+
 /// What is known of one runner at the moment of the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
     /// Requests expected at the runner.
     pub load: f64,
+    /// Expected wait for a first word.
+    pub wait: Duration,
     /// Requests it runs at once.
     pub slots: u32,
     /// Share of the prompt that it has to read, from 0 to 1.
@@ -22,6 +26,8 @@
 /// Weights of the choice, in requests waiting at a runner.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ChoiceWeights {
+    /// Price of a second of expected wait.
+    pub wait: f64,
     /// Price of reading a whole prompt.
     pub unread: f64,
     /// Price of loading an adapter.
@@ -39,6 +45,7 @@
 impl Default for ChoiceWeights {
     fn default() -> Self {
         Self {
+            wait: 12.0,
             unread: 4.0,
             adapter: 3.0,
             remote: 0.5,
@@ -66,6 +73,7 @@
         let weights = &self.weights;
         let flag = |is_set: bool, price: f64| if is_set { price } else { 0.0 };
         candidate.load
+            + candidate.wait.as_secs_f64() * weights.wait
             + candidate.unread_share * weights.unread
             + flag(candidate.lacks_adapter, weights.adapter)
             + flag(candidate.is_remote, weights.remote)
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -4,6 +4,7 @@
 //! are then opaque bytes, and these modules decide where each request goes. See `docs/design/platform.md`.
 
 mod admission;
+mod backlog;
 mod budget;
 mod catalogue;
 mod choice;
@@ -17,7 +18,8 @@
 mod request;
 
 pub use self::{
-    admission::{RefusalCause, RetryAdvisor, RetryAdvisorSettings},
+    admission::{AdmissionGate, AdmissionQuestion, GateSettings, RefusalCause, RetryAdvisor, RetryAdvisorSettings},
+    backlog::BacklogFigure,
     budget::{BudgetSettings, RetryShare},
     catalogue::{CatalogueChange, ListedRunner, RunnerCatalogue, RunnerState},
     choice::{Candidate, ChoiceWeights, RunnerChoice},
--- a/crates/mustardgate-core/src/relay/planner.rs
+++ b/crates/mustardgate-core/src/relay/planner.rs
@@ -22,6 +22,8 @@
 
 /// Part of the weight store's rate that plans use; the rest is for loads that begin late or again.
 const STORE_RATE_SHARE: f64 = 0.85;
+/// Part of a loaded runner's time that goes into prompts; the rest goes into the answers under way.
+const PROMPT_SHARE: f64 = 0.7;
 /// Requests a second that a runner is taken to bear before a rate was measured.
 const DEFAULT_RUNNER_RATE: f64 = 10.0;
 
@@ -117,8 +119,9 @@
         self.demand.observe(now, &arrivals);
     }
 
-    /// Sets the requests a second that one runner answers in time, as measured.
-    pub fn set_runner_rate(&mut self, rate: f64) {
+    /// Takes the time that an idle runner needs to a first word.
+    pub fn set_first_word_time(&mut self, time: Duration) {
+        let rate = PROMPT_SHARE / time.as_secs_f64().max(1e-3);
         self.runner_rate = rate.max(0.1);
     }
 
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -2,17 +2,22 @@
 
 mod budgets;
 mod demand;
+mod patience;
 mod records;
 mod routes;
 
 use std::sync::Arc;
 
 use mustardgate::drain::DrainController;
-use mustardgate_core::{ports::TopicLog, relay::RetryAdvisor};
+use mustardgate_core::{
+    ports::TopicLog,
+    relay::{AdmissionGate, RetryAdvisor},
+};
 
 pub use self::{
     budgets::BudgetBoard,
     demand::{DemandBoard, DemandDigest},
+    patience::PatienceBoard,
     records::RecordShelf,
     routes::{ActiveRoutes, RouteBoard},
 };
@@ -65,6 +70,10 @@
     pub directory: Arc<PeerDirectory>,
     /// The log as this node reaches it itself.
     pub direct_log: Arc<dyn TopicLog>,
+    /// Which requests are refused under load.
+    pub gate: AdmissionGate,
+    /// How patient callers are that come for the first time.
+    pub patience: PatienceBoard,
     /// When refused callers come back.
     pub advisor: RetryAdvisor,
     /// Requests in flight and the course of a planned stop.
--- a/crates/mustardgate-relay/src/fleet/cell.rs
+++ b/crates/mustardgate-relay/src/fleet/cell.rs
@@ -9,7 +9,8 @@
 use mustardgate_core::{
     clock,
     relay::{
-        HealthSettings, ListedRunner, LoadFigure, ModelName, OutcomeTracker, PromptMemory, RelayRequest, ReportedLoad,
+        BacklogFigure, HealthSettings, ListedRunner, LoadFigure, ModelName, OutcomeTracker, PromptMemory, RelayRequest,
+        ReportedLoad,
     },
 };
 
@@ -30,6 +31,7 @@
 #[derive(Debug)]
 struct CellState {
     load: LoadFigure,
+    backlog: BacklogFigure,
     outcomes: OutcomeTracker,
     prompts: PromptMemory,
     /// Adapters that were loaded by order after the entry was written.
@@ -59,6 +61,7 @@
             listed: RwLock::new(listed),
             state: Mutex::new(CellState {
                 load: LoadFigure::default(),
+                backlog: BacklogFigure::default(),
                 outcomes: OutcomeTracker::new(HealthSettings::default()),
                 prompts: PromptMemory::default(),
                 added: BTreeSet::new(),
@@ -127,6 +130,11 @@
         )
     }
 
+    /// Returns the expected wait for a first word.
+    pub fn expected_wait(&self, now: Instant) -> Duration {
+        self.lock().backlog.expected(now)
+    }
+
     /// Returns the share of a prompt that the runner would have to read.
     pub fn unread_share(&self, request: &RelayRequest) -> f64 {
         self.lock().prompts.unread_share(request)
@@ -141,12 +149,14 @@
     pub fn begin(self: &Arc<Self>, request: &RelayRequest) -> RunnerTicket {
         let mut state = self.lock();
         state.load.begin();
+        let number = state.backlog.begin(clock::now());
         if !request.parts.is_empty() {
             state.prompts.note(clock::now(), request);
         }
         drop(state);
         RunnerTicket {
             cell: Arc::clone(self),
+            number,
             end: AttemptEnd::Neutral,
         }
     }
@@ -160,6 +170,7 @@
 #[derive(Debug)]
 pub struct RunnerTicket {
     cell: Arc<RunnerCell>,
+    number: u64,
     end: AttemptEnd,
 }
 
@@ -169,6 +180,16 @@
         &self.cell
     }
 
+    /// Notes that the first word of the answer has come.
+    pub fn note_first_word(&self) {
+        self.cell.lock().backlog.end(clock::now(), self.number);
+    }
+
+    /// Notes that the runner did not take the request.
+    pub fn note_not_taken(&self) {
+        self.cell.lock().backlog.forget(self.number);
+    }
+
     /// Says how the attempt ended.
     pub fn set_end(&mut self, end: AttemptEnd) {
         self.end = end;
@@ -180,6 +201,11 @@
         let now = clock::now();
         let mut state = self.cell.lock();
         state.load.end();
+        if self.end == AttemptEnd::Unreachable {
+            state.backlog.forget(self.number);
+        } else {
+            state.backlog.end(now, self.number);
+        }
         match self.end {
             AttemptEnd::Answered => state.outcomes.record(now, false),
             AttemptEnd::Failed => state.outcomes.record(now, true),
--- a/crates/mustardgate-relay/src/fleet/selection.rs
+++ b/crates/mustardgate-relay/src/fleet/selection.rs
@@ -84,6 +84,7 @@
         let (load, failure_ratio, is_paused) = cell.figures(now);
         Some(Candidate {
             load,
+            wait: cell.expected_wait(now),
             slots: listed.slots,
             unread_share: if request.parts.is_empty() {
                 0.0
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -12,7 +12,7 @@
 use mustardgate_core::{
     clock,
     ids::{BackendId, ServiceId},
-    relay::{RefusalCause, RelayRequest, RelayRoute, runner_rank},
+    relay::{AdmissionQuestion, RefusalCause, RelayRequest, RelayRoute, runner_rank},
     verdict::RunVerdict,
 };
 use slog::o;
@@ -47,6 +47,8 @@
     /// When the caller must have its final answer.
     pub(super) expires_at: Instant,
     pub(super) is_sampled: bool,
+    /// Whether the caller has come back after a refusal, as far as its patience tells.
+    pub(super) is_late: bool,
 }
 
 /// The head of an answer, with everything that its body needs.
@@ -107,6 +109,9 @@
                 Err(error) if excluded.len() == tried.len() => return Err(AttemptError::unplaced(error.cause)),
                 Err(_) => break,
             };
+            if !self.is_admitted(&pick) {
+                return Err(AttemptError::unplaced(RefusalCause::Overloaded));
+            }
             let (Some(name), true) = (&self.request.model, pick.candidate.lacks_adapter) else {
                 return Ok(pick);
             };
@@ -123,6 +128,18 @@
         Err(AttemptError::unplaced(RefusalCause::AdapterAbsent))
     }
 
+    fn is_admitted(&self, pick: &RunnerPick) -> bool {
+        let now = clock::now();
+        let question = AdmissionQuestion {
+            wait: pick.candidate.wait,
+            elapsed: now.saturating_duration_since(self.request.received_at),
+            target: self.route.target_latency,
+            left: self.expires_at.saturating_duration_since(now),
+            is_late: self.is_late,
+        };
+        !self.route.is_stream || self.context.gate.admits(&question)
+    }
+
     /// Sends the request to the chosen runner and reads the head of its answer.
     pub(super) async fn open(
         &self,
@@ -162,6 +179,7 @@
             cell.report_load(clock::now(), load);
         }
         self.check_head(&mut ticket, &head, &marks)?;
+        ticket.note_first_word();
         let elapsed = clock::now().saturating_duration_since(sent_at);
         self.log_head(pick, elapsed, &marks);
         if head.status.is_success() {
@@ -196,6 +214,7 @@
                 return Err(AttemptError::at(&backend, RunVerdict::MayHaveRun, "other_request"));
             }
             AnswerKind::Misdirected | AnswerKind::NotRun => {
+                ticket.note_not_taken();
                 let is_full = marks.load.is_none_or(|load| load.running >= load.slots);
                 if marks.kind == AnswerKind::Misdirected || !is_full {
                     // A runner that refuses while it has places is about to drop the model, or still loads it.
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -108,6 +108,7 @@
     Ok(ReceivedRequest {
         context: Arc::clone(context),
         is_sampled: context.log.is_sampled(&request.id),
+        is_late: context.patience.is_late(&route, request.patience),
         service,
         expires_at,
         route,
--- a/crates/mustardgate-relay/src/leader/desk.rs
+++ b/crates/mustardgate-relay/src/leader/desk.rs
@@ -22,6 +22,8 @@
 const LOAD_PATIENCE: u32 = 2;
 /// Time for an eviction, which waits for runs to finish.
 const EVICTION_PATIENCE: Duration = Duration::from_secs(8);
+/// Longest time to a first word that a digest may state, in seconds.
+const MAX_FIRST_WORD_S: f64 = 60.0;
 /// Time for which a runner that cannot take an order gets no other.
 const DEFER_TIME: Duration = Duration::from_millis(800);
 /// Time by which a runner's report lags behind its state.
@@ -164,7 +166,7 @@
         }
         for (service, service_time_s) in &digest.service_time_s {
             let planner = state.planner(service);
-            planner.set_runner_rate(1.0 / service_time_s.max(1e-3));
+            planner.set_first_word_time(Duration::from_secs_f64(service_time_s.clamp(0.0, MAX_FIRST_WORD_S)));
         }
     }
 
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -3,12 +3,16 @@
 use std::sync::Arc;
 
 use mustardgate::{drain::DrainController, logging::build_logger};
-use mustardgate_core::{ids::DomainId, lease::LeaseSettings, relay::RetryAdvisor};
+use mustardgate_core::{
+    ids::DomainId,
+    lease::LeaseSettings,
+    relay::{AdmissionGate, RetryAdvisor},
+};
 use rand::Rng;
 
 use crate::{
     client::PoolSettings,
-    context::{BudgetBoard, DemandBoard, PlatformPorts, RecordShelf, RelayContext, RouteBoard},
+    context::{BudgetBoard, DemandBoard, PatienceBoard, PlatformPorts, RecordShelf, RelayContext, RouteBoard},
     decision_log::DecisionLog,
     fleet::RunnerFleet,
     leader::{BootClock, LeaderDesk},
@@ -55,6 +59,8 @@
         peers,
         directory,
         direct_log,
+        gate: AdmissionGate::default(),
+        patience: PatienceBoard::default(),
         advisor: RetryAdvisor::default(),
         drain: DrainController::default(),
         ports,
