--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -22,9 +22,9 @@
 use crate::context::RelayContext;
 
 /// Part of the time of undisturbed contact for which one read waits for records.
-const WAIT_SHARE: f64 = 0.6;
+const WAIT_SHARE: f64 = 0.7;
 /// Least pause after an answer, which gathers further records into the next one.
-const GATHER_PAUSE: Duration = Duration::from_millis(150);
+const GATHER_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a failed read, at first and at most.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(800);
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -126,6 +126,7 @@
         max_attempts: received.route.max_attempts.max(1),
     });
     let mut tried = Vec::new();
+    let mut fallback = None;
     loop {
         let error = match attempt(&received, &mut plan, &tried).await {
             Ok(open) => match pass_on(received, plan, open).await {
@@ -134,8 +135,10 @@
                     received: returned,
                     plan: continued,
                     error,
+                    response,
                 } => {
                     (received, plan) = (*returned, continued);
+                    fallback = response.or(fallback);
                     error
                 }
             },
@@ -145,7 +148,13 @@
         log_failure(&received, &error, &step);
         match step {
             NextStep::RetryElsewhere { excluded } => tried = excluded,
-            NextStep::AwaitOther | NextStep::GiveUp { .. } => return give_up(&received, &plan, &error),
+            NextStep::AwaitOther | NextStep::GiveUp { .. } => {
+                let Some(response) = fallback else {
+                    return give_up(&received, &plan, &error);
+                };
+                finish_runner(&received, response.status());
+                return response;
+            }
         }
     }
 }
@@ -208,6 +217,8 @@
         received: Box<ReceivedRequest>,
         plan: AttemptPlan,
         error: AttemptError,
+        /// The runner's own failure, which is passed on if no other runner does better.
+        response: Option<Response<RelayBody>>,
     },
 }
 
@@ -246,6 +257,7 @@
                 received: Box::new(received),
                 plan,
                 error,
+                response: None,
             };
         }
     };
@@ -266,10 +278,13 @@
             reason: format!("status_{}", head.status.as_u16()).into(),
             is_timeout: false,
         };
+        let is_own = marks.is_sealed && !is_promise(head.status);
+        let response = is_own.then(|| runner_response(&received.head.method, head, content));
         return Passed::Failed {
             received: Box::new(received),
             plan,
             error,
+            response,
         };
     }
     // A promise not to have run is only passed on where the runner marked it, and then it is not passed on at all.
@@ -285,6 +300,7 @@
             received: Box::new(received),
             plan,
             error,
+            response: None,
         };
     }
     finish_runner(&received, head.status);
--- a/crates/mustardgate-relay/src/leader/lease.rs
+++ b/crates/mustardgate-relay/src/leader/lease.rs
@@ -27,7 +27,7 @@
 /// Least time between two looks of one node while the leader answers.
 const LOOK_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Looks in a second of all nodes together while the leader answers.
-const LOOKS_PER_S: u32 = 3;
+const LOOKS_PER_S: u32 = 2;
 
 /// A lease record with the address at which its holder answers other nodes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
