Never evict the last replica that answers, and let the gate yield to urgent routes only

Change: only replicas that answer count when one gives way; the bound follows the most urgent target of the service, patient routes yield, and a request may wait for room for an eighth of its target. Ruled out: stricter bounds for callers that come back; they are refused again and lost.

--- a/crates/mustardgate-core/src/placement/share/ledger.rs
+++ b/crates/mustardgate-core/src/placement/share/ledger.rs
@@ -12,6 +12,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct ReplicaLedger {
     copies: BTreeMap<Artifact, u32>,
+    /// Replicas that answer now; those on their way are not among them.
+    answering: BTreeMap<Artifact, u32>,
     rates: BTreeMap<Artifact, f64>,
     sizes: BTreeMap<Artifact, MemoryMib>,
 }
@@ -30,6 +32,9 @@
                 if holding.state != HoldingState::Leaving {
                     ledger.add(&holding.artifact);
                 }
+                if holding.state == HoldingState::Resident {
+                    *ledger.answering.entry(holding.artifact.clone()).or_default() += 1;
+                }
             }
         }
         ledger
@@ -41,12 +46,19 @@
         }
     }
 
+    /// Takes a replica that answers away.
     pub(super) fn remove(&mut self, artifact: &Artifact) {
-        if let Some(copies) = self.copies.get_mut(artifact) {
-            *copies = copies.saturating_sub(1);
+        for counts in [&mut self.copies, &mut self.answering] {
+            if let Some(count) = counts.get_mut(artifact) {
+                *count = count.saturating_sub(1);
+            }
         }
     }
 
+    pub(super) fn answering(&self, artifact: &Artifact) -> u32 {
+        self.answering.get(artifact).copied().unwrap_or_default()
+    }
+
     pub(super) fn copies(&self, artifact: &Artifact) -> u32 {
         self.copies.get(artifact).copied().unwrap_or_default()
     }
--- a/crates/mustardgate-core/src/placement/share/policy.rs
+++ b/crates/mustardgate-core/src/placement/share/policy.rs
@@ -255,15 +255,15 @@
         (missing == 0).then_some(victims)
     }
 
-    /// Never the last replica, nothing that has just come, and nothing that more replicas are wanted of.
+    /// Never the last replica that answers, nothing that has just come, and nothing that more replicas are wanted of.
     fn may_go(&self, plan: &SharePlan<'_>, runner: &RunnerView, artifact: &Artifact) -> bool {
         let place = ReplicaPlace {
             backend: runner.backend.clone(),
             accelerator: 0,
             artifact: artifact.clone(),
         };
-        let copies = plan.ledger.copies(artifact);
-        copies >= 2
+        let answering = plan.ledger.answering(artifact);
+        answering >= 2
             && !plan.growing.contains(artifact)
             && self.residence.has_stayed(plan.now, &place, self.settings.min_residence)
     }
--- a/crates/mustardgate-core/src/relay/admission.rs
+++ b/crates/mustardgate-core/src/relay/admission.rs
@@ -33,20 +33,25 @@
 /// Settings of [`AdmissionGate`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GateSettings {
-    /// Part of a route's target latency up to which a wait is accepted.
+    /// Part of the most urgent target of a service up to which a wait is accepted. Well below one, because the wait is
+    /// measured on requests that still wait, and grows on while these are answered.
     pub target_share: f64,
-    /// The same for a caller that has come back, whose target is missed already: it only takes what others leave.
-    pub late_share: f64,
-    /// Longest wait that a patient request adds to, so that it does not push urgent ones past their targets.
-    pub patient_wait: Duration,
+    /// Part of that for a caller that has come back, whose target is missed already, or for a patient route: these only
+    /// take what others leave.
+    pub yielding_share: f64,
+    /// Factor on the most urgent target from which on a route counts as patient.
+    pub patient_factor: u32,
+    /// Part of a route's target for which a request may wait for room before it is refused.
+    pub queue_share: f64,
 }
 
 impl Default for GateSettings {
     fn default() -> Self {
         Self {
-            target_share: 0.85,
-            late_share: 0.5,
-            patient_wait: Duration::from_millis(1_200),
+            target_share: 0.7,
+            yielding_share: 0.5,
+            patient_factor: 4,
+            queue_share: 0.12,
         }
     }
 }
@@ -60,13 +65,13 @@
     pub elapsed: Duration,
     /// Target latency of its route.
     pub target: Duration,
-    /// Time that the caller will still wait.
-    pub left: Duration,
+    /// Shortest target latency of the routes to the same service.
+    pub urgent_target: Duration,
     /// Whether the caller has come back, so that the target is missed already.
     pub is_late: bool,
 }
 
-/// Refuses at once what a runner could not begin in time.
+/// Refuses early what a runner could not begin in time.
 ///
 /// Engines read prompts in order, so under a burst, or while demand moves to a model with few replicas, every request that
 /// is let in late makes those behind it late too. Turning away what cannot meet its target keeps the rest within theirs.
@@ -81,14 +86,21 @@
         Self { settings }
     }
 
-    /// Returns whether the request is sent to the runner.
+    /// Returns whether the request is sent to the runner now.
     pub fn admits(&self, question: &AdmissionQuestion) -> bool {
-        let bound = if question.is_late {
-            question.target.mul_f64(self.settings.late_share)
+        let urgent = question.urgent_target.min(question.target);
+        let is_patient = question.target >= urgent * self.settings.patient_factor;
+        let share = if is_patient {
+            self.settings.target_share * self.settings.yielding_share
         } else {
-            question.target.mul_f64(self.settings.target_share)
+            self.settings.target_share
         };
-        question.wait + question.elapsed <= bound.min(self.settings.patient_wait)
+        question.wait <= urgent.mul_f64(share)
+    }
+
+    /// Returns how long a request that is not admitted may wait for room, counted from its arrival; then it is refused.
+    pub fn queue_time(&self, question: &AdmissionQuestion) -> Duration {
+        question.target.mul_f64(self.settings.queue_share)
     }
 }
 
--- /dev/null
+++ b/crates/mustardgate-core/tests/relay/budget.rs
@@ -0,0 +1,44 @@
+//! Clients that repeat at once must not make the nodes repeat as well.
+
+use std::time::{Duration, Instant};
+
+use mustardgate_core::{
+    relay::{BudgetSettings, RetryShare},
+    retry::RetryAllowance,
+};
+
+fn share() -> RetryShare {
+    RetryShare::new(BudgetSettings {
+        ratio: 0.2,
+        floor: 1.0,
+        window: Duration::from_secs(10),
+    })
+}
+
+#[test]
+fn retries_stay_within_the_ratio_of_the_window() {
+    let start = Instant::now();
+    let mut share = share();
+    for index in 0..100 {
+        share.record_request(start + Duration::from_millis(index));
+    }
+    let now = start + Duration::from_secs(1);
+    let granted = (0..100).filter(|_| share.spend(now)).count();
+    assert_eq!(granted, 21);
+    // The window slides: neither old requests nor old retries count.
+    let later = now + Duration::from_secs(11);
+    assert!(share.spend(later));
+    assert!(!share.spend(later));
+}
+
+#[test]
+fn many_nodes_that_see_nothing_spend_no_more_than_their_floors() {
+    let now = Instant::now();
+    let granted: usize = (0..50)
+        .map(|_| {
+            let mut share = share();
+            (0..10).filter(|_| share.spend(now)).count()
+        })
+        .sum();
+    assert_eq!(granted, 50);
+}
--- /dev/null
+++ b/crates/mustardgate-core/tests/relay/catalogue.rs
@@ -0,0 +1,91 @@
+//! Runners whose entries vanish: gone, or only unrenewed while the list was away.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use mustardgate_core::relay::{CatalogueChange, ListedRunner, RunnerCatalogue, RunnerState};
+
+const GRACE: Duration = Duration::from_secs(2);
+
+fn runner(id: &str, state: RunnerState) -> ListedRunner {
+    ListedRunner {
+        id: id.into(),
+        service: "assist".into(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        domain: "east".into(),
+        slots: 8,
+        state,
+        models: BTreeMap::new(),
+        cached_models: BTreeSet::new(),
+        order_count: Some(0),
+        started_at_ms: 1,
+    }
+}
+
+fn catalogue() -> RunnerCatalogue {
+    let mut catalogue = RunnerCatalogue::new(GRACE);
+    catalogue.put(runner("one", RunnerState::Ready));
+    catalogue.put(runner("two", RunnerState::Ready));
+    catalogue
+}
+
+#[test]
+fn an_entry_that_ends_on_a_calm_day_is_a_runner_that_is_gone() {
+    let now = Instant::now();
+    let mut catalogue = catalogue();
+    let change = catalogue.remove(now, &"one".into());
+    assert_eq!(change, Some(CatalogueChange::Removed("one".into())));
+    assert!(catalogue.get("one").is_none());
+}
+
+#[test]
+fn entries_that_lapsed_in_an_outage_are_kept_until_two_seconds_after_it() {
+    let now = Instant::now();
+    let mut catalogue = catalogue();
+    catalogue.note_outage(now);
+    assert_eq!(catalogue.replace(now, Vec::new()), Vec::new());
+    catalogue.put(runner("two", RunnerState::Ready));
+    assert!(catalogue.expire(now + GRACE / 2).is_empty());
+    assert!(catalogue.get("one").is_some());
+    let ended = catalogue.expire(now + GRACE);
+    assert_eq!(ended, [CatalogueChange::Removed("one".into())]);
+    assert!(catalogue.get("two").is_some());
+}
+
+#[test]
+fn an_outage_that_goes_on_prolongs_the_doubt() {
+    let now = Instant::now();
+    let mut catalogue = catalogue();
+    catalogue.note_outage(now);
+    catalogue.remove(now, &"one".into());
+    catalogue.note_outage(now + GRACE / 2);
+    assert!(catalogue.expire(now + GRACE).is_empty());
+    assert_eq!(catalogue.expire(now + GRACE * 2).len(), 1);
+}
+
+#[test]
+fn a_runner_that_said_it_drains_is_not_kept() {
+    let now = Instant::now();
+    let mut catalogue = catalogue();
+    catalogue.put(runner("one", RunnerState::Draining));
+    catalogue.note_outage(now);
+    assert!(catalogue.remove(now, &"one".into()).is_some());
+}
+
+#[test]
+fn a_new_start_under_the_same_identity_is_told_apart() {
+    let mut catalogue = catalogue();
+    let restarted = ListedRunner {
+        started_at_ms: 2,
+        ..runner("one", RunnerState::Ready)
+    };
+    assert!(matches!(
+        catalogue.put(restarted.clone()),
+        Some(CatalogueChange::Added(_))
+    ));
+    assert_eq!(catalogue.put(restarted), None);
+    assert_eq!(catalogue.put(runner("one", RunnerState::Draining)), None);
+    assert_eq!(catalogue.get("one").unwrap().state, RunnerState::Ready);
+}
--- /dev/null
+++ b/crates/mustardgate-core/tests/relay/placement.rs
@@ -0,0 +1,255 @@
+//! Demand that moves to another model within seconds, replayed against runners that load and evict in their time.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use mustardgate_core::{
+    ids::ModelId,
+    relay::{
+        AdapterPlan, AllInUse, EngineProfile, ModelName, ModelProfile, OrderKind, PlacementPlanner, PlannerSettings,
+        RunnerHoldings,
+    },
+};
+
+const RUNNERS: usize = 18;
+const MODELS: usize = 20;
+const STORE_LOAD: Duration = Duration::from_millis(6_400);
+const COPY_LOAD: Duration = Duration::from_millis(1_300);
+const EVICTION: Duration = Duration::from_millis(700);
+const STEP: Duration = Duration::from_millis(400);
+
+fn model(index: usize) -> ModelId {
+    format!("m{index:02}").into()
+}
+
+fn engine() -> EngineProfile {
+    let profile = ModelProfile {
+        weights_mb: 72_700.0,
+        load_time: STORE_LOAD,
+        copy_load_time: COPY_LOAD,
+        adapter_mb: 66.0,
+    };
+    EngineProfile {
+        slots: 64,
+        kv_capacity_tokens: 160_000,
+        weights_mb: 200_000.0,
+        adapter_slots: 8,
+        loads_per_s: 2.4,
+        models: (0..MODELS).map(|index| (model(index), profile.clone())).collect(),
+    }
+}
+
+struct ReplayRunner {
+    holdings: RunnerHoldings,
+    busy_until: Option<(Instant, OrderKind, ModelId)>,
+}
+
+/// Runners that carry orders out in their time, and count what the weight store had to give.
+struct ReplayWorld {
+    now: Instant,
+    planner: PlacementPlanner,
+    runners: Vec<ReplayRunner>,
+    store_loads: Vec<Instant>,
+}
+
+impl ReplayWorld {
+    /// Starts with the first model on most runners, and each other model on one.
+    fn new() -> Self {
+        let runners = (0..RUNNERS).map(|index| {
+            let mut resident = BTreeSet::from([model(index + 1)]);
+            resident.insert(model(0));
+            if index == 0 {
+                resident.insert(model(MODELS - 1));
+                resident.remove(&model(0));
+            }
+            let holdings = RunnerHoldings {
+                backend: format!("r{index:02}").into(),
+                is_usable: true,
+                cached: resident.clone(),
+                resident,
+                ..RunnerHoldings::default()
+            };
+            ReplayRunner {
+                holdings,
+                busy_until: None,
+            }
+        });
+        Self {
+            now: Instant::now(),
+            planner: PlacementPlanner::new(PlannerSettings::default()),
+            runners: runners.collect(),
+            store_loads: Vec::new(),
+        }
+    }
+
+    fn holders(&self, model: &ModelId) -> usize {
+        let holds = |runner: &&ReplayRunner| runner.holdings.resident.contains(model);
+        self.runners.iter().filter(holds).count()
+    }
+
+    fn step(&mut self, rates: &BTreeMap<ModelId, f64>) {
+        self.now += STEP;
+        for runner in &mut self.runners {
+            runner.finish(self.now);
+        }
+        let arrivals = rates
+            .iter()
+            .map(|(model, rate)| (model.clone(), rate * STEP.as_secs_f64()));
+        self.planner.observe_demand(self.now, &arrivals.collect());
+        let holdings: Vec<RunnerHoldings> = self.runners.iter().map(|runner| runner.holdings.clone()).collect();
+        for order in self.planner.plan(self.now, &engine(), &holdings) {
+            let found = self
+                .runners
+                .iter_mut()
+                .find(|runner| runner.holdings.backend == order.backend);
+            let runner = found.expect("orders go to known runners");
+            let has_copy = runner.holdings.cached.contains(&order.name.model);
+            if order.kind == OrderKind::Load && !has_copy {
+                self.store_loads.push(self.now);
+            }
+            runner.begin(self.now, order.kind, order.name.model);
+        }
+        self.check();
+    }
+
+    /// Asserts what must hold at every moment.
+    fn check(&self) {
+        for runner in &self.runners {
+            let holdings = &runner.holdings;
+            let held: BTreeSet<&ModelId> = holdings.resident.iter().chain(&holdings.arriving).collect();
+            assert!(held.len() <= 2, "{holdings:?} does not fit");
+        }
+        for index in 0..MODELS {
+            assert!(self.holders(&model(index)) >= 1, "{} is out of reach", model(index));
+        }
+        let window = Duration::from_secs(5);
+        let bound = (2.4 * 5.0 * 1.1 + 3.0) as usize;
+        for first in &self.store_loads {
+            let within = self
+                .store_loads
+                .iter()
+                .filter(|at| **at >= *first && **at - *first < window);
+            assert!(within.count() <= bound);
+        }
+    }
+}
+
+impl ReplayRunner {
+    fn begin(&mut self, now: Instant, kind: OrderKind, model: ModelId) {
+        assert!(self.busy_until.is_none(), "a runner carries out one order at a time");
+        let duration = match kind {
+            OrderKind::Evict => EVICTION,
+            OrderKind::Load if self.holdings.cached.contains(&model) => COPY_LOAD,
+            OrderKind::Load => STORE_LOAD,
+        };
+        match kind {
+            OrderKind::Load => self.holdings.arriving.insert(model.clone()),
+            OrderKind::Evict => self.holdings.leaving.insert(model.clone()),
+        };
+        self.holdings.is_busy = true;
+        self.busy_until = Some((now + duration, kind, model));
+    }
+
+    fn finish(&mut self, now: Instant) {
+        let Some((_, kind, model)) = self.busy_until.take_if(|(until, _, _)| *until <= now) else {
+            return;
+        };
+        self.holdings.is_busy = false;
+        match kind {
+            OrderKind::Load => {
+                self.holdings.arriving.remove(&model);
+                self.holdings.cached.insert(model.clone());
+                self.holdings.resident.insert(model);
+            }
+            OrderKind::Evict => {
+                self.holdings.leaving.remove(&model);
+                self.holdings.resident.remove(&model);
+            }
+        }
+    }
+}
+
+/// Moves demand from one model to another over five seconds, then keeps it for `rest`.
+fn shift(world: &mut ReplayWorld, from: &ModelId, to: &ModelId, rest: Duration) {
+    let steps = 12_u32;
+    for step in 0..=steps + (rest.as_millis() / STEP.as_millis()) as u32 {
+        let moved = f64::from(step.min(steps)) / f64::from(steps);
+        let mut rates: BTreeMap<ModelId, f64> = (0..MODELS).map(|index| (model(index), 0.5)).collect();
+        rates.insert(from.clone(), 90.0 * (1.0 - moved));
+        rates.insert(to.clone(), 90.0 * moved);
+        world.step(&rates);
+    }
+}
+
+#[test]
+fn replicas_follow_demand_that_moves_within_seconds() {
+    let mut world = ReplayWorld::new();
+    shift(&mut world, &model(1), &model(0), Duration::from_secs(4));
+    shift(&mut world, &model(0), &model(1), Duration::from_secs(9));
+    let holders = world.holders(&model(1));
+    assert!(holders >= 8, "{holders} holders of the model that is asked for");
+}
+
+#[test]
+fn demand_that_returns_is_met_from_copies() {
+    let mut world = ReplayWorld::new();
+    shift(&mut world, &model(1), &model(0), Duration::from_secs(4));
+    shift(&mut world, &model(0), &model(1), Duration::from_secs(12));
+    let loads = world.store_loads.len();
+    shift(&mut world, &model(1), &model(0), Duration::from_secs(2));
+    let holders = world.holders(&model(0));
+    assert!(holders >= 8, "{holders} holders of the model that is asked for");
+    assert!(
+        world.store_loads.len() <= loads + 2,
+        "{} more loads",
+        world.store_loads.len() - loads
+    );
+}
+
+#[test]
+fn a_model_whose_only_runner_is_lost_is_loaded_elsewhere() {
+    let mut world = ReplayWorld::new();
+    let calm: BTreeMap<ModelId, f64> = (0..MODELS).map(|index| (model(index), 1.0)).collect();
+    for _ in 0..10 {
+        world.step(&calm);
+    }
+    world.runners.remove(4);
+    let lost = model(5);
+    // The checks of a step hold again once the model is back.
+    for _ in 0..25 {
+        world.now += STEP;
+        for runner in &mut world.runners {
+            runner.finish(world.now);
+        }
+        let holdings: Vec<RunnerHoldings> = world.runners.iter().map(|runner| runner.holdings.clone()).collect();
+        for order in world.planner.plan(world.now, &engine(), &holdings) {
+            let found = world
+                .runners
+                .iter_mut()
+                .find(|runner| runner.holdings.backend == order.backend);
+            found.unwrap().begin(world.now, order.kind, order.name.model);
+        }
+    }
+    assert_eq!(world.holders(&lost), 1);
+}
+
+#[test]
+fn only_an_idle_adapter_gives_way() {
+    let now = Instant::now();
+    let held = BTreeMap::from([(model(0), BTreeSet::from(["a1".into(), "a2".into()]))]);
+    let name = |adapter: &str| ModelName {
+        model: model(0),
+        adapter: Some(adapter.into()),
+    };
+    let mut plan = AdapterPlan::default();
+    assert_eq!(plan.victim(now, &"r".into(), &held, 3), Ok(None));
+    plan.note_use(now, &"r".into(), &name("a1"));
+    assert_eq!(plan.victim(now, &"r".into(), &held, 2), Ok(Some(name("a2"))));
+    plan.note_use(now, &"r".into(), &name("a2"));
+    assert_eq!(plan.victim(now, &"r".into(), &held, 2), Err(AllInUse));
+    let later = now + Duration::from_secs(2);
+    plan.note_use(later, &"r".into(), &name("a1"));
+    assert_eq!(plan.victim(later, &"r".into(), &held, 2), Ok(Some(name("a2"))));
+}
--- /dev/null
+++ b/crates/mustardgate-core/tests/relay/routes.rs
@@ -0,0 +1,86 @@
+//! Routes and ranks.
+
+use std::{sync::Arc, time::Duration};
+
+use mustardgate_core::relay::{RelayRoute, RepeatPolicy, RouteTable, WeightedTarget, runner_rank};
+
+fn route(name: &str, host: &str, path_prefix: &str) -> RelayRoute {
+    RelayRoute {
+        name: name.into(),
+        host: host.into(),
+        path_prefix: path_prefix.into(),
+        repeat: RepeatPolicy::Once,
+        is_stream: false,
+        timeout: Duration::from_secs(5),
+        target_latency: Duration::from_millis(600),
+        priority: 1,
+        targets: vec![WeightedTarget {
+            service: "assist".into(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = [
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/"),
+    ];
+    let table = RouteTable::new(&routes.map(Arc::new));
+    let found = |host, path| table.find(host, path).map(|route| route.name.as_str());
+    assert_eq!(found("a.example", "/x/y/z"), Some("long"));
+    assert_eq!(found("A.Example:8080", "/x/z"), Some("short"));
+    assert_eq!(found("a.example", "/x"), None);
+    assert_eq!(found("b.example", "/anything"), Some("other"));
+    assert_eq!(found("c.example", "/x/"), None);
+}
+
+#[test]
+fn weights_split_the_requests() {
+    let split = RelayRoute {
+        targets: vec![
+            WeightedTarget {
+                service: "one".into(),
+                weight: 90,
+            },
+            WeightedTarget {
+                service: "two".into(),
+                weight: 10,
+            },
+        ],
+        ..route("split", "a.example", "/")
+    };
+    let to_two = (0..1000).filter(|draw| split.service_for(*draw) == "two").count();
+    assert_eq!(to_two, 100);
+    let unweighted = RelayRoute {
+        targets: vec![WeightedTarget {
+            service: "one".into(),
+            weight: 0,
+        }],
+        ..split
+    };
+    assert_eq!(unweighted.service_for(5), "one");
+}
+
+#[test]
+fn a_patient_route_never_ranks_before_an_urgent_one_of_its_priority() {
+    let urgent = route("urgent", "a.example", "/");
+    let patient = RelayRoute {
+        target_latency: Duration::from_secs(6),
+        ..urgent.clone()
+    };
+    let demoted = RelayRoute {
+        priority: 2,
+        ..urgent.clone()
+    };
+    assert!(runner_rank(&urgent) < runner_rank(&patient));
+    assert!(runner_rank(&patient) < runner_rank(&demoted));
+    let last = RelayRoute {
+        priority: 1_000,
+        ..patient
+    };
+    assert_eq!(runner_rank(&last), 9);
+}
--- a/crates/mustardgate-relay/src/context/routes.rs
+++ b/crates/mustardgate-relay/src/context/routes.rs
@@ -1,8 +1,15 @@
 //! The configuration in force.
 
-use std::sync::{Arc, RwLock};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, RwLock},
+    time::Duration,
+};
 
-use mustardgate_core::relay::{RelayConfig, RouteTable};
+use mustardgate_core::{
+    ids::ServiceId,
+    relay::{RelayConfig, RouteTable},
+};
 
 /// One version of the configuration with its index.
 #[derive(Clone, Debug)]
@@ -11,6 +18,29 @@
     pub config: RelayConfig,
     /// Index of its routes.
     pub table: RouteTable,
+    urgent_targets: BTreeMap<ServiceId, Duration>,
+}
+
+impl ActiveRoutes {
+    fn new(config: RelayConfig) -> Self {
+        let mut urgent_targets: BTreeMap<ServiceId, Duration> = BTreeMap::new();
+        for route in &config.routes {
+            for target in &route.targets {
+                let shortest = urgent_targets.entry(target.service.clone()).or_insert(Duration::MAX);
+                *shortest = route.target_latency.min(*shortest);
+            }
+        }
+        Self {
+            table: RouteTable::new(&config.routes),
+            urgent_targets,
+            config,
+        }
+    }
+
+    /// Returns the shortest target latency of the routes to a service.
+    pub fn urgent_target(&self, service: &ServiceId) -> Option<Duration> {
+        self.urgent_targets.get(service).copied()
+    }
 }
 
 /// Holds the newest configuration that this node has read.
@@ -34,8 +64,7 @@
         {
             return false;
         }
-        let table = RouteTable::new(&config.routes);
-        *active = Some(Arc::new(ActiveRoutes { config, table }));
+        *active = Some(Arc::new(ActiveRoutes::new(config)));
         true
     }
 }
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -22,10 +22,12 @@
 use crate::{
     client::{RunnerConnection, SendFailure},
     context::RelayContext,
-    fleet::{AttemptEnd, RunnerPick, RunnerTicket, SelectionQuery},
+    fleet::{AttemptEnd, RunnerPick, RunnerTicket, SelectionError, SelectionQuery},
     ports::{AnswerKind, AnswerMarks, AttemptMarks},
 };
 
+/// Time between two looks for room.
+const QUEUE_LOOK: Duration = Duration::from_millis(25);
 /// Time kept back from the runner's deadline for the way back to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(5);
 /// Expected requests at a runner below which its time to a first event is that of an idle one.
@@ -49,6 +51,8 @@
     pub(super) is_sampled: bool,
     /// Whether the caller has come back after a refusal, as far as its patience tells.
     pub(super) is_late: bool,
+    /// Shortest target latency of the routes to the same service.
+    pub(super) urgent_target: Duration,
 }
 
 /// The head of an answer, with everything that its body needs.
@@ -104,14 +108,11 @@
                 request: &self.request,
                 excluded: &excluded,
             };
-            let pick = match self.context.fleet.select(clock::now(), &query) {
+            let pick = match self.select(&query).await {
                 Ok(pick) => pick,
                 Err(error) if excluded.len() == tried.len() => return Err(AttemptError::unplaced(error.cause)),
                 Err(_) => break,
             };
-            if !self.is_admitted(&pick) {
-                return Err(AttemptError::unplaced(RefusalCause::Overloaded));
-            }
             let (Some(name), true) = (&self.request.model, pick.candidate.lacks_adapter) else {
                 return Ok(pick);
             };
@@ -128,16 +129,29 @@
         Err(AttemptError::unplaced(RefusalCause::AdapterAbsent))
     }
 
-    fn is_admitted(&self, pick: &RunnerPick) -> bool {
-        let now = clock::now();
-        let question = AdmissionQuestion {
-            wait: pick.candidate.wait,
-            elapsed: now.saturating_duration_since(self.request.received_at),
-            target: self.route.target_latency,
-            left: self.expires_at.saturating_duration_since(now),
-            is_late: self.is_late,
-        };
-        !self.route.is_stream || self.context.gate.admits(&question)
+    /// Chooses a runner that could begin in time, waiting a little for one.
+    async fn select(&self, query: &SelectionQuery<'_>) -> Result<RunnerPick, SelectionError> {
+        loop {
+            let now = clock::now();
+            let pick = self.context.fleet.select(now, query)?;
+            let question = AdmissionQuestion {
+                wait: pick.candidate.wait,
+                elapsed: now.saturating_duration_since(self.request.received_at),
+                target: self.route.target_latency,
+                urgent_target: self.urgent_target,
+                is_late: self.is_late,
+            };
+            let gate = &self.context.gate;
+            if !self.route.is_stream || gate.admits(&question) {
+                return Ok(pick);
+            }
+            if question.elapsed + QUEUE_LOOK > gate.queue_time(&question) {
+                return Err(SelectionError {
+                    cause: RefusalCause::Overloaded,
+                });
+            }
+            tokio::time::sleep(QUEUE_LOOK).await;
+        }
     }
 
     /// Sends the request to the chosen runner and reads the head of its answer.
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -108,6 +108,7 @@
     Ok(ReceivedRequest {
         context: Arc::clone(context),
         is_sampled: context.log.is_sampled(&request.id),
+        urgent_target: active.urgent_target(&service).unwrap_or(route.target_latency),
         is_late: context.patience.is_late(&route, request.patience),
         service,
         expires_at,
--- a/crates/standins/src/http/mod.rs
+++ b/crates/standins/src/http/mod.rs
@@ -7,8 +7,8 @@
 pub use self::{
     client::{CallAnswer, CallError, call, json_request, open, plain_request},
     reply::{
-        BadBody, BrokenStream, HttpReply, ReplyBody, json_body, json_reply, query_value, read_json, status_reply,
-        stream_reply,
+        BadBody, BrokenStream, HttpReply, ReplyBody, bytes_response, json_body, json_reply, query_value, read_json,
+        status_reply, stream_reply,
     },
     server::{HttpHandler, bind_all, serve_forever, serve_process, wait_for_stop},
 };
--- a/crates/standins/src/http/reply.rs
+++ b/crates/standins/src/http/reply.rs
@@ -37,6 +37,11 @@
     Some(response)
 }
 
+/// Builds an answer with raw bytes.
+pub fn bytes_response(content: impl Into<Bytes>) -> Response<ReplyBody> {
+    Response::new(Full::new(content.into()).map_err(|never| match never {}).boxed())
+}
+
 /// Builds a reply without a body.
 pub fn status_reply(status: StatusCode) -> HttpReply {
     let mut response = Response::new(Full::default().map_err(|never| match never {}).boxed());
