--- a/crates/mustardgate-core/src/placement/gain/mod.rs
+++ b/crates/mustardgate-core/src/placement/gain/mod.rs
@@ -10,10 +10,7 @@
 mod policy;
 mod state;
 
-pub(in crate::placement) use self::{
-    budget::{LoadAllowance, LoadBudget},
-    evict::{ReplicaPlace, ResidenceBook},
-};
+pub(in crate::placement) use self::evict::{ReplicaPlace, ResidenceBook};
 pub use self::{
     load_times::LoadTimes,
     policy::{GainPolicy, GainSettings, RemoteReplicas},
--- a/crates/mustardgate-core/src/placement/share/mod.rs
+++ b/crates/mustardgate-core/src/placement/share/mod.rs
@@ -5,5 +5,9 @@
 
 mod ledger;
 mod policy;
+mod window;
 
-pub use self::policy::{SharePolicy, ShareSettings};
+pub use self::{
+    policy::{SharePolicy, ShareSettings},
+    window::LoadBound,
+};
--- a/crates/mustardgate-core/src/placement/share/policy.rs
+++ b/crates/mustardgate-core/src/placement/share/policy.rs
@@ -5,13 +5,16 @@
     time::{Duration, Instant},
 };
 
-use super::ledger::ReplicaLedger;
+use super::{
+    ledger::ReplicaLedger,
+    window::{LoadBound, LoadWindow},
+};
 use crate::{
     ids::{BackendId, MemoryMib},
     log::Artifact,
     placement::{
         AcceleratorView, DomainView, HoldingState, PlacementPolicy, PlannedMove, RunnerView,
-        gain::{LoadAllowance, LoadBudget, LoadTimes, ReplicaPlace, ResidenceBook},
+        gain::{LoadTimes, ReplicaPlace, ResidenceBook},
     },
 };
 
@@ -46,7 +49,8 @@
 #[derive(Debug)]
 pub struct SharePolicy {
     settings: ShareSettings,
-    budget: LoadBudget,
+    bound: LoadBound,
+    loads: LoadWindow,
     residence: ResidenceBook,
     load_times: LoadTimes,
     /// What room was made for on a runner, and until when it is kept.
@@ -58,13 +62,33 @@
     pub fn new(settings: ShareSettings) -> Self {
         Self {
             settings,
-            budget: LoadBudget::new(1.0),
+            bound: LoadBound {
+                window: Duration::ZERO,
+                most: 0,
+            },
+            loads: LoadWindow::default(),
             residence: ResidenceBook::default(),
             load_times: LoadTimes::default(),
             intents: BTreeMap::new(),
         }
     }
 
+    /// Sets the bound on loads from the weight store; without one none begins.
+    pub fn set_bound(&mut self, bound: LoadBound) {
+        self.bound = bound;
+    }
+
+    /// Notes that this node begins to lead: what the one before it loaded a moment ago is not known.
+    pub fn begin_term(&mut self, now: Instant) {
+        self.loads.close(now, self.bound);
+        self.intents.clear();
+    }
+
+    /// Counts a load whose order got no answer.
+    pub fn note_doubtful_load(&mut self, now: Instant) {
+        self.loads.record_doubtful(now, self.bound);
+    }
+
     /// Takes the times of loads.
     pub fn set_load_times(&mut self, load_times: LoadTimes) {
         self.load_times = load_times;
@@ -76,7 +100,8 @@
     now: Instant,
     view: &'a DomainView,
     ledger: ReplicaLedger,
-    allowance: LoadAllowance,
+    /// Loads from the weight store that may still begin.
+    allowance: u32,
     touched: BTreeSet<BackendId>,
     /// What this plan, or room made earlier, adds replicas of.
     growing: BTreeSet<Artifact>,
@@ -93,12 +118,7 @@
 impl PlacementPolicy for SharePolicy {
     fn plan(&mut self, now: Instant, view: &DomainView) -> Vec<PlannedMove> {
         self.residence.update(now, view);
-        let allowance = self.budget.allowance(
-            now,
-            &view.policy,
-            view.model_loads_in_flight,
-            view.adapter_loads_in_flight,
-        );
+        let allowance = self.loads.allowance(now, self.bound);
         let mut plan = SharePlan {
             now,
             view,
@@ -269,18 +289,18 @@
     }
 
     fn is_affordable(&self, plan: &SharePlan<'_>, backend: &BackendId, artifact: &Artifact) -> bool {
-        plan.allowance.models > 0 || self.load_times.copy_time(backend, artifact).is_some()
+        plan.allowance > 0 || self.load_times.copy_time(backend, artifact).is_some()
     }
 
     fn pay(&mut self, plan: &mut SharePlan<'_>, backend: &BackendId, artifact: &Artifact) -> bool {
         if self.load_times.copy_time(backend, artifact).is_some() {
             return true;
         }
-        if plan.allowance.models == 0 {
+        if plan.allowance == 0 {
             return false;
         }
-        plan.allowance.models -= 1;
-        self.budget.spend_model();
+        plan.allowance -= 1;
+        self.loads.record(plan.now, self.bound);
         true
     }
 }
--- a/crates/mustardgate-core/src/relay/admission.rs
+++ b/crates/mustardgate-core/src/relay/admission.rs
@@ -36,8 +36,7 @@
     /// Part of the most urgent target of a service up to which a wait is accepted. Well below one, because the wait is
     /// measured on requests that still wait, and grows on while these are answered.
     pub target_share: f64,
-    /// Part of that for a caller that has come back, whose target is missed already, or for a patient route: these only
-    /// take what others leave.
+    /// Part of that for a patient route, which only takes what others leave.
     pub yielding_share: f64,
     /// Factor on the most urgent target from which on a route counts as patient.
     pub patient_factor: u32,
@@ -48,7 +47,7 @@
 impl Default for GateSettings {
     fn default() -> Self {
         Self {
-            target_share: 0.7,
+            target_share: 0.45,
             yielding_share: 0.5,
             patient_factor: 4,
             queue_share: 0.12,
@@ -67,8 +66,6 @@
     pub target: Duration,
     /// Shortest target latency of the routes to the same service.
     pub urgent_target: Duration,
-    /// Whether the caller has come back, so that the target is missed already.
-    pub is_late: bool,
 }
 
 /// Refuses early what a runner could not begin in time.
--- a/crates/mustardgate-core/src/relay/planner.rs
+++ b/crates/mustardgate-core/src/relay/planner.rs
@@ -15,13 +15,15 @@
         AcceleratorView, ArtifactDemand, DomainView, Holding, HoldingState, PlacementPolicy, PlannedMove, RunnerView,
         demand::{DemandEstimator, DemandSettings},
         gain::LoadTimes,
-        share::{SharePolicy, ShareSettings},
+        share::{LoadBound, SharePolicy, ShareSettings},
     },
-    resources::{PolicySpec, PriorityClass},
+    resources::PriorityClass,
 };
 
-/// Part of the weight store's rate that plans use; the rest is for loads that begin late or again.
-const STORE_RATE_SHARE: f64 = 0.85;
+/// Loads within the allowed number that are kept back for orders carried out late or twice.
+const SPARE_LOADS: f64 = 2.0;
+/// Time by which orders may arrive later than they are given, so that loads draw together.
+const WINDOW_MARGIN: Duration = Duration::from_millis(500);
 /// Part of a loaded runner's time that goes into prompts; the rest goes into the answers under way.
 const PROMPT_SHARE: f64 = 0.7;
 /// Requests a second that a runner is taken to bear before a rate was measured.
@@ -34,6 +36,12 @@
     pub share: ShareSettings,
     /// Settings of the demand estimate.
     pub demand: DemandSettings,
+    /// Window in which loads from the weight store are counted.
+    pub load_window: Duration,
+    /// Factor on the weight store's rate within the window.
+    pub load_overage: f64,
+    /// Loads beyond that within the window.
+    pub load_extra: f64,
 }
 
 impl Default for PlannerSettings {
@@ -43,10 +51,13 @@
             demand: DemandSettings {
                 fast: Duration::from_millis(1_500),
                 slow: Duration::from_secs(4),
-                lead: Duration::from_secs(4),
-                max_growth: 2.5,
+                lead: Duration::from_secs(5),
+                max_growth: 3.0,
                 follows_fall: true,
             },
+            load_window: Duration::from_secs(5),
+            load_overage: 1.0,
+            load_extra: 0.0,
         }
     }
 }
@@ -95,6 +106,7 @@
 /// Plans the loads and evictions of models.
 #[derive(Debug)]
 pub struct PlacementPlanner {
+    settings: PlannerSettings,
     policy: SharePolicy,
     demand: DemandEstimator,
     runner_rate: f64,
@@ -104,6 +116,7 @@
     /// Creates a planner that has seen no demand.
     pub fn new(settings: PlannerSettings) -> Self {
         Self {
+            settings,
             policy: SharePolicy::new(settings.share),
             demand: DemandEstimator::new(settings.demand),
             runner_rate: DEFAULT_RUNNER_RATE,
@@ -135,10 +148,35 @@
         self.demand.forecast(&model_artifact(model))
     }
 
+    /// Notes that this node begins to lead after another one, whose last loads are not known.
+    pub fn begin_term(&mut self, now: Instant) {
+        self.policy.set_bound(LoadBound {
+            window: self.settings.load_window + WINDOW_MARGIN,
+            most: 0,
+        });
+        self.policy.begin_term(now);
+    }
+
+    /// Notes that the order of a load got no answer.
+    pub fn note_doubtful_load(&mut self, now: Instant) {
+        self.policy.note_doubtful_load(now);
+    }
+
+    fn load_bound(&self, engine: &EngineProfile) -> LoadBound {
+        let settings = &self.settings;
+        let most =
+            engine.loads_per_s * settings.load_window.as_secs_f64() * settings.load_overage + settings.load_extra;
+        LoadBound {
+            window: settings.load_window + WINDOW_MARGIN,
+            most: (most - SPARE_LOADS).max(1.0) as u32,
+        }
+    }
+
     /// Returns the orders to give now, at most one for a runner.
     pub fn plan(&mut self, now: Instant, engine: &EngineProfile, runners: &[RunnerHoldings]) -> Vec<PlacementOrder> {
         let view = self.view(engine, runners);
         self.policy.set_load_times(load_times(engine, runners));
+        self.policy.set_bound(self.load_bound(engine));
         let moves = self.policy.plan(now, &view);
         let mut ordered: BTreeSet<BackendId> = BTreeSet::new();
         moves
@@ -168,16 +206,9 @@
                 }],
             })
             .collect();
-        let arriving = runners.iter().map(|runner| runner.arriving.len() as u32).sum();
         DomainView {
             demands: self.demands(engine),
             runners: views,
-            policy: PolicySpec {
-                store_loads_per_second: engine.loads_per_s * STORE_RATE_SHARE,
-                store_concurrent_loads: (engine.loads_per_s * longest_load(engine).as_secs_f64()).ceil() as u32,
-                ..PolicySpec::default()
-            },
-            model_loads_in_flight: arriving,
             ..DomainView::default()
         }
     }
@@ -245,11 +276,6 @@
     }
 }
 
-fn longest_load(engine: &EngineProfile) -> Duration {
-    let times = engine.models.values().map(|model| model.load_time);
-    times.max().unwrap_or(Duration::from_secs(1))
-}
-
 fn model_artifact(model: &ModelId) -> Artifact {
     Artifact {
         model: model.clone(),
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -2,7 +2,6 @@
 
 mod budgets;
 mod demand;
-mod patience;
 mod records;
 mod routes;
 
@@ -17,7 +16,6 @@
 pub use self::{
     budgets::BudgetBoard,
     demand::{DemandBoard, DemandDigest},
-    patience::PatienceBoard,
     records::RecordShelf,
     routes::{ActiveRoutes, RouteBoard},
 };
@@ -72,8 +70,6 @@
     pub direct_log: Arc<dyn TopicLog>,
     /// Which requests are refused under load.
     pub gate: AdmissionGate,
-    /// How patient callers are that come for the first time.
-    pub patience: PatienceBoard,
     /// When refused callers come back.
     pub advisor: RetryAdvisor,
     /// Requests in flight and the course of a planned stop.
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -49,8 +49,6 @@
     /// When the caller must have its final answer.
     pub(super) expires_at: Instant,
     pub(super) is_sampled: bool,
-    /// Whether the caller has come back after a refusal, as far as its patience tells.
-    pub(super) is_late: bool,
     /// Shortest target latency of the routes to the same service.
     pub(super) urgent_target: Duration,
 }
@@ -139,7 +137,6 @@
                 elapsed: now.saturating_duration_since(self.request.received_at),
                 target: self.route.target_latency,
                 urgent_target: self.urgent_target,
-                is_late: self.is_late,
             };
             let gate = &self.context.gate;
             if !self.route.is_stream || gate.admits(&question) {
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
-    Method, Request, Response, StatusCode,
+    Request, Response, StatusCode,
     body::Incoming,
     header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING},
 };
@@ -16,7 +16,6 @@
     ids::RequestId,
     relay::{RefusalCause, RelayRequest},
     retry::{AttemptFailure, AttemptPlan, NextStep, PlanSettings},
-    verdict::RunVerdict,
 };
 use rand::Rng;
 use slog::o;
@@ -24,15 +23,12 @@
 use super::{
     answer::{OwnAnswer, RelayBody, whole_body},
     attempt::{AttemptError, OpenAnswer, ReceivedRequest},
-    headers::remove_hop_fields,
-    stream::StreamRelay,
+    whole::{Passed, pass_on},
 };
-use crate::{context::RelayContext, fleet::AttemptEnd};
+use crate::context::RelayContext;
 
 /// Least time that another attempt needs to be worth while.
 const RETRY_MARGIN: Duration = Duration::from_millis(20);
-/// Longest answer that is received whole before it is passed on, in bytes.
-const MAX_WHOLE_ANSWER: usize = 4 * 1024 * 1024;
 
 /// Answers one request of a caller.
 pub async fn answer_caller(context: Arc<RelayContext>, request: Request<Incoming>) -> Response<RelayBody> {
@@ -109,7 +105,6 @@
         context: Arc::clone(context),
         is_sampled: context.log.is_sampled(&request.id),
         urgent_target: active.urgent_target(&service).unwrap_or(route.target_latency),
-        is_late: context.patience.is_late(&route, request.patience),
         service,
         expires_at,
         route,
@@ -211,140 +206,6 @@
         .write(events::RELAY_ATTEMPT_FAILED, &received.request.id, values);
 }
 
-/// What became of an answer whose head was good.
-enum Passed {
-    Answered(Response<RelayBody>),
-    Failed {
-        received: Box<ReceivedRequest>,
-        plan: AttemptPlan,
-        error: AttemptError,
-        /// The runner's own failure, which is passed on if no other runner does better.
-        response: Option<Response<RelayBody>>,
-    },
-}
-
-async fn pass_on(received: ReceivedRequest, plan: AttemptPlan, open: OpenAnswer) -> Passed {
-    if received.route.is_stream && open.head.status.is_success() {
-        return Passed::Answered(StreamRelay::start(received, plan, open));
-    }
-    let OpenAnswer {
-        mut ticket,
-        connection,
-        head,
-        body,
-        marks,
-    } = open;
-    let backend = ticket.cell().listed().id.clone();
-    let left = received.expires_at.saturating_duration_since(clock::now());
-    let collecting = Limited::new(body, MAX_WHOLE_ANSWER).collect();
-    let collected = match tokio::time::timeout(left, collecting).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(_)) => Err(("broken_answer", false)),
-        Err(_) => Err(("timed_out", true)),
-    };
-    let is_retryable = head.status.is_server_error() && received.route.repeat.is_idempotent();
-    let content = match collected {
-        Ok(content) => content,
-        Err((reason, is_timeout)) => {
-            ticket.set_end(AttemptEnd::Failed);
-            let error = AttemptError {
-                backend: Some(backend),
-                verdict: RunVerdict::MayHaveRun,
-                cause: RefusalCause::AttemptsUsedUp,
-                reason: reason.into(),
-                is_timeout,
-            };
-            return Passed::Failed {
-                received: Box::new(received),
-                plan,
-                error,
-                response: None,
-            };
-        }
-    };
-    let is_failure = head.status.is_server_error();
-    ticket.set_end(if is_failure {
-        AttemptEnd::Failed
-    } else {
-        AttemptEnd::Answered
-    });
-    if !closes(&head.headers) {
-        ticket.cell().pool.give_back(connection, stated_idle(&head.headers));
-    }
-    if is_retryable {
-        let error = AttemptError {
-            backend: Some(backend),
-            verdict: RunVerdict::MayHaveRun,
-            cause: RefusalCause::AttemptsUsedUp,
-            reason: format!("status_{}", head.status.as_u16()).into(),
-            is_timeout: false,
-        };
-        let is_own = marks.is_sealed && !is_promise(head.status);
-        let response = is_own.then(|| runner_response(&received.head.method, head, content));
-        return Passed::Failed {
-            received: Box::new(received),
-            plan,
-            error,
-            response,
-        };
-    }
-    // A promise not to have run is only passed on where the runner marked it, and then it is not passed on at all.
-    if is_promise(head.status) || !marks.is_sealed {
-        let error = AttemptError {
-            backend: Some(backend),
-            verdict: RunVerdict::MayHaveRun,
-            cause: RefusalCause::AttemptsUsedUp,
-            reason: "unmarked_refusal".into(),
-            is_timeout: false,
-        };
-        return Passed::Failed {
-            received: Box::new(received),
-            plan,
-            error,
-            response: None,
-        };
-    }
-    finish_runner(&received, head.status);
-    Passed::Answered(runner_response(&received.head.method, head, content))
-}
-
-fn runner_response(method: &Method, head: hyper::http::response::Parts, content: Bytes) -> Response<RelayBody> {
-    let mut response = Response::new(whole_body(content));
-    *response.status_mut() = head.status;
-    *response.headers_mut() = head.headers;
-    let length = response.headers().get(hyper::header::CONTENT_LENGTH).cloned();
-    remove_hop_fields(response.headers_mut());
-    if let (&Method::HEAD, Some(length)) = (method, length) {
-        response.headers_mut().insert(hyper::header::CONTENT_LENGTH, length);
-    }
-    response
-}
-
-fn is_promise(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-    )
-}
-
-pub(super) fn closes(headers: &hyper::HeaderMap) -> bool {
-    let values = headers.get_all(CONNECTION).iter();
-    values
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .any(|token| token.trim().eq_ignore_ascii_case("close"))
-}
-
-/// Returns the time for which the runner keeps an idle connection, as its `Keep-Alive` field states.
-pub(super) fn stated_idle(headers: &hyper::HeaderMap) -> Option<Duration> {
-    let value = headers.get("keep-alive")?.to_str().ok()?;
-    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
-}
-
 fn refusal(context: &RelayContext, cause: RefusalCause) -> OwnAnswer {
     OwnAnswer::Refused {
         cause,
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod headers;
 mod listener;
 mod stream;
+mod whole;
 
 pub use self::{
     answer::{BrokenAnswer, RelayBody},
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -22,8 +22,9 @@
 use super::{
     answer::{BrokenAnswer, RelayBody},
     attempt::{AttemptError, OpenAnswer, ReceivedRequest},
-    exchange::{closes, finish_runner, log_failure, next_step, stated_idle},
+    exchange::{finish_runner, log_failure, next_step},
     headers::remove_hop_fields,
+    whole::{closes, stated_idle},
 };
 use crate::fleet::AttemptEnd;
 
--- a/crates/mustardgate-relay/src/leader/desk.rs
+++ b/crates/mustardgate-relay/src/leader/desk.rs
@@ -22,6 +22,8 @@
 const LOAD_PATIENCE: u32 = 2;
 /// Time for an eviction, which waits for runs to finish.
 const EVICTION_PATIENCE: Duration = Duration::from_secs(8);
+/// Token of the first lease that there ever was.
+const FIRST_TOKEN: u64 = 1;
 /// Longest time to a first word that a digest may state, in seconds.
 const MAX_FIRST_WORD_S: f64 = 60.0;
 /// Time for which a runner that cannot take an order gets no other.
@@ -45,6 +47,9 @@
     pub(super) leader: Option<SocketAddr>,
     pub(super) contact_at: Option<Instant>,
     pub(super) planners: BTreeMap<ServiceId, PlacementPlanner>,
+    planner_settings: PlannerSettings,
+    /// Whether nobody led before, so that no loads of others are under way.
+    is_first_term: bool,
     pub(super) adapters: AdapterPlan,
     pub(super) arrivals: BTreeMap<ServiceId, BTreeMap<ModelId, f64>>,
 }
@@ -99,7 +104,7 @@
 
 impl LeaderDesk {
     /// Creates the desk of a node that has read no lease.
-    pub fn new(settings: LeaseSettings, clock: Arc<dyn LeaseClock>) -> Self {
+    pub fn new(settings: LeaseSettings, planner_settings: PlannerSettings, clock: Arc<dyn LeaseClock>) -> Self {
         Self {
             clock,
             state: Mutex::new(DeskState {
@@ -107,6 +112,8 @@
                 leader: None,
                 contact_at: None,
                 planners: BTreeMap::new(),
+                planner_settings,
+                is_first_term: false,
                 adapters: AdapterPlan::default(),
                 arrivals: BTreeMap::new(),
             }),
@@ -207,9 +214,14 @@
         desk
     }
 
-    /// Forgets what was learnt as leader: another one may have acted since.
-    pub(super) fn forget_runners(&self) {
+    /// Forgets what was learnt as leader, since another one may have acted meanwhile.
+    pub(super) fn begin_term(&self, token: Option<u64>) {
+        self.lock().is_first_term = token == Some(FIRST_TOKEN);
         self.runners.lock().expect("no holder of the lock panics").clear();
+        let now = clock::now();
+        for planner in self.lock().planners.values_mut() {
+            planner.begin_term(now);
+        }
     }
 
     pub(super) fn lock(&self) -> MutexGuard<'_, DeskState> {
@@ -219,9 +231,14 @@
 
 impl DeskState {
     pub(super) fn planner(&mut self, service: &ServiceId) -> &mut PlacementPlanner {
-        self.planners
-            .entry(service.clone())
-            .or_insert_with(|| PlacementPlanner::new(PlannerSettings::default()))
+        let (settings, is_first_term) = (self.planner_settings, self.is_first_term);
+        self.planners.entry(service.clone()).or_insert_with(|| {
+            let mut planner = PlacementPlanner::new(settings);
+            if !is_first_term {
+                planner.begin_term(clock::now());
+            }
+            planner
+        })
     }
 }
 
--- a/crates/mustardgate-relay/src/leader/lease.rs
+++ b/crates/mustardgate-relay/src/leader/lease.rs
@@ -165,7 +165,7 @@
             return;
         }
         self.is_leading = token.is_some();
-        self.context.leader.forget_runners();
+        self.context.leader.begin_term(token);
         let event = if self.is_leading {
             events::LEASE_GAINED
         } else {
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -1,18 +1,18 @@
 //! Builds the context of a node.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use mustardgate::{drain::DrainController, logging::build_logger};
 use mustardgate_core::{
     ids::DomainId,
     lease::LeaseSettings,
-    relay::{AdmissionGate, RetryAdvisor},
+    relay::{AdmissionGate, PlannerSettings, RetryAdvisor},
 };
 use rand::Rng;
 
 use crate::{
     client::PoolSettings,
-    context::{BudgetBoard, DemandBoard, PatienceBoard, PlatformPorts, RecordShelf, RelayContext, RouteBoard},
+    context::{BudgetBoard, DemandBoard, PlatformPorts, RecordShelf, RelayContext, RouteBoard},
     decision_log::DecisionLog,
     fleet::RunnerFleet,
     leader::{BootClock, LeaderDesk},
@@ -48,6 +48,12 @@
         term,
         margin: term / MARGIN_SHARE,
     };
+    let planner = PlannerSettings {
+        load_window: Duration::from_secs_f64(settings.bounds.load_window_s),
+        load_overage: settings.bounds.load_overage,
+        load_extra: settings.bounds.load_extra,
+        ..PlannerSettings::default()
+    };
     Arc::new(RelayContext {
         log: DecisionLog::new(logger.clone(), settings.logging.clone()),
         routes: RouteBoard::default(),
@@ -55,12 +61,11 @@
         records: RecordShelf::default(),
         budgets: BudgetBoard::new(&settings.bounds),
         demand: DemandBoard::default(),
-        leader: LeaderDesk::new(lease, Arc::new(BootClock::start())),
+        leader: LeaderDesk::new(lease, planner, Arc::new(BootClock::start())),
         peers,
         directory,
         direct_log,
         gate: AdmissionGate::default(),
-        patience: PatienceBoard::default(),
         advisor: RetryAdvisor::default(),
         drain: DrainController::default(),
         ports,
--- a/crates/mustardgate-relay/src/settings/mod.rs
+++ b/crates/mustardgate-relay/src/settings/mod.rs
@@ -80,6 +80,12 @@
     pub budget_window_s: f64,
     /// Time within which the holder of a lease may not change twice, in milliseconds.
     pub lease_ms: u64,
+    /// Window in which loads from the weight store are counted, in seconds.
+    pub load_window_s: f64,
+    /// Factor on the weight store's rate within that window.
+    pub load_overage: f64,
+    /// Loads beyond that within the window.
+    pub load_extra: f64,
     /// Whether runners refuse orders with an old number.
     pub require_fencing: bool,
 }
@@ -213,6 +219,15 @@
         if !is_time(bounds.budget_window_s) {
             return refuse("bounds.budget_window_s", "must be above 0 and below a day");
         }
+        if !is_time(bounds.load_window_s) {
+            return refuse("bounds.load_window_s", "must be above 0 and below a day");
+        }
+        if !(0.0..=100.0).contains(&bounds.load_overage) || !(0.0..=1_000.0).contains(&bounds.load_extra) {
+            return refuse(
+                "bounds.load_overage",
+                "must lie from 0 to 100, and load_extra from 0 to 1000",
+            );
+        }
         if !(0.0..=1.0).contains(&bounds.retry_budget_ratio) {
             return refuse("bounds.retry_budget_ratio", "must lie from 0 to 1");
         }
