Keep the leader's orders going while the log is away, and let busy models' adapters yield

Change: where runners refuse old tokens, a holder whose renewal fails because the log is away for everybody it can ask goes on under its claim; streams under way count as uses of their adapters; one in use gives way only to another model's first.

--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -31,7 +31,7 @@
     health::{HealthSettings, OutcomeTracker},
     latency::LatencyModel,
     load::{LoadFigure, ReportedLoad},
-    planner::{AdapterPlan, AllInUse, OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
+    planner::{AdapterPlan, AdapterRoom, OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
     prompt::PromptMemory,
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
 };
--- a/crates/mustardgate-core/src/relay/planner.rs
+++ b/crates/mustardgate-core/src/relay/planner.rs
@@ -299,12 +299,19 @@
     }
 }
 
-/// Time since its last use after which an adapter is taken to be idle.
-const ADAPTER_IDLE: Duration = Duration::from_secs(1);
+/// Time since its last use after which an adapter is taken to be idle: nodes tell of uses a little late.
+const ADAPTER_IDLE: Duration = Duration::from_millis(1_500);
 
-/// Every adapter of a runner was used a moment ago, so that none can give way at once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AllInUse;
+/// Where an adapter finds room on a runner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdapterRoom {
+    /// A place is free.
+    Free,
+    /// A place is free once this adapter was evicted.
+    After(ModelName),
+    /// Requests use every adapter, and the eviction of any would hold up the runner's other orders.
+    None,
+}
 
 /// Which adapter gives way on a runner whose places are taken.
 #[derive(Clone, Debug, Default)]
@@ -323,34 +330,44 @@
         self.used_at.retain(|(known, _), _| known != backend);
     }
 
-    /// Returns the adapter that was used longest ago if the places are taken, or nothing if one is free.
+    /// Returns where an adapter finds room beside those that the runner holds.
     ///
-    /// # Errors
-    /// [`AllInUse`] when the places are taken and requests may be under way for each of them: an eviction would wait for
-    /// these, and the runner would take no other order meanwhile.
-    pub fn victim(
+    /// The adapter that was used longest ago gives way if it is idle. One in use gives way only to the first adapter of
+    /// another model, so that a busy model's adapters do not keep every place.
+    pub fn room(
         &self,
         now: Instant,
         backend: &BackendId,
         held: &BTreeMap<ModelId, BTreeSet<AdapterId>>,
         slots: u32,
-    ) -> Result<Option<ModelName>, AllInUse> {
-        let names: Vec<ModelName> = held
-            .iter()
-            .flat_map(|(model, adapters)| {
-                adapters.iter().map(|adapter| ModelName {
-                    model: model.clone(),
-                    adapter: Some(adapter.clone()),
-                })
-            })
-            .collect();
-        if names.len() < slots as usize {
-            return Ok(None);
+        wanted: &ModelName,
+    ) -> AdapterRoom {
+        let taken: usize = held.values().map(BTreeSet::len).sum();
+        if taken < slots as usize {
+            return AdapterRoom::Free;
         }
         let used_at = |name: &ModelName| self.used_at.get(&(backend.clone(), name.clone())).copied();
-        let idle = names
-            .into_iter()
-            .filter(|name| used_at(name).is_none_or(|at| now.saturating_duration_since(at) >= ADAPTER_IDLE));
-        idle.min_by_key(used_at).map(Some).ok_or(AllInUse)
+        let is_idle =
+            |name: &ModelName| used_at(name).is_none_or(|at| now.saturating_duration_since(at) >= ADAPTER_IDLE);
+        let oldest = names_of(held.iter()).min_by_key(used_at);
+        if let Some(name) = oldest.filter(is_idle) {
+            return AdapterRoom::After(name);
+        }
+        let has_none = held.get(&wanted.model).is_none_or(BTreeSet::is_empty);
+        let greediest = held.iter().max_by_key(|(_, adapters)| adapters.len());
+        let yielding = greediest.filter(|(_, adapters)| has_none && adapters.len() > 1);
+        match names_of(yielding.into_iter()).min_by_key(used_at) {
+            Some(name) => AdapterRoom::After(name),
+            None => AdapterRoom::None,
+        }
     }
 }
+
+fn names_of<'a>(held: impl Iterator<Item = (&'a ModelId, &'a BTreeSet<AdapterId>)>) -> impl Iterator<Item = ModelName> {
+    held.flat_map(|(model, adapters)| {
+        adapters.iter().map(|adapter| ModelName {
+            model: model.clone(),
+            adapter: Some(adapter.clone()),
+        })
+    })
+}
--- a/crates/mustardgate-relay/src/context/demand.rs
+++ b/crates/mustardgate-relay/src/context/demand.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::{Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -33,6 +33,29 @@
 pub struct DemandBoard {
     digest: Mutex<DemandDigest>,
     latencies: Mutex<BTreeMap<ServiceId, LatencyModel>>,
+    adapters: Arc<Mutex<UseCounts>>,
+}
+
+/// Requests under way by runner and adapter.
+type UseCounts = BTreeMap<(BackendId, ModelName), u32>;
+
+/// Counts one request for an adapter as under way until it is dropped.
+#[derive(Debug)]
+pub struct AdapterUse {
+    key: (BackendId, ModelName),
+    counts: Arc<Mutex<UseCounts>>,
+}
+
+impl Drop for AdapterUse {
+    fn drop(&mut self) {
+        let mut counts = self.counts.lock().expect("no holder of the lock panics");
+        if let Some(count) = counts.get_mut(&self.key) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.key);
+            }
+        }
+    }
 }
 
 impl DemandBoard {
@@ -43,14 +66,21 @@
         *models.entry(name.model.clone()).or_default() += 1.0;
     }
 
-    /// Notes that a request for an adapter goes to a runner.
-    pub fn record_adapter(&self, backend: &BackendId, name: &ModelName) {
-        if name.adapter.is_none() {
-            return;
-        }
+    /// Notes that a request for an adapter goes to a runner, until the returned value is dropped.
+    pub fn record_adapter(&self, backend: &BackendId, name: &ModelName) -> Option<AdapterUse> {
+        name.adapter.as_ref()?;
         let mut digest = self.lock();
         let names = digest.adapter_uses.entry(backend.clone()).or_default();
         names.insert(name.to_text().to_string());
+        drop(digest);
+        let key = (backend.clone(), name.clone());
+        let mut counts = self.adapters.lock().expect("no holder of the lock panics");
+        *counts.entry(key.clone()).or_default() += 1;
+        drop(counts);
+        Some(AdapterUse {
+            key,
+            counts: Arc::clone(&self.adapters),
+        })
     }
 
     /// Learns from the time to the first word of an answer at an expected load.
@@ -81,6 +111,12 @@
         let taken = digest.clone();
         digest.arrivals.clear();
         digest.adapter_uses.clear();
+        // A stream that goes on uses its adapter although it was sent long ago.
+        let counts = self.adapters.lock().expect("no holder of the lock panics");
+        for (backend, name) in counts.keys() {
+            let names = digest.adapter_uses.entry(backend.clone()).or_default();
+            names.insert(name.to_text().to_string());
+        }
         taken
     }
 
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -15,7 +15,7 @@
 
 pub use self::{
     budgets::BudgetBoard,
-    demand::{DemandBoard, DemandDigest},
+    demand::{AdapterUse, DemandBoard, DemandDigest},
     records::RecordShelf,
     routes::{ActiveRoutes, RouteBoard},
 };
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -21,8 +21,9 @@
 use super::headers::remove_hop_fields;
 use crate::{
     client::{RunnerConnection, SendFailure},
-    context::RelayContext,
+    context::{AdapterUse, RelayContext},
     fleet::{AttemptEnd, RunnerPick, RunnerTicket, SelectionError, SelectionQuery},
+    leader::want_adapter,
     ports::{AnswerKind, AnswerMarks, AttemptMarks},
 };
 
@@ -61,6 +62,7 @@
     pub(super) head: response::Parts,
     pub(super) body: Incoming,
     pub(super) marks: AnswerMarks,
+    pub(super) _adapter_use: Option<AdapterUse>,
 }
 
 /// Why an attempt brought no head that can be passed on.
@@ -116,7 +118,7 @@
             };
             let backend = pick.cell.listed().id.clone();
             let left = self.expires_at.saturating_duration_since(clock::now());
-            let asking = self.context.want_adapter(&self.service, &backend, name);
+            let asking = want_adapter(&self.context, &self.service, &backend, name);
             let asked = tokio::time::timeout(ADAPTER_WAIT.min(left), asking).await;
             if asked.unwrap_or(false) {
                 pick.cell.note_added(name);
@@ -161,9 +163,8 @@
         let listed = cell.listed();
         let mut ticket = cell.begin(&self.request);
         self.log_sent(pick);
-        if let Some(name) = &self.request.model {
-            self.context.demand.record_adapter(&listed.id, name);
-        }
+        let name = self.request.model.as_ref();
+        let adapter_use = name.and_then(|name| self.context.demand.record_adapter(&listed.id, name));
         let left = self.expires_at.saturating_duration_since(clock::now());
         let sent_at = clock::now();
         let outcome = async {
@@ -207,6 +208,7 @@
             head,
             body,
             marks,
+            _adapter_use: adapter_use,
         })
     }
 
--- a/crates/mustardgate-relay/src/gateway/whole.rs
+++ b/crates/mustardgate-relay/src/gateway/whole.rs
@@ -45,6 +45,7 @@
         head,
         body,
         marks,
+        ..
     } = open;
     let backend = ticket.cell().listed().id.clone();
     let left = received.expires_at.saturating_duration_since(clock::now());
--- a/crates/mustardgate-relay/src/leader/desk.rs
+++ b/crates/mustardgate-relay/src/leader/desk.rs
@@ -22,6 +22,8 @@
 const LOAD_PATIENCE: u32 = 2;
 /// Time for an eviction, which waits for runs to finish.
 const EVICTION_PATIENCE: Duration = Duration::from_secs(8);
+/// Time for which one failed renewal extends a claim while the log is away.
+const EXTENSION: Duration = Duration::from_millis(1_500);
 /// Token of the first lease that there ever was.
 const FIRST_TOKEN: u64 = 1;
 /// Longest time to a first word that a digest may state, in seconds.
@@ -44,6 +46,9 @@
 #[derive(Debug)]
 pub(super) struct DeskState {
     pub(super) tracker: LeaseTracker,
+    /// Claim under which this node acts while the log is away, and until when.
+    extension: Option<(Offset, Instant)>,
+    last_claim: Option<Offset>,
     pub(super) leader: Option<SocketAddr>,
     pub(super) contact_at: Option<Instant>,
     pub(super) planners: BTreeMap<ServiceId, PlacementPlanner>,
@@ -109,6 +114,8 @@
             clock,
             state: Mutex::new(DeskState {
                 tracker: LeaseTracker::new(settings),
+                extension: None,
+                last_claim: None,
                 leader: None,
                 contact_at: None,
                 planners: BTreeMap::new(),
@@ -125,7 +132,31 @@
     ///
     /// Tokens are above zero, because a runner that saw none may take zero for the lowest.
     pub fn token(&self) -> Option<u64> {
-        self.lock().tracker.held_claim(self.clock.now()).map(|claim| claim + 1)
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if let Some(claim) = state.tracker.held_claim(now) {
+            state.last_claim = Some(claim);
+            return Some(claim + 1);
+        }
+        let in_force = state.tracker.claim_in_force();
+        let extension = state
+            .extension
+            .filter(|(claim, until)| now < *until && in_force == Some(*claim));
+        extension.map(|(claim, _)| claim + 1)
+    }
+
+    /// Goes on for a moment under a claim that could not be renewed because the log is away.
+    ///
+    /// Only where runners refuse old tokens: a successor's higher token then ends this one at every runner, whatever this
+    /// node believes. A node that was suspended has no extension when it wakes, since it is counted by the lease's clock.
+    pub(super) fn extend(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let is_in_force = state.last_claim.is_some() && state.tracker.claim_in_force() == state.last_claim;
+        state.extension = state
+            .last_claim
+            .filter(|_| is_in_force)
+            .map(|claim| (claim, now + EXTENSION));
     }
 
     /// Returns the peer address of the node that leads, as far as it is known.
@@ -153,7 +184,10 @@
 
     /// Stops acting under a claim that a runner refused.
     pub(super) fn forfeit(&self) {
-        self.lock().tracker.forfeit();
+        let mut state = self.lock();
+        state.extension = None;
+        state.last_claim = None;
+        state.tracker.forfeit();
     }
 
     /// Takes demand that a node counted.
--- a/crates/mustardgate-relay/src/leader/lease.rs
+++ b/crates/mustardgate-relay/src/leader/lease.rs
@@ -98,7 +98,10 @@
                 }
                 self.doubt(&error.to_string());
                 // Whether the record is there, or another one, only the log can tell.
-                self.read().await;
+                let is_away = !self.read().await;
+                if is_away && self.context.settings.bounds.require_fencing && !self.context.drain.is_draining() {
+                    self.context.leader.extend();
+                }
             }
         }
     }
--- a/crates/mustardgate-relay/src/leader/mod.rs
+++ b/crates/mustardgate-relay/src/leader/mod.rs
@@ -11,6 +11,7 @@
 mod plan;
 
 pub use self::{
+    adapters::{load_adapter, want_adapter},
     clock::{BootClock, LeaseClock},
     desk::LeaderDesk,
     lease::LeaseTask,
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -15,7 +15,7 @@
     AdapterWanted, DEMAND_PATH, DemandReport, KeptRecord, KeptRecords, LOG_PATH, LeaderAnswer, LogCall, LogReply,
     RECORDS_PATH, WANT_PATH, decode, encode,
 };
-use crate::context::RelayContext;
+use crate::{context::RelayContext, leader::load_adapter};
 
 /// Path at which metrics are read.
 const METRICS_PATH: &str = "/metrics";
@@ -65,11 +65,11 @@
     }
 }
 
-async fn answer_wanted(context: &RelayContext, body: &[u8]) -> Option<Vec<u8>> {
+async fn answer_wanted(context: &Arc<RelayContext>, body: &[u8]) -> Option<Vec<u8>> {
     let wanted: AdapterWanted = decode(body)?;
     let is_leading = context.leader.token().is_some();
     let name = ModelName::parse(&wanted.name);
-    let is_done = is_leading && context.load_adapter(&wanted.service, &wanted.backend, &name).await;
+    let is_done = is_leading && load_adapter(context, &wanted.service, &wanted.backend, &name).await;
     Some(encode(&LeaderAnswer {
         is_leading,
         is_done,
