Count adapters on their way, and read a report again that lacks the model asked for

Reports list adapters on their way apart, and these were not counted. A remembered report lacked models that had been loaded since, so their adapters were refused. Change: adapters on their way take a place; a report without the model is read anew. Ruled out: model loads, which are withheld while the report says busy, and lagging reports, which the runner's own count refuses.

--- a/crates/mustardgate-relay/src/leader/adapters.rs
+++ b/crates/mustardgate-relay/src/leader/adapters.rs
@@ -13,7 +13,10 @@
     desk::{OrderMemory, RunnerDesk},
     orders::{desk_of, ensure_report, give},
 };
-use crate::{context::RelayContext, ports::OrderReply};
+use crate::{
+    context::RelayContext,
+    ports::{OrderReply, RunnerReport},
+};
 
 /// Time that a load of an adapter takes at most while few are on their way.
 const ADAPTER_LOAD_TIME: Duration = Duration::from_millis(14);
@@ -87,10 +90,16 @@
         let Ok(mut memory) = time::timeout(EVICTION_LOOK, self.desk.orders.lock()).await else {
             return false;
         };
+        let is_outdated = |report: &RunnerReport| !report.models.contains_key(&self.name.model);
+        if memory.report.as_ref().is_some_and(is_outdated) {
+            // The model came by an order that has been carried out since the report was read.
+            memory.report = None;
+        }
         let Some(report) = ensure_report(&self.context, &self.listed, &mut memory).await else {
             return false;
         };
-        let Some(adapters) = report.models.get(&self.name.model) else {
+        let held = report.held_adapters();
+        let Some(adapters) = held.get(&self.name.model) else {
             return false;
         };
         if self
@@ -104,8 +113,9 @@
         let backend = &self.listed.id;
         let room = {
             let state = self.context.leader.lock();
-            let held = &report.models;
-            state.adapters.room(clock::now(), backend, held, self.slots, &self.name)
+            state
+                .adapters
+                .room(clock::now(), backend, &held, self.slots, &self.name)
         };
         let looks = match room {
             AdapterRoom::Free => 1,
--- a/crates/mustardgate-relay/src/ports/mod.rs
+++ b/crates/mustardgate-relay/src/ports/mod.rs
@@ -1,6 +1,11 @@
 //! Ports to a platform: what its records mean, how its requests are marked, how its runners take orders.
 
-use std::{fmt::Debug, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt::Debug,
+    net::SocketAddr,
+    time::Duration,
+};
 
 use async_trait::async_trait;
 use hyper::{HeaderMap, http::request, http::response};
@@ -117,17 +122,30 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RunnerReport {
     /// Models it holds, with their adapters.
-    pub models: std::collections::BTreeMap<ModelId, std::collections::BTreeSet<SmolStr>>,
+    pub models: BTreeMap<ModelId, BTreeSet<SmolStr>>,
     /// Adapters on their way.
-    pub pending_adapters: std::collections::BTreeSet<ModelName>,
+    pub pending_adapters: BTreeSet<ModelName>,
     /// Models in its host's memory or on its disk.
-    pub cached_models: std::collections::BTreeSet<ModelId>,
+    pub cached_models: BTreeSet<ModelId>,
     /// Whether an order is under way.
     pub is_busy: bool,
     /// Orders it has accepted.
     pub order_count: u64,
 }
 
+impl RunnerReport {
+    /// Returns the adapters that take a place by model, those on their way included.
+    pub fn held_adapters(&self) -> BTreeMap<ModelId, BTreeSet<SmolStr>> {
+        let mut held = self.models.clone();
+        for name in &self.pending_adapters {
+            if let Some(adapter) = &name.adapter {
+                held.entry(name.model.clone()).or_default().insert(adapter.clone());
+            }
+        }
+        held
+    }
+}
+
 /// An order to one start of one runner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunnerOrder {
