--- a/crates/mustardgate-core/src/relay/budget.rs
+++ b/crates/mustardgate-core/src/relay/budget.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Changes the retries allowed whatever the number of requests.
+    pub fn set_floor(&mut self, floor: f64) {
+        self.settings.floor = floor;
+    }
+
     /// Counts a request.
     pub fn record_request(&mut self, now: Instant) {
         self.forget(now);
--- a/crates/mustardgate-relay/src/context/budgets.rs
+++ b/crates/mustardgate-relay/src/context/budgets.rs
@@ -16,13 +16,16 @@
 
 /// Part of the stated ratio that is used, because the window of whoever counts is not ours.
 const RATIO_SHARE: f64 = 0.6;
-/// Retries of a node that is hardly used, in one window.
+/// Part of the fixed retries that is shared out, because the two sides of a cut each share it among themselves.
+const EXTRA_SHARE: f64 = 0.5;
+/// Retries of a node in one window before the number of nodes is known.
 const FLOOR: f64 = 1.0;
 
 /// Shares of the retry budget by service.
 #[derive(Debug)]
 pub struct BudgetBoard {
     settings: BudgetSettings,
+    extra: f64,
     shares: Mutex<BTreeMap<ServiceId, RetryShare>>,
 }
 
@@ -35,6 +38,7 @@
                 floor: FLOOR,
                 window: Duration::from_secs_f64(bounds.budget_window_s),
             },
+            extra: bounds.retry_budget_extra * EXTRA_SHARE,
             shares: Mutex::default(),
         }
     }
@@ -44,8 +48,14 @@
         self.with(service, |share| share.record_request(now));
     }
 
-    /// Returns the allowance of a service, to be handed to a plan.
-    pub fn allowance<'a>(&'a self, service: &'a ServiceId) -> impl RetryAllowance + 'a {
+    /// Returns the allowance of a service, to be handed to a plan; `nodes` share the fixed part, 0 if their number is not
+    /// known.
+    pub fn allowance<'a>(&'a self, service: &'a ServiceId, nodes: u32) -> impl RetryAllowance + 'a {
+        let floor = match nodes {
+            0 => FLOOR,
+            nodes => self.extra / f64::from(nodes),
+        };
+        self.with(service, |share| share.set_floor(floor));
         ServiceAllowance { board: self, service }
     }
 
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -23,8 +23,9 @@
 
 /// Part of the time of undisturbed contact for which one read waits for records.
 const WAIT_SHARE: f64 = 0.7;
-/// Least pause after an answer, which gathers further records into the next one.
-const GATHER_PAUSE: Duration = Duration::from_millis(250);
+/// Part of the shortest bound on taking up a change for which a reader pauses after records, so that further ones gather
+/// into the next answer.
+const GATHER_SHARE: u32 = 8;
 /// Pause after a failed read, at first and at most.
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(800);
@@ -72,7 +73,7 @@
                 self.next = Some(page.next);
                 let is_quiet = page.records.is_empty();
                 self.take(&page, is_whole);
-                if is_quiet { Duration::ZERO } else { GATHER_PAUSE }
+                if is_quiet { Duration::ZERO } else { self.gather_pause() }
             }
             Err(TopicError::Trimmed { .. }) => {
                 self.next = None;
@@ -86,6 +87,11 @@
         Duration::from_millis(self.context.settings.bounds.contact_ms).mul_f64(WAIT_SHARE)
     }
 
+    fn gather_pause(&self) -> Duration {
+        let bounds = &self.context.settings.bounds;
+        Duration::from_millis(bounds.config_apply_ms.min(bounds.drain_ms)) / GATHER_SHARE
+    }
+
     fn take(&self, page: &TopicPage, is_whole: bool) {
         self.context.records.take(self.topic, &page.records, is_whole);
         match self.topic {
--- a/crates/mustardgate-relay/src/settings/mod.rs
+++ b/crates/mustardgate-relay/src/settings/mod.rs
@@ -34,8 +34,6 @@
     pub domain: DomainId,
     /// Region.
     pub region: RegionId,
-    /// Memory that the process may use, in megabytes.
-    pub memory_mb: u64,
     /// File descriptors that the process may use.
     pub max_descriptors: u64,
 }
@@ -206,7 +204,6 @@
             ("bounds.drain_ms", bounds.drain_ms),
             ("bounds.contact_ms", bounds.contact_ms),
             ("bounds.lease_ms", bounds.lease_ms),
-            ("node.memory_mb", self.node.memory_mb),
             ("node.max_descriptors", self.node.max_descriptors),
         ]);
         if let Some((field, _)) = positive.into_iter().find(|(_, value)| *value == 0) {
@@ -228,6 +225,9 @@
                 "must lie from 0 to 100, and load_extra from 0 to 1000",
             );
         }
+        if !(0.0..=1e6).contains(&bounds.retry_budget_extra) {
+            return refuse("bounds.retry_budget_extra", "must lie from 0 to a million");
+        }
         if !(0.0..=1.0).contains(&bounds.retry_budget_ratio) {
             return refuse("bounds.retry_budget_ratio", "must lie from 0 to 1");
         }
--- /dev/null
+++ b/crates/mustardgate-relay/tests/settings.rs
@@ -0,0 +1,82 @@
+//! Settings of relay nodes: each field is checked, and the error names it.
+
+use mustardgate_relay::settings::RelaySettings;
+
+const GOOD: &str = r#"
+[node]
+name = "node-1"
+domain = "east"
+region = "home"
+max_descriptors = 1000
+[listen]
+callers = "127.0.0.1:8080"
+readiness = "127.0.0.1:8081"
+[log]
+address = "127.0.0.1:9000"
+[bounds]
+config_apply_ms = 2000
+drain_ms = 2000
+contact_ms = 3000
+grace_s = 8
+retry_budget_ratio = 0.2
+retry_budget_extra = 54
+budget_window_s = 10
+lease_ms = 3000
+load_window_s = 5
+load_overage = 1.1
+load_extra = 3
+require_fencing = true
+"#;
+
+#[test]
+fn good_settings_pass_and_later_fields_are_ignored() {
+    let settings = RelaySettings::parse(GOOD).expect("the settings are good");
+    assert_eq!(settings.listen.peers, None);
+    assert_eq!(settings.logging.sample_one_in, 16);
+    let later = format!("{GOOD}\n[a_table_of_later_days]\nfield = 1\n");
+    assert_eq!(RelaySettings::parse(&later).unwrap(), settings);
+}
+
+#[test]
+fn each_bad_field_is_named() {
+    for (from, to, named) in [
+        ("name = \"node-1\"", "name = \"\"", "node.name"),
+        ("max_descriptors = 1000", "max_descriptors = 0", "node.max_descriptors"),
+        (
+            "max_descriptors = 1000",
+            "max_descriptors = \"many\"",
+            "max_descriptors",
+        ),
+        ("callers = \"127.0.0.1:8080\"", "callers = \"nowhere\"", "callers"),
+        ("address = \"127.0.0.1:9000\"", "", "address"),
+        (
+            "config_apply_ms = 2000",
+            "config_apply_ms = 0",
+            "bounds.config_apply_ms",
+        ),
+        ("drain_ms = 2000", "drain_ms = 0", "bounds.drain_ms"),
+        ("contact_ms = 3000", "contact_ms = 0", "bounds.contact_ms"),
+        ("grace_s = 8", "grace_s = -1", "bounds.grace_s"),
+        ("grace_s = 8", "grace_s = nan", "bounds.grace_s"),
+        (
+            "retry_budget_ratio = 0.2",
+            "retry_budget_ratio = 2.0",
+            "bounds.retry_budget_ratio",
+        ),
+        (
+            "retry_budget_extra = 54",
+            "retry_budget_extra = -1",
+            "bounds.retry_budget_extra",
+        ),
+        ("budget_window_s = 10", "budget_window_s = 0", "bounds.budget_window_s"),
+        ("lease_ms = 3000", "lease_ms = 0", "bounds.lease_ms"),
+        ("load_window_s = 5", "load_window_s = 0", "bounds.load_window_s"),
+        ("load_overage = 1.1", "load_overage = -1", "bounds.load_overage"),
+        ("require_fencing = true", "require_fencing = 1", "require_fencing"),
+    ] {
+        let text = GOOD.replace(from, to);
+        assert_ne!(text, GOOD, "{from}");
+        let error = RelaySettings::parse(&text).expect_err(to).to_string();
+        assert!(error.contains(named), "{to}: {error}");
+    }
+}
