Learn changes of configuration and runners from the leader instead of the store

Change: the leader reads the topics with short waits, and the others read what it has learnt. A reader goes back to the store when the leader does not answer, or has not read it itself of late; waits, time-outs and accepted age together stay within the bound on taking up a change.

--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -23,6 +23,8 @@
 
 /// Part of the time of undisturbed contact for which one read waits for records.
 const WAIT_SHARE: f64 = 0.7;
+/// Part of the shortest bound for which the leader's reads wait.
+const LEADER_WAIT_SHARE: f64 = 0.3;
 /// Part of the shortest bound on taking up a change for which a reader pauses after records, so that further ones gather
 /// into the next answer.
 const GATHER_SHARE: u32 = 8;
@@ -83,17 +85,24 @@
         }
     }
 
+    /// Returns how long a read waits: shorter while this node leads, because others learn changes from it and have to
+    /// notice soon when its own connection went silent.
     fn wait(&self) -> Duration {
-        Duration::from_millis(self.context.settings.bounds.contact_ms).mul_f64(WAIT_SHARE)
+        let bounds = &self.context.settings.bounds;
+        if self.context.leader.token().is_some() {
+            return bounds.shortest_bound().mul_f64(LEADER_WAIT_SHARE);
+        }
+        Duration::from_millis(bounds.contact_ms).mul_f64(WAIT_SHARE)
     }
 
     fn gather_pause(&self) -> Duration {
-        let bounds = &self.context.settings.bounds;
-        Duration::from_millis(bounds.config_apply_ms.min(bounds.drain_ms)) / GATHER_SHARE
+        self.context.settings.bounds.shortest_bound() / GATHER_SHARE
     }
 
     fn take(&self, page: &TopicPage, is_whole: bool) {
-        self.context.records.take(self.topic, &page.records, is_whole);
+        self.context
+            .records
+            .take(self.topic, page, is_whole, self.context.leader.lease_time());
         match self.topic {
             LogTopic::Configuration => {
                 for record in &page.records {
--- a/crates/mustardgate-relay/src/leader/desk.rs
+++ b/crates/mustardgate-relay/src/leader/desk.rs
@@ -159,6 +159,11 @@
             .map(|claim| (claim, now + EXTENSION));
     }
 
+    /// Returns the time on the clock that goes on while the machine is suspended.
+    pub fn lease_time(&self) -> Instant {
+        self.clock.now()
+    }
+
     /// Returns the peer address of the node that leads, as far as it is known.
     pub fn leader_address(&self) -> Option<SocketAddr> {
         self.lock().leader
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -38,6 +38,7 @@
         peers.clone(),
         Arc::clone(&directory),
         seeds.collect(),
+        settings.bounds.shortest_bound(),
     ));
     let logger = build_logger(&settings.logging.logger(), &settings.node.name);
     let term = settings.bounds.lease_term();
--- a/crates/mustardgate-relay/src/node/seeds.rs
+++ b/crates/mustardgate-relay/src/node/seeds.rs
@@ -3,7 +3,6 @@
 use std::{sync::Arc, time::Duration};
 
 use mustardgate::events;
-use mustardgate_core::ports::LogTopic;
 use slog::o;
 use tokio::time;
 
@@ -40,11 +39,9 @@
             let runners: Vec<_> = kept.runners.into_iter().map(KeptRecord::into_record).collect();
             if !context.fleet.has_runner() {
                 replace_runners(&context, &runners);
-                context.records.take(LogTopic::Runners, &runners, true);
             }
             for record in kept.configuration.into_iter().map(KeptRecord::into_record) {
                 take_configuration(&context, &record);
-                context.records.take(LogTopic::Configuration, &[record], false);
             }
         }
     }
--- a/crates/mustardgate-relay/src/peers/client.rs
+++ b/crates/mustardgate-relay/src/peers/client.rs
@@ -9,6 +9,7 @@
 use mustardgate::http::{CallLimits, HttpClient};
 use mustardgate_core::{
     ids::{BackendId, ServiceId},
+    ports::TopicPage,
     relay::ModelName,
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -62,6 +63,20 @@
         self.call(leader, "demand", DEMAND_PATH, report).await
     }
 
+    /// Asks a neighbour for the changes of a keyed topic that it has learnt.
+    pub async fn read_changes(
+        &self,
+        neighbour: SocketAddr,
+        call: &LogCall,
+        timeout: Duration,
+    ) -> Option<(TopicPage, Duration)> {
+        let asking = self.call_within(neighbour, "changes", LOG_PATH, call, timeout);
+        match asking.await {
+            Some(LogReply::Changes(Ok(changes))) => Some(changes),
+            _ => None,
+        }
+    }
+
     /// Has a neighbour call the log.
     pub async fn call_log(&self, neighbour: SocketAddr, call: &LogCall) -> Option<LogReply> {
         self.call(neighbour, "log", LOG_PATH, call).await
@@ -73,6 +88,21 @@
     }
 
     async fn call<M, A>(&self, address: SocketAddr, kind: &'static str, path: &'static str, message: &M) -> Option<A>
+    where
+        M: Serialize,
+        A: DeserializeOwned,
+    {
+        self.call_within(address, kind, path, message, CALL_TIMEOUT).await
+    }
+
+    async fn call_within<M, A>(
+        &self,
+        address: SocketAddr,
+        kind: &'static str,
+        path: &'static str,
+        message: &M,
+        timeout: Duration,
+    ) -> Option<A>
     where
         M: Serialize,
         A: DeserializeOwned,
@@ -81,7 +111,7 @@
         *request.method_mut() = Method::POST;
         *request.uri_mut() = path.parse().expect("paths are constants");
         let limits = CallLimits {
-            timeout: CALL_TIMEOUT,
+            timeout,
             max_bytes: MAX_ANSWER_BYTES,
         };
         match self.client.call_counted(kind, address, request, limits).await {
--- a/crates/mustardgate-relay/src/peers/directory.rs
+++ b/crates/mustardgate-relay/src/peers/directory.rs
@@ -20,6 +20,7 @@
 pub struct PeerDirectory {
     heard: Mutex<BTreeMap<SocketAddr, Instant>>,
     stated_nodes: AtomicU32,
+    feeder: Mutex<Option<SocketAddr>>,
 }
 
 impl PeerDirectory {
@@ -46,6 +47,16 @@
         self.addresses().len() as u32 + 1
     }
 
+    /// Sets the node from which changes of keyed topics are learnt, or none to read the log itself.
+    pub fn set_feeder(&self, feeder: Option<SocketAddr>) {
+        *self.feeder.lock().expect("no holder of the lock panics") = feeder;
+    }
+
+    /// Returns the node from which changes of keyed topics are learnt.
+    pub fn feeder(&self) -> Option<SocketAddr> {
+        *self.feeder.lock().expect("no holder of the lock panics")
+    }
+
     /// Takes the number of nodes that the leader states.
     pub fn state_nodes(&self, nodes: u32) {
         self.stated_nodes.store(nodes, Ordering::Relaxed);
--- a/crates/mustardgate-relay/src/peers/log.rs
+++ b/crates/mustardgate-relay/src/peers/log.rs
@@ -19,6 +19,10 @@
 
 /// Time after a failed call before the log itself is tried again.
 const DIRECT_PAUSE: Duration = Duration::from_millis(900);
+/// Parts of the bound on taking up a change: wait of a fed read, time beyond it, and accepted age of what it brings.
+const FED_WAIT_SHARE: f64 = 0.25;
+const FED_SLACK_SHARE: f64 = 0.2;
+const FED_AGE_SHARE: f64 = 0.45;
 /// Longest wait for records that a neighbour is asked for.
 const NEIGHBOUR_WAIT: Duration = Duration::from_millis(300);
 
@@ -33,6 +37,8 @@
     directory: Arc<PeerDirectory>,
     seeds: Vec<SocketAddr>,
     failed_at: Mutex<Option<Instant>>,
+    /// Shortest time within which a change must be taken up.
+    bound: Duration,
 }
 
 impl NeighbourLog {
@@ -42,6 +48,7 @@
         peers: PeerClient,
         directory: Arc<PeerDirectory>,
         seeds: Vec<SocketAddr>,
+        bound: Duration,
     ) -> Self {
         Self {
             direct,
@@ -49,9 +56,28 @@
             directory,
             seeds,
             failed_at: Mutex::new(None),
+            bound,
         }
     }
 
+    /// Reads changes from the leader, which spares the log a call of each node for each change.
+    ///
+    /// Waits, time-outs and the accepted age together stay within the bound on taking up a change, so that a leader that
+    /// falls silent, or whose own connection does, delays nobody beyond it.
+    async fn read_fed(&self, topic: LogTopic, from: Offset) -> Option<TopicPage> {
+        let feeder = self.directory.feeder().filter(|_| topic != LogTopic::Leases)?;
+        let wait = self.bound.mul_f64(FED_WAIT_SHARE);
+        let call = LogCall::Changes { topic, from, wait };
+        let timeout = wait + self.bound.mul_f64(FED_SLACK_SHARE);
+        let fed = self.peers.read_changes(feeder, &call, timeout).await;
+        let fresh = fed.filter(|(_, age)| *age <= self.bound.mul_f64(FED_AGE_SHARE));
+        if fresh.is_none() {
+            self.directory.set_feeder(None);
+            counter!("mustardgate_feeds_lost_total").increment(1);
+        }
+        fresh.map(|(page, _)| page)
+    }
+
     fn is_direct(&self) -> bool {
         let failed_at = self.failed_at.lock().expect("no holder of the lock panics");
         failed_at.is_none_or(|at| clock::now().saturating_duration_since(at) >= DIRECT_PAUSE)
@@ -86,6 +112,12 @@
 #[async_trait]
 impl TopicLog for NeighbourLog {
     async fn read(&self, topic: LogTopic, from: Offset, wait: Duration) -> Result<TopicPage, TopicError> {
+        let is_fed = self.directory.feeder().is_some() && topic != LogTopic::Leases;
+        if let Some(page) = self.read_fed(topic, from).await {
+            return Ok(page);
+        }
+        // What a lost feed kept back is read at once.
+        let wait = if is_fed { Duration::ZERO } else { wait };
         let mut error = TopicError::unavailable("the last call failed");
         if self.is_direct() {
             let outcome = self.direct.read(topic, from, wait).await;
--- a/crates/mustardgate-relay/src/peers/messages.rs
+++ b/crates/mustardgate-relay/src/peers/messages.rs
@@ -63,6 +63,15 @@
         /// Time to wait for the first record.
         wait: Duration,
     },
+    /// Reads what the asked node itself has learnt of a keyed topic.
+    Changes {
+        /// Topic.
+        topic: LogTopic,
+        /// First offset.
+        from: Offset,
+        /// Time to wait for the first change.
+        wait: Duration,
+    },
     /// Reads the newest record of each key.
     Newest {
         /// Topic.
@@ -84,6 +93,8 @@
 pub enum LogReply {
     /// Records, or why there are none.
     Page(Result<TopicPage, TopicError>),
+    /// Changes, and the time since the asked node read them from the log.
+    Changes(Result<(TopicPage, Duration), TopicError>),
     /// Offset of the appended record, or why there is none.
     Appended(Result<Offset, ConditionalError>),
 }
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -8,8 +8,12 @@
 use mustardgate::http::{
     AnswerBody, ConnectionLimits, bytes_answer, collect_body, empty_answer, serve_connections, text_answer,
 };
-use mustardgate_core::{ports::LogTopic, relay::ModelName};
-use tokio::net::TcpListener;
+use mustardgate_core::{
+    ids::Offset,
+    ports::{LogTopic, TopicError, TopicPage},
+    relay::ModelName,
+};
+use tokio::{net::TcpListener, time};
 
 use super::messages::{
     AdapterWanted, DEMAND_PATH, DemandReport, KeptRecord, KeptRecords, LOG_PATH, LeaderAnswer, LogCall, LogReply,
@@ -94,6 +98,7 @@
 async fn answer_log(context: &RelayContext, body: &[u8]) -> Option<Vec<u8>> {
     let reply = match decode(body)? {
         LogCall::Read { topic, from, wait } => LogReply::Page(context.direct_log.read(topic, from, wait).await),
+        LogCall::Changes { topic, from, wait } => LogReply::Changes(read_changes(context, topic, from, wait).await),
         LogCall::Newest { topic } => LogReply::Page(context.direct_log.newest(topic).await),
         LogCall::AppendAt { topic, at, value } => {
             LogReply::Appended(context.direct_log.append_at(topic, at, value).await)
@@ -112,3 +117,23 @@
         runners: kept(LogTopic::Runners),
     }
 }
+
+/// Returns the changes of a topic that this node has read, waiting for the first.
+async fn read_changes(
+    context: &RelayContext,
+    topic: LogTopic,
+    from: Offset,
+    wait: Duration,
+) -> Result<(TopicPage, Duration), TopicError> {
+    let ends_at = time::Instant::now() + wait.min(MESSAGE_TIMEOUT);
+    loop {
+        let changed = context.records.next_change();
+        let (page, read_at) = context.records.changes(topic, from)?;
+        if !page.records.is_empty() || time::Instant::now() >= ends_at {
+            let age = context.leader.lease_time().saturating_duration_since(read_at);
+            return Ok((page, age));
+        }
+        // The end of the wait is told by the clock in the next round.
+        let _is_changed = time::timeout_at(ends_at, changed).await.is_ok();
+    }
+}
--- a/crates/mustardgate-relay/src/settings/mod.rs
+++ b/crates/mustardgate-relay/src/settings/mod.rs
@@ -89,6 +89,11 @@
 }
 
 impl BoundSettings {
+    /// Returns the shortest time within which a change must be taken up.
+    pub fn shortest_bound(&self) -> Duration {
+        Duration::from_millis(self.config_apply_ms.min(self.drain_ms))
+    }
+
     /// Returns the time for which a lease is held.
     pub fn lease_term(&self) -> Duration {
         Duration::from_millis(self.lease_ms)
