Remove what was measured and not used, and share the command line of both programs

Cause: the line through load and time foretold nothing useful and only fed a log field; the program on the platform had its own copies of the argument parser, the exit codes and the start errors. Change: LatencyModel and unused accessors are gone, the log says the expected wait that decided; NodeArguments, exit_code and StartError are used by both.

--- a/crates/mustardgate-core/src/relay/admission.rs
+++ b/crates/mustardgate-core/src/relay/admission.rs
@@ -25,9 +25,6 @@
     /// Runners refused the request, or could not be reached, as often as it may be tried.
     #[display("attempts_used_up")]
     AttemptsUsedUp,
-    /// The node is stopping.
-    #[display("stopping")]
-    Stopping,
 }
 
 /// Settings of [`AdmissionGate`].
@@ -138,7 +135,6 @@
     pub fn pause(&self, cause: RefusalCause, load_left: Option<Duration>, draw: f64) -> Duration {
         let base = match cause {
             RefusalCause::Overloaded | RefusalCause::AttemptsUsedUp => self.settings.overload_pause,
-            RefusalCause::Stopping => Duration::ZERO,
             RefusalCause::ModelAbsent => load_left.unwrap_or(self.settings.absence_pause),
             RefusalCause::NoConfiguration | RefusalCause::NoRunner | RefusalCause::AdapterAbsent => {
                 self.settings.absence_pause
--- a/crates/mustardgate-core/src/relay/catalogue.rs
+++ b/crates/mustardgate-core/src/relay/catalogue.rs
@@ -7,8 +7,6 @@
     time::{Duration, Instant},
 };
 
-use smol_str::SmolStr;
-
 use crate::ids::{AdapterId, BackendId, DomainId, ModelId, ServiceId};
 
 /// Whether a listed runner takes new work.
@@ -140,31 +138,11 @@
         ended.iter().filter_map(|id| self.drop_runner(id)).collect()
     }
 
-    /// Returns when [`RunnerCatalogue::expire`] has something to do.
-    pub fn next_expiry(&self) -> Option<Instant> {
-        self.doubted.values().min().copied()
-    }
-
     /// Returns a runner by its identity.
     pub fn get(&self, id: &str) -> Option<&Arc<ListedRunner>> {
         self.runners.get(id)
     }
 
-    /// Returns every runner.
-    pub fn runners(&self) -> impl Iterator<Item = &Arc<ListedRunner>> {
-        self.runners.values()
-    }
-
-    /// Returns the services that have a runner, with the number of runners that take new work.
-    pub fn ready_counts(&self) -> BTreeMap<SmolStr, usize> {
-        let mut counts = BTreeMap::new();
-        for runner in self.runners.values() {
-            let count: &mut usize = counts.entry(runner.service.clone()).or_default();
-            *count += usize::from(runner.state == RunnerState::Ready);
-        }
-        counts
-    }
-
     fn drop_runner(&mut self, id: &BackendId) -> Option<CatalogueChange> {
         self.doubted.remove(id);
         self.runners.remove(id)?;
--- a/crates/mustardgate-core/src/relay/choice.rs
+++ b/crates/mustardgate-core/src/relay/choice.rs
@@ -9,8 +9,6 @@
     pub load: f64,
     /// Expected wait for a first word.
     pub wait: Duration,
-    /// Requests it runs at once.
-    pub slots: u32,
     /// Share of the prompt that it has to read, from 0 to 1.
     pub unread_share: f64,
     /// Whether the adapter asked for has to be loaded first.
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -11,7 +11,6 @@
 mod config;
 mod events;
 mod health;
-mod latency;
 mod load;
 mod planner;
 mod prompt;
@@ -29,7 +28,6 @@
     },
     events::{EventSplitter, StreamEvent},
     health::{HealthSettings, OutcomeTracker},
-    latency::LatencyModel,
     load::{LoadFigure, ReportedLoad},
     planner::{AdapterPlan, AdapterRoom, OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
     prompt::PromptMemory,
--- a/crates/mustardgate-core/tests/relay/choice.rs
+++ b/crates/mustardgate-core/tests/relay/choice.rs
@@ -3,15 +3,14 @@
 use std::time::{Duration, Instant};
 
 use mustardgate_core::relay::{
-    Candidate, HealthSettings, LatencyModel, LoadFigure, ModelName, OutcomeTracker, PromptMemory, PromptPart,
-    RelayRequest, ReportedLoad, RunnerChoice, TokenUsage,
+    Candidate, HealthSettings, LoadFigure, ModelName, OutcomeTracker, PromptMemory, PromptPart, RelayRequest,
+    ReportedLoad, RunnerChoice, TokenUsage,
 };
 
 fn candidate() -> Candidate {
     Candidate {
         load: 4.0,
         wait: Duration::from_millis(100),
-        slots: 64,
         unread_share: 1.0,
         lacks_adapter: false,
         is_remote: false,
@@ -125,18 +124,3 @@
     assert!((unread(&[part(2, 40), part(1, 60)], "menu") - 1.0).abs() < 1e-9);
     assert!((unread(&[part(1, 60)], "menu/a1") - 1.0).abs() < 1e-9);
 }
-
-#[test]
-fn the_time_to_a_first_word_is_learnt_from_the_load() {
-    let mut model = LatencyModel::default();
-    assert_eq!(model.foretell(1.0), None);
-    for step in 0..200 {
-        let load = f64::from(step % 10);
-        model.record(load, Duration::from_millis(100 + 90 * (step % 10) as u64));
-    }
-    let foretold = model.foretell(5.0).unwrap();
-    assert!(
-        foretold.abs_diff(Duration::from_millis(550)) < Duration::from_millis(20),
-        "{foretold:?}"
-    );
-}
--- a/crates/mustardgate-relay/src/context/demand.rs
+++ b/crates/mustardgate-relay/src/context/demand.rs
@@ -8,7 +8,7 @@
 
 use mustardgate_core::{
     ids::{BackendId, ModelId, ServiceId},
-    relay::{LatencyModel, ModelName},
+    relay::ModelName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -32,7 +32,6 @@
 #[derive(Debug, Default)]
 pub struct DemandBoard {
     digest: Mutex<DemandDigest>,
-    latencies: Mutex<BTreeMap<ServiceId, LatencyModel>>,
     adapters: Arc<Mutex<UseCounts>>,
 }
 
@@ -83,18 +82,6 @@
         })
     }
 
-    /// Learns from the time to the first word of an answer at an expected load.
-    pub fn record_latency(&self, service: &ServiceId, load: f64, elapsed: Duration) {
-        let mut latencies = self.latencies.lock().expect("no holder of the lock panics");
-        latencies.entry(service.clone()).or_default().record(load, elapsed);
-    }
-
-    /// Foretells the time to the first word of an answer at a load, once enough was measured.
-    pub fn foretell(&self, service: &ServiceId, load: f64) -> Option<Duration> {
-        let latencies = self.latencies.lock().expect("no holder of the lock panics");
-        latencies.get(service)?.foretell(load)
-    }
-
     /// Learns from the time that an idle runner took to a first event.
     pub fn record_first_event(&self, service: &ServiceId, elapsed: Duration) {
         let mut digest = self.lock();
--- a/crates/mustardgate-relay/src/fleet/selection.rs
+++ b/crates/mustardgate-relay/src/fleet/selection.rs
@@ -85,7 +85,6 @@
         Some(Candidate {
             load,
             wait: cell.expected_wait(now),
-            slots: listed.slots,
             unread_share: if request.parts.is_empty() {
                 0.0
             } else {
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -194,11 +194,6 @@
         ticket.note_first_word();
         let elapsed = clock::now().saturating_duration_since(sent_at);
         self.log_head(pick, elapsed, &marks);
-        if head.status.is_success() {
-            self.context
-                .demand
-                .record_latency(&self.service, pick.candidate.load, elapsed);
-        }
         if self.route.is_stream && pick.candidate.load < IDLE_LOAD {
             self.context.demand.record_first_event(&self.service, elapsed);
         }
@@ -291,12 +286,11 @@
         if !self.is_sampled {
             return;
         }
-        let foretold = self.context.demand.foretell(&self.service, pick.candidate.load);
         let values = o!(
             "lacks_adapter" => pick.candidate.lacks_adapter,
             "failure_ratio" => pick.candidate.failure_ratio,
             "unread_share" => pick.candidate.unread_share,
-            "foretold_ms" => foretold.map_or(0, |foretold| foretold.as_millis() as u64),
+            "wait_ms" => pick.candidate.wait.as_millis() as u64,
             "load" => pick.candidate.load,
             "backend" => pick.cell.listed().id.to_string(),
         );
--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -5,16 +5,19 @@
 mod seeds;
 mod stop;
 
-use std::{io, net::SocketAddr, path::PathBuf, sync::Arc};
+use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
 use metrics_exporter_prometheus::PrometheusHandle;
-use mustardgate::{events, telemetry::install_recorder};
+use mustardgate::{
+    events,
+    node::{StartError, StopOutcome},
+    telemetry::install_recorder,
+};
 use mustardgate_core::ports::LogTopic;
 use slog::o;
-use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 
-pub use self::{build::build_context, stop::StopOutcome};
+pub use self::build::build_context;
 use self::{reload::ReloadTask, seeds::take_neighbour_records, stop::stop_node};
 use crate::{
     context::{PlatformPorts, RelayContext},
@@ -25,31 +28,16 @@
     settings::RelaySettings,
 };
 
-/// Why a node did not start.
-#[derive(Debug, Snafu)]
-pub enum NodeError {
-    /// An address cannot be listened on.
-    #[snafu(display("cannot listen on {address}: {source}"))]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// Cause.
-        source: io::Error,
-    },
-    /// A signal handler or the metrics recorder could not be set up.
-    #[snafu(display("cannot start: {reason}"))]
-    Environment {
-        /// What failed.
-        reason: String,
-    },
-}
-
 /// Runs a node until a planned stop has ended; `path` is the file that the settings came from.
 ///
 /// # Errors
-/// [`NodeError`] when the node cannot start.
-pub async fn run_relay(settings: RelaySettings, path: PathBuf, ports: PlatformPorts) -> Result<StopOutcome, NodeError> {
-    let metrics = install_recorder().map_err(|reason| NodeError::Environment { reason })?;
+/// [`StartError`] when the node cannot start.
+pub async fn run_relay(
+    settings: RelaySettings,
+    path: PathBuf,
+    ports: PlatformPorts,
+) -> Result<StopOutcome, StartError> {
+    let metrics = install_recorder().map_err(|reason| StartError::Environment { reason })?;
     let context = build_context(settings, ports);
     let logger = context.log.logger().clone();
     events::STARTING.write(&logger, o!("version" => env!("CARGO_PKG_VERSION")));
@@ -66,7 +54,7 @@
     callers: Vec<tokio::task::JoinHandle<()>>,
 }
 
-async fn start(context: &Arc<RelayContext>, path: PathBuf, metrics: PrometheusHandle) -> Result<NodeTasks, NodeError> {
+async fn start(context: &Arc<RelayContext>, path: PathBuf, metrics: PrometheusHandle) -> Result<NodeTasks, StartError> {
     let listen = &context.settings.listen;
     let mut callers = Vec::new();
     let mut addresses = vec![listen.callers];
@@ -95,8 +83,10 @@
     Ok(NodeTasks { callers })
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, NodeError> {
-    TcpListener::bind(address).await.context(ListenSnafu { address })
+async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| StartError::Listen { address, source })
 }
 
 /// Drops runners whose time of doubt is over, and idle connections.
--- a/crates/mustardgate-relay/src/node/reload.rs
+++ b/crates/mustardgate-relay/src/node/reload.rs
@@ -2,14 +2,13 @@
 
 use std::{fs, path::PathBuf, sync::Arc, time::Duration};
 
-use mustardgate::events;
+use mustardgate::{events, node::StartError};
 use slog::o;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
     time,
 };
 
-use super::NodeError;
 use crate::{context::RelayContext, settings::RelaySettings};
 
 /// Time between two looks at the file, which may change without a signal.
@@ -26,8 +25,8 @@
 
 impl ReloadTask {
     /// Creates the task and installs the handler of the signal, whose default action would end the process.
-    pub(super) fn new(context: Arc<RelayContext>, path: PathBuf) -> Result<Self, NodeError> {
-        let signals = signal(SignalKind::hangup()).map_err(|error| NodeError::Environment {
+    pub(super) fn new(context: Arc<RelayContext>, path: PathBuf) -> Result<Self, StartError> {
+        let signals = signal(SignalKind::hangup()).map_err(|error| StartError::Environment {
             reason: error.to_string(),
         })?;
         let last = fs::read_to_string(&path).unwrap_or_default();
--- a/crates/mustardgate-relay/src/node/stop.rs
+++ b/crates/mustardgate-relay/src/node/stop.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use mustardgate::events;
+use mustardgate::{
+    events,
+    node::{StartError, StopOutcome},
+};
 use slog::o;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
@@ -10,7 +13,6 @@
     time::{self, Instant},
 };
 
-use super::NodeError;
 use crate::context::RelayContext;
 
 /// Time for which connections are still accepted: the balancer asks each second, and needs two answers.
@@ -20,20 +22,11 @@
 /// Time before the end of the grace at which the process ends by itself.
 const END_MARGIN: Duration = Duration::from_millis(300);
 
-/// How a node stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StopOutcome {
-    /// Every request in flight was finished.
-    Drained,
-    /// Requests were still in flight at the end of the grace.
-    Cut,
-}
-
 /// Waits for a stop signal and stops the node within its grace.
 pub(super) async fn stop_node(
     context: &Arc<RelayContext>,
     callers: Vec<JoinHandle<()>>,
-) -> Result<StopOutcome, NodeError> {
+) -> Result<StopOutcome, StartError> {
     let mut signals = install(SignalKind::terminate())?;
     let mut interrupts = install(SignalKind::interrupt())?;
     tokio::select! {
@@ -63,8 +56,8 @@
     Ok(StopOutcome::Cut)
 }
 
-fn install(kind: SignalKind) -> Result<Signal, NodeError> {
-    signal(kind).map_err(|error| NodeError::Environment {
+fn install(kind: SignalKind) -> Result<Signal, StartError> {
+    signal(kind).map_err(|error| StartError::Environment {
         reason: error.to_string(),
     })
 }
--- a/crates/mustardgate/src/cli/mod.rs
+++ b/crates/mustardgate/src/cli/mod.rs
@@ -5,14 +5,14 @@
 use lexopt::prelude::{Long, Short, ValueExt};
 
 use crate::{
-    node::{StopOutcome, run_node},
+    node::{StartError, StopOutcome, run_node},
     settings::{NodeSettings, SettingsError, read_secret},
 };
 
 /// Exit code when settings or arguments are refused.
-const EXIT_USAGE: u8 = 2;
+pub const EXIT_USAGE: u8 = 2;
 /// Exit code when a drain was cut short.
-const EXIT_CUT: u8 = 3;
+pub const EXIT_CUT: u8 = 3;
 
 const HELP: &str = "\
 mustardgate: a node of the serving system
@@ -28,21 +28,29 @@
 3 stopped with requests ended early.
 ";
 
-#[derive(Debug, Default)]
-struct NodeArguments {
-    settings: Option<PathBuf>,
-    is_check: bool,
-    text: Option<String>,
+/// Arguments of a program that runs a node.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct NodeArguments {
+    /// Settings of the node.
+    pub settings: Option<PathBuf>,
+    /// Whether the settings are only checked.
+    pub is_check: bool,
+    /// Text to print instead of running.
+    pub text: Option<String>,
 }
 
-fn parse_arguments(mut parser: lexopt::Parser) -> Result<NodeArguments, lexopt::Error> {
+/// Parses the arguments of a program that runs a node; `program` and `help` are its name and help text.
+///
+/// # Errors
+/// The parser's error, which names the argument.
+pub fn parse_arguments(mut parser: lexopt::Parser, program: &str, help: &str) -> Result<NodeArguments, lexopt::Error> {
     let mut arguments = NodeArguments::default();
     while let Some(argument) = parser.next()? {
         match argument {
             Long("settings") => arguments.settings = Some(parser.value()?.parse()?),
             Long("check") => arguments.is_check = true,
-            Long("help") | Short('h') => arguments.text = Some(HELP.to_owned()),
-            Long("version") => arguments.text = Some(format!("mustardgate {}\n", env!("CARGO_PKG_VERSION"))),
+            Long("help") | Short('h') => arguments.text = Some(help.to_owned()),
+            Long("version") => arguments.text = Some(format!("{program} {}\n", env!("CARGO_PKG_VERSION"))),
             other => return Err(other.unexpected()),
         }
     }
@@ -51,7 +59,7 @@
 
 /// Runs the program and returns its exit code.
 pub fn run() -> ExitCode {
-    match parse_arguments(lexopt::Parser::from_env()) {
+    match parse_arguments(lexopt::Parser::from_env(), "mustardgate", HELP) {
         Ok(NodeArguments { text: Some(text), .. }) => {
             print!("{text}");
             ExitCode::SUCCESS
@@ -100,11 +108,16 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(run_node(settings)) {
+    exit_code("mustardgate", runtime.block_on(run_node(settings)))
+}
+
+/// Returns the exit code of a program whose node has ended, after printing why it could not start.
+pub fn exit_code(program: &str, outcome: Result<StopOutcome, StartError>) -> ExitCode {
+    match outcome {
         Ok(StopOutcome::Drained) => ExitCode::SUCCESS,
         Ok(StopOutcome::Cut) => ExitCode::from(EXIT_CUT),
         Err(error) => {
-            eprintln!("mustardgate: {error}");
+            eprintln!("{program}: {error}");
             ExitCode::FAILURE
         }
     }
