--- a/crates/mustardgate-core/src/relay/planner.rs
+++ b/crates/mustardgate-core/src/relay/planner.rs
@@ -302,6 +302,9 @@
 /// Time since its last use after which an adapter is taken to be idle: nodes tell of uses a little late.
 const ADAPTER_IDLE: Duration = Duration::from_millis(1_500);
 
+/// Times that an adapter finds no room before one in use gives way to it, so that a rarely asked one is served at all.
+const PATIENT_REFUSALS: u32 = 2;
+
 /// Where an adapter finds room on a runner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AdapterRoom {
@@ -317,6 +320,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct AdapterPlan {
     used_at: BTreeMap<(BackendId, ModelName), Instant>,
+    /// How often each adapter found no room since it last did.
+    refusals: BTreeMap<ModelName, u32>,
 }
 
 impl AdapterPlan {
@@ -333,9 +338,9 @@
     /// Returns where an adapter finds room beside those that the runner holds.
     ///
     /// The adapter that was used longest ago gives way if it is idle. One in use gives way only to the first adapter of
-    /// another model, so that a busy model's adapters do not keep every place.
+    /// another model, so that a busy model's adapters do not keep every place, and to one that was refused twice.
     pub fn room(
-        &self,
+        &mut self,
         now: Instant,
         backend: &BackendId,
         held: &BTreeMap<ModelId, BTreeSet<AdapterId>>,
@@ -350,16 +355,19 @@
         let is_idle =
             |name: &ModelName| used_at(name).is_none_or(|at| now.saturating_duration_since(at) >= ADAPTER_IDLE);
         let oldest = names_of(held.iter()).min_by_key(used_at);
-        if let Some(name) = oldest.filter(is_idle) {
-            return AdapterRoom::After(name);
-        }
+        let idle = oldest.clone().filter(is_idle);
         let has_none = held.get(&wanted.model).is_none_or(BTreeSet::is_empty);
         let greediest = held.iter().max_by_key(|(_, adapters)| adapters.len());
         let yielding = greediest.filter(|(_, adapters)| has_none && adapters.len() > 1);
-        match names_of(yielding.into_iter()).min_by_key(used_at) {
-            Some(name) => AdapterRoom::After(name),
-            None => AdapterRoom::None,
+        let of_other_model = names_of(yielding.into_iter()).min_by_key(used_at);
+        let refusals = self.refusals.get(wanted).copied().unwrap_or_default();
+        let overdue = oldest.filter(|_| refusals >= PATIENT_REFUSALS);
+        if let Some(name) = idle.or(of_other_model).or(overdue) {
+            self.refusals.remove(wanted);
+            return AdapterRoom::After(name);
         }
+        *self.refusals.entry(wanted.clone()).or_default() += 1;
+        AdapterRoom::None
     }
 }
 
--- a/crates/mustardgate-core/tests/relay/placement.rs
+++ b/crates/mustardgate-core/tests/relay/placement.rs
@@ -247,18 +247,23 @@
         adapter: Some(adapter.into()),
     };
     let mut plan = AdapterPlan::default();
-    let room = |plan: &AdapterPlan, at: Instant, slots: u32, wanted: usize| {
+    let room = |plan: &mut AdapterPlan, at: Instant, slots: u32, wanted: usize| {
         plan.room(at, &"r".into(), &held, slots, &name(wanted, "a9"))
     };
-    assert_eq!(room(&plan, now, 3, 0), AdapterRoom::Free);
+    assert_eq!(room(&mut plan, now, 3, 0), AdapterRoom::Free);
     plan.note_use(now, &"r".into(), &name(0, "a1"));
-    assert_eq!(room(&plan, now, 2, 0), AdapterRoom::After(name(0, "a2")));
+    assert_eq!(room(&mut plan, now, 2, 0), AdapterRoom::After(name(0, "a2")));
     plan.note_use(now, &"r".into(), &name(0, "a2"));
-    assert_eq!(room(&plan, now, 2, 0), AdapterRoom::None);
-    assert_eq!(room(&plan, now, 2, 1), AdapterRoom::After(name(0, "a1")));
+    assert_eq!(room(&mut plan, now, 2, 0), AdapterRoom::None);
+    assert_eq!(room(&mut plan, now, 2, 1), AdapterRoom::After(name(0, "a1")));
+    for _ in 1..2 {
+        assert_eq!(room(&mut plan, now, 2, 0), AdapterRoom::None);
+    }
+    assert_eq!(room(&mut plan, now, 2, 0), AdapterRoom::After(name(0, "a1")));
+    assert_eq!(room(&mut plan, now, 2, 0), AdapterRoom::None);
     let later = now + Duration::from_secs(2);
     plan.note_use(later, &"r".into(), &name(0, "a1"));
-    assert_eq!(room(&plan, later, 2, 0), AdapterRoom::After(name(0, "a2")));
+    assert_eq!(room(&mut plan, later, 2, 0), AdapterRoom::After(name(0, "a2")));
     plan.forget(&"r".into());
-    assert_eq!(room(&plan, later, 2, 0), AdapterRoom::After(name(0, "a1")));
+    assert_eq!(room(&mut plan, later, 2, 0), AdapterRoom::After(name(0, "a1")));
 }
--- a/crates/mustardgate-relay/src/leader/adapters.rs
+++ b/crates/mustardgate-relay/src/leader/adapters.rs
@@ -112,7 +112,7 @@
         }
         let backend = &self.listed.id;
         let room = {
-            let state = self.context.leader.lock();
+            let mut state = self.context.leader.lock();
             state
                 .adapters
                 .room(clock::now(), backend, &held, self.slots, &self.name)
