--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -76,8 +76,8 @@
 
 /// A relayed request was answered; sampled when it went well.
 pub const RELAY_REQUEST_ANSWERED: EventKind = event(600, Level::Info, "request answered");
-/// A relayed request was refused without having run; says why and when to come back.
-pub const RELAY_REQUEST_REFUSED: EventKind = event(601, Level::Info, "request refused");
+/// A relayed request got an answer of our own; says why, whether it may have run by its status, and when to come back.
+pub const RELAY_REQUEST_UNSERVED: EventKind = event(601, Level::Info, "request not served");
 /// A request goes to a runner; says what was known of it. Sampled.
 pub const RELAY_ATTEMPT_SENT: EventKind = event(602, Level::Info, "attempt sent");
 /// An attempt brought no answer that can be passed on; says the verdict and what follows.
@@ -147,7 +147,7 @@
     PEER_TRUSTED,
     PEER_REFUSED,
     RELAY_REQUEST_ANSWERED,
-    RELAY_REQUEST_REFUSED,
+    RELAY_REQUEST_UNSERVED,
     RELAY_ATTEMPT_SENT,
     RELAY_ATTEMPT_FAILED,
     RELAY_STREAM_RESUMED,
