Keep replicas of models that nobody asked for yet, from room that demand leaves

Change: memory that demand leaves goes to models that nobody asked for yet, those with adapters first; a replica gives way to them only when its model has had one to spare for 1.5 s. The replicas found at the start count until the first request. The sum of the forecasts is bounded by 1.5 times the present demand, and the measured time to a first word is averaged over the nodes instead of the last one's figure. Entries of runners are logged with their copies.

--- a/crates/mustardgate-core/src/placement/demand/mod.rs
+++ b/crates/mustardgate-core/src/placement/demand/mod.rs
@@ -90,6 +90,13 @@
         self.rates.retain(|artifact, _| is_declared(artifact));
     }
 
+    /// Returns the present rate of all weights together, and the sum of their forecasts.
+    pub fn totals(&self) -> (f64, f64) {
+        let present = self.rates.values().map(|averages| averages.fast).sum();
+        let foretold = self.rates.keys().map(|artifact| self.forecast(artifact)).sum();
+        (present, foretold)
+    }
+
     /// Returns the rate in requests a second that is expected when a load begun now has finished.
     pub fn forecast(&self, artifact: &Artifact) -> f64 {
         let Some(averages) = self.rates.get(artifact) else {
--- a/crates/mustardgate-core/src/placement/share/ledger.rs
+++ b/crates/mustardgate-core/src/placement/share/ledger.rs
@@ -113,4 +113,32 @@
             *wanted.entry(artifact).or_default() += 1;
         }
     }
+
+    /// Shares what memory `wanted` leaves out to the models with a weight, up to `most` replicas each.
+    pub(super) fn add_headroom(
+        &self,
+        mut wanted: BTreeMap<Artifact, u32>,
+        total_mib: MemoryMib,
+        weights: &BTreeMap<Artifact, f64>,
+        most: u32,
+    ) -> BTreeMap<Artifact, u32> {
+        let taken: MemoryMib = wanted
+            .iter()
+            .map(|(artifact, copies)| self.size(artifact) * MemoryMib::from(*copies))
+            .sum();
+        let mut left = total_mib.saturating_sub(taken);
+        loop {
+            let next = weights
+                .iter()
+                .filter_map(|(artifact, weight)| {
+                    let copies = *wanted.get(artifact)?;
+                    let fits = copies < most && self.size(artifact) <= left;
+                    fits.then(|| (artifact, weight / f64::from(copies + 1)))
+                })
+                .max_by(|one, other| one.1.total_cmp(&other.1));
+            let Some((artifact, _)) = next else { return wanted };
+            left -= self.size(artifact);
+            *wanted.entry(artifact.clone()).or_default() += 1;
+        }
+    }
 }
--- a/crates/mustardgate-core/src/placement/share/policy.rs
+++ b/crates/mustardgate-core/src/placement/share/policy.rs
@@ -31,6 +31,12 @@
     pub intent_time: Duration,
     /// Time that an eviction takes, for comparing runners.
     pub eviction_time: Duration,
+    /// Replicas up to which a model gets some ahead of its demand, from room that demand leaves.
+    pub headroom_copies: u32,
+    /// Time for which a model must have replicas to spare before one gives way to a replica ahead of demand.
+    pub headroom_patience: Duration,
+    /// Part of the loads allowed at the weight store that replicas ahead of demand leave to others.
+    pub headroom_reserve: f64,
 }
 
 impl Default for ShareSettings {
@@ -41,6 +47,9 @@
             hysteresis: 1.6,
             intent_time: Duration::from_secs(4),
             eviction_time: Duration::from_secs(1),
+            headroom_copies: 3,
+            headroom_patience: Duration::from_millis(1_500),
+            headroom_reserve: 0.5,
         }
     }
 }
@@ -53,6 +62,9 @@
     loads: LoadWindow,
     residence: ResidenceBook,
     load_times: LoadTimes,
+    headroom: BTreeMap<Artifact, f64>,
+    /// Since when each model has more replicas than its demand asks for.
+    surplus_since: BTreeMap<Artifact, Instant>,
     /// What room was made for on a runner, and until when it is kept.
     intents: BTreeMap<BackendId, (Artifact, Instant)>,
 }
@@ -69,6 +81,8 @@
             loads: LoadWindow::default(),
             residence: ResidenceBook::default(),
             load_times: LoadTimes::default(),
+            headroom: BTreeMap::new(),
+            surplus_since: BTreeMap::new(),
             intents: BTreeMap::new(),
         }
     }
@@ -89,6 +103,11 @@
         self.loads.record_doubtful(now, self.bound);
     }
 
+    /// Takes the models that deserve replicas ahead of demand, with their weights.
+    pub fn set_headroom(&mut self, weights: BTreeMap<Artifact, f64>) {
+        self.headroom = weights;
+    }
+
     /// Takes the times of loads.
     pub fn set_load_times(&mut self, load_times: LoadTimes) {
         self.load_times = load_times;
@@ -108,6 +127,17 @@
     moves: Vec<PlannedMove>,
 }
 
+impl<'a> SharePlan<'a> {
+    fn usable_runners(&self) -> impl Iterator<Item = &'a RunnerView> + Clone + use<'a> {
+        self.view.runners.iter().filter(|runner| !runner.is_leaving)
+    }
+
+    fn total_mib(&self) -> MemoryMib {
+        let accelerators = self.usable_runners().flat_map(|runner| &runner.accelerators);
+        accelerators.map(|state| state.capacity_mib).sum()
+    }
+}
+
 /// One way to give a model another replica.
 struct ReplicaOffer<'a> {
     runner: &'a RunnerView,
@@ -129,7 +159,9 @@
             moves: Vec::new(),
         };
         self.follow_intents(&mut plan);
-        let wanted = self.wanted_copies(&plan);
+        let demanded = self.demanded_copies(&plan);
+        self.note_surplus(&plan, &demanded);
+        let wanted = self.with_headroom(&plan, &demanded);
         let mut needy: Vec<&Artifact> = wanted.keys().collect();
         // A model that nobody holds comes first, whatever its demand: each must stay reachable.
         needy.sort_by(|one, other| {
@@ -149,16 +181,46 @@
 }
 
 impl SharePolicy {
-    fn wanted_copies(&self, plan: &SharePlan<'_>) -> BTreeMap<Artifact, u32> {
-        let usable = plan.view.runners.iter().filter(|runner| !runner.is_leaving);
-        let total_mib: MemoryMib = usable
-            .clone()
-            .flat_map(|runner| &runner.accelerators)
-            .map(|state| state.capacity_mib)
-            .sum();
+    /// Returns the replicas that demand asks for.
+    fn demanded_copies(&self, plan: &SharePlan<'_>) -> BTreeMap<Artifact, u32> {
+        let usable = plan.usable_runners();
         let rates = usable.clone().map(|runner| f64::from(runner.max_concurrency));
         let enough = rates.fold(0.0, f64::max) * self.settings.comfortable_share;
-        plan.ledger.wanted_copies(total_mib, usable.count() as u32, enough)
+        plan.ledger
+            .wanted_copies(plan.total_mib(), usable.count() as u32, enough)
+    }
+
+    /// Adds replicas ahead of demand, from the memory that demand leaves.
+    fn with_headroom(&self, plan: &SharePlan<'_>, demanded: &BTreeMap<Artifact, u32>) -> BTreeMap<Artifact, u32> {
+        plan.ledger.add_headroom(
+            demanded.clone(),
+            plan.total_mib(),
+            &self.headroom,
+            self.settings.headroom_copies,
+        )
+    }
+
+    fn note_surplus(&mut self, plan: &SharePlan<'_>, demanded: &BTreeMap<Artifact, u32>) {
+        self.surplus_since.retain(|artifact, _| {
+            demanded
+                .get(artifact)
+                .is_some_and(|wanted| plan.ledger.copies(artifact) > *wanted)
+        });
+        for (artifact, wanted) in demanded {
+            if plan.ledger.copies(artifact) > *wanted {
+                self.surplus_since.entry(artifact.clone()).or_insert(plan.now);
+            }
+        }
+    }
+
+    /// Returns whether the next replica of a model is ahead of its demand.
+    fn is_ahead(&self, plan: &SharePlan<'_>, artifact: &Artifact) -> bool {
+        self.headroom.contains_key(artifact) && plan.ledger.copies(artifact) > 0
+    }
+
+    fn has_stable_surplus(&self, plan: &SharePlan<'_>, artifact: &Artifact) -> bool {
+        let since = self.surplus_since.get(artifact);
+        since.is_some_and(|since| plan.now.saturating_duration_since(*since) >= self.settings.headroom_patience)
     }
 
     /// Loads what room was made for, and counts what room is still being made for.
@@ -248,6 +310,7 @@
         let mut missing = plan.ledger.size(artifact).saturating_sub(free_mib(runner));
         let gained = plan.ledger.rate_with(artifact, plan.ledger.copies(artifact) + 1);
         let is_absent = plan.ledger.copies(artifact) == 0;
+        let is_ahead = self.is_ahead(plan, artifact);
         let holdings = runner.accelerators.iter().flat_map(|state| &state.holdings);
         let mut removable: Vec<(f64, &Artifact, MemoryMib)> = holdings
             .filter(|holding| self.may_go(plan, runner, &holding.artifact))
@@ -256,6 +319,9 @@
                 let copies = plan.ledger.copies(held);
                 let is_surplus = copies > wanted.get(held).copied().unwrap_or_default();
                 let left_rate = plan.ledger.rate_with(held, copies.saturating_sub(1));
+                if is_ahead {
+                    return is_surplus && self.has_stable_surplus(plan, held);
+                }
                 is_absent || is_surplus || left_rate * self.settings.hysteresis < gained
             })
             .map(|holding| {
@@ -289,7 +355,12 @@
     }
 
     fn is_affordable(&self, plan: &SharePlan<'_>, backend: &BackendId, artifact: &Artifact) -> bool {
-        plan.allowance > 0 || self.load_times.copy_time(backend, artifact).is_some()
+        let reserve = if self.is_ahead(plan, artifact) {
+            (f64::from(self.bound.most) * self.settings.headroom_reserve) as u32
+        } else {
+            0
+        };
+        plan.allowance > reserve || self.load_times.copy_time(backend, artifact).is_some()
     }
 
     fn pay(&mut self, plan: &mut SharePlan<'_>, backend: &BackendId, artifact: &Artifact) -> bool {
--- a/crates/mustardgate-core/src/relay/config.rs
+++ b/crates/mustardgate-core/src/relay/config.rs
@@ -105,6 +105,8 @@
     pub copy_load_time: Duration,
     /// Memory of one adapter, in megabytes.
     pub adapter_mb: f64,
+    /// Adapters that are declared for the model.
+    pub adapters: u32,
 }
 
 /// What the runners of a service with model engines have in common.
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -3,6 +3,7 @@
 //! A deployment may hand the system its routes, services and runners instead of declaring resources. Requests and answers
 //! are then opaque bytes, and these modules decide where each request goes. See `docs/design/platform.md`.
 
+mod adapters;
 mod admission;
 mod backlog;
 mod budget;
@@ -17,6 +18,7 @@
 mod request;
 
 pub use self::{
+    adapters::{AdapterPlan, AdapterRoom},
     admission::{AdmissionGate, AdmissionQuestion, GateSettings, RefusalCause, RetryAdvisor, RetryAdvisorSettings},
     backlog::BacklogFigure,
     budget::{BudgetSettings, RetryShare},
@@ -29,7 +31,7 @@
     events::{EventSplitter, StreamEvent},
     health::{HealthSettings, OutcomeTracker},
     load::{LoadFigure, ReportedLoad},
-    planner::{AdapterPlan, AdapterRoom, OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
+    planner::{OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
     prompt::PromptMemory,
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
 };
--- a/crates/mustardgate-core/src/relay/planner.rs
+++ b/crates/mustardgate-core/src/relay/planner.rs
@@ -9,7 +9,7 @@
 
 use super::{EngineProfile, ModelName};
 use crate::{
-    ids::{AdapterId, BackendId, ModelId},
+    ids::{BackendId, ModelId},
     log::Artifact,
     placement::{
         AcceleratorView, ArtifactDemand, DomainView, Holding, HoldingState, PlacementPolicy, PlannedMove, RunnerView,
@@ -26,6 +26,15 @@
 const WINDOW_MARGIN: Duration = Duration::from_millis(500);
 /// Part of a loaded runner's time that goes into prompts; the rest goes into the answers under way.
 const PROMPT_SHARE: f64 = 0.7;
+/// Growth of all demand together that is planned for. Demand that moves from one model to another does not grow as a whole,
+/// though the trend of the model that it moves to looks so.
+const MAX_TOTAL_GROWTH: f64 = 1.5;
+/// Part of a comfortable rate that each replica is taken to get before the first request.
+const UNASKED_SHARE: f64 = 0.8;
+/// Weight of a model with adapters among those that were not asked for: each adapter stands for callers to come.
+const ADAPTED_WEIGHT: f64 = 2.0;
+/// Weight of the newest measured time to a first word.
+const FIRST_WORD_WEIGHT: f64 = 0.1;
 /// Requests a second that a runner is taken to bear before a rate was measured.
 const DEFAULT_RUNNER_RATE: f64 = 10.0;
 
@@ -110,6 +119,12 @@
     policy: SharePolicy,
     demand: DemandEstimator,
     runner_rate: f64,
+    /// Factor that keeps the sum of the forecasts within what all callers together may come to ask for.
+    forecast_scale: f64,
+    /// Most replicas that each model had before the first request.
+    first_holders: BTreeMap<ModelId, usize>,
+    /// Models that were ever asked for.
+    asked: BTreeSet<ModelId>,
 }
 
 impl PlacementPlanner {
@@ -120,22 +135,28 @@
             policy: SharePolicy::new(settings.share),
             demand: DemandEstimator::new(settings.demand),
             runner_rate: DEFAULT_RUNNER_RATE,
+            forecast_scale: 1.0,
+            first_holders: BTreeMap::new(),
+            asked: BTreeSet::new(),
         }
     }
 
     /// Takes the requests for each model since the last call, from all nodes, refused ones included.
     pub fn observe_demand(&mut self, now: Instant, arrivals: &BTreeMap<ModelId, f64>) {
+        self.asked.extend(arrivals.keys().cloned());
         let arrivals = arrivals
             .iter()
             .map(|(model, count)| (model_artifact(model), *count))
             .collect();
         self.demand.observe(now, &arrivals);
+        let (present, foretold) = self.demand.totals();
+        self.forecast_scale = (present * MAX_TOTAL_GROWTH / foretold.max(f64::EPSILON)).min(1.0);
     }
 
     /// Takes the time that an idle runner needs to a first word.
     pub fn set_first_word_time(&mut self, time: Duration) {
         let rate = PROMPT_SHARE / time.as_secs_f64().max(1e-3);
-        self.runner_rate = rate.max(0.1);
+        self.runner_rate += (rate.max(0.1) - self.runner_rate) * FIRST_WORD_WEIGHT;
     }
 
     /// Returns the requests a second that one runner is taken to answer in time.
@@ -145,7 +166,7 @@
 
     /// Returns the rate at which a model is asked for.
     pub fn rate_of(&self, model: &ModelId) -> f64 {
-        self.demand.forecast(&model_artifact(model))
+        self.demand.forecast(&model_artifact(model)) * self.forecast_scale
     }
 
     /// Notes that this node begins to lead after another one, whose last loads are not known.
@@ -174,9 +195,11 @@
 
     /// Returns the orders to give now, at most one for a runner.
     pub fn plan(&mut self, now: Instant, engine: &EngineProfile, runners: &[RunnerHoldings]) -> Vec<PlacementOrder> {
+        self.note_holders(runners);
         let view = self.view(engine, runners);
         self.policy.set_load_times(load_times(engine, runners));
         self.policy.set_bound(self.load_bound(engine));
+        self.policy.set_headroom(self.headroom_weights(engine));
         let moves = self.policy.plan(now, &view);
         let mut ordered: BTreeSet<BackendId> = BTreeSet::new();
         moves
@@ -220,12 +243,48 @@
             .map(|(model, profile)| ArtifactDemand {
                 artifact: model_artifact(model),
                 memory_mib: profile.weights_mb.ceil() as u64,
-                requests_per_second: self.rate_of(model),
+                requests_per_second: self.expected_rate(model),
                 priority: PriorityClass::Interactive,
                 base: Vec::new(),
             })
             .collect()
     }
+
+    fn note_holders(&mut self, runners: &[RunnerHoldings]) {
+        if !self.asked.is_empty() {
+            return;
+        }
+        let mut counts: BTreeMap<&ModelId, usize> = BTreeMap::new();
+        for model in runners.iter().flat_map(|runner| &runner.resident) {
+            *counts.entry(model).or_default() += 1;
+        }
+        for (model, count) in counts {
+            let most = self.first_holders.entry(model.clone()).or_default();
+            *most = count.max(*most);
+        }
+    }
+
+    /// Returns the rate to plan for. Before the first request of all, the replicas that were there tell which models are
+    /// busy.
+    fn expected_rate(&self, model: &ModelId) -> f64 {
+        if !self.asked.is_empty() {
+            return self.rate_of(model);
+        }
+        let holders = self.first_holders.get(model).copied().unwrap_or_default();
+        self.runner_rate * self.settings.share.comfortable_share * holders as f64 * UNASKED_SHARE
+    }
+
+    /// Returns how much each model that nobody has asked for yet deserves a replica that is not needed elsewhere: nothing
+    /// is known of its demand, and a load begun with its first requests comes seconds late.
+    fn headroom_weights(&self, engine: &EngineProfile) -> BTreeMap<Artifact, f64> {
+        let unasked = engine.models.iter().filter(|(model, _)| !self.asked.contains(*model));
+        unasked
+            .map(|(model, profile)| {
+                let weight = if profile.adapters > 0 { ADAPTED_WEIGHT } else { 1.0 };
+                (model_artifact(model), weight)
+            })
+            .collect()
+    }
 }
 
 fn holdings(engine: &EngineProfile, runner: &RunnerHoldings) -> Vec<Holding> {
@@ -298,84 +357,3 @@
         },
     }
 }
-
-/// Time since its last use after which an adapter is taken to be idle: nodes tell of uses a little late.
-const ADAPTER_IDLE: Duration = Duration::from_millis(1_500);
-
-/// Times that an adapter finds no room before one in use gives way to it, so that a rarely asked one is served at all.
-const PATIENT_REFUSALS: u32 = 2;
-
-/// Where an adapter finds room on a runner.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum AdapterRoom {
-    /// A place is free.
-    Free,
-    /// A place is free once this adapter was evicted.
-    After(ModelName),
-    /// Requests use every adapter, and the eviction of any would hold up the runner's other orders.
-    None,
-}
-
-/// Which adapter gives way on a runner whose places are taken.
-#[derive(Clone, Debug, Default)]
-pub struct AdapterPlan {
-    used_at: BTreeMap<(BackendId, ModelName), Instant>,
-    /// How often each adapter found no room since it last did.
-    refusals: BTreeMap<ModelName, u32>,
-}
-
-impl AdapterPlan {
-    /// Notes that a request for the adapter goes to the runner.
-    pub fn note_use(&mut self, now: Instant, backend: &BackendId, name: &ModelName) {
-        self.used_at.insert((backend.clone(), name.clone()), now);
-    }
-
-    /// Forgets a runner.
-    pub fn forget(&mut self, backend: &BackendId) {
-        self.used_at.retain(|(known, _), _| known != backend);
-    }
-
-    /// Returns where an adapter finds room beside those that the runner holds.
-    ///
-    /// The adapter that was used longest ago gives way if it is idle. One in use gives way only to the first adapter of
-    /// another model, so that a busy model's adapters do not keep every place, and to one that was refused twice.
-    pub fn room(
-        &mut self,
-        now: Instant,
-        backend: &BackendId,
-        held: &BTreeMap<ModelId, BTreeSet<AdapterId>>,
-        slots: u32,
-        wanted: &ModelName,
-    ) -> AdapterRoom {
-        let taken: usize = held.values().map(BTreeSet::len).sum();
-        if taken < slots as usize {
-            return AdapterRoom::Free;
-        }
-        let used_at = |name: &ModelName| self.used_at.get(&(backend.clone(), name.clone())).copied();
-        let is_idle =
-            |name: &ModelName| used_at(name).is_none_or(|at| now.saturating_duration_since(at) >= ADAPTER_IDLE);
-        let oldest = names_of(held.iter()).min_by_key(used_at);
-        let idle = oldest.clone().filter(is_idle);
-        let has_none = held.get(&wanted.model).is_none_or(BTreeSet::is_empty);
-        let greediest = held.iter().max_by_key(|(_, adapters)| adapters.len());
-        let yielding = greediest.filter(|(_, adapters)| has_none && adapters.len() > 1);
-        let of_other_model = names_of(yielding.into_iter()).min_by_key(used_at);
-        let refusals = self.refusals.get(wanted).copied().unwrap_or_default();
-        let overdue = oldest.filter(|_| refusals >= PATIENT_REFUSALS);
-        if let Some(name) = idle.or(of_other_model).or(overdue) {
-            self.refusals.remove(wanted);
-            return AdapterRoom::After(name);
-        }
-        *self.refusals.entry(wanted.clone()).or_default() += 1;
-        AdapterRoom::None
-    }
-}
-
-fn names_of<'a>(held: impl Iterator<Item = (&'a ModelId, &'a BTreeSet<AdapterId>)>) -> impl Iterator<Item = ModelName> {
-    held.flat_map(|(model, adapters)| {
-        adapters.iter().map(|adapter| ModelName {
-            model: model.clone(),
-            adapter: Some(adapter.clone()),
-        })
-    })
-}
--- a/crates/mustardgate-core/tests/relay/placement.rs
+++ b/crates/mustardgate-core/tests/relay/placement.rs
@@ -30,6 +30,7 @@
         load_time: STORE_LOAD,
         copy_load_time: COPY_LOAD,
         adapter_mb: 66.0,
+        adapters: 0,
     };
     EngineProfile {
         slots: 64,
@@ -208,6 +209,38 @@
     );
 }
 
+/// Demand for the first model alone, beside a trickle for all but the last three models, of which nobody asks.
+fn calm_rates() -> BTreeMap<ModelId, f64> {
+    let mut rates: BTreeMap<ModelId, f64> = (0..MODELS - 3).map(|index| (model(index), 0.5)).collect();
+    rates.insert(model(0), 40.0);
+    rates
+}
+
+#[test]
+fn models_that_nobody_asked_for_yet_get_replicas_from_room_that_demand_leaves() {
+    let mut world = ReplayWorld::new();
+    for _ in 0..40 {
+        world.step(&calm_rates());
+    }
+    for index in MODELS - 3..MODELS {
+        let holders = world.holders(&model(index));
+        assert!(holders >= 2, "{holders} holders of {}", model(index));
+    }
+    let busy = world.holders(&model(0));
+    assert!(busy >= 6, "{busy} holders of the busy model");
+}
+
+#[test]
+fn replicas_found_at_the_start_are_kept_until_the_first_requests() {
+    let mut world = ReplayWorld::new();
+    let before = world.holders(&model(0));
+    for _ in 0..25 {
+        world.step(&BTreeMap::new());
+    }
+    let kept = world.holders(&model(0));
+    assert!(kept * 4 >= before * 3, "{kept} of {before} replicas are left");
+}
+
 #[test]
 fn a_model_whose_only_runner_is_lost_is_loaded_elsewhere() {
     let mut world = ReplayWorld::new();
--- a/crates/mustardgate-relay/src/fleet/directory.rs
+++ b/crates/mustardgate-relay/src/fleet/directory.rs
@@ -154,7 +154,9 @@
 
 fn describe(runner: &ListedRunner) -> slog::OwnedKV<impl slog::SendSyncRefUnwindSafeKV + use<>> {
     let models: Vec<&str> = runner.models.keys().map(AsRef::as_ref).collect();
+    let copies: Vec<&str> = runner.cached_models.iter().map(AsRef::as_ref).collect();
     o!(
+        "copies" => copies.join(","),
         "models" => models.join(","),
         "is_draining" => runner.state == RunnerState::Draining,
         "address" => runner.address.to_string(),
