Tell a successor the loads that the window still counts, with each renewal of the lease

Ruled out: counting busy runners instead, which misses loads of small models that ended before the successor looked.

Change: each renewal carries an account: for how long each load still counts, and how many the leader may begin before the next account. A leader stays within its newest confirmed account and any that may be in the log. A successor counts what the last account before its claim told, and all that was granted. Without an account it closes the window as before.

The replayed changes of leader begin no load within three seconds before, over 30 in 32 changes now, and keep the bound.

--- a/crates/mustardgate-core/src/placement/share/mod.rs
+++ b/crates/mustardgate-core/src/placement/share/mod.rs
@@ -9,5 +9,5 @@
 
 pub use self::{
     policy::{SharePolicy, ShareSettings},
-    window::LoadBound,
+    window::{LoadAccount, LoadBound},
 };
--- a/crates/mustardgate-core/src/placement/share/policy.rs
+++ b/crates/mustardgate-core/src/placement/share/policy.rs
@@ -7,7 +7,7 @@
 
 use super::{
     ledger::ReplicaLedger,
-    window::{LoadBound, LoadWindow},
+    window::{LoadAccount, LoadBound, LoadWindow},
 };
 use crate::{
     ids::{BackendId, MemoryMib},
@@ -98,6 +98,22 @@
         self.intents.clear();
     }
 
+    /// Notes that this node begins to lead after one that told of its loads, in an account read `age` ago.
+    pub fn resume_term(&mut self, now: Instant, age: Duration, account: &LoadAccount) {
+        self.loads.resume(now, age, account, self.bound);
+        self.intents.clear();
+    }
+
+    /// Returns the account of the loads for a successor, or `None` while no bound is known.
+    pub fn account(&mut self, now: Instant) -> Option<LoadAccount> {
+        (self.bound.most > 0).then(|| self.loads.account(now, self.bound))
+    }
+
+    /// Notes that the last account is in the log.
+    pub fn confirm_account(&mut self) {
+        self.loads.confirm_account();
+    }
+
     /// Counts a load whose order got no answer.
     pub fn note_doubtful_load(&mut self, now: Instant) {
         self.loads.record_doubtful(now, self.bound);
--- a/crates/mustardgate-core/src/relay/planner.rs
+++ b/crates/mustardgate-core/src/relay/planner.rs
@@ -15,7 +15,7 @@
         AcceleratorView, ArtifactDemand, DomainView, Holding, HoldingState, PlacementPolicy, PlannedMove, RunnerView,
         demand::{DemandEstimator, DemandSettings},
         gain::LoadTimes,
-        share::{LoadBound, SharePolicy, ShareSettings},
+        share::{LoadAccount, LoadBound, SharePolicy, ShareSettings},
     },
     resources::PriorityClass,
 };
@@ -169,13 +169,27 @@
         self.demand.forecast(&model_artifact(model)) * self.forecast_scale
     }
 
-    /// Notes that this node begins to lead after another one, whose last loads are not known.
-    pub fn begin_term(&mut self, now: Instant) {
+    /// Notes that this node begins to lead after another one; `told` is that one's last account of its loads, if it is
+    /// known, with the time since it was read.
+    pub fn begin_term(&mut self, now: Instant, told: Option<(Duration, &LoadAccount)>) {
         self.policy.set_bound(LoadBound {
             window: self.settings.load_window + WINDOW_MARGIN,
             most: 0,
         });
-        self.policy.begin_term(now);
+        match told {
+            Some((age, account)) => self.policy.resume_term(now, age, account),
+            None => self.policy.begin_term(now),
+        }
+    }
+
+    /// Returns the account of the loads for a successor, or `None` before the first plan.
+    pub fn account_loads(&mut self, now: Instant) -> Option<LoadAccount> {
+        self.policy.account(now)
+    }
+
+    /// Notes that the last account is in the log.
+    pub fn confirm_account(&mut self) {
+        self.policy.confirm_account();
     }
 
     /// Notes that the order of a load got no answer.
--- a/crates/mustardgate-core/tests/relay/placement.rs
+++ b/crates/mustardgate-core/tests/relay/placement.rs
@@ -7,6 +7,7 @@
 
 use mustardgate_core::{
     ids::ModelId,
+    placement::share::LoadAccount,
     relay::{
         AdapterPlan, AdapterRoom, EngineProfile, ModelName, ModelProfile, OrderKind, PlacementPlanner, PlannerSettings,
         RunnerHoldings,
@@ -241,6 +242,46 @@
     assert!(kept * 4 >= before * 3, "{kept} of {before} replicas are left");
 }
 
+/// Moves demand between the first models, with a change of leader at `handover`; the last account is from the step before
+/// a multiple of three. Returns the loads that the successor began within three seconds.
+fn change_leader(handover: u32, tells: bool) -> usize {
+    let mut world = ReplayWorld::new();
+    let start = world.now;
+    let mut told: Option<(Instant, LoadAccount)> = None;
+    for step in 0..60_u32 {
+        let busy = (step / 6 % 4) as usize;
+        let mut rates: BTreeMap<ModelId, f64> = (0..MODELS).map(|index| (model(index), 0.5)).collect();
+        rates.insert(model(busy), 90.0);
+        if step == handover {
+            world.planner = PlacementPlanner::new(PlannerSettings::default());
+            let age = |at: Instant| world.now.saturating_duration_since(at);
+            let account = told.as_ref().filter(|_| tells);
+            let account = account.map(|(at, account)| (age(*at), account));
+            world.planner.begin_term(world.now, account);
+        }
+        world.step(&rates);
+        if step < handover && step % 3 == 0 {
+            told = world
+                .planner
+                .account_loads(world.now)
+                .map(|account| (world.now, account));
+            world.planner.confirm_account();
+        }
+    }
+    let from = start + STEP * handover;
+    let soon = |at: &&Instant| **at > from && **at <= from + Duration::from_secs(3);
+    world.store_loads.iter().filter(soon).count()
+}
+
+#[test]
+fn a_successor_goes_on_loading_from_the_account_of_the_former_leader() {
+    // The steps of the replay assert the bound on loads across every change.
+    let with_account: usize = (8..40).map(|handover| change_leader(handover, true)).sum();
+    let without: usize = (8..40).map(|handover| change_leader(handover, false)).sum();
+    assert_eq!(without, 0);
+    assert!(with_account > 30, "{with_account} loads in 32 changes");
+}
+
 #[test]
 fn a_model_whose_only_runner_is_lost_is_loaded_elsewhere() {
     let mut world = ReplayWorld::new();
--- a/crates/mustardgate-relay/src/leader/desk.rs
+++ b/crates/mustardgate-relay/src/leader/desk.rs
@@ -12,10 +12,14 @@
     ids::{BackendId, ModelId, Offset, ServiceId},
     lease::{LeaseSettings, LeaseTracker},
     log::LeaseRecord,
+    placement::share::LoadAccount,
     relay::{AdapterPlan, ListedRunner, ModelName, PlacementPlanner, PlannerSettings},
 };
 
-use super::LeaseClock;
+use super::{
+    LeaseClock,
+    lease::{LeaseEntry, LoadAccounts},
+};
 use crate::{context::DemandDigest, ports::RunnerReport};
 
 /// Factor on the time of a load after which an order is taken to have come to nothing.
@@ -49,6 +53,9 @@
     /// Claim under which this node acts while the log is away, and until when.
     extension: Option<(Offset, Instant)>,
     last_claim: Option<Offset>,
+    /// Loads as the newest record of the lease tells, and as the last record before the newest claim told.
+    newest_loads: Option<ToldLoads>,
+    inherited_loads: Option<ToldLoads>,
     pub(super) leader: Option<SocketAddr>,
     pub(super) contact_at: Option<Instant>,
     pub(super) planners: BTreeMap<ServiceId, PlacementPlanner>,
@@ -59,6 +66,21 @@
     pub(super) arrivals: BTreeMap<ServiceId, BTreeMap<ModelId, f64>>,
 }
 
+/// Accounts of loads as a record of the lease told them.
+#[derive(Clone, Debug)]
+struct ToldLoads {
+    /// When the record was read, on the lease's clock.
+    read_at: Instant,
+    by_service: LoadAccounts,
+}
+
+impl ToldLoads {
+    fn account(&self, lease_now: Instant, service: &ServiceId) -> Option<(Duration, &LoadAccount)> {
+        let age = lease_now.saturating_duration_since(self.read_at);
+        self.by_service.get(service).map(|account| (age, account))
+    }
+}
+
 /// What the leader remembers of one start of a runner. The lock is held while an order is out.
 #[derive(Debug)]
 pub(super) struct RunnerDesk {
@@ -116,6 +138,8 @@
                 tracker: LeaseTracker::new(settings),
                 extension: None,
                 last_claim: None,
+                newest_loads: None,
+                inherited_loads: None,
                 leader: None,
                 contact_at: None,
                 planners: BTreeMap::new(),
@@ -197,7 +221,7 @@
 
     /// Takes demand that a node counted.
     pub fn take_digest(&self, digest: &DemandDigest) {
-        let now = clock::now();
+        let (now, lease_now) = (clock::now(), self.clock.now());
         let mut state = self.lock();
         for (service, models) in &digest.arrivals {
             let arrivals = state.arrivals.entry(service.clone()).or_default();
@@ -211,16 +235,42 @@
             }
         }
         for (service, service_time_s) in &digest.service_time_s {
-            let planner = state.planner(service);
+            let planner = state.planner(service, lease_now);
             planner.set_first_word_time(Duration::from_secs_f64(service_time_s.clamp(0.0, MAX_FIRST_WORD_S)));
         }
     }
 
-    pub(super) fn observe(&self, offset: Offset, record: &LeaseRecord, address: SocketAddr) {
+    pub(super) fn observe(&self, offset: Offset, entry: &LeaseEntry) {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.tracker.observe(now, offset, record);
-        state.leader = (!record.released).then_some(address);
+        state.tracker.observe(now, offset, &entry.record);
+        state.leader = (!entry.record.released).then_some(entry.address);
+        if entry.record.renews.is_none() {
+            state.inherited_loads = state.newest_loads.take();
+        }
+        state.newest_loads = Some(ToldLoads {
+            read_at: now,
+            by_service: entry.loads.clone(),
+        });
+    }
+
+    /// Returns the account of this leader's loads for its successor, by service.
+    pub(super) fn account_loads(&self) -> LoadAccounts {
+        let now = clock::now();
+        let mut state = self.lock();
+        let accounts = state.planners.iter_mut().filter_map(|(service, planner)| {
+            let account = planner.account_loads(now)?;
+            Some((service.clone(), account))
+        });
+        accounts.collect()
+    }
+
+    /// Notes that the last account is in the log.
+    pub(super) fn confirm_loads(&self) {
+        self.lock()
+            .planners
+            .values_mut()
+            .for_each(PlacementPlanner::confirm_account);
     }
 
     pub(super) fn start_lease(&self, from: Offset) {
@@ -257,9 +307,18 @@
     pub(super) fn begin_term(&self, token: Option<u64>) {
         self.lock().is_first_term = token == Some(FIRST_TOKEN);
         self.runners.lock().expect("no holder of the lock panics").clear();
-        let now = clock::now();
-        for planner in self.lock().planners.values_mut() {
-            planner.begin_term(now);
+        let lease_now = self.clock.now();
+        let mut state = self.lock();
+        let DeskState {
+            planners,
+            inherited_loads,
+            ..
+        } = &mut *state;
+        for (service, planner) in planners {
+            let told = inherited_loads
+                .as_ref()
+                .and_then(|told| told.account(lease_now, service));
+            planner.begin_term(clock::now(), told);
         }
     }
 
@@ -269,12 +328,14 @@
 }
 
 impl DeskState {
-    pub(super) fn planner(&mut self, service: &ServiceId) -> &mut PlacementPlanner {
+    pub(super) fn planner(&mut self, service: &ServiceId, lease_now: Instant) -> &mut PlacementPlanner {
         let (settings, is_first_term) = (self.planner_settings, self.is_first_term);
+        let inherited = self.inherited_loads.as_ref();
         self.planners.entry(service.clone()).or_insert_with(|| {
             let mut planner = PlacementPlanner::new(settings);
             if !is_first_term {
-                planner.begin_term(clock::now());
+                let told = inherited.and_then(|told| told.account(lease_now, service));
+                planner.begin_term(clock::now(), told);
             }
             planner
         })
--- a/crates/mustardgate-relay/src/leader/lease.rs
+++ b/crates/mustardgate-relay/src/leader/lease.rs
@@ -1,6 +1,7 @@
 //! Follows and renews the lease in the log.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -9,8 +10,9 @@
 use mustardgate::events;
 use mustardgate_core::{
     clock,
-    ids::Offset,
+    ids::{Offset, ServiceId},
     log::LeaseRecord,
+    placement::share::LoadAccount,
     ports::{ConditionalError, LogTopic, TopicError, TopicPage},
 };
 use rand::Rng;
@@ -29,11 +31,18 @@
 /// Looks in a second of all nodes together while the leader answers.
 const LOOKS_PER_S: u32 = 2;
 
-/// A lease record with the address at which its holder answers other nodes.
+/// Accounts of loads by service.
+pub(super) type LoadAccounts = BTreeMap<ServiceId, LoadAccount>;
+
+/// A lease record with what other nodes need to know of its holder.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct LeaseEntry {
-    record: LeaseRecord,
-    address: SocketAddr,
+pub(super) struct LeaseEntry {
+    pub(super) record: LeaseRecord,
+    /// Address at which the holder answers other nodes.
+    pub(super) address: SocketAddr,
+    /// Loads that the holder began or may begin, for its successor.
+    #[serde(default)]
+    pub(super) loads: LoadAccounts,
 }
 
 /// Keeps the lease, or waits for it.
@@ -80,9 +89,15 @@
         let (Some(record), Some(at)) = (self.context.leader.poll_lease(), self.next) else {
             return;
         };
+        let loads = match record.renews {
+            // The node does not lead yet; its successor would learn nothing from it.
+            None => LoadAccounts::new(),
+            Some(_) => self.context.leader.account_loads(),
+        };
         let entry = LeaseEntry {
             record,
             address: self.address,
+            loads,
         };
         let mut value = Vec::new();
         ciborium::into_writer(&entry, &mut value).expect("a lease entry has no map with keys other than text");
@@ -90,7 +105,8 @@
             Ok(offset) => {
                 self.is_doubting = false;
                 self.next = Some(offset + 1);
-                self.context.leader.observe(offset, &entry.record, self.address);
+                self.context.leader.confirm_loads();
+                self.context.leader.observe(offset, &entry);
             }
             Err(error) => {
                 if error == ConditionalError::NotAppended {
@@ -156,7 +172,7 @@
         for record in &page.records {
             let value = record.value.as_deref().unwrap_or_default();
             match ciborium::from_reader::<LeaseEntry, _>(value) {
-                Ok(entry) => self.context.leader.observe(record.offset, &entry.record, entry.address),
+                Ok(entry) => self.context.leader.observe(record.offset, &entry),
                 Err(error) => self.doubt(&error.to_string()),
             }
         }
--- a/crates/mustardgate-relay/src/leader/orders.rs
+++ b/crates/mustardgate-relay/src/leader/orders.rs
@@ -46,8 +46,11 @@
     }
     let reply = give(&context, &listed, &mut memory, order.kind, &order.name).await;
     if reply == OrderReply::Unknown && order.kind == OrderKind::Load {
+        let lease_now = context.leader.lease_time();
         let mut state = context.leader.lock();
-        state.planner(&listed.service).note_doubtful_load(clock::now());
+        state
+            .planner(&listed.service, lease_now)
+            .note_doubtful_load(clock::now());
     }
     if matches!(reply, OrderReply::Accepted | OrderReply::Unknown) {
         let load_time = engine
--- a/crates/mustardgate-relay/src/leader/plan.rs
+++ b/crates/mustardgate-relay/src/leader/plan.rs
@@ -51,12 +51,12 @@
     }
 
     fn plan_service(&self, service: &ServiceId, engine: &EngineProfile) {
-        let now = clock::now();
+        let (now, lease_now) = (clock::now(), self.context.leader.lease_time());
         let runners = self.holdings(service);
         let (orders, demand) = {
             let mut state = self.context.leader.lock();
             let arrivals = state.arrivals.remove(service).unwrap_or_default();
-            let planner = state.planner(service);
+            let planner = state.planner(service, lease_now);
             planner.observe_demand(now, &arrivals);
             let orders = planner.plan(now, engine, &runners);
             (orders, describe_demand(planner, engine, &runners))
