Read runners' own reports while their entries cannot be read, and let a successor move replicas at once

Loads ordered at 13.6 s ended at 20 s, but neither the leader nor the other nodes knew: a model at 60 requests a second was served by two replicas until 26 s. And a new leader took every replica for one that had just come, so nothing gave way for the 3 s of minimum residence (lease at 6.87 s, first evictions at 10.25 s). Ruled out: lost orders (the runners' reports at 26 s show the models).

Change: while the list is in doubt, the leader reads the reports of runners with orders under way each half second, takes what they tell, and hands it to the other nodes with the answers to their digests. An entry with fewer orders than a report does not undo it; a report of another start is ignored. Replicas found by a successor count as having stayed.

--- a/crates/mustardgate-core/src/placement/gain/evict.rs
+++ b/crates/mustardgate-core/src/placement/gain/evict.rs
@@ -22,10 +22,18 @@
 /// When each replica was first seen.
 #[derive(Clone, Debug, Default)]
 pub(in crate::placement) struct ResidenceBook {
-    since: BTreeMap<ReplicaPlace, Instant>,
+    /// `None` for a replica that was there at the first look.
+    since: BTreeMap<ReplicaPlace, Option<Instant>>,
+    takes_over: bool,
 }
 
 impl ResidenceBook {
+    /// Forgets everything; replicas that the next update shows count as having stayed, since another leader placed them.
+    pub(in crate::placement) fn take_over(&mut self) {
+        self.since.clear();
+        self.takes_over = true;
+    }
+
     /// Notes new replicas and forgets those that are gone.
     pub(in crate::placement) fn update(&mut self, now: Instant, view: &DomainView) {
         let mut since = BTreeMap::new();
@@ -37,18 +45,20 @@
                         accelerator,
                         artifact: holding.artifact.clone(),
                     };
-                    let first = self.since.get(&place).copied().unwrap_or(now);
+                    let unknown = (!self.takes_over).then_some(now);
+                    let first = self.since.get(&place).copied().unwrap_or(unknown);
                     since.insert(place, first);
                 }
             }
         }
+        self.takes_over &= since.is_empty();
         self.since = since;
     }
 
     pub(in crate::placement) fn has_stayed(&self, now: Instant, place: &ReplicaPlace, least: Duration) -> bool {
         self.since
             .get(place)
-            .is_some_and(|since| now.saturating_duration_since(*since) >= least)
+            .is_some_and(|since| since.is_none_or(|at| now.saturating_duration_since(at) >= least))
     }
 }
 
--- a/crates/mustardgate-core/src/placement/share/policy.rs
+++ b/crates/mustardgate-core/src/placement/share/policy.rs
@@ -96,12 +96,14 @@
     pub fn begin_term(&mut self, now: Instant) {
         self.loads.close(now, self.bound);
         self.intents.clear();
+        self.residence.take_over();
     }
 
     /// Notes that this node begins to lead after one that told of its loads, in an account read `age` ago.
     pub fn resume_term(&mut self, now: Instant, age: Duration, account: &LoadAccount) {
         self.loads.resume(now, age, account, self.bound);
         self.intents.clear();
+        self.residence.take_over();
     }
 
     /// Returns the account of the loads for a successor, or `None` while no bound is known.
--- a/crates/mustardgate-core/src/relay/catalogue.rs
+++ b/crates/mustardgate-core/src/relay/catalogue.rs
@@ -7,6 +7,8 @@
     time::{Duration, Instant},
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{AdapterId, BackendId, DomainId, ModelId, ServiceId};
 
 /// Whether a listed runner takes new work.
@@ -43,7 +45,22 @@
     pub started_at_ms: u64,
 }
 
-/// What an observation changed.
+/// State of one start of a runner as the runner itself reported it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerObservation {
+    /// Identity of the runner.
+    pub id: BackendId,
+    /// Start of the process in Unix milliseconds.
+    pub started_at_ms: u64,
+    /// Models it holds, with their adapters.
+    pub models: BTreeMap<ModelId, BTreeSet<AdapterId>>,
+    /// Models whose weights it has in its host's memory or on its disk.
+    pub cached_models: BTreeSet<ModelId>,
+    /// Orders it has accepted.
+    pub order_count: u64,
+}
+
+/// What an entry or an observation changed.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CatalogueChange {
     /// A runner is new, or started anew under its identity.
@@ -83,9 +100,45 @@
         }
     }
 
+    /// Returns whether the list could not be read within the time of grace.
+    pub fn is_in_doubt(&self, now: Instant) -> bool {
+        self.outage_until.is_some_and(|until| now < until)
+    }
+
+    /// Takes what a known runner reported itself.
+    ///
+    /// A report with more orders is newer than the entry. One with as many tells more only while the list cannot be read.
+    pub fn observe(&mut self, now: Instant, observation: &RunnerObservation) -> Option<CatalogueChange> {
+        let is_in_doubt = self.is_in_doubt(now);
+        let known = self.runners.get_mut(&observation.id)?;
+        let known_count = known.order_count.unwrap_or_default();
+        let is_newer = observation.order_count > known_count || (observation.order_count == known_count && is_in_doubt);
+        if known.started_at_ms != observation.started_at_ms || !is_newer {
+            return None;
+        }
+        let mut runner = ListedRunner::clone(known);
+        runner.models.clone_from(&observation.models);
+        runner.cached_models.clone_from(&observation.cached_models);
+        runner.order_count = Some(observation.order_count);
+        if **known == runner {
+            return None;
+        }
+        *known = Arc::new(runner);
+        Some(CatalogueChange::Updated(Arc::clone(known)))
+    }
+
     /// Takes an entry.
-    pub fn put(&mut self, runner: ListedRunner) -> Option<CatalogueChange> {
+    pub fn put(&mut self, mut runner: ListedRunner) -> Option<CatalogueChange> {
         self.doubted.remove(&runner.id);
+        if let Some(known) = self.runners.get(&runner.id)
+            && known.started_at_ms == runner.started_at_ms
+            && known.order_count > runner.order_count
+        {
+            // The entry was written before the runner's own report was read.
+            runner.models.clone_from(&known.models);
+            runner.cached_models.clone_from(&known.cached_models);
+            runner.order_count = known.order_count;
+        }
         let known = self.runners.get(&runner.id);
         if known.is_some_and(|known| known.started_at_ms > runner.started_at_ms || **known == runner) {
             return None;
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -22,7 +22,7 @@
     admission::{AdmissionGate, AdmissionQuestion, GateSettings, RefusalCause, RetryAdvisor, RetryAdvisorSettings},
     backlog::BacklogFigure,
     budget::{BudgetSettings, RetryShare},
-    catalogue::{CatalogueChange, ListedRunner, RunnerCatalogue, RunnerState},
+    catalogue::{CatalogueChange, ListedRunner, RunnerCatalogue, RunnerObservation, RunnerState},
     choice::{Candidate, ChoiceWeights, RunnerChoice},
     config::{
         CallerLimits, EngineProfile, ModelProfile, RelayConfig, RelayRoute, RelayService, RepeatPolicy, RouteTable,
--- a/crates/mustardgate-core/tests/relay/catalogue.rs
+++ b/crates/mustardgate-core/tests/relay/catalogue.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use mustardgate_core::relay::{CatalogueChange, ListedRunner, RunnerCatalogue, RunnerState};
+use mustardgate_core::relay::{CatalogueChange, ListedRunner, RunnerCatalogue, RunnerObservation, RunnerState};
 
 const GRACE: Duration = Duration::from_secs(2);
 
@@ -89,3 +89,53 @@
     assert_eq!(catalogue.put(runner("one", RunnerState::Draining)), None);
     assert_eq!(catalogue.get("one").unwrap().state, RunnerState::Ready);
 }
+
+fn observation(order_count: u64, models: &[&str]) -> RunnerObservation {
+    let held = models.iter().map(|model| ((*model).into(), BTreeSet::new()));
+    RunnerObservation {
+        id: "one".into(),
+        started_at_ms: 1,
+        models: held.collect(),
+        cached_models: BTreeSet::new(),
+        order_count,
+    }
+}
+
+#[test]
+fn a_report_shows_a_load_that_ends_while_the_list_cannot_be_read() {
+    let now = Instant::now();
+    let mut catalogue = catalogue();
+    // Entries follow on a calm day, and a report lags behind its runner.
+    assert_eq!(catalogue.observe(now, &observation(0, &["menu"])), None);
+    catalogue.note_outage(now);
+    assert!(catalogue.observe(now, &observation(0, &["menu"])).is_some());
+    assert!(catalogue.get("one").unwrap().models.contains_key("menu"));
+    assert_eq!(catalogue.observe(now, &observation(0, &["menu"])), None);
+    let other_start = RunnerObservation {
+        started_at_ms: 2,
+        ..observation(5, &[])
+    };
+    assert_eq!(catalogue.observe(now, &other_start), None);
+}
+
+#[test]
+fn an_entry_from_before_a_report_does_not_undo_it() {
+    let now = Instant::now();
+    let mut catalogue = catalogue();
+    assert!(catalogue.observe(now, &observation(3, &["menu"])).is_some());
+    let older = ListedRunner {
+        order_count: Some(2),
+        state: RunnerState::Draining,
+        ..runner("one", RunnerState::Ready)
+    };
+    catalogue.put(older);
+    let known = catalogue.get("one").unwrap();
+    assert!(known.models.contains_key("menu"));
+    assert_eq!(known.state, RunnerState::Draining);
+    let newer = ListedRunner {
+        order_count: Some(3),
+        ..runner("one", RunnerState::Ready)
+    };
+    catalogue.put(newer);
+    assert!(catalogue.get("one").unwrap().models.is_empty());
+}
--- a/crates/mustardgate-core/tests/relay/placement.rs
+++ b/crates/mustardgate-core/tests/relay/placement.rs
@@ -54,6 +54,7 @@
     planner: PlacementPlanner,
     runners: Vec<ReplayRunner>,
     store_loads: Vec<Instant>,
+    evictions: Vec<Instant>,
 }
 
 impl ReplayWorld {
@@ -83,6 +84,7 @@
             planner: PlacementPlanner::new(PlannerSettings::default()),
             runners: runners.collect(),
             store_loads: Vec::new(),
+            evictions: Vec::new(),
         }
     }
 
@@ -111,6 +113,9 @@
             if order.kind == OrderKind::Load && !has_copy {
                 self.store_loads.push(self.now);
             }
+            if order.kind == OrderKind::Evict {
+                self.evictions.push(self.now);
+            }
             runner.begin(self.now, order.kind, order.name.model);
         }
         self.check();
@@ -243,8 +248,8 @@
 }
 
 /// Moves demand between the first models, with a change of leader at `handover`; the last account is from the step before
-/// a multiple of three. Returns the loads that the successor began within three seconds.
-fn change_leader(handover: u32, tells: bool) -> usize {
+/// a multiple of three. Returns the loads and the evictions that the successor began within three seconds.
+fn change_leader(handover: u32, tells: bool) -> (usize, usize) {
     let mut world = ReplayWorld::new();
     let start = world.now;
     let mut told: Option<(Instant, LoadAccount)> = None;
@@ -270,18 +275,27 @@
     }
     let from = start + STEP * handover;
     let soon = |at: &&Instant| **at > from && **at <= from + Duration::from_secs(3);
-    world.store_loads.iter().filter(soon).count()
+    (
+        world.store_loads.iter().filter(soon).count(),
+        world.evictions.iter().filter(soon).count(),
+    )
 }
 
 #[test]
 fn a_successor_goes_on_loading_from_the_account_of_the_former_leader() {
     // The steps of the replay assert the bound on loads across every change.
-    let with_account: usize = (8..40).map(|handover| change_leader(handover, true)).sum();
-    let without: usize = (8..40).map(|handover| change_leader(handover, false)).sum();
+    let with_account: usize = (8..40).map(|handover| change_leader(handover, true).0).sum();
+    let without: usize = (8..40).map(|handover| change_leader(handover, false).0).sum();
     assert_eq!(without, 0);
     assert!(with_account > 30, "{with_account} loads in 32 changes");
 }
 
+#[test]
+fn a_successor_lets_replicas_give_way_that_the_former_leader_placed() {
+    let evictions: usize = (8..40).map(|handover| change_leader(handover, true).1).sum();
+    assert!(evictions > 30, "{evictions} evictions in 32 changes");
+}
+
 #[test]
 fn a_model_whose_only_runner_is_lost_is_loaded_elsewhere() {
     let mut world = ReplayWorld::new();
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -2,6 +2,7 @@
 
 mod budgets;
 mod demand;
+mod observations;
 mod records;
 mod routes;
 
@@ -16,6 +17,7 @@
 pub use self::{
     budgets::BudgetBoard,
     demand::{AdapterUse, DemandBoard, DemandDigest},
+    observations::ObservationBoard,
     records::RecordShelf,
     routes::{ActiveRoutes, RouteBoard},
 };
@@ -56,6 +58,8 @@
     pub fleet: RunnerFleet,
     /// Newest records as read, for neighbours that start while the log is away.
     pub records: RecordShelf,
+    /// What the leader saw of runners while their entries could not be read.
+    pub observations: ObservationBoard,
     /// Shares of the retry budget.
     pub budgets: BudgetBoard,
     /// Demand by model.
--- a/crates/mustardgate-relay/src/fleet/directory.rs
+++ b/crates/mustardgate-relay/src/fleet/directory.rs
@@ -3,14 +3,14 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex, MutexGuard, RwLock},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use mustardgate::events;
 use mustardgate_core::{
     clock,
     ids::{BackendId, DomainId, ServiceId},
-    relay::{CatalogueChange, ListedRunner, RunnerCatalogue, RunnerState},
+    relay::{CatalogueChange, ListedRunner, RunnerCatalogue, RunnerObservation, RunnerState},
 };
 use slog::{Logger, o};
 
@@ -61,6 +61,19 @@
         self.apply(changes);
     }
 
+    /// Takes what a runner reported itself; returns whether that was news.
+    pub fn observe(&self, observation: &RunnerObservation) -> bool {
+        let change = self.lock().observe(clock::now(), observation);
+        let is_news = change.is_some();
+        self.apply(change);
+        is_news
+    }
+
+    /// Returns whether the list could not be read just now.
+    pub fn is_in_doubt(&self, now: Instant) -> bool {
+        self.lock().is_in_doubt(now)
+    }
+
     /// Notes that the list cannot be read now.
     pub fn note_outage(&self) {
         self.lock().note_outage(clock::now());
--- a/crates/mustardgate-relay/src/leader/mod.rs
+++ b/crates/mustardgate-relay/src/leader/mod.rs
@@ -9,6 +9,7 @@
 mod lease;
 mod orders;
 mod plan;
+mod watch;
 
 pub use self::{
     adapters::{load_adapter, want_adapter},
@@ -16,4 +17,5 @@
     desk::LeaderDesk,
     lease::LeaseTask,
     plan::PlanTask,
+    watch::WatchTask,
 };
--- /dev/null
+++ b/crates/mustardgate-relay/src/leader/watch.rs
@@ -0,0 +1,81 @@
+//! Reads runners' own reports while their entries cannot be read, so that loads and evictions under way are seen to end.
+
+use std::{sync::Arc, time::Duration};
+
+use futures::future::join_all;
+use metrics::counter;
+use mustardgate::events;
+use mustardgate_core::{
+    clock,
+    relay::{ListedRunner, RunnerObservation},
+};
+use slog::o;
+use tokio::time;
+
+use crate::context::RelayContext;
+
+/// Time between two looks at the runners with orders under way.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Watches runners with orders under way while this node leads and the list of runners cannot be read.
+#[derive(Debug)]
+pub struct WatchTask {
+    context: Arc<RelayContext>,
+}
+
+impl WatchTask {
+    /// Creates the task.
+    pub fn new(context: Arc<RelayContext>) -> Self {
+        Self { context }
+    }
+
+    /// Watches for ever.
+    pub async fn run(self) {
+        loop {
+            time::sleep(LOOK_INTERVAL).await;
+            if self.context.leader.token().is_some() && self.context.fleet.is_in_doubt(clock::now()) {
+                self.look().await;
+            }
+        }
+    }
+
+    async fn look(&self) {
+        let listed = self.context.fleet.all().into_iter().map(|cell| cell.listed());
+        let moving: Vec<Arc<ListedRunner>> = listed.filter(|listed| self.is_moving(listed)).collect();
+        join_all(moving.iter().map(|listed| self.read(listed))).await;
+    }
+
+    fn is_moving(&self, listed: &ListedRunner) -> bool {
+        let (arriving, leaving) = self.context.leader.runner(listed).pending_moves(listed);
+        !arriving.is_empty() || !leaving.is_empty()
+    }
+
+    async fn read(&self, listed: &ListedRunner) {
+        let report = self.context.ports.control.report(&listed.id, listed.address).await;
+        let is_same_start = |started_at_ms: Option<u64>| started_at_ms.is_none_or(|at| at == listed.started_at_ms);
+        let Some(report) = report.filter(|report| is_same_start(report.started_at_ms)) else {
+            return;
+        };
+        let observation = RunnerObservation {
+            id: listed.id.clone(),
+            started_at_ms: listed.started_at_ms,
+            models: report.models,
+            cached_models: report.cached_models,
+            order_count: report.order_count,
+        };
+        if !self.context.fleet.observe(&observation) {
+            return;
+        }
+        counter!("mustardgate_runner_observations_total").increment(1);
+        let models: Vec<&str> = observation.models.keys().map(AsRef::as_ref).collect();
+        events::RELAY_RUNNER_OBSERVED.write(
+            self.context.log.logger(),
+            o!(
+                "models" => models.join(","),
+                "order_count" => observation.order_count,
+                "backend" => listed.id.to_string(),
+            ),
+        );
+        self.context.observations.note(observation);
+    }
+}
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     client::PoolSettings,
-    context::{BudgetBoard, DemandBoard, PlatformPorts, RecordShelf, RelayContext, RouteBoard},
+    context::{BudgetBoard, DemandBoard, ObservationBoard, PlatformPorts, RecordShelf, RelayContext, RouteBoard},
     decision_log::DecisionLog,
     fleet::RunnerFleet,
     leader::{BootClock, LeaderDesk},
@@ -60,6 +60,7 @@
         routes: RouteBoard::default(),
         fleet: RunnerFleet::new(settings.node.domain.clone(), PoolSettings::default(), logger),
         records: RecordShelf::default(),
+        observations: ObservationBoard::default(),
         budgets: BudgetBoard::new(&settings.bounds),
         demand: DemandBoard::default(),
         leader: LeaderDesk::new(lease, planner, Arc::new(BootClock::start())),
--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -23,7 +23,7 @@
     context::{PlatformPorts, RelayContext},
     follow::TopicFollower,
     gateway::{CallerListener, answer_caller, serve_callers},
-    leader::{LeaseTask, PlanTask},
+    leader::{LeaseTask, PlanTask, WatchTask},
     peers::{DigestTask, serve_peers},
     settings::RelaySettings,
 };
@@ -75,6 +75,7 @@
         tokio::spawn(serve_peers(Arc::clone(context), bind(address).await?, metrics));
         tokio::spawn(LeaseTask::new(Arc::clone(context), address).run());
         tokio::spawn(PlanTask::new(Arc::clone(context)).run());
+        tokio::spawn(WatchTask::new(Arc::clone(context)).run());
         tokio::spawn(DigestTask::new(Arc::clone(context), address).run());
         tokio::spawn(take_neighbour_records(Arc::clone(context)));
     }
--- a/crates/mustardgate-relay/src/peers/digests.rs
+++ b/crates/mustardgate-relay/src/peers/digests.rs
@@ -16,16 +16,22 @@
 pub struct DigestTask {
     context: Arc<RelayContext>,
     address: SocketAddr,
+    /// Leader that answered last, and the number of the last observation that it told.
+    seen: Option<(SocketAddr, u64)>,
 }
 
 impl DigestTask {
     /// Creates the task of a node that other nodes reach at `address`.
     pub fn new(context: Arc<RelayContext>, address: SocketAddr) -> Self {
-        Self { context, address }
+        Self {
+            context,
+            address,
+            seen: None,
+        }
     }
 
     /// Reports for ever.
-    pub async fn run(self) {
+    pub async fn run(mut self) {
         loop {
             let pause = REPORT_INTERVAL.mul_f64(rand::rng().random_range(0.8..1.2));
             time::sleep(pause).await;
@@ -33,7 +39,7 @@
         }
     }
 
-    async fn report(&self) {
+    async fn report(&mut self) {
         let leader = &self.context.leader;
         if leader.token().is_some() {
             leader.take_digest(&self.context.demand.take());
@@ -45,14 +51,22 @@
         let report = DemandReport {
             address: self.address,
             digest: self.context.demand.take(),
+            seen: self
+                .seen
+                .filter(|(leader, _)| *leader == address)
+                .map_or(0, |(_, seen)| seen),
         };
         let answer = self.context.peers.report_demand(address, &report).await;
-        let is_leading = answer.is_some_and(|answer| answer.is_leading);
+        let is_leading = answer.as_ref().is_some_and(|answer| answer.is_leading);
         leader.note_contact(is_leading);
         self.context.directory.set_feeder(is_leading.then_some(address));
         if let Some(answer) = answer {
             self.context.directory.note(address);
             self.context.directory.state_nodes(answer.nodes);
+            for observation in &answer.observations {
+                self.context.fleet.observe(observation);
+            }
+            self.seen = Some((address, answer.seen));
         }
     }
 }
--- a/crates/mustardgate-relay/src/peers/messages.rs
+++ b/crates/mustardgate-relay/src/peers/messages.rs
@@ -5,6 +5,7 @@
 use mustardgate_core::{
     ids::{BackendId, Offset, ServiceId},
     ports::{ConditionalError, LogTopic, TopicError, TopicPage, TopicRecord},
+    relay::RunnerObservation,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use smol_str::SmolStr;
@@ -38,10 +39,13 @@
     pub address: SocketAddr,
     /// What was counted since the last report.
     pub digest: DemandDigest,
+    /// Number of the last observation of a runner that the asked node told this one.
+    #[serde(default)]
+    pub seen: u64,
 }
 
 /// What the asked node answers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaderAnswer {
     /// Whether the asked node leads.
     pub is_leading: bool,
@@ -49,6 +53,12 @@
     pub is_done: bool,
     /// Nodes that the leader heard of lately, itself included; 0 when it does not know.
     pub nodes: u32,
+    /// What the leader saw of runners since the last report.
+    #[serde(default)]
+    pub observations: Vec<RunnerObservation>,
+    /// Number of the newest observation.
+    #[serde(default)]
+    pub seen: u64,
 }
 
 /// A call to the log on behalf of a node that does not reach it.
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -77,7 +77,7 @@
     Some(encode(&LeaderAnswer {
         is_leading,
         is_done,
-        nodes: 0,
+        ..LeaderAnswer::default()
     }))
 }
 
@@ -88,10 +88,16 @@
     if is_leading {
         context.leader.take_digest(&report.digest);
     }
+    if !is_leading {
+        return Some(encode(&LeaderAnswer::default()));
+    }
+    let (observations, seen) = context.observations.since(report.seen);
     Some(encode(&LeaderAnswer {
         is_leading,
-        is_done: is_leading,
-        nodes: if is_leading { context.directory.count_nodes() } else { 0 },
+        is_done: true,
+        nodes: context.directory.count_nodes(),
+        observations,
+        seen,
     }))
 }
 
--- a/crates/mustardgate-relay/src/ports/mod.rs
+++ b/crates/mustardgate-relay/src/ports/mod.rs
@@ -131,6 +131,8 @@
     pub is_busy: bool,
     /// Orders it has accepted.
     pub order_count: u64,
+    /// Start of the process in Unix milliseconds, if it says so.
+    pub started_at_ms: Option<u64>,
 }
 
 impl RunnerReport {
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -104,6 +104,8 @@
 pub const RELAY_TOPIC_LOST: EventKind = event(615, Level::Warning, "topic unreadable");
 /// A topic of the platform's log is read again.
 pub const RELAY_TOPIC_REGAINED: EventKind = event(616, Level::Info, "topic readable again");
+/// A runner's own report told more than its entry, which cannot be read now.
+pub const RELAY_RUNNER_OBSERVED: EventKind = event(617, Level::Info, "runner observed");
 /// A lease could not be renewed or was refused.
 pub const RELAY_LEASE_DOUBTED: EventKind = event(620, Level::Warning, "lease doubted");
 /// An order was given to a runner; says the reply.
@@ -161,6 +163,7 @@
     RELAY_RUNNER_GONE,
     RELAY_TOPIC_LOST,
     RELAY_TOPIC_REGAINED,
+    RELAY_RUNNER_OBSERVED,
     RELAY_LEASE_DOUBTED,
     RELAY_ORDER_SENT,
     RELAY_PLACEMENT_PLANNED,
