--- a/crates/mustardgate-core/src/placement/share/mod.rs
+++ b/crates/mustardgate-core/src/placement/share/mod.rs
@@ -4,6 +4,7 @@
 //! move that was not needed. See `docs/design/placement.md`.
 
 mod ledger;
+mod offers;
 mod policy;
 mod window;
 
--- a/crates/mustardgate-core/src/placement/share/policy.rs
+++ b/crates/mustardgate-core/src/placement/share/policy.rs
@@ -7,6 +7,7 @@
 
 use super::{
     ledger::ReplicaLedger,
+    offers::ReplicaOffer,
     window::{LoadAccount, LoadBound, LoadWindow},
 };
 use crate::{
@@ -14,7 +15,7 @@
     log::Artifact,
     placement::{
         AcceleratorView, DomainView, HoldingState, PlacementPolicy, PlannedMove, RunnerView,
-        gain::{LoadTimes, ReplicaPlace, ResidenceBook},
+        gain::{LoadTimes, ResidenceBook},
     },
 };
 
@@ -57,11 +58,11 @@
 /// Placement by shares.
 #[derive(Debug)]
 pub struct SharePolicy {
-    settings: ShareSettings,
+    pub(super) settings: ShareSettings,
     bound: LoadBound,
     loads: LoadWindow,
-    residence: ResidenceBook,
-    load_times: LoadTimes,
+    pub(super) residence: ResidenceBook,
+    pub(super) load_times: LoadTimes,
     headroom: BTreeMap<Artifact, f64>,
     /// Since when each model has more replicas than its demand asks for.
     surplus_since: BTreeMap<Artifact, Instant>,
@@ -133,16 +134,16 @@
 }
 
 /// What one plan has used up so far.
-struct SharePlan<'a> {
-    now: Instant,
-    view: &'a DomainView,
-    ledger: ReplicaLedger,
+pub(super) struct SharePlan<'a> {
+    pub(super) now: Instant,
+    pub(super) view: &'a DomainView,
+    pub(super) ledger: ReplicaLedger,
     /// Loads from the weight store that may still begin.
-    allowance: u32,
-    touched: BTreeSet<BackendId>,
+    pub(super) allowance: u32,
+    pub(super) touched: BTreeSet<BackendId>,
     /// What this plan, or room made earlier, adds replicas of.
-    growing: BTreeSet<Artifact>,
-    moves: Vec<PlannedMove>,
+    pub(super) growing: BTreeSet<Artifact>,
+    pub(super) moves: Vec<PlannedMove>,
 }
 
 impl<'a> SharePlan<'a> {
@@ -156,13 +157,6 @@
     }
 }
 
-/// One way to give a model another replica.
-struct ReplicaOffer<'a> {
-    runner: &'a RunnerView,
-    victims: Vec<Artifact>,
-    cost_s: f64,
-}
-
 impl PlacementPolicy for SharePolicy {
     fn plan(&mut self, now: Instant, view: &DomainView) -> Vec<PlannedMove> {
         self.residence.update(now, view);
@@ -232,11 +226,11 @@
     }
 
     /// Returns whether the next replica of a model is ahead of its demand.
-    fn is_ahead(&self, plan: &SharePlan<'_>, artifact: &Artifact) -> bool {
+    pub(super) fn is_ahead(&self, plan: &SharePlan<'_>, artifact: &Artifact) -> bool {
         self.headroom.contains_key(artifact) && plan.ledger.copies(artifact) > 0
     }
 
-    fn has_stable_surplus(&self, plan: &SharePlan<'_>, artifact: &Artifact) -> bool {
+    pub(super) fn has_stable_surplus(&self, plan: &SharePlan<'_>, artifact: &Artifact) -> bool {
         let since = self.surplus_since.get(artifact);
         since.is_some_and(|since| plan.now.saturating_duration_since(*since) >= self.settings.headroom_patience)
     }
@@ -297,81 +291,6 @@
         true
     }
 
-    fn offer<'a>(
-        &self,
-        plan: &SharePlan<'_>,
-        runner: &'a RunnerView,
-        artifact: &Artifact,
-        wanted: &BTreeMap<Artifact, u32>,
-    ) -> Option<ReplicaOffer<'a>> {
-        let victims = self.victims(plan, runner, artifact, wanted)?;
-        let load_time_s = self.load_times.load_time(&runner.backend, artifact).as_secs_f64();
-        let eviction_s = self.settings.eviction_time.as_secs_f64() * victims.len() as f64;
-        let lost: f64 = victims.iter().map(|victim| plan.ledger.rate_per_copy(victim)).sum();
-        let kept = plan.ledger.load_of(runner, &victims);
-        let rate = f64::from(runner.max_concurrency.max(1));
-        Some(ReplicaOffer {
-            cost_s: load_time_s + eviction_s + (lost + kept) / rate,
-            runner,
-            victims,
-        })
-    }
-
-    /// Returns what has to go to make room, or `None` when that is worth more than what comes.
-    fn victims(
-        &self,
-        plan: &SharePlan<'_>,
-        runner: &RunnerView,
-        artifact: &Artifact,
-        wanted: &BTreeMap<Artifact, u32>,
-    ) -> Option<Vec<Artifact>> {
-        let mut missing = plan.ledger.size(artifact).saturating_sub(free_mib(runner));
-        let gained = plan.ledger.rate_with(artifact, plan.ledger.copies(artifact) + 1);
-        let is_absent = plan.ledger.copies(artifact) == 0;
-        let is_ahead = self.is_ahead(plan, artifact);
-        let holdings = runner.accelerators.iter().flat_map(|state| &state.holdings);
-        let mut removable: Vec<(f64, &Artifact, MemoryMib)> = holdings
-            .filter(|holding| self.may_go(plan, runner, &holding.artifact))
-            .filter(|holding| {
-                let held = &holding.artifact;
-                let copies = plan.ledger.copies(held);
-                let is_surplus = copies > wanted.get(held).copied().unwrap_or_default();
-                let left_rate = plan.ledger.rate_with(held, copies.saturating_sub(1));
-                if is_ahead {
-                    return is_surplus && self.has_stable_surplus(plan, held);
-                }
-                is_absent || is_surplus || left_rate * self.settings.hysteresis < gained
-            })
-            .map(|holding| {
-                let rate = plan.ledger.rate_per_copy(&holding.artifact);
-                (rate, &holding.artifact, holding.memory_mib)
-            })
-            .collect();
-        removable.sort_by(|one, other| one.0.total_cmp(&other.0));
-        let mut victims = Vec::new();
-        for (_, held, size) in removable {
-            if missing == 0 {
-                break;
-            }
-            missing = missing.saturating_sub(size);
-            victims.push(held.clone());
-        }
-        (missing == 0).then_some(victims)
-    }
-
-    /// Never the last replica that answers, nothing that has just come, and nothing that more replicas are wanted of.
-    fn may_go(&self, plan: &SharePlan<'_>, runner: &RunnerView, artifact: &Artifact) -> bool {
-        let place = ReplicaPlace {
-            backend: runner.backend.clone(),
-            accelerator: 0,
-            artifact: artifact.clone(),
-        };
-        let answering = plan.ledger.answering(artifact);
-        answering >= 2
-            && !plan.growing.contains(artifact)
-            && self.residence.has_stayed(plan.now, &place, self.settings.min_residence)
-    }
-
     fn is_affordable(&self, plan: &SharePlan<'_>, backend: &BackendId, artifact: &Artifact) -> bool {
         let reserve = if self.is_ahead(plan, artifact) {
             (f64::from(self.bound.most) * self.settings.headroom_reserve) as u32
@@ -414,6 +333,6 @@
     holdings.all(|holding| holding.state == HoldingState::Resident)
 }
 
-fn free_mib(runner: &RunnerView) -> MemoryMib {
+pub(super) fn free_mib(runner: &RunnerView) -> MemoryMib {
     runner.accelerators.iter().map(AcceleratorView::free_mib).sum()
 }
