Add mustardctl explain, and name the model of a failed attempt in the log

Cause: an engineer with a request's id had to search the logs of all machines by hand and to find the beliefs behind each step. Change: explain reads any number of logs and prints the steps of one request, each after the newest beliefs of the same node about configuration, lease, log and the runner named, and the leader's last plan where no runner was found. Broken lines are counted and skipped. Event 603 names the model, which leads to its rate and holders in event 622.

--- a/crates/mustardctl/src/cli/arguments.rs
+++ b/crates/mustardctl/src/cli/arguments.rs
@@ -133,6 +133,11 @@
         }
     }
 
+    /// Returns the positional arguments.
+    pub fn positionals(&self) -> &[String] {
+        &self.positionals
+    }
+
     /// Returns a positional argument.
     pub fn positional(&self, index: usize) -> Option<&str> {
         self.positionals.get(index).map(String::as_str)
--- /dev/null
+++ b/crates/mustardctl/src/commands/explain.rs
@@ -0,0 +1,68 @@
+//! `explain`: tells the path of one request from the logs of several nodes.
+
+use std::{fs, future::ready};
+
+use super::CommandEntry;
+use crate::{
+    cli::{CommandContext, CommandError, CommandSpec},
+    output::TextTable,
+    trace::{RequestStory, tell_story},
+};
+
+/// Log files that one call reads at most.
+const MAX_FILES: usize = 4_096;
+
+pub(super) const ENTRY: CommandEntry = CommandEntry {
+    spec: CommandSpec {
+        name: "explain",
+        summary: "tells what nodes did about a request, and why, from their logs",
+        positionals: "REQUEST-ID FILE...",
+        max_positionals: MAX_FILES + 1,
+        options: &[],
+    },
+    run: |context| Box::pin(ready(run(context))),
+};
+
+fn run(context: &CommandContext) -> Result<(), CommandError> {
+    let Some((request, paths)) = context.arguments.positionals().split_first() else {
+        return Err(usage("REQUEST-ID is needed".to_owned()));
+    };
+    if paths.is_empty() {
+        return Err(usage("at least one FILE is needed".to_owned()));
+    }
+    let mut logs = Vec::new();
+    for path in paths {
+        let bytes = fs::read(path).map_err(|error| usage(format!("cannot read {path}: {error}")))?;
+        logs.push(String::from_utf8_lossy(&bytes).into_owned());
+    }
+    let story = tell_story(request, logs.iter().flat_map(|log| log.lines()));
+    if context.printer.is_json() {
+        context.printer.print_json(&serde_json::json!(story));
+    } else {
+        context.printer.print_line(&render(&story));
+    }
+    if story.steps.is_empty() {
+        return Err(CommandError::NotFound {
+            resource: format!("a line about request {request}"),
+        });
+    }
+    Ok(())
+}
+
+fn render(story: &RequestStory) -> String {
+    let mut table = TextTable::new(["time", "node", "kind", "event", "details"]);
+    for step in &story.steps {
+        table.push([
+            step.time.clone(),
+            step.node.clone(),
+            step.kind.to_owned(),
+            step.message.clone(),
+            step.details.clone(),
+        ]);
+    }
+    format!("{}\n{} lines could not be read", table.render(), story.skipped)
+}
+
+fn usage(reason: String) -> CommandError {
+    CommandError::Usage { reason }
+}
--- a/crates/mustardctl/src/commands/mod.rs
+++ b/crates/mustardctl/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod delete;
 mod describe;
 mod diff;
+mod explain;
 mod get;
 mod load;
 mod status;
@@ -42,6 +43,7 @@
         status::ENTRY,
         call::ENTRY,
         load::ENTRY,
+        explain::ENTRY,
     ]
 }
 
--- a/crates/mustardctl/src/lib.rs
+++ b/crates/mustardctl/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod declarations;
 pub mod load;
 pub mod output;
+pub mod trace;
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -199,6 +199,7 @@
         "reason" => error.reason.to_string(),
         "cause" => error.cause.to_string(),
         "backend" => error.backend.as_deref().unwrap_or("none").to_owned(),
+        "model" => model_text(&received.request),
         "service" => received.service.to_string(),
     );
     received
@@ -207,6 +208,12 @@
         .write(events::RELAY_ATTEMPT_FAILED, &received.request.id, values);
 }
 
+/// Returns the model that a request names, for logs.
+fn model_text(request: &RelayRequest) -> String {
+    let name = request.model.as_ref();
+    name.map_or_else(|| "none".to_owned(), |name| name.to_text().to_string())
+}
+
 fn refusal(context: &RelayContext, cause: RefusalCause) -> OwnAnswer {
     OwnAnswer::Refused {
         cause,
