--- a/crates/mustardgate-core/src/placement/share/policy.rs
+++ b/crates/mustardgate-core/src/placement/share/policy.rs
@@ -32,6 +32,9 @@
     pub intent_time: Duration,
     /// Time that an eviction takes, for comparing runners.
     pub eviction_time: Duration,
+    /// Part of a comfortable rate up to which replicas follow demand before others get any ahead of theirs: models that
+    /// are asked for may grow too.
+    pub headroom_share: f64,
     /// Replicas up to which a model gets some ahead of its demand, from room that demand leaves.
     pub headroom_copies: u32,
     /// Time for which a model must have replicas to spare before one gives way to a replica ahead of demand.
@@ -48,6 +51,7 @@
             hysteresis: 1.6,
             intent_time: Duration::from_secs(4),
             eviction_time: Duration::from_secs(1),
+            headroom_share: 0.45,
             headroom_copies: 3,
             headroom_patience: Duration::from_millis(1_500),
             headroom_reserve: 0.5,
@@ -171,9 +175,14 @@
             moves: Vec::new(),
         };
         self.follow_intents(&mut plan);
-        let demanded = self.demanded_copies(&plan);
-        self.note_surplus(&plan, &demanded);
-        let wanted = self.with_headroom(&plan, &demanded);
+        let mut wanted = self.demanded_copies(&plan, 1.0);
+        let ample = self.demanded_copies(&plan, self.settings.headroom_share);
+        self.note_surplus(&plan, &ample);
+        for (artifact, copies) in self.with_headroom(&plan, &ample) {
+            if copies > ample[&artifact] {
+                wanted.insert(artifact, copies);
+            }
+        }
         let mut needy: Vec<&Artifact> = wanted.keys().collect();
         // A model that nobody holds comes first, whatever its demand: each must stay reachable.
         needy.sort_by(|one, other| {
@@ -193,11 +202,11 @@
 }
 
 impl SharePolicy {
-    /// Returns the replicas that demand asks for.
-    fn demanded_copies(&self, plan: &SharePlan<'_>) -> BTreeMap<Artifact, u32> {
+    /// Returns the replicas that demand asks for, each with a part of a comfortable rate.
+    fn demanded_copies(&self, plan: &SharePlan<'_>, part: f64) -> BTreeMap<Artifact, u32> {
         let usable = plan.usable_runners();
         let rates = usable.clone().map(|runner| f64::from(runner.max_concurrency));
-        let enough = rates.fold(0.0, f64::max) * self.settings.comfortable_share;
+        let enough = rates.fold(0.0, f64::max) * self.settings.comfortable_share * part;
         plan.ledger
             .wanted_copies(plan.total_mib(), usable.count() as u32, enough)
     }
