--- a/crates/mustardgate-core/tests/relay/placement.rs
+++ b/crates/mustardgate-core/tests/relay/placement.rs
@@ -216,9 +216,9 @@
 }
 
 /// Demand for the first model alone, beside a trickle for all but the last three models, of which nobody asks.
-fn calm_rates() -> BTreeMap<ModelId, f64> {
+fn one_busy_model(rate: f64) -> BTreeMap<ModelId, f64> {
     let mut rates: BTreeMap<ModelId, f64> = (0..MODELS - 3).map(|index| (model(index), 0.5)).collect();
-    rates.insert(model(0), 40.0);
+    rates.insert(model(0), rate);
     rates
 }
 
@@ -226,7 +226,7 @@
 fn models_that_nobody_asked_for_yet_get_replicas_from_room_that_demand_leaves() {
     let mut world = ReplayWorld::new();
     for _ in 0..40 {
-        world.step(&calm_rates());
+        world.step(&one_busy_model(20.0));
     }
     for index in MODELS - 3..MODELS {
         let holders = world.holders(&model(index));
@@ -236,6 +236,17 @@
     assert!(busy >= 6, "{busy} holders of the busy model");
 }
 
+#[test]
+fn replicas_ahead_of_demand_leave_a_model_that_is_asked_for_room_to_grow() {
+    let mut world = ReplayWorld::new();
+    for _ in 0..40 {
+        world.step(&one_busy_model(40.0));
+    }
+    // Twice the demand would still find enough replicas.
+    let busy = world.holders(&model(0));
+    assert!(busy >= 13, "{busy} holders of the busy model");
+}
+
 #[test]
 fn replicas_found_at_the_start_are_kept_until_the_first_requests() {
     let mut world = ReplayWorld::new();
