--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -30,6 +30,7 @@
 
 /// Builds the context of a node.
 pub fn build_context(settings: RelaySettings, mut ports: PlatformPorts) -> Arc<RelayContext> {
+    let logger = build_logger(&settings.logging.logger(), &settings.node.name);
     let directory = Arc::new(PeerDirectory::default());
     let peers = PeerClient::default();
     let direct_log = Arc::clone(&ports.topics);
@@ -41,8 +42,8 @@
         Arc::clone(&directory),
         seeds.collect(),
         settings.bounds.shortest_bound(),
+        logger.clone(),
     ));
-    let logger = build_logger(&settings.logging.logger(), &settings.node.name);
     let term = settings.bounds.lease_term();
     let lease = LeaseSettings {
         domain: DomainId::from(LEASE_NAME),
--- a/crates/mustardgate-relay/src/peers/log.rs
+++ b/crates/mustardgate-relay/src/peers/log.rs
@@ -8,12 +8,14 @@
 
 use async_trait::async_trait;
 use metrics::counter;
+use mustardgate::events;
 use mustardgate_core::{
     clock,
     ids::Offset,
     ports::{ConditionalAppendError, LogTopic, TopicError, TopicLog, TopicPage},
 };
 use rand::seq::IndexedRandom;
+use slog::{Logger, o};
 
 use super::{LogCall, LogReply, PeerClient, PeerDirectory};
 
@@ -40,6 +42,7 @@
     failed_at: Mutex<Option<Instant>>,
     /// Shortest time within which a change must be taken up.
     bound: Duration,
+    logger: Logger,
 }
 
 impl NeighbourLog {
@@ -50,6 +53,7 @@
         directory: Arc<PeerDirectory>,
         seeds: Vec<SocketAddr>,
         bound: Duration,
+        logger: Logger,
     ) -> Self {
         Self {
             direct,
@@ -58,6 +62,7 @@
             seeds,
             failed_at: Mutex::new(None),
             bound,
+            logger,
         }
     }
 
@@ -70,13 +75,24 @@
         let wait = self.bound.mul_f64(FEEDER_WAIT_SHARE);
         let call = LogCall::Changes { topic, from, wait };
         let timeout = wait + self.bound.mul_f64(FEEDER_SLACK_SHARE);
-        let changes = self.peers.read_changes(feeder, &call, timeout).await;
-        let fresh = changes.filter(|(_, age)| *age <= self.bound.mul_f64(FEEDER_AGE_SHARE));
-        if fresh.is_none() {
-            self.directory.set_feeder(None);
-            counter!("mustardgate_feeds_lost_total").increment(1);
-        }
-        fresh.map(|(page, _)| page)
+        let sent_at = clock::now();
+        let reason = match self.peers.read_changes(feeder, &call, timeout).await {
+            Some((page, age)) if age <= self.bound.mul_f64(FEEDER_AGE_SHARE) => return Some(page),
+            Some(_) => "stale",
+            None => "no_answer",
+        };
+        self.directory.set_feeder(None);
+        counter!("mustardgate_feeds_lost_total", "reason" => reason).increment(1);
+        events::RELAY_FEED_LOST.write(
+            &self.logger,
+            o!(
+                "elapsed_ms" => clock::now().saturating_duration_since(sent_at).as_millis() as u64,
+                "reason" => reason,
+                "feeder" => feeder.to_string(),
+                "topic" => format!("{topic:?}"),
+            ),
+        );
+        None
     }
 
     fn is_direct_due(&self) -> bool {
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -107,6 +107,8 @@
 pub const RELAY_TOPIC_READABLE: EventKind = event(616, Level::Info, "topic readable again");
 /// A runner's own report contains a change that its entry does not show, because the log cannot be read.
 pub const RELAY_RUNNER_OBSERVED: EventKind = event(617, Level::Info, "runner observed");
+/// Changes cannot be read from the leader, so they are read from the log; with the reason and the time that the read took.
+pub const RELAY_FEED_LOST: EventKind = event(618, Level::Info, "feed lost");
 /// A lease record was refused or could not be appended, read or decoded, so the lease is uncertain.
 pub const RELAY_LEASE_UNCERTAIN: EventKind = event(620, Level::Warning, "lease uncertain");
 /// An order was sent to a runner; with its reply.
@@ -165,6 +167,7 @@
     RELAY_TOPIC_UNREADABLE,
     RELAY_TOPIC_READABLE,
     RELAY_RUNNER_OBSERVED,
+    RELAY_FEED_LOST,
     RELAY_LEASE_UNCERTAIN,
     RELAY_ORDER_SENT,
     RELAY_PLACEMENT_PLANNED,
