Pace a node's answers to other nodes by the capacity of its link

What callers saw: requests at runners that had announced their stop (DRAIN) and answers of an older configuration (CONFIG) on the grown deployments.

Cause: the leader passes every change on to all other nodes. All else they send waits behind it: requests to runners, their own reads of the log, answers to readiness checks.

Processors were idle (at most 0.07 of a core), which rules a lack of processor time out.

Change: a token bucket (FeedAllowance) grants answers to other nodes 0.4 of the link, with a burst of 50 ms; an answer that would wait longer than a tenth of the bound is refused, and the reader goes to the log at once and stays there for 2 s. Values travel as byte strings instead of lists of numbers, which halves them; both forms are read. A node that knows no configuration no longer sends its runners to one that starts.

Test changes_for_other_nodes_leave_room_on_a_thin_link: 4,685,480 bytes in 0.52 s over a link of 2 Mbit/s before (272,529 allowed), passes now.

--- a/crates/mustardgate-core/src/ports/keyed_log.rs
+++ b/crates/mustardgate-core/src/ports/keyed_log.rs
@@ -28,6 +28,7 @@
     /// Key; empty in a topic without keys.
     pub key: SmolStr,
     /// Value, or `None` when the key was deleted.
+    #[serde(with = "serde_bytes")]
     pub value: Option<Vec<u8>>,
 }
 
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod catalogue;
 mod config;
 mod events;
+mod feed;
 mod health;
 mod load;
 mod planner;
@@ -28,6 +29,7 @@
         WeightedTarget, runner_rank,
     },
     events::{EventSplitter, StreamEvent},
+    feed::{FeedAllowance, FeedLimits},
     health::{HealthSettings, OutcomeTracker},
     load::{LoadEstimate, ReportedLoad},
     planner::{OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod catalogue;
 mod events;
+mod feed;
 mod placement;
 mod routes;
 mod selector;
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -24,7 +24,7 @@
 use crate::{
     fleet::RunnerFleet,
     leader::SharedLeadership,
-    peers::{PeerClient, PeerDirectory},
+    peers::{FeedLimiter, PeerClient, PeerDirectory},
     ports::{CallDialect, RecordDecoder, RunnerControl},
     request_log::RequestLog,
     settings::RelaySettings,
@@ -68,6 +68,8 @@
     pub leader: SharedLeadership,
     /// Client for calls to other nodes.
     pub peers: PeerClient,
+    /// Limit on the bytes that this node sends to other nodes.
+    pub feed: FeedLimiter,
     /// Addresses of other nodes.
     pub directory: Arc<PeerDirectory>,
     /// The log, always called by this node itself.
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -17,7 +17,7 @@
     },
     fleet::RunnerFleet,
     leader::{BootClock, SharedLeadership},
-    peers::{NeighbourLog, PeerClient, PeerDirectory},
+    peers::{FeedLimiter, NeighbourLog, PeerClient, PeerDirectory},
     request_log::RequestLog,
     settings::RelaySettings,
 };
@@ -58,7 +58,11 @@
         load_extra: settings.bounds.load_extra,
         ..PlannerSettings::default()
     };
+    let feed = settings
+        .feed
+        .limits(settings.node.link_mbps, settings.bounds.shortest_bound());
     Arc::new(RelayContext {
+        feed: FeedLimiter::new(feed),
         log: RequestLog::new(logger.clone(), settings.logging.clone()),
         routes: RouteHolder::default(),
         fleet: RunnerFleet::new(settings.node.domain.clone(), PoolSettings::default(), logger),
--- a/crates/mustardgate-relay/src/peers/client.rs
+++ b/crates/mustardgate-relay/src/peers/client.rs
@@ -9,7 +9,7 @@
 use mustardgate::http::{CallLimits, HttpClient};
 use mustardgate_core::{
     ids::{BackendId, ServiceId},
-    ports::TopicPage,
+    ports::{TopicError, TopicPage},
     relay::ModelName,
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -63,16 +63,17 @@
         self.call(leader, "demand", DEMAND_PATH, report).await
     }
 
-    /// Asks a neighbour for the changes of a keyed topic that it has read, with the time since it read the log.
+    /// Asks a neighbour for the changes of a keyed topic that it has read, with the time since it read the log; returns
+    /// `None` if it does not answer.
     pub async fn read_changes(
         &self,
         neighbour: SocketAddr,
         call: &LogCall,
         timeout: Duration,
-    ) -> Option<(TopicPage, Duration)> {
+    ) -> Option<Result<(TopicPage, Duration), TopicError>> {
         let reply = self.call_within(neighbour, "changes", LOG_PATH, call, timeout);
         match reply.await {
-            Some(LogReply::Changes(Ok(changes))) => Some(changes),
+            Some(LogReply::Changes(changes)) => Some(changes),
             _ => None,
         }
     }
--- a/crates/mustardgate-relay/src/peers/directory.rs
+++ b/crates/mustardgate-relay/src/peers/directory.rs
@@ -14,13 +14,21 @@
 
 /// Time after the last contact for which a node counts as running.
 const CONTACT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for which changes are read from the log after the feeder has refused to pass them on.
+const FEEDER_SUSPENSION: Duration = Duration::from_secs(2);
 
 /// Addresses of other nodes.
 #[derive(Debug, Default)]
 pub struct PeerDirectory {
     last_contacts: Mutex<BTreeMap<SocketAddr, Instant>>,
     node_count: AtomicU32,
-    feeder: Mutex<Option<SocketAddr>>,
+    feeder: Mutex<FeederChoice>,
+}
+
+#[derive(Debug, Default)]
+struct FeederChoice {
+    address: Option<SocketAddr>,
+    suspended_until: Option<Instant>,
 }
 
 impl PeerDirectory {
@@ -49,12 +57,20 @@
 
     /// Sets the node from which changes of keyed topics are read, or `None` to read them from the log.
     pub fn set_feeder(&self, feeder: Option<SocketAddr>) {
-        *self.feeder.lock().expect("no holder of the lock panics") = feeder;
+        self.feeder.lock().expect("no holder of the lock panics").address = feeder;
+    }
+
+    /// Reads changes from the log for [`FEEDER_SUSPENSION`], whichever node leads.
+    pub fn suspend_feeder(&self) {
+        let mut feeder = self.feeder.lock().expect("no holder of the lock panics");
+        feeder.suspended_until = Some(clock::now() + FEEDER_SUSPENSION);
     }
 
     /// Returns the node from which changes of keyed topics are read.
     pub fn feeder(&self) -> Option<SocketAddr> {
-        *self.feeder.lock().expect("no holder of the lock panics")
+        let feeder = self.feeder.lock().expect("no holder of the lock panics");
+        let is_suspended = feeder.suspended_until.is_some_and(|until| clock::now() < until);
+        feeder.address.filter(|_| !is_suspended)
     }
 
     /// Sets the number of nodes according to the leader.
--- a/crates/mustardgate-relay/src/peers/log.rs
+++ b/crates/mustardgate-relay/src/peers/log.rs
@@ -77,11 +77,16 @@
         let timeout = wait + self.bound.mul_f64(FEEDER_SLACK_SHARE);
         let sent_at = clock::now();
         let reason = match self.peers.read_changes(feeder, &call, timeout).await {
-            Some((page, age)) if age <= self.bound.mul_f64(FEEDER_AGE_SHARE) => return Some(page),
-            Some(_) => "stale",
+            Some(Ok((page, age))) if age <= self.bound.mul_f64(FEEDER_AGE_SHARE) => return Some(page),
+            Some(Ok(_)) => "stale",
+            Some(Err(_)) => "refused",
             None => "no_answer",
         };
-        self.directory.set_feeder(None);
+        if reason == "refused" {
+            self.directory.suspend_feeder();
+        } else {
+            self.directory.set_feeder(None);
+        }
         counter!("mustardgate_feeds_lost_total", "reason" => reason).increment(1);
         events::RELAY_FEED_LOST.write(
             &self.logger,
--- a/crates/mustardgate-relay/src/peers/messages.rs
+++ b/crates/mustardgate-relay/src/peers/messages.rs
@@ -117,6 +117,7 @@
     /// Offset.
     pub offset: Offset,
     /// Value.
+    #[serde(with = "serde_bytes")]
     pub value: Vec<u8>,
 }
 
--- a/crates/mustardgate-relay/src/peers/mod.rs
+++ b/crates/mustardgate-relay/src/peers/mod.rs
@@ -8,6 +8,7 @@
 mod client;
 mod digests;
 mod directory;
+mod feed;
 mod log;
 mod messages;
 mod server;
@@ -16,6 +17,7 @@
     client::PeerClient,
     digests::DigestTask,
     directory::PeerDirectory,
+    feed::FeedLimiter,
     log::NeighbourLog,
     messages::{AdapterRequest, CachedRecord, CachedRecords, DemandReport, LeaderAnswer, LogCall, LogReply},
     server::serve_peers,
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -60,7 +60,7 @@
         ADAPTER_PATH => answer_adapter_request(&context, &body).await,
         DEMAND_PATH => answer_demand(&context, &body),
         LOG_PATH => answer_log(&context, &body).await,
-        RECORDS_PATH => Some(encode(&cached_records(&context))),
+        RECORDS_PATH => Some(answer_records(&context).await),
         _ => return empty_answer(StatusCode::NOT_FOUND),
     };
     match message {
@@ -101,6 +101,10 @@
     }))
 }
 
+/// Calls the log for another node, or passes on what this node has read of it.
+///
+/// What does not fit on this node's link is refused at once, because the other node can then still read the log itself
+/// in time.
 async fn answer_log(context: &RelayContext, body: &[u8]) -> Option<Vec<u8>> {
     let reply = match decode(body)? {
         LogCall::Read { topic, from, wait } => LogReply::Page(context.direct_log.read(topic, from, wait).await),
@@ -110,18 +114,36 @@
             LogReply::Appended(context.direct_log.append_at(topic, at, value).await)
         }
     };
-    Some(encode(&reply))
+    let message = encode(&reply);
+    if context.feed.admit(message.len()).await {
+        return Some(message);
+    }
+    let refusal = TopicError::unavailable("the neighbour's link is full");
+    Some(encode(&match reply {
+        LogReply::Page(_) => LogReply::Page(Err(refusal)),
+        LogReply::Changes(_) => LogReply::Changes(Err(refusal)),
+        LogReply::Appended(_) => reply,
+    }))
 }
 
-fn cached_records(context: &RelayContext) -> CachedRecords {
+/// Returns the records that this node has read, or none if it knows no configuration or its link is full.
+async fn answer_records(context: &RelayContext) -> Vec<u8> {
     let cached = |topic| {
         let records = context.records.records(topic);
         records.into_iter().filter_map(CachedRecord::of).collect()
     };
-    CachedRecords {
+    let mut records = CachedRecords {
         configuration: cached(LogTopic::Configuration),
-        runners: cached(LogTopic::Runners),
+        ..CachedRecords::default()
+    };
+    if !records.configuration.is_empty() {
+        records.runners = cached(LogTopic::Runners);
+    }
+    let message = encode(&records);
+    if context.feed.admit(message.len()).await {
+        return message;
     }
+    encode(&CachedRecords::default())
 }
 
 /// Returns the changes of a topic that this node has read, after waiting up to `wait` for the first one.
--- /dev/null
+++ b/crates/mustardgate-relay/src/settings/feed.rs
@@ -0,0 +1,57 @@
+//! Settings of the limit on bytes for other nodes.
+
+use std::time::Duration;
+
+use mustardgate_core::relay::FeedLimits;
+use serde::Deserialize;
+
+/// Bytes per second in one megabit per second.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
+
+/// Settings of the limit on bytes for other nodes.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct FeedSettings {
+    /// Part of the node's link that answers to other nodes may fill.
+    pub link_share: f64,
+    /// Time of the link that answers may fill at once, in milliseconds; it delays other traffic for that long.
+    pub burst_ms: f64,
+    /// Longest delay of an answer, as a part of the shortest bound on taking up a change.
+    pub delay_share: f64,
+}
+
+impl Default for FeedSettings {
+    fn default() -> Self {
+        Self {
+            link_share: 0.4,
+            burst_ms: 50.0,
+            delay_share: 0.1,
+        }
+    }
+}
+
+impl FeedSettings {
+    /// Returns the limits of a node with a link of `link_mbps` megabits per second.
+    pub fn limits(&self, link_mbps: f64, shortest_bound: Duration) -> FeedLimits {
+        let link_bytes_per_s = link_mbps * BYTES_PER_MEGABIT;
+        FeedLimits {
+            bytes_per_s: link_bytes_per_s * self.link_share,
+            burst_bytes: link_bytes_per_s * self.burst_ms / 1_000.0,
+            max_delay: shortest_bound.mul_f64(self.delay_share),
+        }
+    }
+
+    /// Returns the first invalid field with what is wrong with it.
+    pub(super) fn find_invalid(&self) -> Option<(&'static str, &'static str)> {
+        if !(self.link_share > 0.0 && self.link_share <= 1.0) {
+            return Some(("feed.link_share", "must be above 0 and at most 1"));
+        }
+        if !(0.0..=1_000.0).contains(&self.burst_ms) {
+            return Some(("feed.burst_ms", "must be between 0 and 1000"));
+        }
+        if !(0.0..=0.5).contains(&self.delay_share) {
+            return Some(("feed.delay_share", "must be between 0 and 0.5"));
+        }
+        None
+    }
+}
--- a/crates/mustardgate-relay/src/settings/mod.rs
+++ b/crates/mustardgate-relay/src/settings/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! `docs/SETTINGS.md`, "Relay nodes", describes each of them.
 
+mod feed;
+
 use std::{collections::BTreeMap, fs, net::SocketAddr, path::Path, time::Duration};
 
 use mustardgate::settings::LoggingSettings;
@@ -9,6 +11,8 @@
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
 
+pub use self::feed::FeedSettings;
+
 /// Settings of a relay node.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct RelaySettings {
@@ -20,13 +24,16 @@
     pub log: LogSettings,
     /// Bounds that the deployment prescribes.
     pub bounds: BoundSettings,
+    /// Limit on bytes for other nodes.
+    #[serde(default)]
+    pub feed: FeedSettings,
     /// Log output.
     #[serde(default)]
     pub logging: LogLineSettings,
 }
 
 /// Identity and location of a node.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct IdentitySettings {
     /// Name of the node.
     pub name: NodeId,
@@ -36,6 +43,14 @@
     pub region: RegionId,
     /// File descriptors that the process may use.
     pub max_descriptors: u64,
+    /// Capacity of the node's link, in megabits per second.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: f64,
+}
+
+/// Returns the capacity assumed of a link whose capacity is not stated.
+fn default_link_mbps() -> f64 {
+    1_000.0
 }
 
 /// Addresses of the listeners.
@@ -233,6 +248,12 @@
         if !(0.0..=1e6).contains(&bounds.retry_budget_extra) {
             return reject("bounds.retry_budget_extra", "must be between 0 and 1000000");
         }
+        if !(self.node.link_mbps.is_finite() && self.node.link_mbps > 0.0) {
+            return reject("node.link_mbps", "must be above 0");
+        }
+        if let Some((field, reason)) = self.feed.find_invalid() {
+            return reject(field, reason);
+        }
         if !(0.0..=1.0).contains(&bounds.retry_budget_ratio) {
             return reject("bounds.retry_budget_ratio", "must be between 0 and 1");
         }
--- a/crates/mustardgate-relay/tests/settings.rs
+++ b/crates/mustardgate-relay/tests/settings.rs
@@ -73,6 +73,26 @@
         ("load_window_s = 5", "load_window_s = 0", "bounds.load_window_s"),
         ("load_overage = 1.1", "load_overage = -1", "bounds.load_overage"),
         ("require_fencing = true", "require_fencing = 1", "require_fencing"),
+        (
+            "max_descriptors = 1000",
+            "max_descriptors = 1000\nlink_mbps = 0",
+            "node.link_mbps",
+        ),
+        (
+            "require_fencing = true",
+            "require_fencing = true\n[feed]\nlink_share = 0",
+            "feed.link_share",
+        ),
+        (
+            "require_fencing = true",
+            "require_fencing = true\n[feed]\nburst_ms = -1",
+            "feed.burst_ms",
+        ),
+        (
+            "require_fencing = true",
+            "require_fencing = true\n[feed]\ndelay_share = 0.9",
+            "feed.delay_share",
+        ),
     ] {
         let text = VALID.replace(from, to);
         assert_ne!(text, VALID, "{from}");
