--- a/crates/mustardgate/src/http/client.rs
+++ b/crates/mustardgate/src/http/client.rs
@@ -79,7 +79,7 @@
 /// Limits of one call of control traffic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallLimits {
-    /// Timeout for the head of the answer, and again for its body.
+    /// Timeout for the whole answer.
     pub timeout: Duration,
     /// Maximum size of the answer's body, in bytes.
     pub max_bytes: usize,
@@ -131,7 +131,7 @@
         }
     }
 
-    /// Sends a request and receives the whole answer.
+    /// Sends a request and receives the whole answer within the timeout.
     ///
     /// # Errors
     /// [`CallError`], whose verdict says whether the request may have run.
@@ -142,9 +142,11 @@
         timeout: Duration,
         max_bytes: usize,
     ) -> Result<HttpReply, CallError> {
+        let ends_at = time::Instant::now() + timeout;
         let reply = self.open(address, request, timeout).await?;
         let (head, body) = reply.into_parts();
-        let body = collect_body(body, max_bytes, timeout)
+        let time_left = ends_at.saturating_duration_since(time::Instant::now());
+        let body = collect_body(body, max_bytes, time_left)
             .await
             .map_err(|error| match error {
                 BodyError::TooLong { .. } | BodyError::TooSlow { .. } | BodyError::Broken => {
