Look at a runner's entry again before each request is sent to it

What callers saw: a request reached a runner more than drain_ms after it had announced its stop.

Cause: the runner was selected, and then the request waited for an adapter (up to three times 250 ms) or a connection (400 ms); whether the runner still accepts requests was not looked at again. A runner removed from the list, or replaced there by another process, was still sent to as well.

Change: the entry is looked at again once the connection is there. Such an attempt is withdrawn: it counts neither in max_attempts nor in the retry budget, and another runner is chosen. First attempts, retries and resumed streams share this place.

--- a/crates/mustardgate-core/src/retry/plan.rs
+++ b/crates/mustardgate-core/src/retry/plan.rs
@@ -96,6 +96,15 @@
         true
     }
 
+    /// Withdraws an attempt that was begun but not sent: it counts neither as an attempt nor in the retry budget.
+    pub fn withdraw_attempt(&mut self) -> NextStep {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.attempts = self.attempts.saturating_sub(1);
+        NextStep::RetryElsewhere {
+            excluded: self.tried.clone(),
+        }
+    }
+
     /// Decides what follows an attempt that failed.
     pub fn fail_attempt(
         &mut self,
--- a/crates/mustardgate-core/tests/retry.rs
+++ b/crates/mustardgate-core/tests/retry.rs
@@ -25,6 +25,20 @@
     }
 }
 
+#[test]
+fn a_withdrawn_attempt_uses_up_neither_attempts_nor_the_budget() {
+    let start = Instant::now();
+    let mut plan = plan(start, false);
+    for backend in ["a", "b", "c", "d"] {
+        assert!(plan.begin_attempt(&backend.into()), "{backend}");
+        let NextStep::RetryElsewhere { excluded } = plan.withdraw_attempt() else {
+            panic!("a withdrawn attempt may always be followed by another");
+        };
+        assert!(excluded.contains(&backend.into()));
+    }
+    assert_eq!(plan.verdict(), RunVerdict::NotRun);
+}
+
 #[test]
 fn next_step_follows_from_verdict_and_deadline() {
     let start = Instant::now();
--- a/crates/mustardgate-relay/src/client/connection.rs
+++ b/crates/mustardgate-relay/src/client/connection.rs
@@ -25,6 +25,9 @@
     /// No connection could be established.
     #[snafu(display("not_connected"))]
     NotConnected,
+    /// The runner stopped accepting requests before this one was sent.
+    #[snafu(display("runner_left"))]
+    Withheld,
     /// The connection closed before any byte of the request was written.
     #[snafu(display("not_sent"))]
     NotSent,
@@ -40,7 +43,7 @@
     /// Returns whether the request may have run.
     pub fn verdict(self) -> RunVerdict {
         match self {
-            Self::NotConnected | Self::NotSent => RunVerdict::NotRun,
+            Self::NotConnected | Self::Withheld | Self::NotSent => RunVerdict::NotRun,
             Self::Broken | Self::TimedOut => RunVerdict::MayHaveRun,
         }
     }
--- a/crates/mustardgate-relay/src/fleet/cell.rs
+++ b/crates/mustardgate-relay/src/fleet/cell.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::{BTreeSet, HashMap},
-    sync::{Arc, Mutex, MutexGuard, RwLock},
+    sync::{
+        Arc, Mutex, MutexGuard, RwLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -10,7 +13,7 @@
     clock,
     relay::{
         BacklogEstimate, HealthSettings, ListedRunner, LoadEstimate, ModelName, OutcomeTracker, PrefixIndex,
-        RelayRequest, ReportedLoad,
+        RelayRequest, ReportedLoad, RunnerState,
     },
 };
 
@@ -23,6 +26,8 @@
 #[derive(Debug)]
 pub struct RunnerCell {
     listed: RwLock<Arc<ListedRunner>>,
+    /// Whether the runner is gone from the list, or was replaced there by another process.
+    is_retired: AtomicBool,
     /// Idle connections.
     pub pool: ConnectionPool,
     state: Mutex<CellState>,
@@ -60,6 +65,7 @@
         Self {
             pool: ConnectionPool::new(pool, listed.address),
             listed: RwLock::new(listed),
+            is_retired: AtomicBool::new(false),
             state: Mutex::new(CellState {
                 load: LoadEstimate::default(),
                 backlog: BacklogEstimate::default(),
@@ -81,6 +87,16 @@
         *self.listed.write().expect("no holder of the lock panics") = listed;
     }
 
+    /// Stops sending to the runner, because it is gone from the list or was replaced there.
+    pub fn retire(&self) {
+        self.is_retired.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether requests may be sent to the runner now.
+    pub fn accepts_requests(&self) -> bool {
+        !self.is_retired.load(Ordering::Relaxed) && self.listed().state == RunnerState::Ready
+    }
+
     /// Returns whether the runner holds a model, and whether it holds the adapter too.
     pub fn holds(&self, now: Instant, name: &ModelName) -> (bool, bool) {
         let listed = self.listed();
--- a/crates/mustardgate-relay/src/fleet/runners.rs
+++ b/crates/mustardgate-relay/src/fleet/runners.rs
@@ -129,9 +129,7 @@
         events::RELAY_RUNNER_ADDED.write(&self.logger, describe(runner));
         let cell = Arc::new(RunnerCell::new(Arc::clone(runner), self.pool));
         let mut cells = self.cells.write().expect("no holder of the lock panics");
-        for known in cells.values_mut() {
-            known.remove(&runner.id);
-        }
+        retire_cell(&mut cells, &runner.id);
         cells
             .entry(runner.service.clone())
             .or_default()
@@ -155,9 +153,7 @@
     fn drop_cell(&self, id: &BackendId) {
         events::RELAY_RUNNER_REMOVED.write(&self.logger, o!("backend" => id.to_string()));
         let mut cells = self.cells.write().expect("no holder of the lock panics");
-        for known in cells.values_mut() {
-            known.remove(id);
-        }
+        retire_cell(&mut cells, id);
     }
 
     fn lock(&self) -> MutexGuard<'_, RunnerCatalogue> {
@@ -165,6 +161,15 @@
     }
 }
 
+/// Removes a runner's cell; requests that hold it no longer send to it.
+fn retire_cell(cells: &mut BTreeMap<ServiceId, BTreeMap<BackendId, Arc<RunnerCell>>>, id: &BackendId) {
+    for known in cells.values_mut() {
+        if let Some(cell) = known.remove(id) {
+            cell.retire();
+        }
+    }
+}
+
 fn describe(runner: &ListedRunner) -> slog::OwnedKV<impl slog::SendSyncRefUnwindSafeKV + use<>> {
     let models: Vec<&str> = runner.models.keys().map(AsRef::as_ref).collect();
     let copies: Vec<&str> = runner.cached_models.iter().map(AsRef::as_ref).collect();
--- a/crates/mustardgate-relay/src/fleet/selection.rs
+++ b/crates/mustardgate-relay/src/fleet/selection.rs
@@ -4,7 +4,7 @@
 
 use mustardgate_core::{
     ids::{BackendId, ServiceId},
-    relay::{Candidate, RefusalCause, RelayRequest, RunnerSelector, RunnerState},
+    relay::{Candidate, RefusalCause, RelayRequest, RunnerSelector},
 };
 use rand::Rng;
 use snafu::Snafu;
@@ -49,7 +49,7 @@
         let usable: Vec<Arc<RunnerCell>> = self
             .of_service(query.service)
             .into_iter()
-            .filter(|cell| cell.listed().state == RunnerState::Ready)
+            .filter(|cell| cell.accepts_requests())
             .collect();
         if usable.is_empty() {
             return refuse(RefusalCause::NoRunner);
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -74,6 +74,8 @@
     pub(super) cause: RefusalCause,
     pub(super) reason: SmolStr,
     pub(super) is_timeout: bool,
+    /// Whether the request was not sent because the runner no longer accepts requests.
+    pub(super) is_withheld: bool,
 }
 
 impl AttemptError {
@@ -85,6 +87,7 @@
             cause,
             reason: "unplaced".into(),
             is_timeout: false,
+            is_withheld: false,
         }
     }
 
@@ -96,6 +99,7 @@
             cause: RefusalCause::AttemptsUsedUp,
             reason: reason.into(),
             is_timeout: false,
+            is_withheld: false,
         }
     }
 }
@@ -172,19 +176,27 @@
         let sent_at = clock::now();
         let outcome = async {
             let mut connection = cell.pool.take(time_left).await?;
+            // The runner may have left since it was chosen, while an adapter was loaded or the connection was made.
+            if !cell.accepts_requests() {
+                return Err(SendFailure::Withheld);
+            }
             let time_left = self.expires_at.saturating_duration_since(clock::now());
             let request = self.runner_request(&listed.id, time_left, resume_after);
             let answer = connection.send(request, time_left).await?;
             Ok::<_, SendFailure>((connection, answer))
         };
         let (connection, answer) = outcome.await.map_err(|failure| {
+            if failure == SendFailure::Withheld {
+                ticket.discard_wait();
+            }
             ticket.set_outcome(match failure {
                 SendFailure::NotConnected => AttemptOutcome::Unreachable,
-                SendFailure::NotSent => AttemptOutcome::Neutral,
+                SendFailure::Withheld | SendFailure::NotSent => AttemptOutcome::Neutral,
                 SendFailure::Broken | SendFailure::TimedOut => AttemptOutcome::Failed,
             });
             AttemptError {
                 is_timeout: failure == SendFailure::TimedOut,
+                is_withheld: failure == SendFailure::Withheld,
                 ..AttemptError::at_runner(&listed.id, failure.verdict(), &failure.to_string())
             }
         })?;
--- a/crates/mustardgate-relay/src/gateway/buffered.rs
+++ b/crates/mustardgate-relay/src/gateway/buffered.rs
@@ -155,5 +155,6 @@
         cause: RefusalCause::AttemptsUsedUp,
         reason: reason.into(),
         is_timeout,
+        is_withheld: false,
     }
 }
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -169,6 +169,7 @@
             cause: RefusalCause::AttemptsUsedUp,
             reason: "not_permitted".into(),
             is_timeout: false,
+            is_withheld: false,
         });
     }
     received.open(&pick, None).await
@@ -181,6 +182,9 @@
             retry_after: Duration::ZERO,
         };
     };
+    if error.is_withheld {
+        return plan.withdraw_attempt();
+    }
     let failure = AttemptFailure {
         verdict: error.verdict,
         backend,
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -140,6 +140,7 @@
             cause: RefusalCause::AttemptsUsedUp,
             reason: reason.into(),
             is_timeout: reason == "timed_out",
+            is_withheld: false,
         };
         // The old connection is closed before another runner continues, so that the request does not run at both at
         // once.
@@ -173,6 +174,7 @@
             cause: RefusalCause::AttemptsUsedUp,
             reason: reason.into(),
             is_timeout: false,
+            is_withheld: false,
         };
         if !self.plan.begin_attempt(&backend) {
             return Err(refused("not_permitted"));
