Stop sending to a runner whose answers say that it leaves

The catalogue now remembers processes that announced their stop, in the list or in an answer to this node, apart from their entries: a process stays leaving whatever an entry says later, also after its entry was gone; a restart under the same identity is another process.

--- a/crates/mustardgate-core/src/relay/catalogue.rs
+++ b/crates/mustardgate-core/src/relay/catalogue.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::processes::ProcessSet;
 use crate::ids::{AdapterId, BackendId, DomainId, ModelId, ServiceId};
 
 /// Whether a listed runner accepts new requests.
@@ -80,6 +81,8 @@
     unconfirmed: BTreeMap<BackendId, Instant>,
     /// End of the grace period after the last recorded outage of the list.
     outage_until: Option<Instant>,
+    /// Processes that announced their stop, which none of them takes back; kept beyond their entries.
+    leaving: ProcessSet,
 }
 
 impl RunnerCatalogue {
@@ -92,6 +95,7 @@
             runners: BTreeMap::new(),
             unconfirmed: BTreeMap::new(),
             outage_until: None,
+            leaving: ProcessSet::default(),
         }
     }
 
@@ -131,9 +135,28 @@
         Some(CatalogueChange::Updated(Arc::clone(known)))
     }
 
+    /// Records that a runner process stated in an answer that it stops, which its entry may not show.
+    pub fn record_leaving(&mut self, id: &BackendId, started_at_ms: u64) -> Option<CatalogueChange> {
+        self.leaving.insert(id, started_at_ms);
+        let known = self.runners.get_mut(id)?;
+        if known.started_at_ms != started_at_ms || known.state == RunnerState::Draining {
+            return None;
+        }
+        *known = Arc::new(ListedRunner {
+            state: RunnerState::Draining,
+            ..ListedRunner::clone(known)
+        });
+        Some(CatalogueChange::Updated(Arc::clone(known)))
+    }
+
     /// Applies a new or changed entry.
     pub fn put(&mut self, mut runner: ListedRunner) -> Option<CatalogueChange> {
         self.unconfirmed.remove(&runner.id);
+        if runner.state == RunnerState::Draining {
+            self.leaving.insert(&runner.id, runner.started_at_ms);
+        } else if self.leaving.contains(&runner.id, runner.started_at_ms) {
+            runner.state = RunnerState::Draining;
+        }
         if let Some(known) = self.runners.get(&runner.id)
             && known.started_at_ms == runner.started_at_ms
             && known.order_count > runner.order_count
@@ -204,7 +227,11 @@
 
     fn drop_runner(&mut self, id: &BackendId) -> Option<CatalogueChange> {
         self.unconfirmed.remove(id);
-        self.runners.remove(id)?;
+        let runner = self.runners.remove(id)?;
+        if runner.started_at_ms == 0 {
+            // The start time is not known, so a later process could not be told from this one.
+            self.leaving.remove(id);
+        }
         Some(CatalogueChange::Removed(id.clone()))
     }
 }
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod load;
 mod planner;
 mod prefix;
+mod processes;
 mod request;
 mod selector;
 
--- a/crates/mustardgate-core/tests/relay/catalogue.rs
+++ b/crates/mustardgate-core/tests/relay/catalogue.rs
@@ -139,3 +139,23 @@
     catalogue.put(newer);
     assert!(catalogue.get("one").unwrap().models.is_empty());
 }
+
+#[test]
+fn a_process_that_said_it_leaves_stays_so_whatever_its_entry_says() {
+    let now = Instant::now();
+    let mut catalogue = catalogue();
+    assert!(catalogue.record_leaving(&"one".into(), 1).is_some());
+    assert_eq!(catalogue.record_leaving(&"one".into(), 1), None);
+    catalogue.put(runner("one", RunnerState::Ready));
+    assert_eq!(catalogue.get("one").unwrap().state, RunnerState::Draining);
+    catalogue.remove(now, &"one".into());
+    catalogue.put(runner("one", RunnerState::Ready));
+    assert_eq!(catalogue.get("one").unwrap().state, RunnerState::Draining);
+    let restarted = ListedRunner {
+        started_at_ms: 2,
+        ..runner("one", RunnerState::Ready)
+    };
+    catalogue.put(restarted);
+    assert_eq!(catalogue.record_leaving(&"one".into(), 1), None);
+    assert_eq!(catalogue.get("one").unwrap().state, RunnerState::Ready);
+}
--- a/crates/mustardgate-relay/src/fleet/runners.rs
+++ b/crates/mustardgate-relay/src/fleet/runners.rs
@@ -69,6 +69,12 @@
         has_changed
     }
 
+    /// Records that a runner stated in an answer that it stops.
+    pub fn record_leaving(&self, runner: &ListedRunner) {
+        let change = self.lock().record_leaving(&runner.id, runner.started_at_ms);
+        self.apply(change);
+    }
+
     /// Returns whether the grace period after the last recorded outage of the list is still running.
     pub fn has_recent_outage(&self, now: Instant) -> bool {
         self.lock().has_recent_outage(now)
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -205,6 +205,14 @@
         if let Some(load) = metadata.load {
             cell.report_load(clock::now(), load);
         }
+        // Another runner may answer at the address; it does not run this request and need not name itself.
+        let is_same_runner = match &metadata.backend {
+            Some(backend) => *backend == listed.id,
+            None => metadata.kind != AnswerKind::Misdirected,
+        };
+        if metadata.is_leaving && is_same_runner {
+            self.context.fleet.record_leaving(&listed);
+        }
         self.check_head(&mut ticket, &head, &metadata)?;
         ticket.record_first_token();
         let elapsed = clock::now().saturating_duration_since(sent_at);
--- a/crates/mustardgate-relay/src/ports/mod.rs
+++ b/crates/mustardgate-relay/src/ports/mod.rs
@@ -94,6 +94,8 @@
     pub load: Option<ReportedLoad>,
     /// Whether the body has a content encoding, which no caller requests.
     pub is_encoded: bool,
+    /// Whether the runner that answered states that it stops.
+    pub is_leaving: bool,
 }
 
 /// Reads and writes the header fields that the platform defines for requests and answers.
