--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -64,12 +64,16 @@
 
     /// Reads once and returns the pause before the next read.
     async fn step(&mut self) -> Duration {
+        let (started_at, wait) = (clock::now(), self.wait());
         let outcome = match self.next {
             None => self.context.ports.topics.newest(self.topic).await,
-            Some(from) => self.context.ports.topics.read(self.topic, from, self.wait()).await,
+            Some(from) => self.context.ports.topics.read(self.topic, from, wait).await,
         };
         match outcome {
             Ok(page) => {
+                if self.topic == LogTopic::Configuration && !page.records.is_empty() {
+                    self.log_changes(&page, wait, started_at);
+                }
                 self.record_success();
                 let is_complete = self.next.is_none();
                 self.next = Some(page.next);
@@ -119,6 +123,18 @@
         }
     }
 
+    fn log_changes(&self, page: &TopicPage, wait: Duration, started_at: Instant) {
+        events::RELAY_CHANGES_READ.write(
+            self.context.log.logger(),
+            o!(
+                "elapsed_ms" => clock::now().saturating_duration_since(started_at).as_millis() as u64,
+                "wait_ms" => wait.as_millis() as u64,
+                "records" => page.records.len(),
+                "next" => page.next,
+            ),
+        );
+    }
+
     fn record_success(&mut self) {
         self.failures = 0;
         let Some(since) = self.failing_since.take() else { return };
--- a/crates/mustardgate-relay/src/peers/log.rs
+++ b/crates/mustardgate-relay/src/peers/log.rs
@@ -105,9 +105,16 @@
         failed_at.is_none_or(|at| clock::now().saturating_duration_since(at) >= DIRECT_RETRY_INTERVAL)
     }
 
-    fn record_direct_call(&self, is_answered: bool) {
+    fn record_direct_call(&self, started_at: Instant, is_answered: bool) {
+        let now = clock::now();
         let mut failed_at = self.failed_at.lock().expect("no holder of the lock panics");
-        *failed_at = (!is_answered).then(clock::now);
+        let was_answered = failed_at.is_none();
+        *failed_at = (!is_answered).then_some(now);
+        drop(failed_at);
+        if was_answered && !is_answered {
+            let elapsed_ms = now.saturating_duration_since(started_at).as_millis() as u64;
+            events::RELAY_LOG_BYPASSED.write(&self.logger, o!("elapsed_ms" => elapsed_ms));
+        }
     }
 
     async fn call_neighbour(&self, call: &LogCall) -> Option<LogReply> {
@@ -142,8 +149,9 @@
         let wait = if has_feeder { Duration::ZERO } else { wait };
         let mut error = TopicError::unavailable("the last call failed");
         if self.is_direct_due() {
+            let started_at = clock::now();
             let outcome = self.direct.read(topic, from, wait).await;
-            self.record_direct_call(is_answered(&outcome));
+            self.record_direct_call(started_at, is_answered(&outcome));
             match outcome {
                 Err(unavailable @ TopicError::Unavailable { .. }) => error = unavailable,
                 outcome => return outcome,
@@ -160,8 +168,9 @@
     async fn newest(&self, topic: LogTopic) -> Result<TopicPage, TopicError> {
         let mut error = TopicError::unavailable("the last call failed");
         if self.is_direct_due() {
+            let started_at = clock::now();
             let outcome = self.direct.newest(topic).await;
-            self.record_direct_call(is_answered(&outcome));
+            self.record_direct_call(started_at, is_answered(&outcome));
             match outcome {
                 Err(unavailable @ TopicError::Unavailable { .. }) => error = unavailable,
                 outcome => return outcome,
@@ -173,13 +182,14 @@
     async fn append_at(&self, topic: LogTopic, at: Offset, value: Vec<u8>) -> Result<Offset, ConditionalAppendError> {
         let mut error = ConditionalAppendError::NotAppended;
         if self.is_direct_due() {
+            let started_at = clock::now();
             match self.direct.append_at(topic, at, value.clone()).await {
                 Err(failed @ (ConditionalAppendError::NotAppended | ConditionalAppendError::Unknown)) => {
-                    self.record_direct_call(false);
+                    self.record_direct_call(started_at, false);
                     error = failed;
                 }
                 outcome => {
-                    self.record_direct_call(true);
+                    self.record_direct_call(started_at, true);
                     return outcome;
                 }
             }
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -109,6 +109,10 @@
 pub const RELAY_RUNNER_OBSERVED: EventKind = event(617, Level::Info, "runner observed");
 /// Changes cannot be read from the leader, so they are read from the log; with the reason and the time that the read took.
 pub const RELAY_FEED_LOST: EventKind = event(618, Level::Info, "feed lost");
+/// A read brought changes of the configuration; with the wait that it asked for and the time that it took.
+pub const RELAY_CHANGES_READ: EventKind = event(619, Level::Info, "changes read");
+/// The log does not answer this node, so neighbours are asked to call it; with the time that the call took.
+pub const RELAY_LOG_BYPASSED: EventKind = event(624, Level::Info, "log called through neighbours");
 /// A lease record was refused or could not be appended, read or decoded, so the lease is uncertain.
 pub const RELAY_LEASE_UNCERTAIN: EventKind = event(620, Level::Warning, "lease uncertain");
 /// An order was sent to a runner; with its reply.
@@ -168,10 +172,12 @@
     RELAY_TOPIC_READABLE,
     RELAY_RUNNER_OBSERVED,
     RELAY_FEED_LOST,
+    RELAY_CHANGES_READ,
     RELAY_LEASE_UNCERTAIN,
     RELAY_ORDER_SENT,
     RELAY_PLACEMENT_PLANNED,
     RELAY_ORDER_WITHHELD,
+    RELAY_LOG_BYPASSED,
     RELAY_SETTINGS_CHANGED,
     RELAY_SETTINGS_REFUSED,
 ];
