Survive a log that is restored from an older copy

A node took offsets for lasting: it read on beyond the end (and missed what was written at the lost offsets once the topic was as long again), the leader's copy of the records and its followers could mean different records by one offset, a restored list brought runners back that had left, and a claim at a reused offset gave a second holder the same fencing token (ONE).

Change: a position is an offset with the era in which it was learnt. Whoever reads or appends with a position of another era gets Restored and reads the topic anew; answers from before a known restore count as no answer. Configurations only go forward, as before. Processes whose entries ended stay gone unless they write again, leaving ones stay leaving, missing ones are kept for the grace period. Fencing tokens carry the era above 40 bits of offset. Lease records carry their author's era, and one whose author had not noticed the restore is passed over. A load account of an earlier era is not continued: the window is closed instead.

Orders to single runners moved to a file of their own, unchanged.

--- a/crates/mustardgate-core/src/ports/keyed_log.rs
+++ b/crates/mustardgate-core/src/ports/keyed_log.rs
@@ -9,6 +9,19 @@
 
 use crate::ids::Offset;
 
+/// Number that the log raises each time it is restored from an older copy of itself. Records appended after the copy
+/// was made are lost then, and their offsets are given to other records.
+pub type LogEra = u64;
+
+/// A position in a topic.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TopicPosition {
+    /// Era in which the offset was learnt; `None` if it holds in every era, as the start of a topic does.
+    pub era: Option<LogEra>,
+    /// Offset.
+    pub offset: Offset,
+}
+
 /// A topic that the system reads or writes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum LogTopic {
@@ -39,6 +52,19 @@
     pub next: Offset,
     /// Records in offset order.
     pub records: Vec<TopicRecord>,
+    /// Era of the log when it returned the page.
+    #[serde(default)]
+    pub era: LogEra,
+}
+
+impl TopicPage {
+    /// Returns the position at which the next read starts.
+    pub fn end(&self) -> TopicPosition {
+        TopicPosition {
+            era: Some(self.era),
+            offset: self.next,
+        }
+    }
 }
 
 /// Why a read failed.
@@ -50,6 +76,9 @@
         /// Offset of the oldest record that is still kept.
         earliest: Offset,
     },
+    /// The log was restored from an older copy since the position was learnt, so the topic has to be read anew.
+    #[snafu(display("the log was restored from an older copy"))]
+    Restored,
     /// The log did not answer in time, or refused the call.
     #[snafu(display("the log did not answer: {reason}"))]
     Unavailable {
@@ -76,6 +105,10 @@
         /// Offset at which the topic ends.
         end: Offset,
     },
+    /// The log was restored from an older copy since the offset was learnt. The record may stand at an offset that means
+    /// something else now.
+    #[snafu(context(suffix(AppendSnafu)), display("the log was restored from an older copy"))]
+    Restored,
     /// The record was definitely not appended.
     #[snafu(display("the log did not append the record"))]
     NotAppended,
@@ -91,7 +124,7 @@
     ///
     /// # Errors
     /// [`TopicError`] when nothing could be read.
-    async fn read(&self, topic: LogTopic, from: Offset, wait: Duration) -> Result<TopicPage, TopicError>;
+    async fn read(&self, topic: LogTopic, from: TopicPosition, wait: Duration) -> Result<TopicPage, TopicError>;
 
     /// Returns the newest record of every key, and the offset at which the next read starts.
     ///
@@ -103,5 +136,10 @@
     ///
     /// # Errors
     /// [`ConditionalAppendError`] when the record is not known to be appended.
-    async fn append_at(&self, topic: LogTopic, at: Offset, value: Vec<u8>) -> Result<Offset, ConditionalAppendError>;
+    async fn append_at(
+        &self,
+        topic: LogTopic,
+        at: TopicPosition,
+        value: Vec<u8>,
+    ) -> Result<Offset, ConditionalAppendError>;
 }
--- a/crates/mustardgate-core/src/relay/catalogue.rs
+++ b/crates/mustardgate-core/src/relay/catalogue.rs
@@ -83,6 +83,8 @@
     outage_until: Option<Instant>,
     /// Processes that announced their stop, which none of them takes back; kept beyond their entries.
     leaving: ProcessSet,
+    /// Processes whose entries ended, which an older copy of the list may show again.
+    gone: ProcessSet,
 }
 
 impl RunnerCatalogue {
@@ -96,6 +98,7 @@
             unconfirmed: BTreeMap::new(),
             outage_until: None,
             leaving: ProcessSet::default(),
+            gone: ProcessSet::default(),
         }
     }
 
@@ -152,6 +155,7 @@
     /// Applies a new or changed entry.
     pub fn put(&mut self, mut runner: ListedRunner) -> Option<CatalogueChange> {
         self.unconfirmed.remove(&runner.id);
+        self.gone.remove(&runner.id);
         if runner.state == RunnerState::Draining {
             self.leaving.insert(&runner.id, runner.started_at_ms);
         } else if self.leaving.contains(&runner.id, runner.started_at_ms) {
@@ -209,6 +213,17 @@
         removed.into_iter().chain(added).collect()
     }
 
+    /// Applies the whole list after it was restored from an older copy.
+    ///
+    /// Entries that ended since the copy was made are in it again; their processes stay gone unless they write a new
+    /// entry. Runners that are missing are kept for the grace period, in which a live one writes its entry again.
+    pub fn restore(&mut self, now: Instant, listed: Vec<ListedRunner>) -> Vec<CatalogueChange> {
+        self.record_outage(now);
+        let is_alive = |runner: &ListedRunner| !self.gone.contains(&runner.id, runner.started_at_ms);
+        let listed = listed.into_iter().filter(is_alive).collect();
+        self.replace(now, listed)
+    }
+
     /// Removes the runners whose entries vanished around an outage and whose grace period is over.
     pub fn expire(&mut self, now: Instant) -> Vec<CatalogueChange> {
         let ended: Vec<BackendId> = self
@@ -228,6 +243,7 @@
     fn drop_runner(&mut self, id: &BackendId) -> Option<CatalogueChange> {
         self.unconfirmed.remove(id);
         let runner = self.runners.remove(id)?;
+        self.gone.insert(id, runner.started_at_ms);
         if runner.started_at_ms == 0 {
             // The start time is not known, so a later process could not be told from this one.
             self.leaving.remove(id);
--- a/crates/mustardgate-core/tests/relay/catalogue.rs
+++ b/crates/mustardgate-core/tests/relay/catalogue.rs
@@ -159,3 +159,30 @@
     assert_eq!(catalogue.record_leaving(&"one".into(), 1), None);
     assert_eq!(catalogue.get("one").unwrap().state, RunnerState::Ready);
 }
+
+#[test]
+fn a_restored_list_brings_no_process_back_whose_entry_ended() {
+    let now = Instant::now();
+    let mut catalogue = catalogue();
+    catalogue.remove(now, &"one".into());
+    let copy = vec![runner("one", RunnerState::Ready), runner("two", RunnerState::Ready)];
+    assert_eq!(catalogue.restore(now, copy), Vec::new());
+    assert!(catalogue.get("one").is_none());
+    // An entry that is written again is newer than the copy.
+    assert!(catalogue.put(runner("one", RunnerState::Ready)).is_some());
+    let later = ListedRunner {
+        started_at_ms: 2,
+        ..runner("two", RunnerState::Ready)
+    };
+    catalogue.remove(now + GRACE_PERIOD, &"two".into());
+    assert_eq!(catalogue.restore(now + GRACE_PERIOD, vec![later]).len(), 1);
+}
+
+#[test]
+fn a_runner_that_a_restored_list_lacks_is_kept_until_it_can_write_again() {
+    let now = Instant::now();
+    let mut catalogue = catalogue();
+    assert_eq!(catalogue.restore(now, Vec::new()), Vec::new());
+    assert!(catalogue.expire(now + GRACE_PERIOD / 2).is_empty());
+    assert_eq!(catalogue.expire(now + GRACE_PERIOD).len(), 2);
+}
--- a/crates/mustardgate-relay/src/context/records.rs
+++ b/crates/mustardgate-relay/src/context/records.rs
@@ -8,7 +8,7 @@
 
 use mustardgate_core::{
     ids::Offset,
-    ports::{LogTopic, TopicError, TopicPage, TopicRecord},
+    ports::{LogEra, LogTopic, TopicError, TopicPage, TopicPosition, TopicRecord},
 };
 use smol_str::SmolStr;
 use tokio::sync::{Notify, futures::Notified};
@@ -31,6 +31,8 @@
     /// Offset from which every change is known.
     complete_from: Offset,
     next: Offset,
+    /// Era in which the records were read.
+    era: LogEra,
     read_at: Option<Instant>,
 }
 
@@ -41,6 +43,8 @@
         if is_snapshot {
             cache.records.clear();
             cache.complete_from = page.next;
+            cache.next = page.next;
+            cache.era = page.era;
         }
         for record in &page.records {
             cache.records.insert(record.key.clone(), record.clone());
@@ -61,21 +65,24 @@
             .unwrap_or_default()
     }
 
-    /// Returns the changes from an offset on, and the time at which the log was last read.
+    /// Returns the changes from a position on, and the time at which the log was last read.
     ///
     /// # Errors
-    /// [`TopicError`] when the changes from that offset on are not known.
-    pub fn changes(&self, topic: LogTopic, from: Offset) -> Result<(TopicPage, Instant), TopicError> {
+    /// [`TopicError`] when the changes from that position on are not known.
+    pub fn changes(&self, topic: LogTopic, from: TopicPosition) -> Result<(TopicPage, Instant), TopicError> {
         let known = self.lock(topic).and_then(|cache| {
             let read_at = cache.read_at?;
+            let is_same_era = from.era.is_none_or(|era| era == cache.era);
+            let from = from.offset;
             let later = cache.records.values().filter(|record| record.offset >= from);
             let mut records: Vec<TopicRecord> = later.cloned().collect();
             records.sort_by_key(|record| record.offset);
             let page = TopicPage {
                 next: cache.next.max(from),
                 records,
+                era: cache.era,
             };
-            (from >= cache.complete_from).then_some((page, read_at))
+            (is_same_era && from >= cache.complete_from).then_some((page, read_at))
         });
         known.ok_or_else(|| TopicError::unavailable("the neighbour does not have the changes from this offset"))
     }
--- a/crates/mustardgate-relay/src/fleet/runners.rs
+++ b/crates/mustardgate-relay/src/fleet/runners.rs
@@ -61,6 +61,12 @@
         self.apply(changes);
     }
 
+    /// Applies the complete list after it was restored from an older copy.
+    pub fn restore(&self, listed: Vec<ListedRunner>) {
+        let changes = self.lock().restore(clock::now(), listed);
+        self.apply(changes);
+    }
+
     /// Applies what a runner itself reported; returns whether that changed its state.
     pub fn observe(&self, observation: &RunnerObservation) -> bool {
         let change = self.lock().observe(clock::now(), observation);
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -12,8 +12,7 @@
 use mustardgate::events;
 use mustardgate_core::{
     clock,
-    ids::Offset,
-    ports::{LogTopic, TopicError, TopicPage, TopicRecord},
+    ports::{LogEra, LogTopic, TopicError, TopicPage, TopicPosition, TopicRecord},
 };
 use rand::Rng;
 use slog::o;
@@ -32,12 +31,25 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(800);
 
+/// What a page holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PageExtent {
+    /// Changes since the last page.
+    Changes,
+    /// The newest record of every key.
+    Complete,
+    /// The newest record of every key, some of them older than those read before, because the log was restored.
+    Restored,
+}
+
 /// Follows one topic.
 #[derive(Debug)]
 pub struct TopicFollower {
     context: Arc<RelayContext>,
     topic: LogTopic,
-    next: Option<Offset>,
+    next: Option<TopicPosition>,
+    /// Era of the last page.
+    era: Option<LogEra>,
     failing_since: Option<Instant>,
     failures: u32,
 }
@@ -49,6 +61,7 @@
             context,
             topic,
             next: None,
+            era: None,
             failing_since: None,
             failures: 0,
         }
@@ -75,13 +88,18 @@
                     self.log_changes(&page, wait, started_at);
                 }
                 self.record_success();
-                let is_complete = self.next.is_none();
-                self.next = Some(page.next);
+                let extent = match self.next {
+                    Some(_) => PageExtent::Changes,
+                    None if self.era.is_none_or(|era| era == page.era) => PageExtent::Complete,
+                    None => PageExtent::Restored,
+                };
+                self.next = Some(page.end());
+                self.era = Some(page.era);
                 let is_empty = page.records.is_empty();
-                self.apply_page(&page, is_complete);
+                self.apply_page(&page, extent);
                 if is_empty { Duration::ZERO } else { self.batch_pause() }
             }
-            Err(TopicError::Trimmed { .. }) => {
+            Err(TopicError::Trimmed { .. } | TopicError::Restored) => {
                 self.next = None;
                 Duration::ZERO
             }
@@ -103,7 +121,8 @@
         self.context.settings.bounds.shortest_bound() / BATCH_PAUSE_DIVISOR
     }
 
-    fn apply_page(&self, page: &TopicPage, is_complete: bool) {
+    fn apply_page(&self, page: &TopicPage, extent: PageExtent) {
+        let is_complete = extent != PageExtent::Changes;
         self.context
             .records
             .store(self.topic, page, is_complete, self.context.leader.lease_time());
@@ -113,6 +132,7 @@
                     apply_configuration(&self.context, record);
                 }
             }
+            LogTopic::Runners if extent == PageExtent::Restored => restore_runners(&self.context, &page.records),
             LogTopic::Runners if is_complete => replace_runners(&self.context, &page.records),
             LogTopic::Runners => {
                 for record in &page.records {
@@ -159,7 +179,7 @@
             self.failing_since = Some(clock::now());
             events::RELAY_TOPIC_UNREADABLE.write(
                 self.context.log.logger(),
-                o!("reason" => error.to_string(), "next" => self.next.unwrap_or_default(), "topic" => format!("{:?}", self.topic)),
+                o!("reason" => error.to_string(), "next" => self.next.unwrap_or_default().offset, "topic" => format!("{:?}", self.topic)),
             );
         }
         self.failures = (self.failures + 1).min(4);
@@ -206,6 +226,12 @@
     context.fleet.replace(listed.collect());
 }
 
+/// Applies the newest records of the runners' topic after the log was restored from an older copy.
+fn restore_runners(context: &RelayContext, records: &[TopicRecord]) {
+    let listed = records.iter().filter_map(|record| decode_runner(context, record));
+    context.fleet.restore(listed.collect());
+}
+
 fn decode_runner(context: &RelayContext, record: &TopicRecord) -> Option<mustardgate_core::relay::ListedRunner> {
     let value = record.value.as_ref()?;
     match context.ports.decoder.decode_runner(&record.key, value) {
--- a/crates/mustardgate-relay/src/leader/adapters.rs
+++ b/crates/mustardgate-relay/src/leader/adapters.rs
@@ -10,8 +10,8 @@
 use tokio::{sync::oneshot, time};
 
 use super::{
-    leadership::{ReportCache, RunnerOrders},
     orders::{ensure_report, find_runner, send_order},
+    runner_orders::{ReportCache, RunnerOrders},
 };
 use crate::{
     context::RelayContext,
--- a/crates/mustardgate-relay/src/leader/leadership.rs
+++ b/crates/mustardgate-relay/src/leader/leadership.rs
@@ -1,7 +1,7 @@
 //! What a node knows about the current leader, and the state of runners that it keeps while it leads.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
@@ -13,29 +13,24 @@
     lease::{LeaseSettings, LeaseTracker},
     log::LeaseRecord,
     placement::share::LoadAccount,
+    ports::LogEra,
     relay::{AdapterEvictor, ListedRunner, ModelName, PlacementPlanner, PlannerSettings},
 };
 
 use super::{
     LeaseClock,
     lease::{LeaseEntry, LoadAccounts},
+    runner_orders::RunnerOrders,
 };
-use crate::{context::DemandDigest, ports::RunnerReport};
+use crate::context::DemandDigest;
 
-/// A load order counts as failed after this multiple of the model's load time and one more second.
-const LOAD_TIMEOUT_FACTOR: u32 = 2;
-/// Time after which an eviction order counts as failed; an eviction waits for running requests to finish.
-const EVICTION_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time by which one failed renewal extends a claim while the log is unavailable.
 const EXTENSION_TIME: Duration = Duration::from_millis(1_500);
-/// Token of the first lease in the log, whose claim is at offset 0.
-const FIRST_FENCING_TOKEN: u64 = 1;
+/// Bits of a fencing token below the era of the log. Offsets are given out again after a restore, so the era makes tokens
+/// unique and higher than all before.
+const OFFSET_BITS: u32 = 40;
 /// Longest accepted time to the first token in a demand digest, in seconds.
 const MAX_FIRST_TOKEN_TIME_S: f64 = 60.0;
-/// Time for which a runner that cannot accept an order receives no further order about models.
-const DEFER_TIME: Duration = Duration::from_millis(800);
-/// Longest time by which a runner's report lags behind its state.
-const REPORT_LAG: Duration = Duration::from_millis(300);
 /// Time for which an answer of the leader counts as proof that it still leads.
 const CONTACT_TIMEOUT: Duration = Duration::from_millis(1_800);
 
@@ -53,6 +48,12 @@
     /// Claim under which this node acts while the log is unavailable, and until when.
     extension: Option<(Offset, Instant)>,
     last_claim: Option<Offset>,
+    /// Era of the log in which the lease is read.
+    era: LogEra,
+    /// Highest era of the authors of the lease records read so far.
+    author_era: LogEra,
+    /// Whether the log was restored since this node started.
+    has_restore: bool,
     /// Loads in the newest lease record.
     latest_loads: Option<LoadSnapshot>,
     /// Loads in the last lease record before the newest claim.
@@ -72,6 +73,8 @@
 struct LoadSnapshot {
     /// When the record was read, on the lease's clock.
     read_at: Instant,
+    /// Era of the log as the record's author knew it.
+    era: LogEra,
     by_service: LoadAccounts,
 }
 
@@ -82,56 +85,6 @@
     }
 }
 
-/// Orders to one process of a runner. The lock of the cache is held while an order is in progress.
-#[derive(Debug)]
-pub(super) struct RunnerOrders {
-    pub(super) started_at_ms: u64,
-    pub(super) cache: tokio::sync::Mutex<ReportCache>,
-    pending: Mutex<PendingMoves>,
-}
-
-/// The last report that the leader read from a runner, updated with the leader's own orders since.
-#[derive(Clone, Debug, Default)]
-pub(super) struct ReportCache {
-    pub(super) report: Option<RunnerReport>,
-    /// Order count after the last accepted order, and when it was accepted. Reports lag behind it by up to
-    /// [`REPORT_LAG`].
-    pub(super) last_count: Option<(u64, Instant)>,
-    /// When reports show the effect of the last order whose reply contradicted the report or left its outcome unknown.
-    pub(super) settled_at: Option<Instant>,
-}
-
-impl ReportCache {
-    /// Discards the report; none is read until reports show the effect of the last order.
-    pub(super) fn invalidate(&mut self) {
-        self.report = None;
-        self.settled_at = Some(clock::now() + REPORT_LAG);
-    }
-
-    /// Returns whether a report may be older than the last accepted order. After [`REPORT_LAG`] a lower count is
-    /// correct, because the runner counts an accepted eviction only once it is done.
-    pub(super) fn is_outdated(&self, report: &RunnerReport) -> bool {
-        self.last_count.is_some_and(|(count, at)| {
-            report.order_count < count && clock::now().saturating_duration_since(at) < REPORT_LAG
-        })
-    }
-
-    /// Returns whether a report read now would show the effect of every order.
-    pub(super) fn is_settled(&self) -> bool {
-        self.settled_at.is_none_or(|at| clock::now() >= at)
-    }
-}
-
-/// Models whose ordered load or eviction the runner's entry does not show yet, with the time when the order counts as
-/// failed.
-#[derive(Clone, Debug, Default)]
-struct PendingMoves {
-    arriving: BTreeMap<ModelId, Instant>,
-    leaving: BTreeMap<ModelId, Instant>,
-    /// Until when the runner receives no further order about models.
-    deferred_until: Option<Instant>,
-}
-
 impl SharedLeadership {
     /// Creates the state of a node that has read no lease.
     pub fn new(settings: LeaseSettings, planner_settings: PlannerSettings, clock: Arc<dyn LeaseClock>) -> Self {
@@ -141,6 +94,9 @@
                 tracker: LeaseTracker::new(settings),
                 extension: None,
                 last_claim: None,
+                era: 0,
+                author_era: 0,
+                has_restore: false,
                 latest_loads: None,
                 inherited_loads: None,
                 leader: None,
@@ -156,20 +112,18 @@
     }
 
     /// Returns the fencing token under which this node may send orders now.
-    ///
-    /// Tokens are above zero, because a runner that has seen none may treat zero as the lowest.
     pub fn token(&self) -> Option<u64> {
         let now = self.clock.now();
         let mut state = self.lock();
         if let Some(claim) = state.tracker.held_claim(now) {
             state.last_claim = Some(claim);
-            return Some(claim + 1);
+            return Some(state.fencing_token(claim));
         }
         let in_force = state.tracker.claim_in_force();
         let extension = state
             .extension
             .filter(|(claim, until)| now < *until && in_force == Some(*claim));
-        extension.map(|(claim, _)| claim + 1)
+        extension.map(|(claim, _)| state.fencing_token(claim))
     }
 
     /// Extends a claim by [`EXTENSION_TIME`] when it could not be renewed because the log is unavailable.
@@ -248,13 +202,20 @@
     pub(super) fn observe(&self, offset: Offset, entry: &LeaseEntry) {
         let now = self.clock.now();
         let mut state = self.lock();
+        if entry.era < state.author_era {
+            // Its author had not noticed the restore; the offset only happened to fit.
+            return;
+        }
+        state.author_era = entry.era;
         state.tracker.observe(now, offset, &entry.record);
         state.leader = (!entry.record.released).then_some(entry.address);
         if entry.record.renews.is_none() {
-            state.inherited_loads = state.latest_loads.take();
+            // What was begun after the copy was made is missing from an account of an earlier era.
+            state.inherited_loads = state.latest_loads.take().filter(|loads| loads.era == entry.era);
         }
         state.latest_loads = Some(LoadSnapshot {
             read_at: now,
+            era: entry.era,
             by_service: entry.loads.clone(),
         });
     }
@@ -278,8 +239,24 @@
             .for_each(PlacementPlanner::confirm_account);
     }
 
-    pub(super) fn start_lease(&self, from: Offset) {
-        self.lock().tracker.start(from);
+    /// Starts reading the lease at an offset of an era.
+    pub(super) fn start_lease(&self, era: LogEra, from: Offset) {
+        let mut state = self.lock();
+        state.era = era;
+        state.tracker.start(from);
+    }
+
+    /// Gives the lease up and forgets what was read of it, because the log was restored from an older copy.
+    pub(super) fn restart_lease(&self) {
+        let mut state = self.lock();
+        state.has_restore = true;
+        state.author_era = 0;
+        state.extension = None;
+        state.last_claim = None;
+        state.latest_loads = None;
+        state.inherited_loads = None;
+        state.leader = None;
+        state.tracker.start(0);
     }
 
     pub(super) fn poll_lease(&self) -> Option<LeaseRecord> {
@@ -298,11 +275,7 @@
         if let Some(orders) = known.filter(|orders| orders.started_at_ms == listed.started_at_ms) {
             return Arc::clone(orders);
         }
-        let orders = Arc::new(RunnerOrders {
-            started_at_ms: listed.started_at_ms,
-            cache: tokio::sync::Mutex::default(),
-            pending: Mutex::default(),
-        });
+        let orders = Arc::new(RunnerOrders::new(listed.started_at_ms));
         runners.insert(listed.id.clone(), Arc::clone(&orders));
         self.lock().evictor.forget_runner(&listed.id);
         orders
@@ -310,7 +283,7 @@
 
     /// Discards state from an earlier term, since another leader may have acted in between.
     pub(super) fn begin_term(&self, token: Option<u64>) {
-        self.lock().is_first_term = token == Some(FIRST_FENCING_TOKEN);
+        self.lock().begin_term(token);
         self.runners.lock().expect("no holder of the lock panics").clear();
         let lease_now = self.clock.now();
         let mut state = self.lock();
@@ -333,6 +306,16 @@
 }
 
 impl LeadershipState {
+    /// Returns the token of a claim; it is above zero, because a runner that has seen none may treat zero as the lowest.
+    fn fencing_token(&self, claim: Offset) -> u64 {
+        (self.era << OFFSET_BITS) + claim + 1
+    }
+
+    /// Records whether the term that begins is the first of all.
+    fn begin_term(&mut self, token: Option<u64>) {
+        self.is_first_term = !self.has_restore && token == Some(self.fencing_token(0));
+    }
+
     pub(super) fn planner(&mut self, service: &ServiceId, lease_now: Instant) -> &mut PlacementPlanner {
         let (settings, is_first_term) = (self.planner_settings, self.is_first_term);
         let inherited = self.inherited_loads.as_ref();
@@ -346,44 +329,3 @@
         })
     }
 }
-
-impl RunnerOrders {
-    /// Records an order about a model that was or may have been accepted.
-    pub(super) fn record_move(&self, model: &ModelId, is_load: bool, load_time: Duration) {
-        let mut pending = self.pending();
-        if is_load {
-            let until = clock::now() + load_time * LOAD_TIMEOUT_FACTOR + Duration::from_secs(1);
-            pending.arriving.insert(model.clone(), until);
-        } else {
-            pending.leaving.insert(model.clone(), clock::now() + EVICTION_TIMEOUT);
-        }
-    }
-
-    /// Returns the models that may be loaded or evicted by orders that the entry does not show yet.
-    pub(super) fn pending_moves(&self, listed: &ListedRunner) -> (BTreeSet<ModelId>, BTreeSet<ModelId>) {
-        let now = clock::now();
-        let mut pending = self.pending();
-        pending
-            .arriving
-            .retain(|model, until| !listed.models.contains_key(model) && now < *until);
-        pending
-            .leaving
-            .retain(|model, until| listed.models.contains_key(model) && now < *until);
-        let names = |moves: &BTreeMap<ModelId, Instant>| moves.keys().cloned().collect();
-        (names(&pending.arriving), names(&pending.leaving))
-    }
-
-    /// Sends no order about models for [`DEFER_TIME`], because the runner cannot accept one.
-    pub(super) fn defer(&self) {
-        self.pending().deferred_until = Some(clock::now() + DEFER_TIME);
-    }
-
-    /// Returns whether orders about models are deferred now.
-    pub(super) fn is_deferred(&self) -> bool {
-        self.pending().deferred_until.is_some_and(|until| clock::now() < until)
-    }
-
-    fn pending(&self) -> MutexGuard<'_, PendingMoves> {
-        self.pending.lock().expect("no holder of the lock panics")
-    }
-}
--- a/crates/mustardgate-relay/src/leader/lease.rs
+++ b/crates/mustardgate-relay/src/leader/lease.rs
@@ -13,7 +13,7 @@
     ids::{Offset, ServiceId},
     log::LeaseRecord,
     placement::share::LoadAccount,
-    ports::{ConditionalAppendError, LogTopic, TopicError, TopicPage},
+    ports::{ConditionalAppendError, LogEra, LogTopic, TopicError, TopicPage, TopicPosition},
 };
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -43,6 +43,9 @@
     /// Loads that the holder has started or may start, which its successor continues to count.
     #[serde(default)]
     pub(super) loads: LoadAccounts,
+    /// Era of the log as its author knew it.
+    #[serde(default)]
+    pub(super) era: LogEra,
 }
 
 /// Renews the lease while this node holds it, and otherwise waits to claim it.
@@ -50,7 +53,9 @@
 pub struct LeaseTask {
     context: Arc<RelayContext>,
     address: SocketAddr,
-    next: Option<Offset>,
+    next: Option<TopicPosition>,
+    /// Earliest offset that is kept, if the log before it was trimmed unread.
+    trimmed_to: Option<Offset>,
     is_leading: bool,
     has_reported_problem: bool,
     last_read_at: Option<Instant>,
@@ -63,6 +68,7 @@
             context,
             address,
             next: None,
+            trimmed_to: None,
             is_leading: false,
             has_reported_problem: false,
             last_read_at: None,
@@ -98,19 +104,25 @@
             record,
             address: self.address,
             loads,
+            era: at.era.unwrap_or_default(),
         };
         let mut value = Vec::new();
         ciborium::into_writer(&entry, &mut value).expect("a lease entry has no map with keys other than text");
         match self.context.ports.topics.append_at(LogTopic::Leases, at, value).await {
             Ok(offset) => {
                 self.has_reported_problem = false;
-                self.next = Some(offset + 1);
+                self.next = Some(TopicPosition {
+                    offset: offset + 1,
+                    ..at
+                });
                 self.context.leader.confirm_loads();
                 self.context.leader.observe(offset, &entry);
             }
             Err(error) => {
-                if error == ConditionalAppendError::NotAppended {
-                    self.context.leader.append_failed();
+                match error {
+                    ConditionalAppendError::NotAppended => self.context.leader.append_failed(),
+                    ConditionalAppendError::Restored => self.restart(),
+                    ConditionalAppendError::Moved { .. } | ConditionalAppendError::Unknown => {}
                 }
                 self.report_problem(&error.to_string());
                 // Read the log to see whether this record or another one was appended.
@@ -144,12 +156,16 @@
     /// Reads the records appended since the last read; returns whether the end of the log was reached.
     async fn read(&mut self) -> bool {
         loop {
-            let from = self.next.unwrap_or_default();
+            let start = TopicPosition {
+                era: None,
+                offset: self.trimmed_to.unwrap_or_default(),
+            };
+            let from = self.next.unwrap_or(start);
             let reading = self.context.ports.topics.read(LogTopic::Leases, from, Duration::ZERO);
             match reading.await {
                 Ok(page) => {
                     if self.next.is_none() {
-                        self.context.leader.start_lease(from);
+                        self.context.leader.start_lease(page.era, from.offset);
                     }
                     self.has_reported_problem = false;
                     let is_end = page.records.is_empty();
@@ -159,9 +175,10 @@
                     }
                 }
                 Err(TopicError::Trimmed { earliest }) => {
-                    self.context.leader.start_lease(earliest);
-                    self.next = Some(earliest);
+                    self.trimmed_to = Some(earliest);
+                    self.next = None;
                 }
+                Err(TopicError::Restored) => self.restart(),
                 Err(error) => {
                     self.report_problem(&error.to_string());
                     return false;
@@ -170,8 +187,18 @@
         }
     }
 
+    /// Starts reading the lease anew after the log was restored: records that were read may be gone, and their offsets
+    /// given to others.
+    fn restart(&mut self) {
+        self.context.leader.restart_lease();
+        self.trimmed_to = None;
+        self.next = None;
+        self.report_problem(&TopicError::Restored.to_string());
+    }
+
     fn observe_page(&mut self, page: &TopicPage) {
-        self.next = Some(page.next);
+        self.trimmed_to = None;
+        self.next = Some(page.end());
         for record in &page.records {
             let value = record.value.as_deref().unwrap_or_default();
             match ciborium::from_reader::<LeaseEntry, _>(value) {
@@ -195,7 +222,7 @@
         };
         event.write(
             self.context.log.logger(),
-            o!("offset" => self.next.unwrap_or_default(), "token" => token.unwrap_or_default()),
+            o!("offset" => self.next.unwrap_or_default().offset, "token" => token.unwrap_or_default()),
         );
     }
 
@@ -205,7 +232,7 @@
         }
         events::RELAY_LEASE_UNCERTAIN.write(
             self.context.log.logger(),
-            o!("next" => self.next.unwrap_or_default(), "reason" => reason.to_owned()),
+            o!("next" => self.next.unwrap_or_default().offset, "reason" => reason.to_owned()),
         );
     }
 
--- a/crates/mustardgate-relay/src/leader/mod.rs
+++ b/crates/mustardgate-relay/src/leader/mod.rs
@@ -10,6 +10,7 @@
 mod lease;
 mod orders;
 mod plan;
+mod runner_orders;
 mod watch;
 
 pub use self::{
--- a/crates/mustardgate-relay/src/leader/orders.rs
+++ b/crates/mustardgate-relay/src/leader/orders.rs
@@ -10,7 +10,7 @@
 };
 use slog::o;
 
-use super::leadership::{ReportCache, RunnerOrders};
+use super::runner_orders::{ReportCache, RunnerOrders};
 use crate::{
     context::RelayContext,
     ports::{OrderReply, RunnerOrder, RunnerReport},
--- a/crates/mustardgate-relay/src/peers/log.rs
+++ b/crates/mustardgate-relay/src/peers/log.rs
@@ -12,7 +12,7 @@
 use mustardgate_core::{
     clock,
     ids::Offset,
-    ports::{ConditionalAppendError, LogTopic, TopicError, TopicLog, TopicPage},
+    ports::{ConditionalAppendError, LogTopic, TopicError, TopicLog, TopicPage, TopicPosition},
 };
 use rand::seq::IndexedRandom;
 use slog::{Logger, o};
@@ -70,10 +70,15 @@
     ///
     /// Wait, timeout and accepted age together stay within the bound on taking up a change, so that no node exceeds the
     /// bound when the leader or the leader's connection to the log stops responding.
-    async fn read_from_feeder(&self, topic: LogTopic, from: Offset) -> Option<TopicPage> {
+    async fn read_from_feeder(&self, topic: LogTopic, from: TopicPosition) -> Option<TopicPage> {
         let feeder = self.directory.feeder().filter(|_| topic != LogTopic::Leases)?;
         let wait = self.bound.mul_f64(FEEDER_WAIT_SHARE);
-        let call = LogCall::Changes { topic, from, wait };
+        let call = LogCall::Changes {
+            topic,
+            from: from.offset,
+            wait,
+            era: from.era,
+        };
         let timeout = wait + self.bound.mul_f64(FEEDER_SLACK_SHARE);
         let sent_at = clock::now();
         let reason = match self.peers.read_changes(feeder, &call, timeout).await {
@@ -140,7 +145,7 @@
 
 #[async_trait]
 impl TopicLog for NeighbourLog {
-    async fn read(&self, topic: LogTopic, from: Offset, wait: Duration) -> Result<TopicPage, TopicError> {
+    async fn read(&self, topic: LogTopic, from: TopicPosition, wait: Duration) -> Result<TopicPage, TopicError> {
         let has_feeder = self.directory.feeder().is_some() && topic != LogTopic::Leases;
         if let Some(page) = self.read_from_feeder(topic, from).await {
             return Ok(page);
@@ -159,8 +164,9 @@
         }
         let call = LogCall::Read {
             topic,
-            from,
+            from: from.offset,
             wait: wait.min(MAX_NEIGHBOUR_WAIT),
+            era: from.era,
         };
         self.read_through_neighbour(&call, error).await
     }
@@ -179,7 +185,12 @@
         self.read_through_neighbour(&LogCall::Newest { topic }, error).await
     }
 
-    async fn append_at(&self, topic: LogTopic, at: Offset, value: Vec<u8>) -> Result<Offset, ConditionalAppendError> {
+    async fn append_at(
+        &self,
+        topic: LogTopic,
+        at: TopicPosition,
+        value: Vec<u8>,
+    ) -> Result<Offset, ConditionalAppendError> {
         let mut error = ConditionalAppendError::NotAppended;
         if self.is_direct_due() {
             let started_at = clock::now();
@@ -194,7 +205,13 @@
                 }
             }
         }
-        match self.call_neighbour(&LogCall::AppendAt { topic, at, value }).await {
+        let call = LogCall::AppendAt {
+            topic,
+            at: at.offset,
+            value,
+            era: at.era,
+        };
+        match self.call_neighbour(&call).await {
             Some(LogReply::Appended(Err(ConditionalAppendError::NotAppended))) => Err(error),
             Some(LogReply::Appended(outcome)) => outcome,
             _ => Err(ConditionalAppendError::Unknown),
--- a/crates/mustardgate-relay/src/peers/messages.rs
+++ b/crates/mustardgate-relay/src/peers/messages.rs
@@ -4,7 +4,7 @@
 
 use mustardgate_core::{
     ids::{BackendId, Offset, ServiceId},
-    ports::{ConditionalAppendError, LogTopic, TopicError, TopicPage, TopicRecord},
+    ports::{ConditionalAppendError, LogEra, LogTopic, TopicError, TopicPage, TopicRecord},
     relay::RunnerObservation,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -72,6 +72,9 @@
         from: Offset,
         /// Time to wait for the first record.
         wait: Duration,
+        /// Era in which the offset was learnt.
+        #[serde(default)]
+        era: Option<LogEra>,
     },
     /// Reads the changes of a keyed topic that the called node itself has read.
     Changes {
@@ -81,6 +84,9 @@
         from: Offset,
         /// Time to wait for the first change.
         wait: Duration,
+        /// Era in which the offset was learnt.
+        #[serde(default)]
+        era: Option<LogEra>,
     },
     /// Reads the newest record of each key.
     Newest {
@@ -95,6 +101,9 @@
         at: Offset,
         /// The record.
         value: Vec<u8>,
+        /// Era in which the offset was learnt.
+        #[serde(default)]
+        era: Option<LogEra>,
     },
 }
 
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -9,8 +9,7 @@
     AnswerBody, ConnectionLimits, bytes_answer, collect_body, empty_answer, serve_connections, text_answer,
 };
 use mustardgate_core::{
-    ids::Offset,
-    ports::{LogTopic, TopicError, TopicPage},
+    ports::{LogTopic, TopicError, TopicPage, TopicPosition},
     relay::ModelName,
 };
 use tokio::{net::TcpListener, time};
@@ -107,10 +106,17 @@
 /// in time.
 async fn answer_log(context: &RelayContext, body: &[u8]) -> Option<Vec<u8>> {
     let reply = match decode(body)? {
-        LogCall::Read { topic, from, wait } => LogReply::Page(context.direct_log.read(topic, from, wait).await),
-        LogCall::Changes { topic, from, wait } => LogReply::Changes(read_changes(context, topic, from, wait).await),
+        LogCall::Read { topic, from, wait, era } => {
+            let from = TopicPosition { era, offset: from };
+            LogReply::Page(context.direct_log.read(topic, from, wait).await)
+        }
+        LogCall::Changes { topic, from, wait, era } => {
+            let from = TopicPosition { era, offset: from };
+            LogReply::Changes(read_changes(context, topic, from, wait).await)
+        }
         LogCall::Newest { topic } => LogReply::Page(context.direct_log.newest(topic).await),
-        LogCall::AppendAt { topic, at, value } => {
+        LogCall::AppendAt { topic, at, value, era } => {
+            let at = TopicPosition { era, offset: at };
             LogReply::Appended(context.direct_log.append_at(topic, at, value).await)
         }
     };
@@ -150,7 +156,7 @@
 async fn read_changes(
     context: &RelayContext,
     topic: LogTopic,
-    from: Offset,
+    from: TopicPosition,
     wait: Duration,
 ) -> Result<(TopicPage, Duration), TopicError> {
     let ends_at = time::Instant::now() + wait.min(MESSAGE_TIMEOUT);
