--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -12,8 +12,7 @@
 use mustardgate::events;
 use mustardgate_core::{
     clock,
-    ids::Offset,
-    ports::{LogTopic, TopicError, TopicPage, TopicRecord},
+    ports::{LogEra, LogTopic, TopicError, TopicPage, TopicPosition, TopicRecord},
 };
 use rand::Rng;
 use slog::o;
@@ -21,10 +20,9 @@
 
 use crate::context::RelayContext;
 
-/// Fraction of the setting `contact_ms` for which a read waits for records while this node does not lead.
-const WAIT_SHARE: f64 = 0.7;
-/// Fraction of the shortest bound on taking up a change for which the leader's reads wait.
-const LEADER_WAIT_SHARE: f64 = 0.3;
+/// Fraction of the shortest bound on taking up a change for which a read waits for records. The log may not wake a read
+/// that arrives while a change is being written, so the read after it must still be in time.
+const WAIT_SHARE: f64 = 0.3;
 /// After records, a follower pauses for the shortest bound on taking up a change divided by this, so that further
 /// records are batched into the next answer.
 const BATCH_PAUSE_DIVISOR: u32 = 8;
@@ -32,12 +30,25 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(100);
 const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(800);
 
+/// What a page holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PageExtent {
+    /// Changes since the last page.
+    Changes,
+    /// The newest record of every key.
+    Complete,
+    /// The newest record of every key, some of them older than those read before, because the log was restored.
+    Restored,
+}
+
 /// Follows one topic.
 #[derive(Debug)]
 pub struct TopicFollower {
     context: Arc<RelayContext>,
     topic: LogTopic,
-    next: Option<Offset>,
+    next: Option<TopicPosition>,
+    /// Era of the last page.
+    era: Option<LogEra>,
     failing_since: Option<Instant>,
     failures: u32,
 }
@@ -49,6 +60,7 @@
             context,
             topic,
             next: None,
+            era: None,
             failing_since: None,
             failures: 0,
         }
@@ -75,13 +87,18 @@
                     self.log_changes(&page, wait, started_at);
                 }
                 self.record_success();
-                let is_complete = self.next.is_none();
-                self.next = Some(page.next);
+                let extent = match self.next {
+                    Some(_) => PageExtent::Changes,
+                    None if self.era.is_none_or(|era| era == page.era) => PageExtent::Complete,
+                    None => PageExtent::Restored,
+                };
+                self.next = Some(page.end());
+                self.era = Some(page.era);
                 let is_empty = page.records.is_empty();
-                self.apply_page(&page, is_complete);
+                self.apply_page(&page, extent);
                 if is_empty { Duration::ZERO } else { self.batch_pause() }
             }
-            Err(TopicError::Trimmed { .. }) => {
+            Err(TopicError::Trimmed { .. } | TopicError::Restored) => {
                 self.next = None;
                 Duration::ZERO
             }
@@ -89,21 +106,17 @@
         }
     }
 
-    /// Returns how long a read waits for records. It is shorter while this node leads, because other nodes read changes
-    /// from it and must detect soon when its own connection to the log is dead.
+    /// Returns how long a read waits for records.
     fn wait(&self) -> Duration {
-        let bounds = &self.context.settings.bounds;
-        if self.context.leader.token().is_some() {
-            return bounds.shortest_bound().mul_f64(LEADER_WAIT_SHARE);
-        }
-        Duration::from_millis(bounds.contact_ms).mul_f64(WAIT_SHARE)
+        self.context.settings.bounds.shortest_bound().mul_f64(WAIT_SHARE)
     }
 
     fn batch_pause(&self) -> Duration {
         self.context.settings.bounds.shortest_bound() / BATCH_PAUSE_DIVISOR
     }
 
-    fn apply_page(&self, page: &TopicPage, is_complete: bool) {
+    fn apply_page(&self, page: &TopicPage, extent: PageExtent) {
+        let is_complete = extent != PageExtent::Changes;
         self.context
             .records
             .store(self.topic, page, is_complete, self.context.leader.lease_time());
@@ -113,6 +126,7 @@
                     apply_configuration(&self.context, record);
                 }
             }
+            LogTopic::Runners if extent == PageExtent::Restored => restore_runners(&self.context, &page.records),
             LogTopic::Runners if is_complete => replace_runners(&self.context, &page.records),
             LogTopic::Runners => {
                 for record in &page.records {
@@ -159,7 +173,7 @@
             self.failing_since = Some(clock::now());
             events::RELAY_TOPIC_UNREADABLE.write(
                 self.context.log.logger(),
-                o!("reason" => error.to_string(), "next" => self.next.unwrap_or_default(), "topic" => format!("{:?}", self.topic)),
+                o!("reason" => error.to_string(), "next" => self.next.unwrap_or_default().offset, "topic" => format!("{:?}", self.topic)),
             );
         }
         self.failures = (self.failures + 1).min(4);
@@ -206,6 +220,12 @@
     context.fleet.replace(listed.collect());
 }
 
+/// Applies the newest records of the runners' topic after the log was restored from an older copy.
+fn restore_runners(context: &RelayContext, records: &[TopicRecord]) {
+    let listed = records.iter().filter_map(|record| decode_runner(context, record));
+    context.fleet.restore(listed.collect());
+}
+
 fn decode_runner(context: &RelayContext, record: &TopicRecord) -> Option<mustardgate_core::relay::ListedRunner> {
     let value = record.value.as_ref()?;
     match context.ports.decoder.decode_runner(&record.key, value) {
