Quarantine parts of prompts under which runners crash

Cause: a node kept nothing of what a runner ended under. Each request with the part was sent like any other, and a repeat of the broken stream carried it to the next runner; no node alone sees many of the crashes.

Change: when a stream breaks off within 0.5 s of its head and nothing listens at the runner's address any more, the shared parts of its prompt are noted with the process that ended, and the request is not repeated. A part is quarantined after three processes, unless it was answered well within 10 s before, and 1.5 s after the first crash at the earliest, so that other nodes can state that it is sound. Requests with it are refused at once (503, 60 s). The quarantine ends when it is answered well after all, or 60 s after the last such request. Memory is bounded.

--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod catalogue;
 mod config;
+mod crashes;
 mod events;
 mod feed;
 mod health;
@@ -29,6 +30,7 @@
         CallerLimits, EngineProfile, ModelProfile, RelayConfig, RelayRoute, RelayService, RepeatPolicy, RouteTable,
         WeightedTarget, runner_rank,
     },
+    crashes::{CrashDigest, CrashLedger, CrashObservation, CrashSettings, PartId, shared_parts},
     events::{EventSplitter, StreamEvent},
     feed::{FeedAllowance, FeedLimits},
     health::{HealthSettings, OutcomeTracker},
--- /dev/null
+++ b/crates/mustardgate-core/tests/relay/crashes.rs
@@ -0,0 +1,117 @@
+//! Parts of prompts under which runners crash: blamed soon and for good, without blame for the parts beside them.
+
+use std::time::{Duration, Instant};
+
+use mustardgate_core::relay::{CrashLedger, CrashSettings, PartId};
+
+const BAD: PartId = 7;
+const SHARED: PartId = 1;
+const STEP: Duration = Duration::from_millis(300);
+
+fn ledger() -> CrashLedger {
+    CrashLedger::new(CrashSettings::default())
+}
+
+fn process(number: u64) -> (mustardgate_core::ids::BackendId, u64) {
+    (format!("engine-{number}").as_str().into(), 1)
+}
+
+/// Passes everything that `from` knows to `to`.
+fn tell(now: Instant, from: &CrashLedger, to: &mut CrashLedger) {
+    to.merge(now, &from.digest(now));
+    to.update(now);
+}
+
+#[test]
+fn five_crashes_seen_by_five_nodes_quarantine_the_part_everywhere_within_the_contact_time() {
+    const CONTACT_TIME: Duration = Duration::from_secs(3);
+    /// Longest time between two exchanges of a node with the leader.
+    const EXCHANGE_INTERVAL: Duration = Duration::from_millis(840);
+    let mut now = Instant::now();
+    let mut nodes: Vec<CrashLedger> = (0..6).map(|_| ledger()).collect();
+    let mut leader = ledger();
+    for number in 0..5 {
+        now += STEP;
+        nodes[number].record_crash(now, &process(number as u64), [SHARED, BAD]);
+        nodes[5].record_sound(now, [SHARED]);
+    }
+    let fifth_at = now;
+    while now.saturating_duration_since(fifth_at) + EXCHANGE_INTERVAL < CONTACT_TIME {
+        now += EXCHANGE_INTERVAL;
+        for node in &mut nodes {
+            tell(now, node, &mut leader);
+            tell(now, &leader, node);
+        }
+    }
+    for node in &mut nodes {
+        assert!(node.refuses(now, [SHARED, BAD]));
+        assert!(!node.refuses(now, [SHARED]), "the shared part is sound");
+    }
+}
+
+#[test]
+fn a_part_that_is_answered_well_is_cleared_and_counts_anew() {
+    let start = Instant::now();
+    let mut ledger = ledger();
+    for number in 0..3 {
+        ledger.record_crash(start + STEP, &process(number), [BAD]);
+    }
+    let later = start + Duration::from_secs(2);
+    assert_eq!(ledger.update(later), [(BAD, 3)]);
+    ledger.record_sound(later, [BAD]);
+    assert!(!ledger.refuses(later, [BAD]));
+    assert!(ledger.update(later + STEP).is_empty());
+}
+
+#[test]
+fn one_crash_seen_by_several_nodes_counts_once() {
+    let start = Instant::now();
+    let mut leader = ledger();
+    for _ in 0..5 {
+        let mut node = ledger();
+        node.record_crash(start, &process(1), [BAD]);
+        tell(start + Duration::from_secs(2), &node, &mut leader);
+    }
+    assert!(!leader.refuses(start + Duration::from_secs(2), [BAD]));
+}
+
+#[test]
+fn a_quarantine_lasts_while_requests_come_and_ends_after_them() {
+    let settings = CrashSettings::default();
+    let mut now = Instant::now();
+    let mut ledger = ledger();
+    for number in 0..3 {
+        ledger.record_crash(now, &process(number), [BAD]);
+    }
+    now += settings.dispute_time;
+    ledger.update(now);
+    for _ in 0..10 {
+        now += settings.quarantine_time / 2;
+        ledger.update(now);
+        assert!(ledger.refuses(now, [BAD]));
+    }
+    now += settings.quarantine_time;
+    ledger.update(now);
+    assert!(!ledger.refuses(now, [BAD]));
+}
+
+#[test]
+fn a_new_leader_learns_the_quarantine_from_the_nodes_and_memory_is_bounded() {
+    let start = Instant::now();
+    let mut node = ledger();
+    for number in 0..3 {
+        node.record_crash(start, &process(number), [BAD]);
+    }
+    let later = start + Duration::from_secs(2);
+    node.update(later);
+    let mut leader = ledger();
+    tell(later, &node, &mut leader);
+    assert!(leader.refuses(later, [BAD]));
+    for part in 0..20_000 {
+        leader.record_sound(later + Duration::from_micros(part), [part + 100]);
+        leader.record_crash(later + Duration::from_micros(part), &process(1), [part + 100_000]);
+    }
+    let limit = CrashSettings::default().max_parts;
+    assert!(leader.digest(later).crashes.len() <= limit);
+    assert!(leader.refuses(later, [BAD]));
+}
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod budget;
 mod catalogue;
+mod crashes;
 mod events;
 mod feed;
 mod placement;
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -1,6 +1,7 @@
 //! Shared state of a relay node, gathered in one place so that tests can build it with fakes.
 
 mod budgets;
+mod crashes;
 mod demand;
 mod observations;
 mod records;
@@ -16,6 +17,7 @@
 
 pub use self::{
     budgets::ServiceBudgets,
+    crashes::CrashGuard,
     demand::{AdapterUseGuard, DemandCounter, DemandDigest},
     observations::ObservationBuffer,
     records::RecordCache,
@@ -62,6 +64,8 @@
     pub observations: ObservationBuffer,
     /// Retry budget shares by service.
     pub budgets: ServiceBudgets,
+    /// Prompts under which runners crash.
+    pub crashes: CrashGuard,
     /// Demand by model.
     pub demand: DemandCounter,
     /// What this node knows about the current leader, and the state of runners that it keeps while it leads.
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -62,6 +62,8 @@
     pub(super) head: response::Parts,
     pub(super) body: Incoming,
     pub(super) metadata: AnswerMetadata,
+    /// When the head was received.
+    pub(super) started_at: Instant,
     pub(super) _adapter_use: Option<AdapterUseGuard>,
 }
 
@@ -107,6 +109,9 @@
 impl ReceivedRequest {
     /// Chooses a runner that was not tried yet and holds the requested adapter, or has the adapter loaded on one.
     pub(super) async fn choose(&self, tried: &[BackendId]) -> Result<RunnerPick, AttemptError> {
+        if self.context.crashes.refuses(&self.request) {
+            return Err(AttemptError::unplaced(RefusalCause::PromptQuarantined));
+        }
         let mut excluded = tried.to_vec();
         for _ in 0..MAX_ADAPTER_LOADS {
             let query = SelectionQuery {
@@ -226,6 +231,7 @@
             head,
             body,
             metadata,
+            started_at: clock::now(),
             _adapter_use: adapter_use,
         })
     }
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -1,5 +1,12 @@
 //! Answers that are event streams, passed on event by event and resumed at another runner where the route allows it.
 
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
 use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -18,6 +25,7 @@
 };
 use slog::o;
 use smol_str::SmolStr;
+use tokio::{net::TcpStream, time};
 
 use super::{
     answer::{BrokenAnswer, RelayBody},
@@ -28,6 +36,11 @@
 };
 use crate::fleet::AttemptOutcome;
 
+/// Time from the head of an answer within which a runner crashes that cannot bear the prompt.
+const ANSWER_START_TIME: Duration = Duration::from_millis(500);
+/// Timeout of the connection that tells a crashed runner from a broken connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// An event stream that is passed on from one runner, or several in turn, to a caller.
 #[derive(Debug)]
 pub(super) struct StreamRelay {
@@ -35,6 +48,8 @@
     plan: AttemptPlan,
     open: Option<OpenAnswer>,
     splitter: EventSplitter,
+    /// Whether the answer went on beyond the point at which a runner would have crashed under its prompt.
+    is_sound: bool,
     /// Identifier of the last event that was passed on.
     last_event: Option<SmolStr>,
     status: hyper::StatusCode,
@@ -52,6 +67,7 @@
             plan,
             open: Some(open),
             splitter: EventSplitter::default(),
+            is_sound: false,
             status,
         };
         let frames = stream::unfold(relay, |mut relay| async move {
@@ -68,7 +84,7 @@
         loop {
             let open = self.open.as_mut()?;
             let time_left = self.received.expires_at.saturating_duration_since(clock::now());
-            let frame = tokio::time::timeout(time_left, open.body.frame()).await;
+            let frame = time::timeout(time_left, open.body.frame()).await;
             let reason = match frame {
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
@@ -76,6 +92,7 @@
                     }
                     let events = self.take_events();
                     if !events.is_empty() {
+                        self.record_sound();
                         return Some(Ok(events));
                     }
                     if !self.splitter.is_overlong() {
@@ -125,6 +142,7 @@
             let pool = &open.ticket.cell().pool;
             pool.give_back(open.connection, keep_alive_timeout(&open.head.headers));
         }
+        self.received.context.crashes.record_sound(&self.received.request);
         record_runner_answer(&self.received, self.status);
         let rest = Bytes::copy_from_slice(self.splitter.remainder());
         (!rest.is_empty()).then_some(Ok(rest))
@@ -142,10 +160,20 @@
             is_timeout: reason == "timed_out",
             is_withheld: false,
         };
+        let (cell, started_at) = (Arc::clone(open.ticket.cell()), open.started_at);
         // The old connection is closed before another runner continues, so that the request does not run at both at
         // once.
         drop(open);
         self.splitter = EventSplitter::default();
+        if is_suspect(&self.received, started_at, reason) && has_crashed(cell.listed().address).await {
+            // A repeat might end the next runner.
+            self.received
+                .context
+                .crashes
+                .record_crash(&cell.listed(), &self.received.request);
+            self.log_broken("runner_crashed");
+            return false;
+        }
         loop {
             let step = next_step(&self.received, &mut self.plan, &error);
             log_failure(&self.received, &error, &step);
@@ -165,6 +193,15 @@
         false
     }
 
+    /// Clears the parts of the prompt once the runner has answered for longer than the start of an answer takes.
+    fn record_sound(&mut self) {
+        let started_at = self.open.as_ref().map(|open| open.started_at);
+        let is_under_way = started_at.is_some_and(|at| clock::now().saturating_duration_since(at) >= ANSWER_START_TIME);
+        if is_under_way && !std::mem::replace(&mut self.is_sound, true) {
+            self.received.context.crashes.record_sound(&self.received.request);
+        }
+    }
+
     async fn reopen(&mut self, excluded: &[mustardgate_core::ids::BackendId]) -> Result<OpenAnswer, AttemptError> {
         let pick = self.received.choose(excluded).await?;
         let backend = pick.cell.listed().id.clone();
@@ -212,6 +249,21 @@
     }
 }
 
+/// Returns whether an answer broke off so soon that its prompt may have ended the runner.
+fn is_suspect(received: &ReceivedRequest, started_at: Instant, reason: &str) -> bool {
+    received.request.parts.len() > 1
+        && matches!(reason, "broken_answer" | "unfinished_event")
+        && clock::now().saturating_duration_since(started_at) < ANSWER_START_TIME
+}
+
+/// Returns whether nothing listens at a runner's address any more.
+async fn has_crashed(address: SocketAddr) -> bool {
+    match time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
 /// Returns whether the event `id` was already passed on; numeric identifiers increase within a stream.
 fn is_duplicate(last: Option<&str>, id: &str) -> bool {
     let number = |text: &str| text.parse::<u64>().ok();
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -6,14 +6,15 @@
 use mustardgate_core::{
     ids::DomainId,
     lease::LeaseSettings,
-    relay::{AdmissionGate, PlannerSettings, RetryAdvisor},
+    relay::{AdmissionGate, CrashSettings, PlannerSettings, RetryAdvisor},
 };
 use rand::Rng;
 
 use crate::{
     client::PoolSettings,
     context::{
-        DemandCounter, ObservationBuffer, PlatformPorts, RecordCache, RelayContext, RouteHolder, ServiceBudgets,
+        CrashGuard, DemandCounter, ObservationBuffer, PlatformPorts, RecordCache, RelayContext, RouteHolder,
+        ServiceBudgets,
     },
     fleet::RunnerFleet,
     leader::{BootClock, SharedLeadership},
@@ -63,6 +64,7 @@
         .limits(settings.node.link_mbps, settings.bounds.shortest_bound());
     Arc::new(RelayContext {
         feed: FeedLimiter::new(feed),
+        crashes: CrashGuard::new(CrashSettings::default(), logger.clone()),
         log: RequestLog::new(logger.clone(), settings.logging.clone()),
         routes: RouteHolder::default(),
         fleet: RunnerFleet::new(settings.node.domain.clone(), PoolSettings::default(), logger),
--- a/crates/mustardgate-relay/src/peers/digests.rs
+++ b/crates/mustardgate-relay/src/peers/digests.rs
@@ -53,6 +53,7 @@
         let report = DemandReport {
             address: self.address,
             digest: self.context.demand.take(),
+            crashes: self.context.crashes.digest(),
             seen: self
                 .seen
                 .filter(|(leader, _)| *leader == address)
@@ -68,6 +69,7 @@
             for observation in &answer.observations {
                 self.context.fleet.observe(observation);
             }
+            self.context.crashes.merge(&answer.crashes);
             self.seen = Some((address, answer.seen));
         }
     }
--- a/crates/mustardgate-relay/src/peers/messages.rs
+++ b/crates/mustardgate-relay/src/peers/messages.rs
@@ -5,7 +5,7 @@
 use mustardgate_core::{
     ids::{BackendId, Offset, ServiceId},
     ports::{ConditionalAppendError, LogEra, LogTopic, TopicError, TopicPage, TopicRecord},
-    relay::RunnerObservation,
+    relay::{CrashDigest, RunnerObservation},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use smol_str::SmolStr;
@@ -42,6 +42,9 @@
     /// Number of the newest runner observation that the called node has returned to this one.
     #[serde(default)]
     pub seen: u64,
+    /// What the node knows of prompts under which runners crash.
+    #[serde(default)]
+    pub crashes: CrashDigest,
 }
 
 /// Answer of the called node.
@@ -59,6 +62,9 @@
     /// Number of the newest observation.
     #[serde(default)]
     pub seen: u64,
+    /// What the leader knows of prompts under which runners crash.
+    #[serde(default)]
+    pub crashes: CrashDigest,
 }
 
 /// A call to the log, or to the called node's copy of its records, on behalf of the calling node.
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -84,12 +84,11 @@
     let report: DemandReport = decode(body)?;
     let is_leading = context.leader.token().is_some();
     context.directory.record_contact(report.address);
-    if is_leading {
-        context.leader.record_demand(&report.digest);
-    }
+    context.crashes.merge(&report.crashes);
     if !is_leading {
         return Some(encode(&LeaderAnswer::default()));
     }
+    context.leader.record_demand(&report.digest);
     let (observations, seen) = context.observations.since(report.seen);
     Some(encode(&LeaderAnswer {
         is_leading,
@@ -97,6 +96,7 @@
         nodes: context.directory.count_live_nodes(),
         observations,
         seen,
+        crashes: context.crashes.digest(),
     }))
 }
 
