Count a stream that ends inside an event as broken

With a length or chunks the node took the end of the body for the end of the answer and passed the torn event on as complete. It is now resumed where the route allows it and broken off otherwise.

--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -10,11 +10,7 @@
 use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::{
-    HeaderMap, Response,
-    body::Frame,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
-};
+use hyper::{Response, body::Frame};
 use metrics::counter;
 use mustardgate::events;
 use mustardgate_core::{
@@ -100,7 +96,11 @@
                     }
                     "overlong_event"
                 }
-                Ok(None) if self.is_complete() => return self.finish(),
+                Ok(None) if self.splitter.remainder().is_empty() => {
+                    self.finish();
+                    return None;
+                }
+                // Whatever the framing says, a stream that ends inside an event was broken off.
                 Ok(None) => "unfinished_event",
                 Ok(Some(Err(_))) => "broken_answer",
                 Err(_) => "timed_out",
@@ -126,17 +126,8 @@
         Bytes::from(events)
     }
 
-    /// Returns whether the answer is complete at the end of its body: a body without framing that ends within an event
-    /// was truncated.
-    fn is_complete(&self) -> bool {
-        let is_framed =
-            |headers: &HeaderMap| headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-        let open = self.open.as_ref();
-        self.splitter.remainder().is_empty() || open.is_some_and(|open| is_framed(&open.head.headers))
-    }
-
-    fn finish(&mut self) -> Option<Result<Bytes, BrokenAnswer>> {
-        let mut open = self.open.take()?;
+    fn finish(&mut self) {
+        let Some(mut open) = self.open.take() else { return };
         open.ticket.set_outcome(AttemptOutcome::Answered);
         if !closes_connection(&open.head.headers) {
             let pool = &open.ticket.cell().pool;
@@ -144,8 +135,6 @@
         }
         self.received.context.crashes.record_sound(&self.received.request);
         record_runner_answer(&self.received, self.status);
-        let rest = Bytes::copy_from_slice(self.splitter.remainder());
-        (!rest.is_empty()).then_some(Ok(rest))
     }
 
     /// Resumes the stream at another runner; returns `false` if that is not possible and the stream ends as broken.
