Send no request to a runner for the time that it asks for

The time is kept with the runner's process and looked at when a runner is selected and again when the request is sent, whichever kind of request was turned away. Where all holders of a model ask for a pause, callers are refused at once with the shortest of their times.

--- a/crates/mustardgate-relay/src/fleet/cell.rs
+++ b/crates/mustardgate-relay/src/fleet/cell.rs
@@ -43,6 +43,8 @@
     loaded_adapters: BTreeSet<ModelName>,
     /// Models and adapters that the runner stated it lacks, and when.
     absent: HashMap<ModelName, Instant>,
+    /// Until when the runner wants no request of this node.
+    held_until: Option<Instant>,
 }
 
 /// How an attempt at a runner ended, for the runner's health.
@@ -73,6 +75,7 @@
                 prefixes: PrefixIndex::default(),
                 loaded_adapters: BTreeSet::new(),
                 absent: HashMap::new(),
+                held_until: None,
             }),
         }
     }
@@ -94,9 +97,26 @@
 
     /// Returns whether requests may be sent to the runner now.
     pub fn accepts_requests(&self) -> bool {
+        self.is_in_service() && self.hold_left(clock::now()).is_none()
+    }
+
+    /// Returns whether the runner is listed and ready.
+    pub fn is_in_service(&self) -> bool {
         !self.is_retired.load(Ordering::Relaxed) && self.listed().state == RunnerState::Ready
     }
 
+    /// Sends no request to the runner for a time that it asked for.
+    pub fn hold(&self, until: Instant) {
+        let mut state = self.lock();
+        state.held_until = state.held_until.max(Some(until));
+    }
+
+    /// Returns how much longer the runner wants no request of this node.
+    pub fn hold_left(&self, now: Instant) -> Option<Duration> {
+        let until = self.lock().held_until?;
+        Some(until.saturating_duration_since(now)).filter(|left| !left.is_zero())
+    }
+
     /// Returns whether the runner holds a model, and whether it holds the adapter too.
     pub fn holds(&self, now: Instant, name: &ModelName) -> (bool, bool) {
         let listed = self.listed();
--- a/crates/mustardgate-relay/src/fleet/selection.rs
+++ b/crates/mustardgate-relay/src/fleet/selection.rs
@@ -1,6 +1,9 @@
 //! Selection of a runner for one request from the fleet.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use mustardgate_core::{
     ids::{BackendId, ServiceId},
@@ -37,6 +40,8 @@
 pub struct SelectionError {
     /// Cause of the refusal.
     pub cause: RefusalCause,
+    /// Time after which a runner that holds the model accepts requests again, if one asked for such a time.
+    pub retry_after: Option<Duration>,
 }
 
 impl RunnerFleet {
@@ -45,15 +50,18 @@
     /// # Errors
     /// [`SelectionError`] when no runner can answer the request.
     pub fn select(&self, now: Instant, query: &SelectionQuery<'_>) -> Result<RunnerPick, SelectionError> {
-        let refuse = |cause| Err(SelectionError { cause });
-        let usable: Vec<Arc<RunnerCell>> = self
+        let in_service: Vec<Arc<RunnerCell>> = self
             .of_service(query.service)
             .into_iter()
-            .filter(|cell| cell.accepts_requests())
+            .filter(|cell| cell.is_in_service())
             .collect();
-        if usable.is_empty() {
-            return refuse(RefusalCause::NoRunner);
+        if in_service.is_empty() {
+            return Err(SelectionError {
+                cause: RefusalCause::NoRunner,
+                retry_after: None,
+            });
         }
+        let (held, usable): (Vec<_>, Vec<_>) = in_service.into_iter().partition(|cell| cell.hold_left(now).is_some());
         let holders: Vec<(Arc<RunnerCell>, Candidate)> = usable
             .into_iter()
             .filter(|cell| !query.excluded.contains(&cell.listed().id))
@@ -66,11 +74,16 @@
         let mut rng = rand::rng();
         let selected = RunnerSelector::default().select(&candidates, || rng.random());
         let Some((cell, candidate)) = selected.and_then(|index| holders.into_iter().nth(index)) else {
-            return refuse(if query.excluded.is_empty() {
-                RefusalCause::ModelAbsent
-            } else {
-                RefusalCause::AttemptsUsedUp
-            });
+            let holders = held
+                .iter()
+                .filter(|cell| self.candidate(now, cell, query.request).is_some());
+            let retry_after = holders.filter_map(|cell| cell.hold_left(now)).min();
+            let cause = match retry_after {
+                Some(_) => RefusalCause::Overloaded,
+                None if query.excluded.is_empty() => RefusalCause::ModelAbsent,
+                None => RefusalCause::AttemptsUsedUp,
+            };
+            return Err(SelectionError { cause, retry_after });
         };
         Ok(RunnerPick { cell, candidate })
     }
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -78,6 +78,8 @@
     pub(super) is_timeout: bool,
     /// Whether the request was not sent because the runner no longer accepts requests.
     pub(super) is_withheld: bool,
+    /// Time after which a runner accepts requests again, if known.
+    pub(super) retry_after: Option<Duration>,
 }
 
 impl AttemptError {
@@ -90,6 +92,7 @@
             reason: "unplaced".into(),
             is_timeout: false,
             is_withheld: false,
+            retry_after: None,
         }
     }
 
@@ -102,6 +105,7 @@
             reason: reason.into(),
             is_timeout: false,
             is_withheld: false,
+            retry_after: None,
         }
     }
 }
@@ -121,7 +125,12 @@
             };
             let pick = match self.select(&query).await {
                 Ok(pick) => pick,
-                Err(error) if excluded.len() == tried.len() => return Err(AttemptError::unplaced(error.cause)),
+                Err(error) if excluded.len() == tried.len() => {
+                    return Err(AttemptError {
+                        retry_after: error.retry_after,
+                        ..AttemptError::unplaced(error.cause)
+                    });
+                }
                 Err(_) => break,
             };
             let (Some(name), true) = (&self.request.model, pick.candidate.lacks_adapter) else {
@@ -159,6 +168,7 @@
             if admission.elapsed + ADMISSION_POLL_INTERVAL > gate.max_queue_time(&admission) {
                 return Err(SelectionError {
                     cause: RefusalCause::Overloaded,
+                    retry_after: None,
                 });
             }
             tokio::time::sleep(ADMISSION_POLL_INTERVAL).await;
@@ -257,6 +267,9 @@
             }
             AnswerKind::Misdirected | AnswerKind::NotRun => {
                 ticket.discard_wait();
+                if let Some(delay) = metadata.retry_after {
+                    ticket.cell().hold(clock::now() + delay);
+                }
                 let is_full = metadata.load.is_none_or(|load| load.running >= load.slots);
                 if metadata.kind == AnswerKind::Misdirected || !is_full {
                     // A runner that refuses despite free slots is about to evict the model or is still loading it.
--- a/crates/mustardgate-relay/src/gateway/buffered.rs
+++ b/crates/mustardgate-relay/src/gateway/buffered.rs
@@ -156,5 +156,6 @@
         reason: reason.into(),
         is_timeout,
         is_withheld: false,
+        retry_after: None,
     }
 }
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -170,6 +170,7 @@
             reason: "not_permitted".into(),
             is_timeout: false,
             is_withheld: false,
+            retry_after: None,
         });
     }
     received.open(&pick, None).await
@@ -235,7 +236,8 @@
     });
     let retry_after = context
         .advisor
-        .retry_delay(error.cause, load_left, rand::rng().random());
+        .retry_delay(error.cause, load_left, rand::rng().random())
+        .max(error.retry_after.unwrap_or_default());
     let answer = LocalAnswer::of_verdict(plan.verdict(), error.cause, retry_after, error.is_timeout);
     finish_local(
         context,
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -148,6 +148,7 @@
             reason: reason.into(),
             is_timeout: reason == "timed_out",
             is_withheld: false,
+            retry_after: None,
         };
         let (cell, started_at) = (Arc::clone(open.ticket.cell()), open.started_at);
         // The old connection is closed before another runner continues, so that the request does not run at both at
@@ -201,6 +202,7 @@
             reason: reason.into(),
             is_timeout: false,
             is_withheld: false,
+            retry_after: None,
         };
         if !self.plan.begin_attempt(&backend) {
             return Err(refused("not_permitted"));
--- a/crates/mustardgate-relay/src/ports/mod.rs
+++ b/crates/mustardgate-relay/src/ports/mod.rs
@@ -94,6 +94,8 @@
     pub load: Option<ReportedLoad>,
     /// Whether the body has a content encoding, which no caller requests.
     pub is_encoded: bool,
+    /// How long the runner wants no further request of this node, if it turned this one away and said so.
+    pub retry_after: Option<Duration>,
     /// Whether the runner that answered states that it stops.
     pub is_leaving: bool,
 }
