--- a/crates/mustardgate-relay/src/leader/lease.rs
+++ b/crates/mustardgate-relay/src/leader/lease.rs
@@ -59,6 +59,8 @@
     is_leading: bool,
     has_reported_problem: bool,
     last_read_at: Option<Instant>,
+    /// When the log was last found to be restored, on the lease's clock.
+    restored_at: Option<Instant>,
 }
 
 impl LeaseTask {
@@ -72,6 +74,7 @@
             is_leading: false,
             has_reported_problem: false,
             last_read_at: None,
+            restored_at: None,
         }
     }
 
@@ -89,7 +92,7 @@
 
     async fn step(&mut self) {
         let is_read = self.is_leading || (self.is_due() && self.read().await);
-        if !is_read {
+        if !is_read || self.is_in_doubt() {
             return;
         }
         let (Some(record), Some(at)) = (self.context.leader.poll_lease(), self.next) else {
@@ -187,10 +190,19 @@
         }
     }
 
+    /// Returns whether the log was restored less than a term ago: a holder whose claim was lost with it may still act.
+    fn is_in_doubt(&self) -> bool {
+        let now = self.context.leader.lease_time();
+        let term = self.context.settings.bounds.lease_term();
+        self.restored_at
+            .is_some_and(|at| now.saturating_duration_since(at) < term)
+    }
+
     /// Starts reading the lease anew after the log was restored: records that were read may be gone, and their offsets
     /// given to others.
     fn restart(&mut self) {
         self.context.leader.restart_lease();
+        self.restored_at = Some(self.context.leader.lease_time());
         self.trimmed_to = None;
         self.next = None;
         self.report_problem(&TopicError::Restored.to_string());
