Read the rate limit that runners state, and log its changes

The dialect now gives each value one meaning (a decimal number, zero included, is a limit; negative and unreadable ones say nothing), a ledger orders answers that arrive out of order and can take over what other nodes observed, and event 627 says the limit before and after. Nothing is held back yet: sends are as before.

Tests: values of the header, order of answers, end of a limit, what nodes tell each other.

--- a/crates/mustardgate-core/src/ids/mod.rs
+++ b/crates/mustardgate-core/src/ids/mod.rs
@@ -16,6 +16,8 @@
 pub type RegionId = SmolStr;
 /// Name of a backend server: a runner with a model engine, or a plain service instance.
 pub type BackendId = SmolStr;
+/// One process of a runner: the runner, and the start time of the process in Unix milliseconds.
+pub type RunnerProcess = (BackendId, u64);
 /// Name of a declared model.
 pub type ModelId = SmolStr;
 /// Name of a declared adapter.
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -17,6 +17,7 @@
 mod planner;
 mod prefix;
 mod processes;
+mod rate_limits;
 mod request;
 mod selector;
 
@@ -37,6 +38,7 @@
     load::{LoadEstimate, ReportedLoad},
     planner::{OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
     prefix::PrefixIndex,
+    rate_limits::{LimitChange, LimitLedger, LimitObservation, LimitStatement},
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
     selector::{Candidate, RunnerSelector, SelectionWeights},
 };
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -7,5 +7,6 @@
 mod events;
 mod feed;
 mod placement;
+mod rate_limits;
 mod routes;
 mod selector;
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -3,6 +3,7 @@
 mod budgets;
 mod crashes;
 mod demand;
+mod limits;
 mod observations;
 mod records;
 mod routes;
@@ -19,6 +20,7 @@
     budgets::ServiceBudgets,
     crashes::CrashGuard,
     demand::{AdapterUseGuard, DemandCounter, DemandDigest},
+    limits::LimitGuard,
     observations::ObservationBuffer,
     records::RecordCache,
     routes::{ActiveRoutes, RouteHolder},
@@ -64,6 +66,8 @@
     pub observations: ObservationBuffer,
     /// Retry budget shares by service.
     pub budgets: ServiceBudgets,
+    /// Limits that runners state on the rate of requests.
+    pub limits: LimitGuard,
     /// Prompts under which runners crash.
     pub crashes: CrashGuard,
     /// Demand by model.
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -12,7 +12,7 @@
 use mustardgate_core::{
     clock,
     ids::{BackendId, ServiceId},
-    relay::{AdmissionQuery, RefusalCause, RelayRequest, RelayRoute, runner_rank},
+    relay::{AdmissionQuery, LimitStatement, ListedRunner, RefusalCause, RelayRequest, RelayRoute, runner_rank},
     verdict::RunVerdict,
 };
 use slog::o;
@@ -225,8 +225,8 @@
             Some(backend) => *backend == listed.id,
             None => metadata.kind != AnswerKind::Misdirected,
         };
-        if metadata.is_leaving && is_same_runner {
-            self.context.fleet.record_leaving(&listed);
+        if is_same_runner {
+            self.record_statements(&listed, &metadata, sent_at);
         }
         self.check_head(&mut ticket, &head, &metadata)?;
         ticket.record_first_token();
@@ -246,6 +246,17 @@
         })
     }
 
+    /// Records what the runner states about itself, whatever it answers.
+    fn record_statements(&self, listed: &ListedRunner, metadata: &AnswerMetadata, sent_at: Instant) {
+        if metadata.is_leaving {
+            self.context.fleet.record_leaving(listed);
+        }
+        // An answer to another request may be an old one, from before the runner had a limit.
+        if metadata.kind != AnswerKind::OtherRequest || metadata.limit != LimitStatement::Unlimited {
+            self.context.limits.observe(listed, metadata.limit, sent_at);
+        }
+    }
+
     /// Rejects the head of an answer that does not belong to this request, reports that the request did not run, or is
     /// successful but lacks the runner's seal or has an encoded body.
     fn check_head(
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -13,8 +13,8 @@
 use crate::{
     client::PoolSettings,
     context::{
-        CrashGuard, DemandCounter, ObservationBuffer, PlatformPorts, RecordCache, RelayContext, RouteHolder,
-        ServiceBudgets,
+        CrashGuard, DemandCounter, LimitGuard, ObservationBuffer, PlatformPorts, RecordCache, RelayContext,
+        RouteHolder, ServiceBudgets,
     },
     fleet::RunnerFleet,
     leader::{BootClock, SharedLeadership},
@@ -64,6 +64,7 @@
         .limits(settings.node.link_mbps, settings.bounds.shortest_bound());
     Arc::new(RelayContext {
         feed: FeedLimiter::new(feed),
+        limits: LimitGuard::new(logger.clone()),
         crashes: CrashGuard::new(CrashSettings::default(), logger.clone()),
         log: RequestLog::new(logger.clone(), settings.logging.clone()),
         routes: RouteHolder::default(),
--- a/crates/mustardgate-relay/src/ports/mod.rs
+++ b/crates/mustardgate-relay/src/ports/mod.rs
@@ -11,7 +11,7 @@
 use hyper::{HeaderMap, http::request, http::response};
 use mustardgate_core::{
     ids::{BackendId, ModelId, RequestId},
-    relay::{ListedRunner, ModelName, OrderKind, RelayConfig, RelayRequest, ReportedLoad},
+    relay::{LimitStatement, ListedRunner, ModelName, OrderKind, RelayConfig, RelayRequest, ReportedLoad},
 };
 use smol_str::SmolStr;
 use snafu::Snafu;
@@ -98,6 +98,8 @@
     pub retry_after: Option<Duration>,
     /// Whether the runner that answered states that it stops.
     pub is_leaving: bool,
+    /// Rate of requests that the runner that answered takes from all nodes together.
+    pub limit: LimitStatement,
 }
 
 /// Reads and writes the header fields that the platform defines for requests and answers.
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -117,6 +117,8 @@
 pub const RELAY_RUNNER_CRASHED: EventKind = event(625, Level::Warning, "runner crashed under a request");
 /// Requests with a part of a prompt are refused, because runners crash under it.
 pub const RELAY_PROMPT_QUARANTINED: EventKind = event(626, Level::Warning, "part of prompts quarantined");
+/// The limit on the rate of requests to a runner changed, by an answer of the runner.
+pub const RELAY_RUNNER_LIMITED: EventKind = event(627, Level::Info, "runner limit changed");
 /// A lease record was refused or could not be appended, read or decoded, so the lease is uncertain.
 pub const RELAY_LEASE_UNCERTAIN: EventKind = event(620, Level::Warning, "lease uncertain");
 /// An order was sent to a runner; with its reply.
@@ -184,6 +186,7 @@
     RELAY_LOG_BYPASSED,
     RELAY_RUNNER_CRASHED,
     RELAY_PROMPT_QUARANTINED,
+    RELAY_RUNNER_LIMITED,
     RELAY_SETTINGS_CHANGED,
     RELAY_SETTINGS_REFUSED,
 ];
