Send to a runner with a rate limit only with a permit for all nodes

Cause: nodes passed Server-Limit on and nobody read it; what holds a runner back (Retry-After, load, failures) is each node's own, so even a node that kept the limit would have multiplied it by the number of nodes. The class: a limit that is stated for all nodes together and kept, if at all, by each alone.

Change: a request to such a runner needs a permit, taken after the connection and right before the send, by retries and resumed streams too. The leader issues the permits of all nodes from one token bucket a runner. Without a leader a node has slots of its own, whose distance grows with the number of nodes; unused ones are lost. What is known of limits travels with the demand reports. A refused permit holds the runner back at the node: other runners are chosen, or the caller is refused at once with the time to come back. A replica on a runner whose limit is below its model's demand does not count as one.

Why it works: in 4 s the leader issues four times the limit and two more, the slots of all nodes together about 1.8 times the limit, against six times and five that are allowed.

New tests of permits and of placement beside a limited runner.

--- a/crates/mustardgate-core/benches/decisions.rs
+++ b/crates/mustardgate-core/benches/decisions.rs
@@ -103,6 +103,7 @@
         backend: format_smolstr!("r{runner}"),
         is_unschedulable: false,
         request_capacity: BATCH_SLOTS,
+        request_limit: None,
         accelerators: (0..size.accelerators)
             .map(|accelerator| AcceleratorView {
                 capacity_mib: ACCELERATOR_MEMORY_MIB,
--- a/crates/mustardgate-core/src/leader/runner.rs
+++ b/crates/mustardgate-core/src/leader/runner.rs
@@ -246,6 +246,7 @@
             backend: self.config.backend.clone(),
             is_unschedulable: self.config.is_leaving || !is_fresh,
             request_capacity: self.config.max_concurrency,
+            request_limit: None,
             accelerators: self
                 .ledgers
                 .iter()
--- a/crates/mustardgate-core/src/placement/share/counts.rs
+++ b/crates/mustardgate-core/src/placement/share/counts.rs
@@ -30,7 +30,8 @@
         }
         for runner in view.runners.iter().filter(|runner| !runner.is_unschedulable) {
             for holding in runner.accelerators.iter().flat_map(|accelerator| &accelerator.holdings) {
-                if holding.state != HoldingState::Unloading {
+                // A replica that cannot take the demand for its model needs another one beside it.
+                if holding.state != HoldingState::Unloading && runner.takes(counts.rate(&holding.artifact)) {
                     counts.add(&holding.artifact);
                 }
                 if holding.state == HoldingState::Resident {
@@ -66,7 +67,12 @@
 
     /// Returns the requests a second at each replica if there are `replicas`.
     pub(super) fn rate_per_replica_at(&self, artifact: &Artifact, replicas: u32) -> f64 {
-        self.rates.get(artifact).copied().unwrap_or_default() / f64::from(replicas.max(1))
+        self.rate(artifact) / f64::from(replicas.max(1))
+    }
+
+    /// Returns the requests a second for a model.
+    pub(super) fn rate(&self, artifact: &Artifact) -> f64 {
+        self.rates.get(artifact).copied().unwrap_or_default()
     }
 
     /// Returns the requests a second at each replica now.
--- a/crates/mustardgate-core/src/placement/share/policy.rs
+++ b/crates/mustardgate-core/src/placement/share/policy.rs
@@ -291,6 +291,7 @@
             .iter()
             .filter(|runner| is_idle(runner) && !runner.is_unschedulable && !holds(runner, artifact))
             .filter(|runner| !plan.changed_runners.contains(&runner.backend))
+            .filter(|runner| runner.takes(plan.counts.rate(artifact)))
             .filter(|runner| self.may_load(plan, &runner.backend, artifact))
             .filter_map(|runner| self.candidate(plan, runner, artifact, targets));
         let best = candidates.min_by(|one, other| one.cost_s.total_cmp(&other.cost_s));
--- a/crates/mustardgate-core/src/placement/view.rs
+++ b/crates/mustardgate-core/src/placement/view.rs
@@ -32,6 +32,8 @@
     /// Capacity of the runner: the gain policy takes it as the maximum number of requests in one batch, the share policy
     /// as requests a second.
     pub request_capacity: u32,
+    /// Requests a second that the runner takes at most, if it states a limit. Only the share policy uses it.
+    pub request_limit: Option<f64>,
     /// Accelerators, by index.
     pub accelerators: Vec<AcceleratorView>,
 }
@@ -45,6 +47,13 @@
     pub holdings: Vec<Holding>,
 }
 
+impl RunnerView {
+    /// Returns whether the runner takes `requests_per_second` as far as its limit is concerned.
+    pub fn takes(&self, requests_per_second: f64) -> bool {
+        self.request_limit.is_none_or(|limit| requests_per_second <= limit)
+    }
+}
+
 impl AcceleratorView {
     /// Returns the uncommitted memory.
     pub fn free_mib(&self) -> MemoryMib {
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod feed;
 mod health;
 mod load;
+mod permits;
 mod planner;
 mod prefix;
 mod processes;
@@ -36,6 +37,7 @@
     feed::{FeedAllowance, FeedLimits},
     health::{HealthSettings, OutcomeTracker},
     load::{LoadEstimate, ReportedLoad},
+    permits::{PermitIssuer, PermitSchedule},
     planner::{OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
     prefix::PrefixIndex,
     rate_limits::{LimitChange, LimitLedger, LimitObservation, LimitStatement},
--- a/crates/mustardgate-core/src/relay/planner.rs
+++ b/crates/mustardgate-core/src/relay/planner.rs
@@ -103,6 +103,8 @@
     pub is_usable: bool,
     /// Whether an order is in progress, during which it gets no other.
     pub is_busy: bool,
+    /// Requests a second that it takes at most, if it states a limit.
+    pub request_limit: Option<f64>,
     /// Models that are ready to answer requests.
     pub resident: BTreeSet<ModelId>,
     /// Models that an order in progress may load.
@@ -238,6 +240,7 @@
                 backend: runner.backend.clone(),
                 is_unschedulable: !runner.is_usable,
                 request_capacity: self.runner_rate.round().max(1.0) as u32,
+                request_limit: runner.request_limit,
                 accelerators: vec![AcceleratorView {
                     capacity_mib,
                     holdings: holdings(engine, runner),
--- a/crates/mustardgate-core/src/relay/rate_limits.rs
+++ b/crates/mustardgate-core/src/relay/rate_limits.rs
@@ -115,6 +115,18 @@
         self.evidence(process).rate()
     }
 
+    /// Returns what is known of a runner process that has a limit.
+    pub fn limited(&self, now: Instant, process: &RunnerProcess) -> Option<LimitObservation> {
+        let evidence = self.evidence(process);
+        evidence.rate()?;
+        Some(observation(now, process, evidence))
+    }
+
+    /// Returns whether nothing is known of any limit.
+    pub fn is_empty(&self) -> bool {
+        self.own.is_empty() && self.heard.is_empty()
+    }
+
     /// Returns what this node observed itself.
     pub fn own_observations(&self, now: Instant) -> Vec<LimitObservation> {
         let own = self.own.iter();
--- a/crates/mustardgate-core/tests/placement_gain.rs
+++ b/crates/mustardgate-core/tests/placement_gain.rs
@@ -56,6 +56,7 @@
         backend: format_smolstr!("r{index}"),
         is_unschedulable: false,
         request_capacity: 10,
+        request_limit: None,
         accelerators: vec![AcceleratorView {
             capacity_mib: 100,
             holdings,
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -6,6 +6,8 @@
 mod crashes;
 mod events;
 mod feed;
+mod limited_replicas;
+mod permits;
 mod placement;
 mod rate_limits;
 mod routes;
--- a/crates/mustardgate-relay/src/client/connection.rs
+++ b/crates/mustardgate-relay/src/client/connection.rs
@@ -28,6 +28,9 @@
     /// The runner stopped accepting requests before this one was sent.
     #[snafu(display("runner_left"))]
     Withheld,
+    /// The runner's rate limit leaves no room for the request now, so it was not sent.
+    #[snafu(display("rate_limited"))]
+    Limited,
     /// The connection closed before any byte of the request was written.
     #[snafu(display("not_sent"))]
     NotSent,
@@ -43,7 +46,7 @@
     /// Returns whether the request may have run.
     pub fn verdict(self) -> RunVerdict {
         match self {
-            Self::NotConnected | Self::Withheld | Self::NotSent => RunVerdict::NotRun,
+            Self::NotConnected | Self::Withheld | Self::Limited | Self::NotSent => RunVerdict::NotRun,
             Self::Broken | Self::TimedOut => RunVerdict::MayHaveRun,
         }
     }
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -23,7 +23,7 @@
     client::{RunnerConnection, SendFailure},
     context::{AdapterUseGuard, RelayContext},
     fleet::{AttemptOutcome, RunnerPick, RunnerTicket, SelectionError, SelectionQuery},
-    leader::request_adapter,
+    leader::{request_adapter, request_permit},
     ports::{AnswerKind, AnswerMetadata, AttemptMetadata},
 };
 
@@ -195,23 +195,29 @@
             if !cell.accepts_requests() {
                 return Err(SendFailure::Withheld);
             }
+            if let Err(delay) = request_permit(&self.context, &listed).await {
+                cell.pool.give_back(connection, None);
+                cell.hold(clock::now() + delay);
+                return Err(SendFailure::Limited);
+            }
             let time_left = self.expires_at.saturating_duration_since(clock::now());
             let request = self.runner_request(&listed.id, time_left, resume_after);
             let answer = connection.send(request, time_left).await?;
             Ok::<_, SendFailure>((connection, answer))
         };
         let (connection, answer) = outcome.await.map_err(|failure| {
-            if failure == SendFailure::Withheld {
+            let is_withheld = matches!(failure, SendFailure::Withheld | SendFailure::Limited);
+            if is_withheld {
                 ticket.discard_wait();
             }
             ticket.set_outcome(match failure {
                 SendFailure::NotConnected => AttemptOutcome::Unreachable,
-                SendFailure::Withheld | SendFailure::NotSent => AttemptOutcome::Neutral,
+                SendFailure::Withheld | SendFailure::Limited | SendFailure::NotSent => AttemptOutcome::Neutral,
                 SendFailure::Broken | SendFailure::TimedOut => AttemptOutcome::Failed,
             });
             AttemptError {
                 is_timeout: failure == SendFailure::TimedOut,
-                is_withheld: failure == SendFailure::Withheld,
+                is_withheld,
                 ..AttemptError::at_runner(&listed.id, failure.verdict(), &failure.to_string())
             }
         })?;
--- a/crates/mustardgate-relay/src/leader/mod.rs
+++ b/crates/mustardgate-relay/src/leader/mod.rs
@@ -9,6 +9,7 @@
 mod leadership;
 mod lease;
 mod orders;
+mod permits;
 mod plan;
 mod runner_orders;
 mod watch;
@@ -18,6 +19,7 @@
     clock::{BootClock, LeaseClock},
     leadership::SharedLeadership,
     lease::LeaseTask,
+    permits::{issue_permit, request_permit},
     plan::PlanTask,
     watch::WatchTask,
 };
--- a/crates/mustardgate-relay/src/leader/plan.rs
+++ b/crates/mustardgate-relay/src/leader/plan.rs
@@ -82,6 +82,7 @@
             let (arriving, leaving) = orders.pending_moves(&listed);
             let holdings = RunnerHoldings {
                 backend: listed.id.clone(),
+                request_limit: self.context.limits.rate(&listed),
                 is_usable: listed.state == RunnerState::Ready,
                 is_busy: !arriving.is_empty()
                     || !leaving.is_empty()
--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -97,5 +97,6 @@
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         context.fleet.sweep();
+        context.limits.retain(&context.fleet);
     }
 }
--- a/crates/mustardgate-relay/src/peers/client.rs
+++ b/crates/mustardgate-relay/src/peers/client.rs
@@ -16,13 +16,17 @@
 
 use super::messages::{
     ADAPTER_PATH, AdapterRequest, CachedRecords, DEMAND_PATH, DemandReport, LOG_PATH, LeaderAnswer, LogCall, LogReply,
-    RECORDS_PATH, decode, encode,
+    PERMIT_PATH, PermitAnswer, PermitRequest, RECORDS_PATH, decode, encode,
 };
 
 /// Timeout for a connection to another node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout for an answer of another node.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Timeout for a permit, for which a request waits.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest time for which a message that is received has been under way.
+pub const MAX_MESSAGE_TIME: Duration = CALL_TIMEOUT;
 /// Longest answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
@@ -58,6 +62,12 @@
         answer.is_some_and(|answer| answer.is_done)
     }
 
+    /// Asks the leader for a permit; returns `None` if it does not answer in time.
+    pub async fn request_permit(&self, leader: SocketAddr, request: &PermitRequest) -> Option<PermitAnswer> {
+        self.call_within(leader, "permit", PERMIT_PATH, request, PERMIT_TIMEOUT)
+            .await
+    }
+
     /// Reports the demand counted by this node to the leader.
     pub async fn report_demand(&self, leader: SocketAddr, report: &DemandReport) -> Option<LeaderAnswer> {
         self.call(leader, "demand", DEMAND_PATH, report).await
--- a/crates/mustardgate-relay/src/peers/digests.rs
+++ b/crates/mustardgate-relay/src/peers/digests.rs
@@ -54,6 +54,7 @@
             address: self.address,
             digest: self.context.demand.take(),
             crashes: self.context.crashes.digest(),
+            limits: self.context.limits.own_observations(),
             seen: self
                 .seen
                 .filter(|(leader, _)| *leader == address)
@@ -70,6 +71,7 @@
                 self.context.fleet.observe(observation);
             }
             self.context.crashes.merge(&answer.crashes);
+            self.context.limits.merge(&answer.limits);
             self.seen = Some((address, answer.seen));
         }
     }
--- a/crates/mustardgate-relay/src/peers/directory.rs
+++ b/crates/mustardgate-relay/src/peers/directory.rs
@@ -17,14 +17,26 @@
 /// Time for which changes are read from the log after the feeder has refused to pass them on.
 const FEEDER_SUSPENSION: Duration = Duration::from_secs(2);
 
+/// Time for which a larger number of nodes is remembered: at least this, and at most twice as long.
+const COUNT_MEMORY: Duration = Duration::from_secs(30);
+
 /// Addresses of other nodes.
 #[derive(Debug, Default)]
 pub struct PeerDirectory {
     last_contacts: Mutex<BTreeMap<SocketAddr, Instant>>,
     node_count: AtomicU32,
+    count_history: Mutex<CountHistory>,
     feeder: Mutex<FeederChoice>,
 }
 
+/// Largest numbers of nodes in the current period of [`COUNT_MEMORY`] and in the one before.
+#[derive(Debug, Default)]
+struct CountHistory {
+    period_since: Option<Instant>,
+    current: u32,
+    previous: u32,
+}
+
 #[derive(Debug, Default)]
 struct FeederChoice {
     address: Option<SocketAddr>,
@@ -76,6 +88,23 @@
     /// Sets the number of nodes according to the leader.
     pub fn set_node_count(&self, nodes: u32) {
         self.node_count.store(nodes, Ordering::Relaxed);
+        let now = clock::now();
+        let mut history = self.count_history.lock().expect("no holder of the lock panics");
+        let is_over = |since: Instant| now.saturating_duration_since(since) >= COUNT_MEMORY;
+        if history.period_since.is_none_or(is_over) {
+            history.previous = history.current;
+            history.current = 0;
+            history.period_since = Some(now);
+        }
+        history.current = history.current.max(nodes);
+    }
+
+    /// Returns the largest number of nodes according to the leaders of the last while, or 0 if unknown.
+    ///
+    /// A new leader knows only the nodes that have called it, and a leader that is cut off only those on its side.
+    pub fn largest_node_count(&self) -> u32 {
+        let history = self.count_history.lock().expect("no holder of the lock panics");
+        history.current.max(history.previous)
     }
 
     /// Returns the number of nodes according to the leader, or 0 if unknown.
--- a/crates/mustardgate-relay/src/peers/messages.rs
+++ b/crates/mustardgate-relay/src/peers/messages.rs
@@ -5,7 +5,7 @@
 use mustardgate_core::{
     ids::{BackendId, Offset, ServiceId},
     ports::{ConditionalAppendError, LogEra, LogTopic, TopicError, TopicPage, TopicRecord},
-    relay::{CrashDigest, RunnerObservation},
+    relay::{CrashDigest, LimitObservation, RunnerObservation},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use smol_str::SmolStr;
@@ -16,6 +16,8 @@
 pub(super) const ADAPTER_PATH: &str = "/peers/v1/adapters";
 /// Path of [`DemandReport`].
 pub(super) const DEMAND_PATH: &str = "/peers/v1/demand";
+/// Path of [`PermitRequest`].
+pub(super) const PERMIT_PATH: &str = "/peers/v1/permits";
 /// Path of [`LogCall`].
 pub(super) const LOG_PATH: &str = "/peers/v1/log";
 /// Path of [`CachedRecords`].
@@ -45,10 +47,13 @@
     /// What the node knows of prompts under which runners crash.
     #[serde(default)]
     pub crashes: CrashDigest,
+    /// Rate limits that the node observed itself.
+    #[serde(default)]
+    pub limits: Vec<LimitObservation>,
 }
 
 /// Answer of the called node.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LeaderAnswer {
     /// Whether the called node leads.
     pub is_leading: bool,
@@ -65,6 +70,27 @@
     /// What the leader knows of prompts under which runners crash.
     #[serde(default)]
     pub crashes: CrashDigest,
+    /// Rate limits that the leader and other nodes observed.
+    #[serde(default)]
+    pub limits: Vec<LimitObservation>,
+}
+
+/// A node asks the leader for a permit to send one request to a runner with a rate limit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// What the node knows of the limit.
+    pub limit: LimitObservation,
+}
+
+/// Answer to a [`PermitRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitAnswer {
+    /// The request may be sent now.
+    Issued,
+    /// The request must not be sent; the next permit is expected after this time.
+    Refused(Duration),
+    /// The called node does not lead.
+    NotLeading,
 }
 
 /// A call to the log, or to the called node's copy of its records, on behalf of the calling node.
--- a/crates/mustardgate-relay/src/peers/mod.rs
+++ b/crates/mustardgate-relay/src/peers/mod.rs
@@ -1,4 +1,4 @@
-//! Calls between nodes: adapter requests, demand reports, log access through a neighbour, and records for a node that
+//! Calls between nodes: adapter requests, permits, demand reports, log access through a neighbour, and records for a node that
 //! starts while the log is unavailable.
 //!
 //! No message between nodes can make a request run twice, release memory or bring a configuration into force that the
@@ -14,11 +14,14 @@
 mod server;
 
 pub use self::{
-    client::PeerClient,
+    client::{MAX_MESSAGE_TIME, PeerClient},
     digests::DigestTask,
     directory::PeerDirectory,
     feed::FeedLimiter,
     log::NeighbourLog,
-    messages::{AdapterRequest, CachedRecord, CachedRecords, DemandReport, LeaderAnswer, LogCall, LogReply},
+    messages::{
+        AdapterRequest, CachedRecord, CachedRecords, DemandReport, LeaderAnswer, LogCall, LogReply, PermitAnswer,
+        PermitRequest,
+    },
     server::serve_peers,
 };
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -16,9 +16,12 @@
 
 use super::messages::{
     ADAPTER_PATH, AdapterRequest, CachedRecord, CachedRecords, DEMAND_PATH, DemandReport, LOG_PATH, LeaderAnswer,
-    LogCall, LogReply, RECORDS_PATH, decode, encode,
+    LogCall, LogReply, PERMIT_PATH, PermitRequest, RECORDS_PATH, decode, encode,
+};
+use crate::{
+    context::RelayContext,
+    leader::{issue_permit, load_adapter},
 };
-use crate::{context::RelayContext, leader::load_adapter};
 
 /// Path at which metrics are read.
 const METRICS_PATH: &str = "/metrics";
@@ -58,6 +61,7 @@
     let message = match path.as_str() {
         ADAPTER_PATH => answer_adapter_request(&context, &body).await,
         DEMAND_PATH => answer_demand(&context, &body),
+        PERMIT_PATH => answer_permit_request(&context, &body),
         LOG_PATH => answer_log(&context, &body).await,
         RECORDS_PATH => Some(answer_records(&context).await),
         _ => return empty_answer(StatusCode::NOT_FOUND),
@@ -85,6 +89,7 @@
     let is_leading = context.leader.token().is_some();
     context.directory.record_contact(report.address);
     context.crashes.merge(&report.crashes);
+    context.limits.merge(&report.limits);
     if !is_leading {
         return Some(encode(&LeaderAnswer::default()));
     }
@@ -97,9 +102,15 @@
         observations,
         seen,
         crashes: context.crashes.digest(),
+        limits: context.limits.all_observations(),
     }))
 }
 
+fn answer_permit_request(context: &RelayContext, body: &[u8]) -> Option<Vec<u8>> {
+    let request: PermitRequest = decode(body)?;
+    Some(encode(&issue_permit(context, &request)))
+}
+
 /// Calls the log for another node, or passes on what this node has read of it.
 ///
 /// What does not fit on this node's link is refused at once, because the other node can then still read the log itself
--- a/crates/standins/src/capacity/leader.rs
+++ b/crates/standins/src/capacity/leader.rs
@@ -89,6 +89,7 @@
         backend: samples::backend(runner),
         is_unschedulable: false,
         request_capacity: 32,
+        request_limit: None,
         accelerators: (0..samples::ACCELERATORS).map(accelerator).collect(),
     }
 }
--- a/crates/standins/src/experiment/placers/gain.rs
+++ b/crates/standins/src/experiment/placers/gain.rs
@@ -202,6 +202,7 @@
         backend: backend_name(runner),
         is_unschedulable: false,
         request_capacity: BATCH_SLOTS,
+        request_limit: None,
         accelerators: vec![AcceleratorView {
             capacity_mib: accelerator_memory_mib(),
             holdings: holdings.collect(),
