Prove rate limits with random cuts, leaders and restarts

The scenario rate-limits drives the ledger, the permits of the leader and the slots of 2 to 120 nodes against three runners with limits of 0.2 to 20 a second, while nodes are cut off and restarted, leaders change or are missing, and messages and answers are late.

--- a/crates/standins/src/proof/mod.rs
+++ b/crates/standins/src/proof/mod.rs
@@ -13,6 +13,7 @@
 mod domain;
 mod keyed;
 mod leaving;
+mod limits;
 mod memory;
 mod replicas;
 mod seeds;
@@ -84,6 +85,7 @@
         Box::new(told_not_run::ToldNotRunScenario),
         Box::new(whole_answers::WholeAnswersScenario),
         Box::new(leaving::LeavingScenario),
+        Box::new(limits::LimitScenario),
         Box::new(ConfigScenario::new(ConfigGuard::VersionCheck)),
         Box::new(ConfigScenario::new(ConfigGuard::ChangeIdentifiers)),
         Box::new(ConfigScenario::new(ConfigGuard::ReadBack)),
