--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -14,9 +14,11 @@
 mod feed;
 mod health;
 mod load;
+mod permits;
 mod planner;
 mod prefix;
 mod processes;
+mod rate_limits;
 mod request;
 mod selector;
 
@@ -35,8 +37,10 @@
     feed::{FeedAllowance, FeedLimits},
     health::{HealthSettings, OutcomeTracker},
     load::{LoadEstimate, ReportedLoad},
+    permits::{PermitIssuer, PermitSchedule},
     planner::{OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
     prefix::PrefixIndex,
+    rate_limits::{LimitChange, LimitLedger, LimitObservation, LimitStatement},
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
     selector::{Candidate, RunnerSelector, SelectionWeights},
 };
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -12,7 +12,7 @@
 use mustardgate_core::{
     clock,
     ids::{BackendId, ServiceId},
-    relay::{AdmissionQuery, RefusalCause, RelayRequest, RelayRoute, runner_rank},
+    relay::{AdmissionQuery, LimitStatement, ListedRunner, RefusalCause, RelayRequest, RelayRoute, runner_rank},
     verdict::RunVerdict,
 };
 use slog::o;
@@ -23,7 +23,7 @@
     client::{RunnerConnection, SendFailure},
     context::{AdapterUseGuard, RelayContext},
     fleet::{AttemptOutcome, RunnerPick, RunnerTicket, SelectionError, SelectionQuery},
-    leader::request_adapter,
+    leader::{request_adapter, request_permit},
     ports::{AnswerKind, AnswerMetadata, AttemptMetadata},
 };
 
@@ -195,23 +195,29 @@
             if !cell.accepts_requests() {
                 return Err(SendFailure::Withheld);
             }
+            if let Err(delay) = request_permit(&self.context, &listed).await {
+                cell.pool.give_back(connection, None);
+                cell.hold(clock::now() + delay);
+                return Err(SendFailure::Limited);
+            }
             let time_left = self.expires_at.saturating_duration_since(clock::now());
             let request = self.runner_request(&listed.id, time_left, resume_after);
             let answer = connection.send(request, time_left).await?;
             Ok::<_, SendFailure>((connection, answer))
         };
         let (connection, answer) = outcome.await.map_err(|failure| {
-            if failure == SendFailure::Withheld {
+            let is_withheld = matches!(failure, SendFailure::Withheld | SendFailure::Limited);
+            if is_withheld {
                 ticket.discard_wait();
             }
             ticket.set_outcome(match failure {
                 SendFailure::NotConnected => AttemptOutcome::Unreachable,
-                SendFailure::Withheld | SendFailure::NotSent => AttemptOutcome::Neutral,
+                SendFailure::Withheld | SendFailure::Limited | SendFailure::NotSent => AttemptOutcome::Neutral,
                 SendFailure::Broken | SendFailure::TimedOut => AttemptOutcome::Failed,
             });
             AttemptError {
                 is_timeout: failure == SendFailure::TimedOut,
-                is_withheld: failure == SendFailure::Withheld,
+                is_withheld,
                 ..AttemptError::at_runner(&listed.id, failure.verdict(), &failure.to_string())
             }
         })?;
@@ -225,8 +231,8 @@
             Some(backend) => *backend == listed.id,
             None => metadata.kind != AnswerKind::Misdirected,
         };
-        if metadata.is_leaving && is_same_runner {
-            self.context.fleet.record_leaving(&listed);
+        if is_same_runner {
+            self.record_statements(&listed, &metadata, sent_at);
         }
         self.check_head(&mut ticket, &head, &metadata)?;
         ticket.record_first_token();
@@ -246,6 +252,17 @@
         })
     }
 
+    /// Records what the runner states about itself, whatever it answers.
+    fn record_statements(&self, listed: &ListedRunner, metadata: &AnswerMetadata, sent_at: Instant) {
+        if metadata.is_leaving {
+            self.context.fleet.record_leaving(listed);
+        }
+        // An answer to another request may be an old one, from before the runner had a limit.
+        if metadata.kind != AnswerKind::OtherRequest || metadata.limit != LimitStatement::Unlimited {
+            self.context.limits.observe(listed, metadata.limit, sent_at);
+        }
+    }
+
     /// Rejects the head of an answer that does not belong to this request, reports that the request did not run, or is
     /// successful but lacks the runner's seal or has an encoded body.
     fn check_head(
