Divide fixed retries by the largest number of nodes of the last while

The fixed part of the retry budget is one figure for all nodes, divided by the number that the leader tells. A new leader has heard of few nodes and tells a small number, so for up to a second each node takes a share as if it were one of few. Found by reading with the fault of the rate limits in mind; no run has shown a broken budget by it.

The number kept is the largest that leaders told in the last 30 s to 60 s, as for permits. The new test fails with the number told last (2 instead of 77). Scaling in makes shares smaller for that time, never larger.

--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -192,7 +192,7 @@
         retry_after: None,
         answer_time: MIN_ATTEMPT_TIME,
     };
-    let nodes = received.context.directory.node_count();
+    let nodes = received.context.directory.largest_node_count();
     let mut allowance = received.context.budgets.allowance(&received.service, nodes);
     plan.fail_attempt(clock::now(), &failure, &mut allowance)
 }
