Recognise a request that is sent again, and log its digest with failed attempts

The logs could not tell whether the attempts that broke off were the same request: identifiers differ at each return, and only parts of prompts were named. A request now has two digests: of method, host, path, account and body, and of the same with the caller's address, since callers of this platform send no account. Nothing is decided by it yet.

--- a/crates/mustardgate-core/src/relay/crashes.rs
+++ b/crates/mustardgate-core/src/relay/crashes.rs
@@ -7,15 +7,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::RelayRequest;
+use super::{PartId, RelayRequest};
 use crate::ids::BackendId;
 
 /// Time between two removals of expired entries; the leader merges several digests in that time.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Identity of a part's text.
-pub type PartId = u64;
-
 /// Settings of [`CrashLedger`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CrashSettings {
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod events;
 mod feed;
 mod health;
+mod inputs;
 mod load;
 mod permits;
 mod planner;
@@ -32,10 +33,11 @@
         CallerLimits, EngineProfile, ModelProfile, RelayConfig, RelayRoute, RelayService, RepeatPolicy, RouteTable,
         WeightedTarget, runner_rank,
     },
-    crashes::{CrashDigest, CrashLedger, CrashObservation, CrashSettings, PartId, shared_parts},
+    crashes::{CrashDigest, CrashLedger, CrashObservation, CrashSettings, shared_parts},
     events::{EventSplitter, StreamEvent},
     feed::{FeedAllowance, FeedLimits},
     health::{HealthSettings, OutcomeTracker},
+    inputs::{InputId, PartId, RequestContent, RequestDigest},
     load::{LoadEstimate, ReportedLoad},
     permits::{PermitIssuer, PermitSchedule},
     planner::{OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod events;
 mod feed;
+mod inputs;
 mod limited_replicas;
 mod permits;
 mod placement;
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -18,7 +18,7 @@
 use slog::o;
 use smol_str::SmolStr;
 
-use super::headers::remove_hop_by_hop_headers;
+use super::{digests::RequestDigests, headers::remove_hop_by_hop_headers};
 use crate::{
     client::{RunnerConnection, SendFailure},
     context::{AdapterUseGuard, RelayContext},
@@ -47,6 +47,8 @@
     pub(super) request: RelayRequest,
     pub(super) head: hyper::http::request::Parts,
     pub(super) body: Bytes,
+    /// Identities by which a request that crashes runners is known.
+    pub(super) digests: RequestDigests,
     /// Time by which the caller must have its complete answer.
     pub(super) expires_at: Instant,
     pub(super) is_sampled: bool,
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -24,6 +24,7 @@
     answer::{LocalAnswer, RelayBody, full_body},
     attempt::{AttemptError, OpenAnswer, ReceivedRequest},
     buffered::{ForwardOutcome, forward_answer},
+    digests::RequestDigests,
 };
 use crate::context::RelayContext;
 
@@ -97,6 +98,7 @@
         Ok(Err(_)) => return Err(LocalAnswer::Malformed),
         Err(_) => return Err(refusal(context, RefusalCause::AttemptsUsedUp)),
     };
+    let digests = RequestDigests::of(&head, &body);
     let service = route.service_for(rand::rng().random()).clone();
     context.budgets.record_request(request.received_at, &service);
     if let Some(name) = &request.model {
@@ -112,6 +114,7 @@
         request,
         head,
         body,
+        digests,
     })
 }
 
@@ -204,6 +207,7 @@
         "verdict" => error.verdict.to_string(),
         "reason" => error.reason.to_string(),
         "cause" => error.cause.to_string(),
+        "digest" => received.digests.content.to_string(),
         "backend" => error.backend.as_deref().unwrap_or("none").to_owned(),
         "model" => model_text(&received.request),
         "service" => received.service.to_string(),
--- a/crates/mustardgate-relay/src/gateway/listener.rs
+++ b/crates/mustardgate-relay/src/gateway/listener.rs
@@ -1,6 +1,6 @@
 //! Accepts callers' connections.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::IpAddr, sync::Arc, time::Duration};
 
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::{
@@ -27,6 +27,10 @@
 /// Largest number of header fields of a request.
 const MAX_HEADERS: usize = 200;
 
+/// Network address of the caller, as an extension of its requests.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerAddress(pub IpAddr);
+
 /// A listening socket with the handler of its requests.
 #[derive(Debug)]
 pub struct CallerListener<H> {
@@ -58,8 +62,9 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let connection = serve_connection(Arc::clone(&context), stream, handler, &graceful);
+            Ok((stream, address)) => {
+                let address = CallerAddress(address.ip());
+                let connection = serve_connection(Arc::clone(&context), stream, address, handler, &graceful);
                 tokio::spawn(async move {
                     connection.await;
                     drop(slot);
@@ -78,6 +83,7 @@
 fn serve_connection<H, F>(
     context: Arc<RelayContext>,
     stream: TcpStream,
+    address: CallerAddress,
     handler: H,
     graceful: &GracefulShutdown,
 ) -> impl Future<Output = ()> + use<H, F>
@@ -91,7 +97,8 @@
         .current()
         .map(|active| active.config.limits)
         .unwrap_or_default();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(address);
         let answering = handler(Arc::clone(&context), request);
         async move { Ok::<_, Infallible>(answering.await) }
     });
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod attempt;
 mod buffered;
+mod digests;
 mod exchange;
 mod headers;
 mod listener;
