--- a/crates/mustardgate-relay/src/gateway/digests.rs
+++ b/crates/mustardgate-relay/src/gateway/digests.rs
@@ -1,7 +1,7 @@
 //! Identities of a received request by which nodes recognise it when it is sent again.
 
 use hyper::{
-    header::{AUTHORIZATION, HOST},
+    header::{AUTHORIZATION, HOST, HeaderValue},
     http::request,
 };
 use mustardgate_core::relay::{RequestContent, RequestDigest};
@@ -20,7 +20,7 @@
 impl RequestDigests {
     /// Computes the digests of a request that was completely received.
     pub(super) fn of(head: &request::Parts, body: &[u8]) -> Self {
-        let field = |name| head.headers.get(name).map(|value| value.as_bytes());
+        let field = |name| head.headers.get(name).map(HeaderValue::as_bytes);
         let host = field(HOST).and_then(|host| str::from_utf8(host).ok());
         let target = head
             .uri
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -207,6 +207,7 @@
         "verdict" => error.verdict.to_string(),
         "reason" => error.reason.to_string(),
         "cause" => error.cause.to_string(),
+        "caller_digest" => received.digests.from_caller.to_string(),
         "digest" => received.digests.content.to_string(),
         "backend" => error.backend.as_deref().unwrap_or("none").to_owned(),
         "model" => model_text(&received.request),
