--- a/crates/mustardgate-core/src/relay/admission.rs
+++ b/crates/mustardgate-core/src/relay/admission.rs
@@ -25,9 +25,9 @@
     /// Every allowed attempt ended with a runner that refused the request or could not be reached.
     #[display("attempts_used_up")]
     AttemptsUsedUp,
-    /// The prompt has a part under which runners crash.
-    #[display("prompt_quarantined")]
-    PromptQuarantined,
+    /// Runners crash under the request, or under a part of its prompt.
+    #[display("input_quarantined")]
+    InputQuarantined,
 }
 
 /// Settings of [`AdmissionGate`].
@@ -108,7 +108,7 @@
     pub overload_delay: Duration,
     /// Delay after no suitable runner was found: time in which a lost runner is replaced or discovered again.
     pub absence_delay: Duration,
-    /// Delay after a refusal because of a quarantined part of the prompt.
+    /// Delay after a refusal because of a quarantined input.
     pub quarantine_delay: Duration,
     /// Largest random extension, as a fraction of the delay.
     pub jitter: f64,
@@ -142,7 +142,7 @@
     pub fn retry_delay(&self, cause: RefusalCause, load_left: Option<Duration>, draw: f64) -> Duration {
         let base = match cause {
             RefusalCause::Overloaded | RefusalCause::AttemptsUsedUp => self.settings.overload_delay,
-            RefusalCause::PromptQuarantined => self.settings.quarantine_delay,
+            RefusalCause::InputQuarantined => self.settings.quarantine_delay,
             RefusalCause::ModelAbsent => load_left.unwrap_or(self.settings.absence_delay),
             RefusalCause::NoConfiguration | RefusalCause::NoRunner | RefusalCause::AdapterAbsent => {
                 self.settings.absence_delay
--- a/crates/mustardgate-core/src/relay/crashes.rs
+++ b/crates/mustardgate-core/src/relay/crashes.rs
@@ -1,4 +1,4 @@
-//! Parts of prompts under which runners crash, and the quarantine of such parts.
+//! Inputs under which runners crash, which are parts of prompts or whole requests, and their quarantine.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -7,8 +7,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{PartId, RelayRequest};
-use crate::ids::BackendId;
+use super::{InputId, RelayRequest};
+use crate::ids::RunnerProcess;
 
 /// Time between two removals of expired entries; the leader merges several digests in that time.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
@@ -16,18 +16,21 @@
 /// Settings of [`CrashLedger`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CrashSettings {
-    /// Runner processes that must have crashed under a part before it is quarantined.
+    /// Runner processes that must have crashed under an input before it is quarantined.
     pub min_crashes: usize,
-    /// Time since the first crash before a part is quarantined, in which other nodes can state that it was answered well.
+    /// Time since the first crash before an input is quarantined, in which other nodes can state that it was answered
+    /// well.
     pub dispute_time: Duration,
     /// Time for which a crash counts.
     pub crash_memory: Duration,
-    /// Time for which a well answered request clears its parts of crashes that follow.
+    /// Time for which a well answered request clears its inputs of crashes that follow.
     pub sound_memory: Duration,
-    /// Time after the last request with a part until its quarantine ends.
+    /// Time after the last request with an input until its quarantine ends.
     pub quarantine_time: Duration,
-    /// Largest number of parts that are kept of each sort.
-    pub max_parts: usize,
+    /// Time after which a quarantine ends although requests still come, so that a wrong one is noticed.
+    pub max_quarantine_time: Duration,
+    /// Largest number of inputs that are kept of each sort.
+    pub max_inputs: usize,
 }
 
 impl Default for CrashSettings {
@@ -38,18 +41,19 @@
             crash_memory: Duration::from_secs(30),
             sound_memory: Duration::from_secs(10),
             quarantine_time: Duration::from_secs(60),
-            max_parts: 4_096,
+            max_quarantine_time: Duration::from_secs(600),
+            max_inputs: 4_096,
         }
     }
 }
 
-/// One runner process that crashed when it began to answer a request with a part.
+/// One runner process that crashed when it processed an input.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashObservation {
-    /// The part.
-    pub part: PartId,
+    /// The input.
+    pub input: InputId,
     /// Runner, with the start time of its process in Unix milliseconds.
-    pub process: (BackendId, u64),
+    pub process: RunnerProcess,
     /// Time since the crash.
     pub age: Duration,
 }
@@ -59,30 +63,47 @@
 pub struct CrashDigest {
     /// Crashes that still count.
     pub crashes: Vec<CrashObservation>,
-    /// Parts of these crashes that were answered well, and the time since.
-    pub sound: Vec<(PartId, Duration)>,
-    /// Parts in quarantine, and the time until it ends.
-    pub quarantined: Vec<(PartId, Duration)>,
+    /// Inputs of these crashes that were answered well, and the time since.
+    pub sound: Vec<(InputId, Duration)>,
+    /// Inputs in quarantine.
+    pub quarantined: Vec<QuarantineNotice>,
 }
 
-/// Collects crashes from this node and others, and decides which parts are quarantined.
+/// One input in quarantine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineNotice {
+    /// The input.
+    pub input: InputId,
+    /// Time until the quarantine ends if no further request comes.
+    pub left: Duration,
+    /// Time since the quarantine began.
+    pub age: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct InputQuarantine {
+    until: Instant,
+    began_at: Instant,
+}
+
+/// Collects crashes from this node and others, and decides which inputs are quarantined.
 ///
-/// A part that was answered well shortly before or since is not blamed: parts are shared by sound requests, and only the
-/// one under which runners crash is never answered.
+/// An input that was answered well shortly before or since is not blamed: sound requests share parts and run beside the
+/// one under which runners crash, but only that one is never answered.
 #[derive(Debug)]
 pub struct CrashLedger {
     settings: CrashSettings,
-    crashes: BTreeMap<PartId, BTreeMap<(BackendId, u64), Instant>>,
-    sound: BTreeMap<PartId, Instant>,
-    quarantined: BTreeMap<PartId, Instant>,
+    crashes: BTreeMap<InputId, BTreeMap<RunnerProcess, Instant>>,
+    sound: BTreeMap<InputId, Instant>,
+    quarantined: BTreeMap<InputId, InputQuarantine>,
     /// When expired entries were last dropped.
     expired_at: Option<Instant>,
 }
 
 /// Returns the parts that other requests may share: all but the last, which belongs to the request itself.
-pub fn shared_parts(request: &RelayRequest) -> impl Iterator<Item = PartId> {
+pub fn shared_parts(request: &RelayRequest) -> impl Iterator<Item = InputId> {
     let shared = request.parts.len().saturating_sub(1);
-    request.parts[..shared].iter().map(|part| part.id)
+    request.parts[..shared].iter().map(|part| InputId::Part(part.id))
 }
 
 impl CrashLedger {
@@ -97,83 +118,106 @@
         }
     }
 
-    /// Records that a runner process crashed when it began to answer a request with these parts.
-    pub fn record_crash(&mut self, at: Instant, process: &(BackendId, u64), parts: impl IntoIterator<Item = PartId>) {
-        for part in parts {
-            let by_process = self.crashes.entry(part).or_default();
+    /// Records that a runner process crashed when it processed these inputs.
+    pub fn record_crash(&mut self, at: Instant, process: &RunnerProcess, inputs: impl IntoIterator<Item = InputId>) {
+        for input in inputs {
+            let by_process = self.crashes.entry(input).or_default();
             let known = by_process.entry(process.clone()).or_insert(at);
             *known = at.min(*known);
         }
-        limit_parts(&mut self.crashes, self.settings.max_parts, |by_process| {
+        limit_inputs(&mut self.crashes, self.settings.max_inputs, |by_process| {
             by_process.values().max().copied()
         });
     }
 
-    /// Records that a request with these parts was answered well, which also ends their quarantine.
-    pub fn record_sound(&mut self, at: Instant, parts: impl IntoIterator<Item = PartId>) {
-        for part in parts {
-            let known = self.sound.entry(part).or_insert(at);
+    /// Records that a request with these inputs was answered well, which also ends their quarantine.
+    pub fn record_sound(&mut self, at: Instant, inputs: impl IntoIterator<Item = InputId>) {
+        for input in inputs {
+            let known = self.sound.entry(input).or_insert(at);
             *known = at.max(*known);
-            self.quarantined.remove(&part);
+            self.quarantined.remove(&input);
         }
-        limit_parts(&mut self.sound, self.settings.max_parts, |at| Some(*at));
+        limit_inputs(&mut self.sound, self.settings.max_inputs, |at| Some(*at));
     }
 
-    /// Quarantines the parts that meet the conditions now, and returns them with the number of crashes.
-    pub fn update(&mut self, now: Instant) -> Vec<(PartId, usize)> {
+    /// Quarantines the inputs that meet the conditions now, and returns them with the number of crashes.
+    pub fn update(&mut self, now: Instant) -> Vec<(InputId, usize)> {
         self.expire(now);
         let mut added = Vec::new();
-        for (part, by_process) in &self.crashes {
-            let counted = self.counted_crashes(*part, by_process);
+        for (input, by_process) in &self.crashes {
+            let counted = self.counted_crashes(*input, by_process);
             let first = counted.iter().min().copied();
             let is_disputable =
                 first.is_none_or(|first| now.saturating_duration_since(first) < self.settings.dispute_time);
-            if counted.len() >= self.settings.min_crashes && !is_disputable && !self.quarantined.contains_key(part) {
-                added.push((*part, counted.len()));
+            if counted.len() >= self.settings.min_crashes && !is_disputable && !self.quarantined.contains_key(input) {
+                added.push((*input, counted.len()));
             }
         }
-        for (part, _) in &added {
-            self.quarantined.insert(*part, now + self.settings.quarantine_time);
+        for (input, _) in &added {
+            let quarantine = InputQuarantine {
+                until: now + self.settings.quarantine_time,
+                began_at: now,
+            };
+            self.quarantined.insert(*input, quarantine);
         }
-        limit_parts(&mut self.quarantined, self.settings.max_parts, |until| Some(*until));
+        limit_inputs(&mut self.quarantined, self.settings.max_inputs, |quarantine| {
+            Some(quarantine.until)
+        });
         added
     }
 
-    /// Returns whether any of the parts is in quarantine, and keeps those that are there for another full time.
-    pub fn refuses(&mut self, now: Instant, parts: impl IntoIterator<Item = PartId>) -> bool {
+    /// Returns whether any of the inputs is in quarantine, and keeps those that are there for another full time, up to
+    /// the longest.
+    pub fn refuses(&mut self, now: Instant, inputs: impl IntoIterator<Item = InputId>) -> bool {
+        let settings = self.settings;
         let mut is_refused = false;
-        for part in parts {
-            if let Some(until) = self.quarantined.get_mut(&part)
-                && now < *until
+        for input in inputs {
+            if let Some(quarantine) = self.quarantined.get_mut(&input)
+                && now < quarantine.until
             {
-                *until = now + self.settings.quarantine_time;
+                let ends_at = quarantine.began_at + settings.max_quarantine_time;
+                quarantine.until = (now + settings.quarantine_time).min(ends_at);
                 is_refused = true;
             }
         }
         is_refused
     }
 
+    /// Returns whether several runner processes crashed under one of the inputs, so that another attempt would be likely
+    /// to crash a further one.
+    pub fn is_repeated(&self, inputs: impl IntoIterator<Item = InputId>) -> bool {
+        let mut inputs = inputs.into_iter();
+        inputs.any(|input| {
+            let by_process = self.crashes.get(&input);
+            by_process.is_some_and(|by_process| self.counted_crashes(input, by_process).len() > 1)
+        })
+    }
+
     /// Returns what other nodes should know.
     pub fn digest(&self, now: Instant) -> CrashDigest {
-        let crashes = self.crashes.iter().flat_map(|(part, by_process)| {
+        let crashes = self.crashes.iter().flat_map(|(input, by_process)| {
             by_process.iter().map(|(process, at)| CrashObservation {
-                part: *part,
+                input: *input,
                 process: process.clone(),
                 age: now.saturating_duration_since(*at),
             })
         });
         let disputed = self.crashes.keys().chain(self.quarantined.keys());
-        let disputed: BTreeSet<PartId> = disputed.copied().collect();
-        let sound = disputed.into_iter().filter_map(|part| {
-            let at = self.sound.get(&part)?;
-            Some((part, now.saturating_duration_since(*at)))
+        let disputed: BTreeSet<InputId> = disputed.copied().collect();
+        let sound = disputed.into_iter().filter_map(|input| {
+            let at = self.sound.get(&input)?;
+            Some((input, now.saturating_duration_since(*at)))
         });
         let quarantined = self.quarantined.iter();
         CrashDigest {
             crashes: crashes.collect(),
             sound: sound.collect(),
             quarantined: quarantined
-                .map(|(part, until)| (*part, until.saturating_duration_since(now)))
+                .map(|(input, quarantine)| QuarantineNotice {
+                    input: *input,
+                    left: quarantine.until.saturating_duration_since(now),
+                    age: now.saturating_duration_since(quarantine.began_at),
+                })
                 .collect(),
         }
     }
@@ -182,41 +226,47 @@
     pub fn merge(&mut self, now: Instant, digest: &CrashDigest) {
         let past = |age: Duration| now.checked_sub(age).unwrap_or(now);
         for crash in &digest.crashes {
-            self.record_crash(past(crash.age), &crash.process, [crash.part]);
+            self.record_crash(past(crash.age), &crash.process, [crash.input]);
         }
-        for (part, left) in &digest.quarantined {
-            let until = now + (*left).min(self.settings.quarantine_time);
-            let known = self.quarantined.entry(*part).or_insert(until);
-            *known = until.max(*known);
+        for notice in &digest.quarantined {
+            let began_at = past(notice.age);
+            let ends_at = began_at + self.settings.max_quarantine_time;
+            let until = (now + notice.left.min(self.settings.quarantine_time)).min(ends_at);
+            let known = self
+                .quarantined
+                .entry(notice.input)
+                .or_insert(InputQuarantine { until, began_at });
+            known.until = until.max(known.until);
+            known.began_at = began_at.min(known.began_at);
         }
-        for (part, age) in &digest.sound {
+        for (input, age) in &digest.sound {
             let at = past(*age);
-            let known = self.sound.entry(*part).or_insert(at);
+            let known = self.sound.entry(*input).or_insert(at);
             *known = at.max(*known);
         }
         self.lift_cleared(now);
     }
 
-    /// Ends the quarantine of parts that other nodes answered well so recently that the crashes no longer count.
+    /// Ends the quarantine of inputs that other nodes answered well so recently that the crashes no longer count.
     fn lift_cleared(&mut self, now: Instant) {
-        let cleared: Vec<PartId> = self
+        let cleared: Vec<InputId> = self
             .quarantined
             .keys()
-            .filter(|part| {
+            .filter(|input| {
                 self.sound
-                    .get(part)
+                    .get(input)
                     .is_some_and(|at| now.saturating_duration_since(*at) < self.settings.sound_memory)
             })
             .copied()
             .collect();
-        for part in cleared {
-            self.quarantined.remove(&part);
+        for input in cleared {
+            self.quarantined.remove(&input);
         }
     }
 
-    /// Returns the times of the crashes that a part is blamed for.
-    fn counted_crashes(&self, part: PartId, by_process: &BTreeMap<(BackendId, u64), Instant>) -> Vec<Instant> {
-        let sound_until = self.sound.get(&part).map(|at| *at + self.settings.sound_memory);
+    /// Returns the times of the crashes that an input is blamed for.
+    fn counted_crashes(&self, input: InputId, by_process: &BTreeMap<RunnerProcess, Instant>) -> Vec<Instant> {
+        let sound_until = self.sound.get(&input).map(|at| *at + self.settings.sound_memory);
         let times = by_process.values().copied();
         times.filter(|at| sound_until.is_none_or(|until| *at > until)).collect()
     }
@@ -233,20 +283,20 @@
             by_process.retain(|_, at| is_recent(at, settings.crash_memory));
         }
         self.crashes.retain(|_, by_process| !by_process.is_empty());
-        // A part that was answered well outlives the crashes that it clears.
+        // An input that was answered well outlives the crashes that it clears.
         self.sound
             .retain(|_, at| is_recent(at, settings.sound_memory + settings.crash_memory));
-        self.quarantined.retain(|_, until| now < *until);
+        self.quarantined.retain(|_, quarantine| now < quarantine.until);
     }
 }
 
-/// Drops the parts with the oldest times beyond the limit.
-fn limit_parts<T>(parts: &mut BTreeMap<PartId, T>, limit: usize, time: impl Fn(&T) -> Option<Instant>) {
-    if parts.len() <= limit {
+/// Drops the inputs with the oldest times beyond the limit.
+fn limit_inputs<T>(inputs: &mut BTreeMap<InputId, T>, limit: usize, time: impl Fn(&T) -> Option<Instant>) {
+    if inputs.len() <= limit {
         return;
     }
-    let mut times: Vec<Option<Instant>> = parts.values().map(&time).collect();
+    let mut times: Vec<Option<Instant>> = inputs.values().map(&time).collect();
     times.sort_unstable();
     let oldest_kept = times[times.len() - limit / 2];
-    parts.retain(|_, value| time(value) >= oldest_kept);
+    inputs.retain(|_, value| time(value) >= oldest_kept);
 }
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -33,7 +33,7 @@
         CallerLimits, EngineProfile, ModelProfile, RelayConfig, RelayRoute, RelayService, RepeatPolicy, RouteTable,
         WeightedTarget, runner_rank,
     },
-    crashes::{CrashDigest, CrashLedger, CrashObservation, CrashSettings, shared_parts},
+    crashes::{CrashDigest, CrashLedger, CrashObservation, CrashSettings, QuarantineNotice, shared_parts},
     events::{EventSplitter, StreamEvent},
     feed::{FeedAllowance, FeedLimits},
     health::{HealthSettings, OutcomeTracker},
--- a/crates/mustardgate-core/src/retry/budget.rs
+++ b/crates/mustardgate-core/src/retry/budget.rs
@@ -42,6 +42,16 @@
     }
 }
 
+/// An allowance of no retries, for a request that must not be sent again.
+#[derive(Clone, Copy, Debug)]
+pub struct NoRetries;
+
+impl RetryAllowance for NoRetries {
+    fn spend(&mut self, _now: Instant) -> bool {
+        false
+    }
+}
+
 impl RetryBudget {
     /// Creates a full budget.
     pub fn new(limits: RetryLimits) -> Self {
--- a/crates/mustardgate-core/tests/relay/crashes.rs
+++ b/crates/mustardgate-core/tests/relay/crashes.rs
@@ -1,12 +1,12 @@
-//! Parts of prompts under which runners crash: blamed soon and for good, without blame for the parts beside them.
+//! Inputs under which runners crash: blamed soon and for good, without blame for the inputs beside them.
 
 use std::time::{Duration, Instant};
 
-use mustardgate_core::relay::{CrashLedger, CrashSettings, PartId};
+use mustardgate_core::relay::{CrashLedger, CrashSettings, InputId};
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 
-const BAD: PartId = 7;
-const SHARED: PartId = 1;
+const BAD: InputId = InputId::Part(7);
+const SHARED: InputId = InputId::Part(1);
 const STEP: Duration = Duration::from_millis(300);
 
 fn ledger() -> CrashLedger {
@@ -96,6 +96,42 @@
     assert!(!ledger.refuses(now, [BAD]));
 }
 
+#[test]
+fn a_quarantine_ends_after_its_longest_time_although_requests_come_and_nodes_tell_each_other() {
+    let settings = CrashSettings::default();
+    let start = Instant::now();
+    let (mut one, mut other) = (ledger(), ledger());
+    for number in 0..3 {
+        one.record_crash(start, &process(number), [BAD]);
+    }
+    let began_at = start + settings.dispute_time;
+    assert_eq!(one.update(began_at).len(), 1);
+    let mut now = began_at;
+    while now + settings.quarantine_time / 2 < began_at + settings.max_quarantine_time {
+        now += settings.quarantine_time / 2;
+        tell(now, &one, &mut other);
+        tell(now, &other, &mut one);
+        assert!(one.refuses(now, [BAD]) && other.refuses(now, [BAD]));
+    }
+    now = began_at + settings.max_quarantine_time + STEP;
+    tell(now, &one, &mut other);
+    tell(now, &other, &mut one);
+    assert!(!one.refuses(now, [BAD]) && !other.refuses(now, [BAD]));
+}
+
+#[test]
+fn a_second_crash_under_an_input_is_told_from_a_first_one_unless_it_is_sound() {
+    let start = Instant::now();
+    let mut ledger = ledger();
+    ledger.record_crash(start, &process(1), [BAD]);
+    ledger.record_crash(start, &process(1), [BAD]);
+    assert!(!ledger.is_repeated([BAD]));
+    ledger.record_crash(start + STEP, &process(2), [BAD]);
+    assert!(ledger.is_repeated([SHARED, BAD]));
+    ledger.record_sound(start + STEP, [BAD]);
+    assert!(!ledger.is_repeated([BAD]));
+}
+
 #[test]
 fn a_new_leader_learns_the_quarantine_from_the_nodes_and_memory_is_bounded() {
     let start = Instant::now();
@@ -109,10 +145,14 @@
     tell(later, &node, &mut leader);
     assert!(leader.refuses(later, [BAD]));
     for part in 0..20_000 {
-        leader.record_sound(later + Duration::from_micros(part), [part + 100]);
-        leader.record_crash(later + Duration::from_micros(part), &process(1), [part + 100_000]);
+        leader.record_sound(later + Duration::from_micros(part), [InputId::Part(part + 100)]);
+        leader.record_crash(
+            later + Duration::from_micros(part),
+            &process(1),
+            [InputId::Part(part + 100_000)],
+        );
     }
-    let limit = CrashSettings::default().max_parts;
+    let limit = CrashSettings::default().max_inputs;
     assert!(leader.digest(later).crashes.len() <= limit);
     assert!(leader.refuses(later, [BAD]));
 }
@@ -121,15 +161,15 @@
 #[derive(Clone, Debug)]
 enum Sight {
     /// A runner crashed under the bad part, beside one of many parts.
-    Crash { node: usize, other: PartId },
+    Crash { node: usize, other: InputId },
     /// A request with one of these parts was answered well.
-    Sound { node: usize, other: PartId },
+    Sound { node: usize, other: InputId },
     /// A node exchanges what it knows with the leader.
     Exchange { node: usize },
 }
 
 fn sights() -> impl Strategy<Value = Vec<(u64, Sight)>> {
-    let (node, other) = (0..4_usize, 100..104_u64);
+    let (node, other) = (0..4_usize, (100..104_u64).prop_map(InputId::Part));
     let sight = prop_oneof![
         (node.clone(), other.clone()).prop_map(|(node, other)| Sight::Crash { node, other }),
         (node.clone(), other).prop_map(|(node, other)| Sight::Sound { node, other }),
--- a/crates/mustardgate-relay/src/client/connection.rs
+++ b/crates/mustardgate-relay/src/client/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to a runner.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -92,15 +92,34 @@
 /// # Errors
 /// [`SendFailure::NotConnected`] when no connection is established in time.
 pub async fn connect_runner(address: SocketAddr, timeout: Duration) -> Result<RunnerConnection, SendFailure> {
+    let connected = probe_runner(address, timeout).await;
+    connected.map_err(|_failure| SendFailure::NotConnected)
+}
+
+/// Why a connection was not established.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ProbeFailure {
+    /// Nothing listens at the address.
+    Refused,
+    /// Any other reason, such as a timeout.
+    Other,
+}
+
+/// Connects to a runner; the failure says whether nothing listens at its address.
+pub(super) async fn probe_runner(address: SocketAddr, timeout: Duration) -> Result<RunnerConnection, ProbeFailure> {
     let connecting = async {
-        let stream = TcpStream::connect(address).await.ok()?;
+        let stream = TcpStream::connect(address).await.map_err(|error| match error.kind() {
+            ErrorKind::ConnectionRefused => ProbeFailure::Refused,
+            _ => ProbeFailure::Other,
+        })?;
         tune_socket(&stream);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
-        builder.handshake(TokioIo::new(stream)).await.ok()
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
+        handshake.map_err(|_error| ProbeFailure::Other)
     };
-    let connected = time::timeout(timeout, connecting).await.ok().flatten();
-    let (sender, connection) = connected.ok_or(SendFailure::NotConnected)?;
+    let connected = time::timeout(timeout, connecting).await;
+    let (sender, connection) = connected.unwrap_or(Err(ProbeFailure::Other))?;
     let driver = tokio::spawn(async move {
         // The caller that waits for an answer on the connection receives its error.
         drop(connection.await);
--- a/crates/mustardgate-relay/src/client/pool.rs
+++ b/crates/mustardgate-relay/src/client/pool.rs
@@ -9,7 +9,10 @@
 use metrics::counter;
 use mustardgate_core::clock;
 
-use super::{RunnerConnection, SendFailure, connect_runner};
+use super::{
+    RunnerConnection, SendFailure, connect_runner,
+    connection::{ProbeFailure, probe_runner},
+};
 
 /// Settings of [`ConnectionPool`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,6 +71,17 @@
         connect_runner(self.address, self.settings.connect_timeout.min(timeout)).await
     }
 
+    /// Connects once, and returns whether nothing listens at the address; a connection that is made joins the pool.
+    pub async fn is_refused(&self, timeout: Duration) -> bool {
+        match probe_runner(self.address, timeout).await {
+            Ok(connection) => {
+                self.give_back(connection, None);
+                false
+            }
+            Err(failure) => failure == ProbeFailure::Refused,
+        }
+    }
+
     /// Returns a connection to the pool after its answer was received completely.
     ///
     /// `keep_alive_timeout` is how long the runner keeps an idle connection, if stated; the connection is reused within
--- a/crates/mustardgate-relay/src/context/crashes.rs
+++ b/crates/mustardgate-relay/src/context/crashes.rs
@@ -1,4 +1,4 @@
-//! What this node knows of prompts under which runners crash.
+//! What this node knows of inputs under which runners crash.
 
 use std::{
     sync::{Mutex, MutexGuard},
@@ -8,14 +8,17 @@
 use mustardgate::events;
 use mustardgate_core::{
     clock,
-    relay::{CrashDigest, CrashLedger, CrashSettings, ListedRunner, RelayRequest, shared_parts},
+    ids::RequestId,
+    relay::{CrashDigest, CrashLedger, CrashSettings, InputId, ListedRunner},
 };
 use slog::{Logger, o};
+use tokio::sync::Notify;
 
-/// Holds the crash ledger of this node, which is exchanged with the leader.
+/// Holds the crash ledger of this node, which is exchanged with other nodes.
 #[derive(Debug)]
 pub struct CrashGuard {
     ledger: Mutex<CrashLedger>,
+    changed: Notify,
     logger: Logger,
 }
 
@@ -24,38 +27,45 @@
     pub fn new(settings: CrashSettings, logger: Logger) -> Self {
         Self {
             ledger: Mutex::new(CrashLedger::new(settings)),
+            changed: Notify::new(),
             logger,
         }
     }
 
-    /// Returns whether a request must not be sent because runners crash under a part of its prompt.
-    pub fn refuses(&self, request: &RelayRequest) -> bool {
-        self.lock().refuses(clock::now(), shared_parts(request))
+    /// Returns whether a request must not be sent because runners crash under one of its inputs.
+    pub fn refuses(&self, inputs: impl IntoIterator<Item = InputId>) -> bool {
+        self.lock().refuses(clock::now(), inputs)
     }
 
-    /// Records that a runner crashed when it began to answer a request.
-    pub fn record_crash(&self, runner: &ListedRunner, request: &RelayRequest) {
-        let parts: Vec<String> = shared_parts(request).map(|part| format!("{part:x}")).collect();
+    /// Records that a runner crashed when it processed these inputs of a request; returns whether another one did so
+    /// before.
+    pub fn record_crash(&self, runner: &ListedRunner, request: &RequestId, inputs: &[InputId]) -> bool {
         events::RELAY_RUNNER_CRASHED.write(
             &self.logger,
             o!(
-                "parts" => parts.join(","),
+                "digests" => describe(inputs, digest_text),
+                "parts" => describe(inputs, part_text),
                 "backend" => runner.id.to_string(),
-                "request" => request.id.to_string(),
+                "request" => request.to_string(),
             ),
         );
         let process = (runner.id.clone(), runner.started_at_ms);
         let now = clock::now();
         let mut ledger = self.lock();
-        ledger.record_crash(now, &process, shared_parts(request));
+        ledger.record_crash(now, &process, inputs.iter().copied());
         self.update(&mut ledger, now);
+        self.changed.notify_one();
+        ledger.is_repeated(inputs.iter().copied())
     }
 
     /// Records that a request was answered beyond the point at which runners crash.
-    pub fn record_sound(&self, request: &RelayRequest) {
-        if request.parts.len() > 1 {
-            self.lock().record_sound(clock::now(), shared_parts(request));
-        }
+    pub fn record_sound(&self, inputs: impl IntoIterator<Item = InputId>) {
+        self.lock().record_sound(clock::now(), inputs);
+    }
+
+    /// Completes once this node has observed a crash since the last call.
+    pub async fn next_crash(&self) {
+        self.changed.notified().await;
     }
 
     /// Returns what other nodes should know.
@@ -75,9 +85,15 @@
     }
 
     fn update(&self, ledger: &mut CrashLedger, now: Instant) {
-        for (part, crashes) in ledger.update(now) {
-            events::RELAY_PROMPT_QUARANTINED
-                .write(&self.logger, o!("crashes" => crashes, "part" => format!("{part:x}")));
+        for (input, crashes) in ledger.update(now) {
+            events::RELAY_INPUT_QUARANTINED.write(
+                &self.logger,
+                o!(
+                    "crashes" => crashes,
+                    "digest" => digest_text(&input).unwrap_or_default(),
+                    "part" => part_text(&input).unwrap_or_default(),
+                ),
+            );
         }
     }
 
@@ -85,3 +101,22 @@
         self.ledger.lock().expect("no holder of the lock panics")
     }
 }
+
+fn describe(inputs: &[InputId], text: impl Fn(&InputId) -> Option<String>) -> String {
+    let texts: Vec<String> = inputs.iter().filter_map(text).collect();
+    texts.join(",")
+}
+
+fn part_text(input: &InputId) -> Option<String> {
+    match input {
+        InputId::Part(part) => Some(format!("{part:x}")),
+        InputId::Request(_) => None,
+    }
+}
+
+fn digest_text(input: &InputId) -> Option<String> {
+    match input {
+        InputId::Part(_) => None,
+        InputId::Request(digest) => Some(digest.to_string()),
+    }
+}
--- a/crates/mustardgate-relay/src/fleet/cell.rs
+++ b/crates/mustardgate-relay/src/fleet/cell.rs
@@ -17,11 +17,18 @@
     },
 };
 
+use tokio::sync::Mutex as AsyncMutex;
+
 use crate::client::{ConnectionPool, PoolSettings};
 
 /// Time for which a runner's statement that it lacks a model or adapter overrides its entry, which may be older.
 const ABSENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Timeout of the connection that tells a crashed runner from a broken connection.
+const PROCESS_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which the result of such a check is used again.
+const PROCESS_CHECK_VALIDITY: Duration = Duration::from_millis(100);
+
 /// One runner with its idle connections and its observed state, which has its own lock.
 #[derive(Debug)]
 pub struct RunnerCell {
@@ -30,6 +37,8 @@
     is_retired: AtomicBool,
     /// Idle connections.
     pub pool: ConnectionPool,
+    /// When it was last checked whether the process is gone, and the result; the lock is held during a check.
+    process_check: AsyncMutex<Option<(Instant, bool)>>,
     state: Mutex<CellState>,
 }
 
@@ -68,6 +77,7 @@
             pool: ConnectionPool::new(pool, listed.address),
             listed: RwLock::new(listed),
             is_retired: AtomicBool::new(false),
+            process_check: AsyncMutex::new(None),
             state: Mutex::new(CellState {
                 load: LoadEstimate::default(),
                 backlog: BacklogEstimate::default(),
@@ -105,6 +115,21 @@
         !self.is_retired.load(Ordering::Relaxed) && self.listed().state == RunnerState::Ready
     }
 
+    /// Returns whether nothing listens at the runner's address any more, as right after a crash.
+    ///
+    /// A connection made for the check is kept for later requests. The requests that one crash breaks off share a check.
+    pub async fn is_process_gone(&self) -> bool {
+        let mut check = self.process_check.lock().await;
+        if let Some((at, is_gone)) = *check
+            && clock::now().saturating_duration_since(at) < PROCESS_CHECK_VALIDITY
+        {
+            return is_gone;
+        }
+        let is_gone = self.pool.is_refused(PROCESS_CHECK_TIMEOUT).await;
+        *check = Some((clock::now(), is_gone));
+        is_gone
+    }
+
     /// Sends no request to the runner for a time that it asked for.
     pub fn hold(&self, until: Instant) {
         let mut state = self.lock();
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -18,7 +18,7 @@
 use slog::o;
 use smol_str::SmolStr;
 
-use super::{digests::RequestDigests, headers::remove_hop_by_hop_headers};
+use super::{digests::RequestDigests, failure::AttemptError, headers::remove_hop_by_hop_headers};
 use crate::{
     client::{RunnerConnection, SendFailure},
     context::{AdapterUseGuard, RelayContext},
@@ -69,54 +69,11 @@
     pub(super) _adapter_use: Option<AdapterUseGuard>,
 }
 
-/// Why an attempt failed, or could not be made.
-#[derive(Clone, Debug, PartialEq)]
-pub(super) struct AttemptError {
-    /// Runner that was tried, if one was chosen.
-    pub(super) backend: Option<BackendId>,
-    pub(super) verdict: RunVerdict,
-    pub(super) cause: RefusalCause,
-    pub(super) reason: SmolStr,
-    pub(super) is_timeout: bool,
-    /// Whether the request was not sent because the runner no longer accepts requests.
-    pub(super) is_withheld: bool,
-    /// Time after which a runner accepts requests again, if known.
-    pub(super) retry_after: Option<Duration>,
-}
-
-impl AttemptError {
-    /// Returns the error of a request for which no runner was chosen.
-    fn unplaced(cause: RefusalCause) -> Self {
-        Self {
-            backend: None,
-            verdict: RunVerdict::NotRun,
-            cause,
-            reason: "unplaced".into(),
-            is_timeout: false,
-            is_withheld: false,
-            retry_after: None,
-        }
-    }
-
-    /// Returns the error of an attempt at a runner.
-    fn at_runner(backend: &BackendId, verdict: RunVerdict, reason: &str) -> Self {
-        Self {
-            backend: Some(backend.clone()),
-            verdict,
-            cause: RefusalCause::AttemptsUsedUp,
-            reason: reason.into(),
-            is_timeout: false,
-            is_withheld: false,
-            retry_after: None,
-        }
-    }
-}
-
 impl ReceivedRequest {
     /// Chooses a runner that was not tried yet and holds the requested adapter, or has the adapter loaded on one.
     pub(super) async fn choose(&self, tried: &[BackendId]) -> Result<RunnerPick, AttemptError> {
-        if self.context.crashes.refuses(&self.request) {
-            return Err(AttemptError::unplaced(RefusalCause::PromptQuarantined));
+        if self.context.crashes.refuses(self.inputs()) {
+            return Err(AttemptError::unplaced(RefusalCause::InputQuarantined));
         }
         let mut excluded = tried.to_vec();
         for _ in 0..MAX_ADAPTER_LOADS {
@@ -207,22 +164,10 @@
             let answer = connection.send(request, time_left).await?;
             Ok::<_, SendFailure>((connection, answer))
         };
-        let (connection, answer) = outcome.await.map_err(|failure| {
-            let is_withheld = matches!(failure, SendFailure::Withheld | SendFailure::Limited);
-            if is_withheld {
-                ticket.discard_wait();
-            }
-            ticket.set_outcome(match failure {
-                SendFailure::NotConnected => AttemptOutcome::Unreachable,
-                SendFailure::Withheld | SendFailure::Limited | SendFailure::NotSent => AttemptOutcome::Neutral,
-                SendFailure::Broken | SendFailure::TimedOut => AttemptOutcome::Failed,
-            });
-            AttemptError {
-                is_timeout: failure == SendFailure::TimedOut,
-                is_withheld,
-                ..AttemptError::at_runner(&listed.id, failure.verdict(), &failure.to_string())
-            }
-        })?;
+        let (connection, answer) = match outcome.await {
+            Ok(opened) => opened,
+            Err(failure) => return Err(self.end_failed(&mut ticket, failure).await),
+        };
         let (head, body) = answer.into_parts();
         let metadata = self.context.ports.dialect.read_answer(&head, &self.request.id);
         if let Some(load) = metadata.load {
@@ -254,6 +199,29 @@
         })
     }
 
+    /// Ends an attempt that got no head of an answer.
+    async fn end_failed(&self, ticket: &mut RunnerTicket, failure: SendFailure) -> AttemptError {
+        let is_withheld = matches!(failure, SendFailure::Withheld | SendFailure::Limited);
+        if is_withheld {
+            ticket.discard_wait();
+        }
+        ticket.set_outcome(match failure {
+            SendFailure::NotConnected => AttemptOutcome::Unreachable,
+            SendFailure::Withheld | SendFailure::Limited | SendFailure::NotSent => AttemptOutcome::Neutral,
+            SendFailure::Broken | SendFailure::TimedOut => AttemptOutcome::Failed,
+        });
+        let cell = ticket.cell();
+        // Parts of prompts are no suspects before the answer begins: the request may still have been waiting.
+        let is_fatal =
+            failure == SendFailure::Broken && self.record_crash(cell, &self.digests.inputs()).await.is_repeated();
+        AttemptError {
+            is_timeout: failure == SendFailure::TimedOut,
+            is_withheld,
+            is_fatal,
+            ..AttemptError::at_runner(&cell.listed().id, failure.verdict(), &failure.to_string())
+        }
+    }
+
     /// Records what the runner states about itself, whatever it answers.
     fn record_statements(&self, listed: &ListedRunner, metadata: &AnswerMetadata, sent_at: Instant) {
         if metadata.is_leaving {
--- a/crates/mustardgate-relay/src/gateway/buffered.rs
+++ b/crates/mustardgate-relay/src/gateway/buffered.rs
@@ -1,7 +1,7 @@
 //! Answers that are buffered completely before they are passed on, so that an incomplete one can still be retried or
 //! reported as a failure.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -14,8 +14,9 @@
 
 use super::{
     answer::{RelayBody, full_body},
-    attempt::{AttemptError, OpenAnswer, ReceivedRequest},
+    attempt::{OpenAnswer, ReceivedRequest},
     exchange::record_runner_answer,
+    failure::AttemptError,
     headers::remove_hop_by_hop_headers,
     stream::StreamRelay,
 };
@@ -61,7 +62,17 @@
         Ok(content) => content,
         Err((reason, is_timeout)) => {
             ticket.set_outcome(AttemptOutcome::Failed);
-            let error = uncertain(backend, reason, is_timeout);
+            let cell = Arc::clone(ticket.cell());
+            drop((ticket, connection));
+            let is_fatal = !is_timeout
+                && received
+                    .record_crash(&cell, &received.digests.inputs())
+                    .await
+                    .is_repeated();
+            let error = AttemptError {
+                is_fatal,
+                ..uncertain(backend, reason, is_timeout)
+            };
             return ForwardOutcome::Failed {
                 received: Box::new(received),
                 plan,
@@ -70,6 +81,8 @@
             };
         }
     };
+    // The runner survived the request, whatever its answer says.
+    received.context.crashes.record_sound(received.inputs());
     let is_failure = head.status.is_server_error();
     ticket.set_outcome(if is_failure {
         AttemptOutcome::Failed
@@ -156,6 +169,7 @@
         reason: reason.into(),
         is_timeout,
         is_withheld: false,
+        is_fatal: false,
         retry_after: None,
     }
 }
--- /dev/null
+++ b/crates/mustardgate-relay/src/gateway/crash.rs
@@ -0,0 +1,48 @@
+//! Tells a crash of a runner from a broken connection, and records under which inputs it crashed.
+
+use mustardgate_core::relay::{InputId, shared_parts};
+
+use super::attempt::ReceivedRequest;
+use crate::fleet::RunnerCell;
+
+/// Whether a runner crashed when its connection broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CrashOutcome {
+    /// It lives, or it is not known that it crashed.
+    NotCrashed,
+    /// It crashed.
+    Crashed {
+        /// Whether another runner crashed under the same input before.
+        is_repeated: bool,
+    },
+}
+
+impl CrashOutcome {
+    pub(super) fn is_crashed(self) -> bool {
+        matches!(self, Self::Crashed { .. })
+    }
+
+    pub(super) fn is_repeated(self) -> bool {
+        self == Self::Crashed { is_repeated: true }
+    }
+}
+
+impl ReceivedRequest {
+    /// Returns what may crash a runner that processes the request.
+    pub(super) fn inputs(&self) -> Vec<InputId> {
+        shared_parts(&self.request).chain(self.digests.inputs()).collect()
+    }
+
+    /// Checks whether a runner that broke its connection has crashed, and records the inputs if so.
+    ///
+    /// A runner that leaves as planned ends its connections as well and is not checked.
+    pub(super) async fn record_crash(&self, cell: &RunnerCell, inputs: &[InputId]) -> CrashOutcome {
+        if !cell.is_in_service() || !cell.is_process_gone().await {
+            return CrashOutcome::NotCrashed;
+        }
+        let crashes = &self.context.crashes;
+        CrashOutcome::Crashed {
+            is_repeated: crashes.record_crash(&cell.listed(), &self.request.id, inputs),
+        }
+    }
+}
--- a/crates/mustardgate-relay/src/gateway/digests.rs
+++ b/crates/mustardgate-relay/src/gateway/digests.rs
@@ -4,7 +4,7 @@
     header::{AUTHORIZATION, HOST, HeaderValue},
     http::request,
 };
-use mustardgate_core::relay::{RequestContent, RequestDigest};
+use mustardgate_core::relay::{InputId, RequestContent, RequestDigest};
 
 use super::listener::CallerAddress;
 
@@ -18,6 +18,11 @@
 }
 
 impl RequestDigests {
+    /// Returns the digests as inputs.
+    pub(super) fn inputs(&self) -> [InputId; 2] {
+        [InputId::Request(self.content), InputId::Request(self.from_caller)]
+    }
+
     /// Computes the digests of a request that was completely received.
     pub(super) fn of(head: &request::Parts, body: &[u8]) -> Self {
         let field = |name| head.headers.get(name).map(HeaderValue::as_bytes);
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -15,16 +15,17 @@
     clock,
     ids::RequestId,
     relay::{RefusalCause, RelayRequest},
-    retry::{AttemptFailure, AttemptPlan, NextStep, PlanSettings},
+    retry::{AttemptFailure, AttemptPlan, NextStep, NoRetries, PlanSettings},
 };
 use rand::Rng;
 use slog::o;
 
 use super::{
     answer::{LocalAnswer, RelayBody, full_body},
-    attempt::{AttemptError, OpenAnswer, ReceivedRequest},
+    attempt::{OpenAnswer, ReceivedRequest},
     buffered::{ForwardOutcome, forward_answer},
     digests::RequestDigests,
+    failure::AttemptError,
 };
 use crate::context::RelayContext;
 
@@ -173,6 +174,7 @@
             reason: "not_permitted".into(),
             is_timeout: false,
             is_withheld: false,
+            is_fatal: false,
             retry_after: None,
         });
     }
@@ -196,6 +198,9 @@
         answer_time: MIN_ATTEMPT_TIME,
     };
     let nodes = received.context.directory.largest_node_count();
+    if error.is_fatal {
+        return plan.fail_attempt(clock::now(), &failure, &mut NoRetries);
+    }
     let mut allowance = received.context.budgets.allowance(&received.service, nodes);
     plan.fail_attempt(clock::now(), &failure, &mut allowance)
 }
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -4,8 +4,10 @@
 mod answer;
 mod attempt;
 mod buffered;
+mod crash;
 mod digests;
 mod exchange;
+mod failure;
 mod headers;
 mod listener;
 mod stream;
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -1,8 +1,6 @@
 //! Answers that are event streams, passed on event by event and resumed at another runner where the route allows it.
 
 use std::{
-    io,
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -21,21 +19,20 @@
 };
 use slog::o;
 use smol_str::SmolStr;
-use tokio::{net::TcpStream, time};
+use tokio::time;
 
 use super::{
     answer::{BrokenAnswer, RelayBody},
-    attempt::{AttemptError, OpenAnswer, ReceivedRequest},
+    attempt::{OpenAnswer, ReceivedRequest},
     buffered::{closes_connection, keep_alive_timeout},
     exchange::{log_failure, next_step, record_runner_answer},
+    failure::AttemptError,
     headers::remove_hop_by_hop_headers,
 };
 use crate::fleet::AttemptOutcome;
 
-/// Time from the head of an answer within which a runner crashes that cannot bear the prompt.
+/// Time from the head of an answer within which a runner crashes that cannot process the request.
 const ANSWER_START_TIME: Duration = Duration::from_millis(500);
-/// Timeout of the connection that tells a crashed runner from a broken connection.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// An event stream that is passed on from one runner, or several in turn, to a caller.
 #[derive(Debug)]
@@ -133,7 +130,7 @@
             let pool = &open.ticket.cell().pool;
             pool.give_back(open.connection, keep_alive_timeout(&open.head.headers));
         }
-        self.received.context.crashes.record_sound(&self.received.request);
+        self.received.context.crashes.record_sound(self.received.inputs());
         record_runner_answer(&self.received, self.status);
     }
 
@@ -148,6 +145,7 @@
             reason: reason.into(),
             is_timeout: reason == "timed_out",
             is_withheld: false,
+            is_fatal: false,
             retry_after: None,
         };
         let (cell, started_at) = (Arc::clone(open.ticket.cell()), open.started_at);
@@ -155,14 +153,13 @@
         // once.
         drop(open);
         self.splitter = EventSplitter::default();
-        if is_suspect(&self.received, started_at, reason) && has_crashed(cell.listed().address).await {
-            // A repeat might end the next runner.
-            self.received
-                .context
-                .crashes
-                .record_crash(&cell.listed(), &self.received.request);
-            self.log_broken("runner_crashed");
-            return false;
+        if is_suspect(started_at, reason) {
+            let inputs = self.received.inputs();
+            if self.received.record_crash(&cell, &inputs).await.is_crashed() {
+                // Another attempt might crash the next runner.
+                self.log_broken("runner_crashed");
+                return false;
+            }
         }
         loop {
             let step = next_step(&self.received, &mut self.plan, &error);
@@ -188,7 +185,7 @@
         let started_at = self.open.as_ref().map(|open| open.started_at);
         let is_under_way = started_at.is_some_and(|at| clock::now().saturating_duration_since(at) >= ANSWER_START_TIME);
         if is_under_way && !std::mem::replace(&mut self.is_sound, true) {
-            self.received.context.crashes.record_sound(&self.received.request);
+            self.received.context.crashes.record_sound(self.received.inputs());
         }
     }
 
@@ -202,6 +199,7 @@
             reason: reason.into(),
             is_timeout: false,
             is_withheld: false,
+            is_fatal: false,
             retry_after: None,
         };
         if !self.plan.begin_attempt(&backend) {
@@ -240,21 +238,12 @@
     }
 }
 
-/// Returns whether an answer broke off so soon that its prompt may have ended the runner.
-fn is_suspect(received: &ReceivedRequest, started_at: Instant, reason: &str) -> bool {
-    received.request.parts.len() > 1
-        && matches!(reason, "broken_answer" | "unfinished_event")
+/// Returns whether an answer broke off so soon that its request may have crashed the runner.
+fn is_suspect(started_at: Instant, reason: &str) -> bool {
+    matches!(reason, "broken_answer" | "unfinished_event")
         && clock::now().saturating_duration_since(started_at) < ANSWER_START_TIME
 }
 
-/// Returns whether nothing listens at a runner's address any more.
-async fn has_crashed(address: SocketAddr) -> bool {
-    match time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
-    }
-}
-
 /// Returns whether the event `id` was already passed on; numeric identifiers increase within a stream.
 fn is_duplicate(last: Option<&str>, id: &str) -> bool {
     let number = |text: &str| text.parse::<u64>().ok();
--- a/crates/mustardgate-relay/src/peers/client.rs
+++ b/crates/mustardgate-relay/src/peers/client.rs
@@ -15,8 +15,8 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use super::messages::{
-    ADAPTER_PATH, AdapterRequest, CachedRecords, DEMAND_PATH, DemandReport, LOG_PATH, LeaderAnswer, LogCall, LogReply,
-    PERMIT_PATH, PermitAnswer, PermitRequest, RECORDS_PATH, decode, encode,
+    ADAPTER_PATH, AdapterRequest, CachedRecords, DEMAND_PATH, DemandReport, EXCHANGE_PATH, KnowledgeExchange, LOG_PATH,
+    LeaderAnswer, LogCall, LogReply, PERMIT_PATH, PermitAnswer, PermitRequest, RECORDS_PATH, decode, encode,
 };
 
 /// Timeout for a connection to another node.
@@ -68,6 +68,15 @@
             .await
     }
 
+    /// Tells a neighbour what this node knows, and returns what the neighbour knows.
+    pub async fn exchange_knowledge(
+        &self,
+        neighbour: SocketAddr,
+        knowledge: &KnowledgeExchange,
+    ) -> Option<KnowledgeExchange> {
+        self.call(neighbour, "exchange", EXCHANGE_PATH, knowledge).await
+    }
+
     /// Reports the demand counted by this node to the leader.
     pub async fn report_demand(&self, leader: SocketAddr, report: &DemandReport) -> Option<LeaderAnswer> {
         self.call(leader, "demand", DEMAND_PATH, report).await
--- a/crates/mustardgate-relay/src/peers/digests.rs
+++ b/crates/mustardgate-relay/src/peers/digests.rs
@@ -5,12 +5,15 @@
 use rand::Rng;
 use tokio::time;
 
-use super::DemandReport;
+use super::{DemandReport, exchange::exchange_with_neighbours};
 use crate::context::RelayContext;
 
 /// Time between two reports of demand.
 const REPORT_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Time after a crash in which further ones are put into the same report.
+const CRASH_BATCH_PAUSE: Duration = Duration::from_millis(20);
+
 /// Reports demand to the leader, whose answers also prove that it still leads.
 #[derive(Debug)]
 pub struct DigestTask {
@@ -18,6 +21,8 @@
     address: SocketAddr,
     /// Leader that answered last, and the number of the newest runner observation that it returned.
     seen: Option<(SocketAddr, u64)>,
+    /// Whether the last report reached a leader.
+    is_led: bool,
 }
 
 impl DigestTask {
@@ -27,6 +32,7 @@
             context,
             address,
             seen: None,
+            is_led: false,
         }
     }
 
@@ -34,7 +40,11 @@
     pub async fn run(mut self) {
         loop {
             let pause = REPORT_INTERVAL.mul_f64(rand::rng().random_range(0.8..1.2));
-            time::sleep(pause).await;
+            tokio::select! {
+                () = time::sleep(pause) => {}
+                // Crashes under one input follow each other fast, so other nodes hear of each at once.
+                () = self.context.crashes.next_crash() => time::sleep(CRASH_BATCH_PAUSE).await,
+            }
             self.report().await;
         }
     }
@@ -49,19 +59,31 @@
                 .set_node_count(self.context.directory.count_live_nodes());
             return;
         }
-        let Some(address) = leader.leader_address() else { return };
+        let Some(address) = leader.leader_address() else {
+            return exchange_with_neighbours(&self.context, self.address).await;
+        };
         let report = DemandReport {
             address: self.address,
             digest: self.context.demand.take(),
-            crashes: self.context.crashes.digest(),
+            inputs: self.context.crashes.digest(),
             limits: self.context.limits.own_observations(),
             seen: self
                 .seen
                 .filter(|(leader, _)| *leader == address)
                 .map_or(0, |(_, seen)| seen),
         };
-        let answer = self.context.peers.report_demand(address, &report).await;
+        let reporting = self.context.peers.report_demand(address, &report);
+        let answer = if self.is_led {
+            reporting.await
+        } else {
+            let (answer, ()) = tokio::join!(reporting, exchange_with_neighbours(&self.context, self.address));
+            answer
+        };
         let is_leading = answer.as_ref().is_some_and(|answer| answer.is_leading);
+        if self.is_led && !is_leading {
+            exchange_with_neighbours(&self.context, self.address).await;
+        }
+        self.is_led = is_leading;
         leader.record_leader_contact(is_leading);
         self.context.directory.set_feeder(is_leading.then_some(address));
         if let Some(answer) = answer {
@@ -70,7 +92,8 @@
             for observation in &answer.observations {
                 self.context.fleet.observe(observation);
             }
-            self.context.crashes.merge(&answer.crashes);
+            self.context.directory.remember(&answer.neighbours);
+            self.context.crashes.merge(&answer.inputs);
             self.context.limits.merge(&answer.limits);
             self.seen = Some((address, answer.seen));
         }
--- a/crates/mustardgate-relay/src/peers/directory.rs
+++ b/crates/mustardgate-relay/src/peers/directory.rs
@@ -1,7 +1,7 @@
 //! Addresses of other nodes, learnt from calls between nodes.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
     sync::{
         Mutex, MutexGuard,
@@ -11,6 +11,7 @@
 };
 
 use mustardgate_core::clock;
+use rand::seq::IteratorRandom;
 
 /// Time after the last contact for which a node counts as running.
 const CONTACT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -26,9 +27,14 @@
     last_contacts: Mutex<BTreeMap<SocketAddr, Instant>>,
     node_count: AtomicU32,
     count_history: Mutex<CountHistory>,
+    /// Nodes that leaders told of, the latest last.
+    told: Mutex<VecDeque<SocketAddr>>,
     feeder: Mutex<FeederChoice>,
 }
 
+/// Largest number of nodes that are remembered from what leaders told.
+const MAX_TOLD: usize = 16;
+
 /// Largest numbers of nodes in the current period of [`COUNT_MEMORY`] and in the one before.
 #[derive(Debug, Default)]
 struct CountHistory {
@@ -62,6 +68,37 @@
         fresh.map(|(address, _)| *address).collect()
     }
 
+    /// Returns up to `count` random nodes with recent contact other than `asking`.
+    pub fn sample(&self, count: usize, asking: SocketAddr) -> Vec<SocketAddr> {
+        let others = self.addresses().into_iter().filter(|address| *address != asking);
+        others.choose_multiple(&mut rand::rng(), count)
+    }
+
+    /// Remembers nodes that a leader told of.
+    pub fn remember(&self, neighbours: &[SocketAddr]) {
+        let mut told = self.told.lock().expect("no holder of the lock panics");
+        for address in neighbours {
+            told.retain(|known| known != address);
+            told.push_back(*address);
+        }
+        while told.len() > MAX_TOLD {
+            told.pop_front();
+        }
+    }
+
+    /// Returns the nodes with recent contact, and those that leaders told of.
+    pub fn neighbours(&self) -> Vec<SocketAddr> {
+        let mut known = self.addresses();
+        let told = self.told.lock().expect("no holder of the lock panics");
+        let others: Vec<SocketAddr> = told
+            .iter()
+            .copied()
+            .filter(|address| !known.contains(address))
+            .collect();
+        known.extend(others);
+        known
+    }
+
     /// Returns the number of nodes with recent contact, including this one.
     pub fn count_live_nodes(&self) -> u32 {
         self.addresses().len() as u32 + 1
--- /dev/null
+++ b/crates/mustardgate-relay/src/peers/exchange.rs
@@ -0,0 +1,52 @@
+//! Exchange of what binds all nodes between those that reach no leader.
+
+use std::{collections::BTreeSet, net::SocketAddr};
+
+use futures::future::join_all;
+use rand::seq::IteratorRandom;
+
+use super::KnowledgeExchange;
+use crate::context::RelayContext;
+
+/// Largest number of nodes with which a node exchanges at once.
+const MAX_EXCHANGES: usize = 6;
+
+/// Returns what this node, which other nodes reach at `address`, knows.
+pub(super) fn own_knowledge(context: &RelayContext, address: Option<SocketAddr>) -> KnowledgeExchange {
+    KnowledgeExchange {
+        address,
+        inputs: context.crashes.digest(),
+        limits: context.limits.own_observations(),
+    }
+}
+
+/// Takes over what another node knows.
+pub(super) fn take_over(context: &RelayContext, knowledge: &KnowledgeExchange) {
+    context.crashes.merge(&knowledge.inputs);
+    context.limits.merge(&knowledge.limits);
+}
+
+/// Exchanges what this node knows with some nodes that it has heard of.
+pub(super) async fn exchange_with_neighbours(context: &RelayContext, own: SocketAddr) {
+    let knowledge = own_knowledge(context, Some(own));
+    let calls = choose_neighbours(context, own).into_iter().map(async |address| {
+        if let Some(answer) = context.peers.exchange_knowledge(address, &knowledge).await {
+            context.directory.record_contact(address);
+            take_over(context, &answer);
+        }
+    });
+    join_all(calls).await;
+}
+
+/// Chooses other nodes at random; up to half of them are seeds, through which all nodes hear of each other.
+fn choose_neighbours(context: &RelayContext, own: SocketAddr) -> Vec<SocketAddr> {
+    let seeds: BTreeSet<SocketAddr> = context.settings.listen.seeds.iter().copied().collect();
+    let others = context.directory.neighbours().into_iter();
+    let others = others.filter(|address| !seeds.contains(address) && *address != own);
+    let other_seeds = seeds.iter().copied().filter(|address| *address != own);
+    let rng = &mut rand::rng();
+    let mut chosen = other_seeds.choose_multiple(rng, MAX_EXCHANGES / 2);
+    let room = MAX_EXCHANGES - chosen.len();
+    chosen.extend(others.choose_multiple(rng, room));
+    chosen
+}
--- a/crates/mustardgate-relay/src/peers/messages.rs
+++ b/crates/mustardgate-relay/src/peers/messages.rs
@@ -16,6 +16,8 @@
 pub(super) const ADAPTER_PATH: &str = "/peers/v1/adapters";
 /// Path of [`DemandReport`].
 pub(super) const DEMAND_PATH: &str = "/peers/v1/demand";
+/// Path of [`KnowledgeExchange`].
+pub(super) const EXCHANGE_PATH: &str = "/peers/v1/exchange";
 /// Path of [`PermitRequest`].
 pub(super) const PERMIT_PATH: &str = "/peers/v1/permits";
 /// Path of [`LogCall`].
@@ -44,9 +46,9 @@
     /// Number of the newest runner observation that the called node has returned to this one.
     #[serde(default)]
     pub seen: u64,
-    /// What the node knows of prompts under which runners crash.
+    /// What the node knows of inputs under which runners crash.
     #[serde(default)]
-    pub crashes: CrashDigest,
+    pub inputs: CrashDigest,
     /// Rate limits that the node observed itself.
     #[serde(default)]
     pub limits: Vec<LimitObservation>,
@@ -67,14 +69,28 @@
     /// Number of the newest observation.
     #[serde(default)]
     pub seen: u64,
-    /// What the leader knows of prompts under which runners crash.
+    /// What the leader knows of inputs under which runners crash.
     #[serde(default)]
-    pub crashes: CrashDigest,
+    pub inputs: CrashDigest,
+    /// Addresses of some other nodes, with which to exchange what is known while no node leads.
+    #[serde(default)]
+    pub neighbours: Vec<SocketAddr>,
     /// Rate limits that the leader and other nodes observed.
     #[serde(default)]
     pub limits: Vec<LimitObservation>,
 }
 
+/// What a node knows that binds all nodes. Nodes exchange it with each other while they reach no leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KnowledgeExchange {
+    /// Address at which the node answers other nodes.
+    pub address: Option<SocketAddr>,
+    /// What the node knows of inputs under which runners crash.
+    pub inputs: CrashDigest,
+    /// Rate limits that the node observed itself.
+    pub limits: Vec<LimitObservation>,
+}
+
 /// A node asks the leader for a permit to send one request to a runner with a rate limit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PermitRequest {
--- a/crates/mustardgate-relay/src/peers/mod.rs
+++ b/crates/mustardgate-relay/src/peers/mod.rs
@@ -8,6 +8,7 @@
 mod client;
 mod digests;
 mod directory;
+mod exchange;
 mod feed;
 mod log;
 mod messages;
@@ -20,8 +21,8 @@
     feed::FeedLimiter,
     log::NeighbourLog,
     messages::{
-        AdapterRequest, CachedRecord, CachedRecords, DemandReport, LeaderAnswer, LogCall, LogReply, PermitAnswer,
-        PermitRequest,
+        AdapterRequest, CachedRecord, CachedRecords, DemandReport, KnowledgeExchange, LeaderAnswer, LogCall, LogReply,
+        PermitAnswer, PermitRequest,
     },
     server::serve_peers,
 };
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -14,15 +14,21 @@
 };
 use tokio::{net::TcpListener, time};
 
-use super::messages::{
-    ADAPTER_PATH, AdapterRequest, CachedRecord, CachedRecords, DEMAND_PATH, DemandReport, LOG_PATH, LeaderAnswer,
-    LogCall, LogReply, PERMIT_PATH, PermitRequest, RECORDS_PATH, decode, encode,
+use super::{
+    exchange::{own_knowledge, take_over},
+    messages::{
+        ADAPTER_PATH, AdapterRequest, CachedRecord, CachedRecords, DEMAND_PATH, DemandReport, EXCHANGE_PATH,
+        KnowledgeExchange, LOG_PATH, LeaderAnswer, LogCall, LogReply, PERMIT_PATH, PermitRequest, RECORDS_PATH, decode,
+        encode,
+    },
 };
 use crate::{
     context::RelayContext,
     leader::{issue_permit, load_adapter},
 };
 
+/// Largest number of nodes whose addresses the leader tells in one answer.
+const MAX_NEIGHBOURS: usize = 4;
 /// Path at which metrics are read.
 const METRICS_PATH: &str = "/metrics";
 /// Longest message from another node, in bytes.
@@ -62,6 +68,7 @@
         ADAPTER_PATH => answer_adapter_request(&context, &body).await,
         DEMAND_PATH => answer_demand(&context, &body),
         PERMIT_PATH => answer_permit_request(&context, &body),
+        EXCHANGE_PATH => answer_exchange(&context, &body),
         LOG_PATH => answer_log(&context, &body).await,
         RECORDS_PATH => Some(answer_records(&context).await),
         _ => return empty_answer(StatusCode::NOT_FOUND),
@@ -88,7 +95,7 @@
     let report: DemandReport = decode(body)?;
     let is_leading = context.leader.token().is_some();
     context.directory.record_contact(report.address);
-    context.crashes.merge(&report.crashes);
+    context.crashes.merge(&report.inputs);
     context.limits.merge(&report.limits);
     if !is_leading {
         return Some(encode(&LeaderAnswer::default()));
@@ -101,11 +108,21 @@
         nodes: context.directory.count_live_nodes(),
         observations,
         seen,
-        crashes: context.crashes.digest(),
+        inputs: context.crashes.digest(),
+        neighbours: context.directory.sample(MAX_NEIGHBOURS, report.address),
         limits: context.limits.all_observations(),
     }))
 }
 
+fn answer_exchange(context: &RelayContext, body: &[u8]) -> Option<Vec<u8>> {
+    let knowledge: KnowledgeExchange = decode(body)?;
+    if let Some(address) = knowledge.address {
+        context.directory.record_contact(address);
+    }
+    take_over(context, &knowledge);
+    Some(encode(&own_knowledge(context, None)))
+}
+
 fn answer_permit_request(context: &RelayContext, body: &[u8]) -> Option<Vec<u8>> {
     let request: PermitRequest = decode(body)?;
     Some(encode(&issue_permit(context, &request)))
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -113,10 +113,10 @@
 pub const RELAY_CHANGES_READ: EventKind = event(619, Level::Info, "changes read");
 /// The log does not answer this node, so neighbours are asked to call it; with the time that the call took.
 pub const RELAY_LOG_BYPASSED: EventKind = event(624, Level::Info, "log called through neighbours");
-/// A runner crashed when it began to answer a request; with the parts of the prompt that may be the reason.
+/// A runner crashed when it processed a request; with the inputs that may be the reason.
 pub const RELAY_RUNNER_CRASHED: EventKind = event(625, Level::Warning, "runner crashed under a request");
-/// Requests with a part of a prompt are refused, because runners crash under it.
-pub const RELAY_PROMPT_QUARANTINED: EventKind = event(626, Level::Warning, "part of prompts quarantined");
+/// Requests with an input are refused, because runners crash under it.
+pub const RELAY_INPUT_QUARANTINED: EventKind = event(626, Level::Warning, "input quarantined");
 /// The limit on the rate of requests to a runner changed, by an answer of the runner.
 pub const RELAY_RUNNER_LIMITED: EventKind = event(627, Level::Info, "runner limit changed");
 /// A lease record was refused or could not be appended, read or decoded, so the lease is uncertain.
@@ -185,7 +185,7 @@
     RELAY_ORDER_WITHHELD,
     RELAY_LOG_BYPASSED,
     RELAY_RUNNER_CRASHED,
-    RELAY_PROMPT_QUARANTINED,
+    RELAY_INPUT_QUARANTINED,
     RELAY_RUNNER_LIMITED,
     RELAY_SETTINGS_CHANGED,
     RELAY_SETTINGS_REFUSED,
