--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -15,15 +15,17 @@
     clock,
     ids::RequestId,
     relay::{RefusalCause, RelayRequest},
-    retry::{AttemptFailure, AttemptPlan, NextStep, PlanSettings},
+    retry::{AttemptFailure, AttemptPlan, NextStep, NoRetries, PlanSettings},
 };
 use rand::Rng;
 use slog::o;
 
 use super::{
     answer::{LocalAnswer, RelayBody, full_body},
-    attempt::{AttemptError, OpenAnswer, ReceivedRequest},
+    attempt::{OpenAnswer, ReceivedRequest},
     buffered::{ForwardOutcome, forward_answer},
+    digests::RequestDigests,
+    failure::AttemptError,
 };
 use crate::context::RelayContext;
 
@@ -97,6 +99,7 @@
         Ok(Err(_)) => return Err(LocalAnswer::Malformed),
         Err(_) => return Err(refusal(context, RefusalCause::AttemptsUsedUp)),
     };
+    let digests = RequestDigests::of(&head, &body);
     let service = route.service_for(rand::rng().random()).clone();
     context.budgets.record_request(request.received_at, &service);
     if let Some(name) = &request.model {
@@ -112,6 +115,7 @@
         request,
         head,
         body,
+        digests,
     })
 }
 
@@ -170,6 +174,7 @@
             reason: "not_permitted".into(),
             is_timeout: false,
             is_withheld: false,
+            is_fatal: false,
             retry_after: None,
         });
     }
@@ -192,7 +197,10 @@
         retry_after: None,
         answer_time: MIN_ATTEMPT_TIME,
     };
-    let nodes = received.context.directory.node_count();
+    let nodes = received.context.directory.largest_node_count();
+    if error.is_fatal {
+        return plan.fail_attempt(clock::now(), &failure, &mut NoRetries);
+    }
     let mut allowance = received.context.budgets.allowance(&received.service, nodes);
     plan.fail_attempt(clock::now(), &failure, &mut allowance)
 }
@@ -204,6 +212,8 @@
         "verdict" => error.verdict.to_string(),
         "reason" => error.reason.to_string(),
         "cause" => error.cause.to_string(),
+        "caller_digest" => received.digests.from_caller.to_string(),
+        "digest" => received.digests.content.to_string(),
         "backend" => error.backend.as_deref().unwrap_or("none").to_owned(),
         "model" => model_text(&received.request),
         "service" => received.service.to_string(),
