Look at the runner's state again after a permit was obtained

A permit may take up to 150 ms, in which a runner can begin to leave; its state was looked at before and not after. Found by reading; the bound of DRAIN (2 s) was not at risk by it, but the design says that it is looked at before each send. No test: the wait is shorter than what the tests of draining can tell.

--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -159,6 +159,9 @@
                 cell.hold(clock::now() + delay);
                 return Err(SendFailure::Limited);
             }
+            if !cell.is_in_service() {
+                return Err(SendFailure::Withheld);
+            }
             let time_left = self.expires_at.saturating_duration_since(clock::now());
             let request = self.runner_request(&listed.id, time_left, resume_after);
             let answer = connection.send(request, time_left).await?;
