Prove that crashing requests end, with random cuts, leaders and waves of crashes

The scenario crashing-inputs drives the ledgers of 2 to 60 nodes: one request crashes each of 3 to 9 runners 20 to 120 ms after its send and comes back every 0.1 s to 2.5 s at any node, beside sound requests, one of them repeated all the time, while runners are killed in waves, nodes are cut off, leaders are lost, and messages are late.

--- a/crates/standins/src/proof/mod.rs
+++ b/crates/standins/src/proof/mod.rs
@@ -10,6 +10,7 @@
 mod config_log;
 mod config_node;
 mod config_scenarios;
+mod crashing;
 mod domain;
 mod keyed;
 mod leaving;
@@ -86,6 +87,7 @@
         Box::new(whole_answers::WholeAnswersScenario),
         Box::new(leaving::LeavingScenario),
         Box::new(limits::LimitScenario),
+        Box::new(crashing::CrashScenario),
         Box::new(ConfigScenario::new(ConfigGuard::VersionCheck)),
         Box::new(ConfigScenario::new(ConfigGuard::ChangeIdentifiers)),
         Box::new(ConfigScenario::new(ConfigGuard::ReadBack)),
