--- a/crates/mustardgate-core/src/relay/rate_limits.rs
+++ b/crates/mustardgate-core/src/relay/rate_limits.rs
@@ -147,17 +147,19 @@
     ///
     /// An end of a limit is dated back by the delay, so that it never overrides a later statement.
     pub fn merge(&mut self, now: Instant, observations: &[LimitObservation], delay: Duration) {
-        let past = |age: Duration| now.checked_sub(age).unwrap_or(now);
         for observed in observations {
             if self.heard.len() >= MAX_PROCESSES && !self.heard.contains_key(&observed.process) {
                 continue;
             }
             let evidence = self.heard.entry(observed.process.clone()).or_default();
             if let Some((rate, age)) = observed.stated.filter(|(rate, _)| rate.is_finite() && *rate >= 0.0) {
-                evidence.state(rate, past(age));
+                evidence.state(rate, now.checked_sub(age).unwrap_or(now));
             }
-            if let Some(age) = observed.unlimited {
-                evidence.end(past(age.saturating_add(delay)));
+            let ended_at = observed
+                .unlimited
+                .and_then(|age| now.checked_sub(age.checked_add(delay)?));
+            if let Some(at) = ended_at {
+                evidence.end(at);
             }
         }
     }
--- a/crates/mustardgate-core/tests/relay/rate_limits.rs
+++ b/crates/mustardgate-core/tests/relay/rate_limits.rs
@@ -81,6 +81,17 @@
     assert_eq!(pass_on(later + STEP, &witness), None);
 }
 
+#[test]
+fn an_end_with_an_impossible_age_does_not_end_a_limit() {
+    let start = Instant::now();
+    let mut ledger = LimitLedger::default();
+    ledger.observe(start, &process(1), LimitStatement::PerSecond(1.2), start);
+    let mut observed = ledger.own_observations(start);
+    observed[0].unlimited = Some(Duration::MAX);
+    ledger.merge(start + DELAY * 2, &observed, DELAY);
+    assert_eq!(ledger.rate(&process(1)), Some(1.2));
+}
+
 #[test]
 fn what_a_node_only_heard_is_not_reported_as_its_own() {
     let start = Instant::now();
