Check a broken runner again after 20 ms

The check whether a runner's process is gone was used again for 100 ms, so a crash soon after a connection that broke for another reason would have been taken for no crash. Found by reading; not seen. The requests that one event breaks off are told within a few milliseconds.

--- a/crates/mustardgate-relay/src/fleet/cell.rs
+++ b/crates/mustardgate-relay/src/fleet/cell.rs
@@ -26,8 +26,8 @@
 
 /// Timeout of the connection that tells a crashed runner from a broken connection.
 const PROCESS_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time for which the result of such a check is used again.
-const PROCESS_CHECK_VALIDITY: Duration = Duration::from_millis(100);
+/// Time for which the result of such a check is used again, for the other requests that the same event broke off.
+const PROCESS_CHECK_VALIDITY: Duration = Duration::from_millis(20);
 
 /// One runner with its idle connections and its observed state, which has its own lock.
 #[derive(Debug)]
