--- a/crates/mustardgate-core/tests/relay/rate_limits.rs
+++ b/crates/mustardgate-core/tests/relay/rate_limits.rs
@@ -87,6 +87,7 @@
     let mut ledger = LimitLedger::default();
     ledger.observe(start, &process(1), LimitStatement::PerSecond(1.2), start);
     let mut observed = ledger.own_observations(start);
+    observed[0].stated = None;
     observed[0].unlimited = Some(Duration::MAX);
     ledger.merge(start + DELAY * 2, &observed, DELAY);
     assert_eq!(ledger.rate(&process(1)), Some(1.2));
