--- a/crates/mustardgate-relay/src/peers/digests.rs
+++ b/crates/mustardgate-relay/src/peers/digests.rs
@@ -1,11 +1,11 @@
-//! Reports the demand counted by this node to the leader.
+//! Reports what this node counted and observed to the leader, and takes over what the leader knows.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use rand::Rng;
 use tokio::time;
 
-use super::{DemandReport, exchange::exchange_with_neighbours};
+use super::{DemandReport, LeaderAnswer, exchange::exchange_with_neighbours};
 use crate::context::RelayContext;
 
 /// Time between two reports of demand.
@@ -14,7 +14,7 @@
 /// Time after a crash in which further ones are put into the same report.
 const CRASH_BATCH_PAUSE: Duration = Duration::from_millis(20);
 
-/// Reports demand to the leader, whose answers also prove that it still leads.
+/// Reports demand, crashes and rate limits to the leader, whose answers also prove that it still leads.
 #[derive(Debug)]
 pub struct DigestTask {
     context: Arc<RelayContext>,
@@ -62,40 +62,50 @@
         let Some(address) = leader.leader_address() else {
             return exchange_with_neighbours(&self.context, self.address).await;
         };
+        let answer = self.call_leader(address).await;
+        let is_leading = answer.as_ref().is_some_and(|answer| answer.is_leading);
+        self.is_led = is_leading;
+        self.context.leader.record_leader_contact(is_leading);
+        self.context.directory.set_feeder(is_leading.then_some(address));
+        if let Some(answer) = answer {
+            self.apply_answer(address, &answer);
+        }
+    }
+
+    /// Reports to the node that is believed to lead. While it does not answer as leader, other nodes are told what this
+    /// one knows as well.
+    async fn call_leader(&self, address: SocketAddr) -> Option<LeaderAnswer> {
+        let seen = self.seen.filter(|(leader, _)| *leader == address);
         let report = DemandReport {
             address: self.address,
             digest: self.context.demand.take(),
             inputs: self.context.crashes.digest(),
             limits: self.context.limits.own_observations(),
-            seen: self
-                .seen
-                .filter(|(leader, _)| *leader == address)
-                .map_or(0, |(_, seen)| seen),
+            seen: seen.map_or(0, |(_, seen)| seen),
         };
         let reporting = self.context.peers.report_demand(address, &report);
-        let answer = if self.is_led {
-            reporting.await
-        } else {
-            let (answer, ()) = tokio::join!(reporting, exchange_with_neighbours(&self.context, self.address));
-            answer
-        };
-        let is_leading = answer.as_ref().is_some_and(|answer| answer.is_leading);
-        if self.is_led && !is_leading {
+        if !self.is_led {
+            let exchanging = exchange_with_neighbours(&self.context, self.address);
+            let (answer, ()) = tokio::join!(reporting, exchanging);
+            return answer;
+        }
+        let answer = reporting.await;
+        if !answer.as_ref().is_some_and(|answer| answer.is_leading) {
             exchange_with_neighbours(&self.context, self.address).await;
         }
-        self.is_led = is_leading;
-        leader.record_leader_contact(is_leading);
-        self.context.directory.set_feeder(is_leading.then_some(address));
-        if let Some(answer) = answer {
-            self.context.directory.record_contact(address);
-            self.context.directory.set_node_count(answer.nodes);
-            for observation in &answer.observations {
-                self.context.fleet.observe(observation);
-            }
-            self.context.directory.remember(&answer.neighbours);
-            self.context.crashes.merge(&answer.inputs);
-            self.context.limits.merge(&answer.limits);
-            self.seen = Some((address, answer.seen));
+        answer
+    }
+
+    fn apply_answer(&mut self, address: SocketAddr, answer: &LeaderAnswer) {
+        let directory = &self.context.directory;
+        directory.record_contact(address);
+        directory.set_node_count(answer.nodes);
+        directory.remember(&answer.neighbours);
+        for observation in &answer.observations {
+            self.context.fleet.observe(observation);
         }
+        self.context.crashes.merge(&answer.inputs);
+        self.context.limits.merge(&answer.limits);
+        self.seen = Some((address, answer.seen));
     }
 }
