--- a/crates/mustardgate-relay/src/gateway/buffered.rs
+++ b/crates/mustardgate-relay/src/gateway/buffered.rs
@@ -10,7 +10,7 @@
     header::{CONNECTION, CONTENT_LENGTH},
     http::response,
 };
-use mustardgate_core::{clock, ids::BackendId, relay::RefusalCause, retry::AttemptPlan, verdict::RunVerdict};
+use mustardgate_core::{clock, ids::BackendId, retry::AttemptPlan, verdict::RunVerdict};
 
 use super::{
     answer::{RelayBody, full_body},
@@ -71,7 +71,7 @@
                     .is_repeated();
             let error = AttemptError {
                 is_fatal,
-                ..uncertain(backend, reason, is_timeout)
+                ..uncertain(&backend, reason, is_timeout)
             };
             return ForwardOutcome::Failed {
                 received: Box::new(received),
@@ -96,7 +96,7 @@
             .give_back(connection, keep_alive_timeout(&head.headers));
     }
     if is_retryable {
-        let error = uncertain(backend, &format!("status_{}", head.status.as_u16()), false);
+        let error = uncertain(&backend, &format!("status_{}", head.status.as_u16()), false);
         let is_usable = metadata.is_sealed && !implies_not_run(head.status);
         let response = is_usable.then(|| runner_response(&received.head.method, head, content));
         return ForwardOutcome::Failed {
@@ -109,7 +109,7 @@
     // These statuses tell the caller that the request did not run. Where the runner marks that, the attempt has already
     // been handled as not run; without the mark, as without the seal, the request may have run.
     if implies_not_run(head.status) || !metadata.is_sealed {
-        let error = uncertain(backend, "unmarked_refusal", false);
+        let error = uncertain(&backend, "unmarked_refusal", false);
         return ForwardOutcome::Failed {
             received: Box::new(received),
             plan,
@@ -161,15 +161,9 @@
 }
 
 /// Returns the error of an attempt that may have run.
-fn uncertain(backend: BackendId, reason: &str, is_timeout: bool) -> AttemptError {
+fn uncertain(backend: &BackendId, reason: &str, is_timeout: bool) -> AttemptError {
     AttemptError {
-        backend: Some(backend),
-        verdict: RunVerdict::MayHaveRun,
-        cause: RefusalCause::AttemptsUsedUp,
-        reason: reason.into(),
         is_timeout,
-        is_withheld: false,
-        is_fatal: false,
-        retry_after: None,
+        ..AttemptError::at_runner(backend, RunVerdict::MayHaveRun, reason)
     }
 }
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -169,13 +169,7 @@
     if !plan.begin_attempt(&pick.cell.listed().id) {
         return Err(AttemptError {
             backend: None,
-            verdict: plan.verdict(),
-            cause: RefusalCause::AttemptsUsedUp,
-            reason: "not_permitted".into(),
-            is_timeout: false,
-            is_withheld: false,
-            is_fatal: false,
-            retry_after: None,
+            ..AttemptError::at_runner(&pick.cell.listed().id, plan.verdict(), "not_permitted")
         });
     }
     received.open(&pick, None).await
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -13,7 +13,7 @@
 use mustardgate::events;
 use mustardgate_core::{
     clock,
-    relay::{EventSplitter, RefusalCause},
+    relay::EventSplitter,
     retry::{AttemptPlan, NextStep},
     verdict::RunVerdict,
 };
@@ -139,14 +139,8 @@
         let Some(mut open) = self.open.take() else { return false };
         open.ticket.set_outcome(AttemptOutcome::Failed);
         let mut error = AttemptError {
-            backend: Some(open.ticket.cell().listed().id.clone()),
-            verdict: RunVerdict::MayHaveRun,
-            cause: RefusalCause::AttemptsUsedUp,
-            reason: reason.into(),
             is_timeout: reason == "timed_out",
-            is_withheld: false,
-            is_fatal: false,
-            retry_after: None,
+            ..AttemptError::at_runner(&open.ticket.cell().listed().id, RunVerdict::MayHaveRun, reason)
         };
         let (cell, started_at) = (Arc::clone(open.ticket.cell()), open.started_at);
         // The old connection is closed before another runner continues, so that the request does not run at both at
@@ -192,28 +186,19 @@
     async fn reopen(&mut self, excluded: &[mustardgate_core::ids::BackendId]) -> Result<OpenAnswer, AttemptError> {
         let pick = self.received.choose(excluded).await?;
         let backend = pick.cell.listed().id.clone();
-        let refused = |reason: &str| AttemptError {
-            backend: None,
-            verdict: RunVerdict::MayHaveRun,
-            cause: RefusalCause::AttemptsUsedUp,
-            reason: reason.into(),
-            is_timeout: false,
-            is_withheld: false,
-            is_fatal: false,
-            retry_after: None,
-        };
+        let refused = |reason: &str| AttemptError::at_runner(&backend, RunVerdict::MayHaveRun, reason);
         if !self.plan.begin_attempt(&backend) {
-            return Err(refused("not_permitted"));
+            return Err(AttemptError {
+                backend: None,
+                ..refused("not_permitted")
+            });
         }
         let mut open = self.received.open(&pick, self.last_event.clone()).await?;
         if open.head.status.is_success() {
             return Ok(open);
         }
         open.ticket.set_outcome(AttemptOutcome::Failed);
-        Err(AttemptError {
-            backend: Some(backend),
-            ..refused("resume_refused")
-        })
+        Err(refused("resume_refused"))
     }
 
     fn log_resumed(&self, open: &OpenAnswer) {
