Tell nodes only of inputs under which several runners crashed

Nodes now report what they saw themselves, once; the leader tells of inputs under which at least two runners crashed, which are few; nodes without a leader tell each other of the newest 256.

--- a/crates/mustardgate-core/src/relay/crashes.rs
+++ b/crates/mustardgate-core/src/relay/crashes.rs
@@ -10,6 +10,8 @@
 use super::{InputId, RelayRequest};
 use crate::ids::RunnerProcess;
 
+/// Largest number of crashes that nodes without a leader tell each other at once.
+const MAX_EXCHANGED_CRASHES: usize = 256;
 /// Time between two removals of expired entries; the leader merges several digests in that time.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -94,6 +96,8 @@
 pub struct CrashLedger {
     settings: CrashSettings,
     crashes: BTreeMap<InputId, BTreeMap<RunnerProcess, Instant>>,
+    /// Crashes that this node saw itself.
+    own: BTreeSet<(InputId, RunnerProcess)>,
     sound: BTreeMap<InputId, Instant>,
     quarantined: BTreeMap<InputId, InputQuarantine>,
     /// When expired entries were last dropped.
@@ -112,14 +116,22 @@
         Self {
             settings,
             crashes: BTreeMap::new(),
+            own: BTreeSet::new(),
             sound: BTreeMap::new(),
             quarantined: BTreeMap::new(),
             expired_at: None,
         }
     }
 
-    /// Records that a runner process crashed when it processed these inputs.
+    /// Records that this node saw a runner process crash when it processed these inputs.
     pub fn record_crash(&mut self, at: Instant, process: &RunnerProcess, inputs: impl IntoIterator<Item = InputId>) {
+        let inputs: Vec<InputId> = inputs.into_iter().collect();
+        let own = inputs.iter().map(|input| (*input, process.clone()));
+        self.own.extend(own);
+        self.add_crash(at, process, inputs);
+    }
+
+    fn add_crash(&mut self, at: Instant, process: &RunnerProcess, inputs: impl IntoIterator<Item = InputId>) {
         for input in inputs {
             let by_process = self.crashes.entry(input).or_default();
             let known = by_process.entry(process.clone()).or_insert(at);
@@ -193,32 +205,58 @@
         })
     }
 
-    /// Returns what other nodes should know.
+    /// Returns what this node observed itself since a time, or all of it, for a leader that collects it.
+    pub fn own_digest(&self, now: Instant, since: Option<Instant>) -> CrashDigest {
+        self.digest_of(now, |input, process, at| {
+            let is_own = self.own.contains(&(input, process.clone()));
+            is_own && since.is_none_or(|since| at >= since)
+        })
+    }
+
+    /// Returns what nodes should know of what their leader collected: inputs under which several runners crashed.
+    ///
+    /// Each crash breaks off many requests, and most of them are never seen again.
+    pub fn suspect_digest(&self, now: Instant) -> CrashDigest {
+        self.digest_of(now, |input, _, _| {
+            self.crashes.get(&input).is_some_and(|by_process| by_process.len() > 1)
+        })
+    }
+
+    /// Returns everything that this node knows, for nodes without a leader; of many crashes only the newest.
     pub fn digest(&self, now: Instant) -> CrashDigest {
-        let crashes = self.crashes.iter().flat_map(|(input, by_process)| {
-            by_process.iter().map(|(process, at)| CrashObservation {
+        let mut digest = self.digest_of(now, |_, _, _| true);
+        digest.crashes.sort_by_key(|crash| crash.age);
+        digest.crashes.truncate(MAX_EXCHANGED_CRASHES);
+        digest
+    }
+
+    fn digest_of(&self, now: Instant, includes: impl Fn(InputId, &RunnerProcess, Instant) -> bool) -> CrashDigest {
+        let mut crashes = Vec::new();
+        for (input, by_process) in &self.crashes {
+            let told = by_process
+                .iter()
+                .filter(|(process, at)| includes(*input, process, **at));
+            crashes.extend(told.map(|(process, at)| CrashObservation {
                 input: *input,
                 process: process.clone(),
                 age: now.saturating_duration_since(*at),
-            })
-        });
+            }));
+        }
         let disputed = self.crashes.keys().chain(self.quarantined.keys());
         let disputed: BTreeSet<InputId> = disputed.copied().collect();
         let sound = disputed.into_iter().filter_map(|input| {
             let at = self.sound.get(&input)?;
             Some((input, now.saturating_duration_since(*at)))
         });
-        let quarantined = self.quarantined.iter();
+        let quarantined = self.quarantined.iter().map(|(input, quarantine)| QuarantineNotice {
+            input: *input,
+            left: quarantine.until.saturating_duration_since(now),
+            age: now.saturating_duration_since(quarantine.began_at),
+        });
         CrashDigest {
-            crashes: crashes.collect(),
+            crashes,
             sound: sound.collect(),
-            quarantined: quarantined
-                .map(|(input, quarantine)| QuarantineNotice {
-                    input: *input,
-                    left: quarantine.until.saturating_duration_since(now),
-                    age: now.saturating_duration_since(quarantine.began_at),
-                })
-                .collect(),
+            quarantined: quarantined.collect(),
         }
     }
 
@@ -226,7 +264,7 @@
     pub fn merge(&mut self, now: Instant, digest: &CrashDigest) {
         let past = |age: Duration| now.checked_sub(age).unwrap_or(now);
         for crash in &digest.crashes {
-            self.record_crash(past(crash.age), &crash.process, [crash.input]);
+            self.add_crash(past(crash.age), &crash.process, [crash.input]);
         }
         for notice in &digest.quarantined {
             let began_at = past(notice.age);
@@ -283,6 +321,11 @@
             by_process.retain(|_, at| is_recent(at, settings.crash_memory));
         }
         self.crashes.retain(|_, by_process| !by_process.is_empty());
+        let crashes = &self.crashes;
+        self.own.retain(|(input, process)| {
+            let by_process = crashes.get(input);
+            by_process.is_some_and(|by_process| by_process.contains_key(process))
+        });
         // An input that was answered well outlives the crashes that it clears.
         self.sound
             .retain(|_, at| is_recent(at, settings.sound_memory + settings.crash_memory));
--- a/crates/mustardgate-core/tests/relay/crashes.rs
+++ b/crates/mustardgate-core/tests/relay/crashes.rs
@@ -132,6 +132,29 @@
     assert!(!ledger.is_repeated([BAD]));
 }
 
+// Guards against CONFIG breaks by a leader that tells all nodes of every request that a crash broke off.
+#[test]
+fn a_leader_tells_of_inputs_under_which_several_runners_crashed_and_of_no_others() {
+    const BYSTANDERS: u64 = 1_000;
+    let start = Instant::now();
+    let mut leader = ledger();
+    let mut witnesses = [ledger(), ledger()];
+    for (number, witness) in witnesses.iter_mut().enumerate() {
+        let first = 1_000 * (number as u64 + 1);
+        let bystanders = (first..first + BYSTANDERS).map(InputId::Part);
+        witness.record_crash(start, &process(number as u64), bystanders.chain([BAD]));
+        leader.merge(start, &witness.own_digest(start, None));
+        // A report tells only what is new since the one before.
+        assert!(witness.own_digest(start, Some(start + STEP)).crashes.is_empty());
+    }
+    let told = leader.suspect_digest(start).crashes;
+    assert!(told.iter().all(|crash| crash.input == BAD), "{} crashes", told.len());
+    assert_eq!(told.len(), witnesses.len());
+    // What a node only heard of is not reported as its own, and nodes without a leader tell a bounded number.
+    assert!(leader.own_digest(start, None).crashes.is_empty());
+    assert!(leader.digest(start).crashes.len() <= 256);
+}
+
 #[test]
 fn a_new_leader_learns_the_quarantine_from_the_nodes_and_memory_is_bounded() {
     let start = Instant::now();
--- a/crates/mustardgate-relay/src/context/crashes.rs
+++ b/crates/mustardgate-relay/src/context/crashes.rs
@@ -68,12 +68,26 @@
         self.changed.notified().await;
     }
 
-    /// Returns what other nodes should know.
+    /// Returns what this node observed itself since a time, or all of it, for the leader.
+    pub fn own_digest(&self, since: Option<Instant>) -> CrashDigest {
+        self.updated(|ledger, now| ledger.own_digest(now, since))
+    }
+
+    /// Returns what the nodes that this one leads should know.
+    pub fn suspect_digest(&self) -> CrashDigest {
+        self.updated(CrashLedger::suspect_digest)
+    }
+
+    /// Returns everything that this node knows, for nodes without a leader.
     pub fn digest(&self) -> CrashDigest {
+        self.updated(CrashLedger::digest)
+    }
+
+    fn updated(&self, digest: impl FnOnce(&CrashLedger, Instant) -> CrashDigest) -> CrashDigest {
         let now = clock::now();
         let mut ledger = self.lock();
         self.update(&mut ledger, now);
-        ledger.digest(now)
+        digest(&ledger, now)
     }
 
     /// Takes over what another node knows.
--- a/crates/mustardgate-relay/src/peers/digests.rs
+++ b/crates/mustardgate-relay/src/peers/digests.rs
@@ -1,7 +1,12 @@
 //! Reports what this node counted and observed to the leader, and takes over what the leader knows.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
+use mustardgate_core::clock;
 use rand::Rng;
 use tokio::time;
 
@@ -21,6 +26,8 @@
     address: SocketAddr,
     /// Leader that answered last, and the number of the newest runner observation that it returned.
     seen: Option<(SocketAddr, u64)>,
+    /// When the last report that this leader answered was made.
+    reported_at: Option<Instant>,
     /// Whether the last report reached a leader.
     is_led: bool,
 }
@@ -32,6 +39,7 @@
             context,
             address,
             seen: None,
+            reported_at: None,
             is_led: false,
         }
     }
@@ -62,11 +70,13 @@
         let Some(address) = leader.leader_address() else {
             return exchange_with_neighbours(&self.context, self.address).await;
         };
+        let reported_at = clock::now();
         let answer = self.call_leader(address).await;
         let is_leading = answer.as_ref().is_some_and(|answer| answer.is_leading);
         self.is_led = is_leading;
         self.context.leader.record_leader_contact(is_leading);
         self.context.directory.set_feeder(is_leading.then_some(address));
+        self.reported_at = Some(reported_at);
         if let Some(answer) = answer {
             self.apply_answer(address, &answer);
         }
@@ -79,7 +89,7 @@
         let report = DemandReport {
             address: self.address,
             digest: self.context.demand.take(),
-            inputs: self.context.crashes.digest(),
+            inputs: self.context.crashes.own_digest(self.reported_since(address)),
             limits: self.context.limits.own_observations(),
             seen: seen.map_or(0, |(_, seen)| seen),
         };
@@ -96,6 +106,12 @@
         answer
     }
 
+    /// Returns from when on crashes are reported to a leader; it knows those of earlier reports.
+    fn reported_since(&self, leader: SocketAddr) -> Option<Instant> {
+        let is_known = self.is_led && self.seen.is_some_and(|(seen, _)| seen == leader);
+        self.reported_at.filter(|_| is_known)
+    }
+
     fn apply_answer(&mut self, address: SocketAddr, answer: &LeaderAnswer) {
         let directory = &self.context.directory;
         directory.record_contact(address);
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -108,7 +108,7 @@
         nodes: context.directory.count_live_nodes(),
         observations,
         seen,
-        inputs: context.crashes.digest(),
+        inputs: context.crashes.suspect_digest(),
         neighbours: context.directory.sample(MAX_NEIGHBOURS, report.address),
         limits: context.limits.all_observations(),
     }))
--- a/crates/standins/src/proof/crashing/simulation.rs
+++ b/crates/standins/src/proof/crashing/simulation.rs
@@ -257,7 +257,11 @@
                 continue;
             }
             self.nodes[node].ledger.update(self.now);
-            let digest = self.nodes[node].ledger.digest(self.now);
+            let ledger = &self.nodes[node].ledger;
+            let digest = match self.leader {
+                Some(leader) if leader == other => ledger.own_digest(self.now, None),
+                _ => ledger.digest(self.now),
+            };
             let delay = self.message_time();
             self.messages.push((self.now + delay, other, Some(node), digest));
         }
@@ -271,7 +275,10 @@
             ledger.merge(now, &digest);
             ledger.update(now);
             if let Some(sender) = sender {
-                let answer = ledger.digest(now);
+                let answer = match self.leader {
+                    Some(leader) if leader == receiver => ledger.suspect_digest(now),
+                    _ => ledger.digest(now),
+                };
                 let delay = self.message_time();
                 self.messages.push((now + delay, sender, None, answer));
             }
