--- a/crates/mustardgate-core/src/relay/admission.rs
+++ b/crates/mustardgate-core/src/relay/admission.rs
@@ -25,9 +25,12 @@
     /// Every allowed attempt ended with a runner that refused the request or could not be reached.
     #[display("attempts_used_up")]
     AttemptsUsedUp,
-    /// Runners crash under the request, or under a part of its prompt.
-    #[display("input_quarantined")]
-    InputQuarantined,
+    /// The prompt has a part under which runners crash.
+    #[display("prompt_quarantined")]
+    PromptQuarantined,
+    /// Runners crash under the request.
+    #[display("request_quarantined")]
+    RequestQuarantined,
 }
 
 /// Settings of [`AdmissionGate`].
@@ -142,7 +145,7 @@
     pub fn retry_delay(&self, cause: RefusalCause, load_left: Option<Duration>, draw: f64) -> Duration {
         let base = match cause {
             RefusalCause::Overloaded | RefusalCause::AttemptsUsedUp => self.settings.overload_delay,
-            RefusalCause::InputQuarantined => self.settings.quarantine_delay,
+            RefusalCause::PromptQuarantined | RefusalCause::RequestQuarantined => self.settings.quarantine_delay,
             RefusalCause::ModelAbsent => load_left.unwrap_or(self.settings.absence_delay),
             RefusalCause::NoConfiguration | RefusalCause::NoRunner | RefusalCause::AdapterAbsent => {
                 self.settings.absence_delay
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -72,8 +72,8 @@
 impl ReceivedRequest {
     /// Chooses a runner that was not tried yet and holds the requested adapter, or has the adapter loaded on one.
     pub(super) async fn choose(&self, tried: &[BackendId]) -> Result<RunnerPick, AttemptError> {
-        if self.context.crashes.refuses(self.inputs()) {
-            return Err(AttemptError::unplaced(RefusalCause::InputQuarantined));
+        if let Some(cause) = self.quarantine() {
+            return Err(AttemptError::unplaced(cause));
         }
         let mut excluded = tried.to_vec();
         for _ in 0..MAX_ADAPTER_LOADS {
--- a/crates/mustardgate-relay/src/gateway/crash.rs
+++ b/crates/mustardgate-relay/src/gateway/crash.rs
@@ -1,6 +1,6 @@
 //! Tells a crash of a runner from a broken connection, and records under which inputs it crashed.
 
-use mustardgate_core::relay::{InputId, shared_parts};
+use mustardgate_core::relay::{InputId, RefusalCause, shared_parts};
 
 use super::attempt::ReceivedRequest;
 use crate::fleet::RunnerCell;
@@ -33,6 +33,16 @@
         shared_parts(&self.request).chain(self.digests.inputs()).collect()
     }
 
+    /// Returns the cause of a refusal if runners crash under the request or a part of its prompt.
+    pub(super) fn quarantine(&self) -> Option<RefusalCause> {
+        let crashes = &self.context.crashes;
+        if crashes.refuses(self.digests.inputs()) {
+            return Some(RefusalCause::RequestQuarantined);
+        }
+        let is_refused = crashes.refuses(shared_parts(&self.request));
+        is_refused.then_some(RefusalCause::PromptQuarantined)
+    }
+
     /// Checks whether a runner that broke its connection has crashed, and records the inputs if so.
     ///
     /// A runner that leaves as planned ends its connections as well and is not checked.
--- a/crates/mustardgate-relay/src/peers/digests.rs
+++ b/crates/mustardgate-relay/src/peers/digests.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use tokio::time;
 
-use super::{DemandReport, LeaderAnswer, exchange::exchange_with_neighbours};
+use super::{DemandReport, LeaderAnswer, PartCrashDigest, exchange::exchange_with_neighbours};
 use crate::context::RelayContext;
 
 /// Time between two reports of demand.
@@ -86,10 +86,12 @@
     /// one knows as well.
     async fn call_leader(&self, address: SocketAddr) -> Option<LeaderAnswer> {
         let seen = self.seen.filter(|(leader, _)| *leader == address);
+        let inputs = self.context.crashes.own_digest(self.reported_since(address));
         let report = DemandReport {
             address: self.address,
             digest: self.context.demand.take(),
-            inputs: self.context.crashes.own_digest(self.reported_since(address)),
+            crashes: PartCrashDigest::of(&inputs),
+            inputs: Some(inputs),
             limits: self.context.limits.own_observations(),
             seen: seen.map_or(0, |(_, seen)| seen),
         };
@@ -120,7 +122,8 @@
         for observation in &answer.observations {
             self.context.fleet.observe(observation);
         }
-        self.context.crashes.merge(&answer.inputs);
+        let inputs = answer.crashes.or_newer(answer.inputs.as_ref());
+        self.context.crashes.merge(&inputs);
         self.context.limits.merge(&answer.limits);
         self.seen = Some((address, answer.seen));
     }
--- a/crates/mustardgate-relay/src/peers/messages.rs
+++ b/crates/mustardgate-relay/src/peers/messages.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use smol_str::SmolStr;
 
+use super::part_crashes::PartCrashDigest;
 use crate::context::DemandDigest;
 
 /// Path of [`AdapterRequest`].
@@ -46,9 +47,12 @@
     /// Number of the newest runner observation that the called node has returned to this one.
     #[serde(default)]
     pub seen: u64,
-    /// What the node knows of inputs under which runners crash.
+    /// What the node knows of parts of prompts under which runners crash, for earlier builds.
     #[serde(default)]
-    pub inputs: CrashDigest,
+    pub crashes: PartCrashDigest,
+    /// What the node knows of inputs under which runners crash; earlier builds do not send it.
+    #[serde(default)]
+    pub inputs: Option<CrashDigest>,
     /// Rate limits that the node observed itself.
     #[serde(default)]
     pub limits: Vec<LimitObservation>,
@@ -69,9 +73,12 @@
     /// Number of the newest observation.
     #[serde(default)]
     pub seen: u64,
-    /// What the leader knows of inputs under which runners crash.
+    /// What the leader knows of parts of prompts under which runners crash, for earlier builds.
     #[serde(default)]
-    pub inputs: CrashDigest,
+    pub crashes: PartCrashDigest,
+    /// What the leader knows of inputs under which runners crash; earlier builds do not send it.
+    #[serde(default)]
+    pub inputs: Option<CrashDigest>,
     /// Addresses of some other nodes, with which to exchange what is known while no node leads.
     #[serde(default)]
     pub neighbours: Vec<SocketAddr>,
--- a/crates/mustardgate-relay/src/peers/mod.rs
+++ b/crates/mustardgate-relay/src/peers/mod.rs
@@ -12,6 +12,7 @@
 mod feed;
 mod log;
 mod messages;
+mod part_crashes;
 mod server;
 
 pub use self::{
@@ -24,5 +25,6 @@
         AdapterRequest, CachedRecord, CachedRecords, DemandReport, KnowledgeExchange, LeaderAnswer, LogCall, LogReply,
         PermitAnswer, PermitRequest,
     },
+    part_crashes::{PartCrash, PartCrashDigest},
     server::serve_peers,
 };
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -21,6 +21,7 @@
         KnowledgeExchange, LOG_PATH, LeaderAnswer, LogCall, LogReply, PERMIT_PATH, PermitRequest, RECORDS_PATH, decode,
         encode,
     },
+    part_crashes::PartCrashDigest,
 };
 use crate::{
     context::RelayContext,
@@ -95,20 +96,23 @@
     let report: DemandReport = decode(body)?;
     let is_leading = context.leader.token().is_some();
     context.directory.record_contact(report.address);
-    context.crashes.merge(&report.inputs);
+    let inputs = report.crashes.or_newer(report.inputs.as_ref());
+    context.crashes.merge(&inputs);
     context.limits.merge(&report.limits);
     if !is_leading {
         return Some(encode(&LeaderAnswer::default()));
     }
     context.leader.record_demand(&report.digest);
     let (observations, seen) = context.observations.since(report.seen);
+    let suspects = context.crashes.suspect_digest();
     Some(encode(&LeaderAnswer {
         is_leading,
         is_done: true,
         nodes: context.directory.count_live_nodes(),
         observations,
         seen,
-        inputs: context.crashes.suspect_digest(),
+        crashes: PartCrashDigest::of(&suspects),
+        inputs: Some(suspects),
         neighbours: context.directory.sample(MAX_NEIGHBOURS, report.address),
         limits: context.limits.all_observations(),
     }))
--- a/crates/mustardgate-relay/tests/messages.rs
+++ b/crates/mustardgate-relay/tests/messages.rs
@@ -1,7 +1,12 @@
 //! Messages between nodes of two builds: values were sent as lists of numbers, and are sent as byte strings.
 
-use mustardgate_core::ports::TopicRecord;
-use mustardgate_relay::peers::CachedRecord;
+use std::{collections::BTreeMap, time::Duration};
+
+use mustardgate_core::{
+    ports::TopicRecord,
+    relay::{CrashDigest, CrashObservation, InputId},
+};
+use mustardgate_relay::peers::{CachedRecord, LeaderAnswer, PartCrashDigest};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// A record as earlier builds send and read it.
@@ -48,3 +53,58 @@
     ciborium::into_writer(&record, &mut bytes).expect("the message is encoded");
     assert!(bytes.len() < 10_100, "{}", bytes.len());
 }
+
+/// An answer of the leader as the build before whole requests sends and reads it.
+#[derive(Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct EarlierAnswer {
+    is_leading: bool,
+    is_done: bool,
+    nodes: u32,
+    observations: Vec<u8>,
+    seen: u64,
+    crashes: EarlierCrashes,
+}
+
+#[derive(Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct EarlierCrashes {
+    crashes: Vec<BTreeMap<String, EarlierValue>>,
+    sound: Vec<(u64, Duration)>,
+    quarantined: Vec<(u64, Duration)>,
+}
+
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+enum EarlierValue {
+    Part(u64),
+    Process(String, u64),
+    Age(Duration),
+}
+
+#[test]
+fn crashes_under_parts_of_prompts_are_understood_by_both_builds() {
+    let age = Duration::from_secs(3);
+    let digest = CrashDigest {
+        crashes: vec![CrashObservation {
+            input: InputId::Part(7),
+            process: ("engine-1".into(), 1),
+            age,
+        }],
+        sound: vec![(InputId::Part(8), age)],
+        ..CrashDigest::default()
+    };
+    let answer = LeaderAnswer {
+        crashes: PartCrashDigest::of(&digest),
+        inputs: Some(digest.clone()),
+        ..LeaderAnswer::default()
+    };
+    let earlier: EarlierAnswer = convert(&answer);
+    assert_eq!(earlier.crashes.crashes[0]["part"], EarlierValue::Part(7));
+    assert_eq!(
+        earlier.crashes.crashes[0]["process"],
+        EarlierValue::Process("engine-1".to_owned(), 1)
+    );
+    assert_eq!(earlier.crashes.sound, [(8, age)]);
+    let returned: LeaderAnswer = convert(&earlier);
+    assert_eq!(returned.inputs, None);
+    assert_eq!(returned.crashes.or_newer(None), digest);
+}
