Tell nodes of answered inputs only where several runners crashed

Cause: cut the crashes that are told to inputs under which several runners crashed, but not the list of inputs that were answered well, which still named every request that a crash had broken off and that was answered later. Found by reading the change once more; the extended test fails before (2,000 inputs told for two nodes with 1,000 each) and passes.

Change: a digest tells of answered inputs only if it also tells, or the node knows, that several runners crashed under them, or if they are in quarantine.

--- a/crates/mustardgate-core/src/relay/crashes.rs
+++ b/crates/mustardgate-core/src/relay/crashes.rs
@@ -156,7 +156,9 @@
     pub fn update(&mut self, now: Instant) -> Vec<(InputId, usize)> {
         self.expire(now);
         let mut added = Vec::new();
-        for (input, by_process) in &self.crashes {
+        let suspects = self.crashes.iter();
+        let suspects = suspects.filter(|(_, by_process)| by_process.len() >= self.settings.min_crashes);
+        for (input, by_process) in suspects {
             let counted = self.counted_crashes(*input, by_process);
             let first = counted.iter().min().copied();
             let is_disputable =
@@ -207,47 +209,65 @@
 
     /// Returns what this node observed itself since a time, or all of it, for a leader that collects it.
     pub fn own_digest(&self, now: Instant, since: Option<Instant>) -> CrashDigest {
-        self.digest_of(now, |input, process, at| {
+        let crashes = self.observations(now, |input, process, at| {
             let is_own = self.own.contains(&(input, process.clone()));
             is_own && since.is_none_or(|since| at >= since)
-        })
+        });
+        self.digest_of(now, crashes, |input| self.is_suspect(input))
     }
 
     /// Returns what nodes should know of what their leader collected: inputs under which several runners crashed.
     ///
     /// Each crash breaks off many requests, and most of them are never seen again.
     pub fn suspect_digest(&self, now: Instant) -> CrashDigest {
-        self.digest_of(now, |input, _, _| {
-            self.crashes.get(&input).is_some_and(|by_process| by_process.len() > 1)
-        })
+        let crashes = self.observations(now, |input, _, _| self.is_suspect(input));
+        self.digest_of(now, crashes, |input| self.is_suspect(input))
     }
 
     /// Returns everything that this node knows, for nodes without a leader; of many crashes only the newest.
     pub fn digest(&self, now: Instant) -> CrashDigest {
-        let mut digest = self.digest_of(now, |_, _, _| true);
-        digest.crashes.sort_by_key(|crash| crash.age);
-        digest.crashes.truncate(MAX_EXCHANGED_CRASHES);
-        digest
+        let mut crashes = self.observations(now, |_, _, _| true);
+        crashes.sort_by_key(|crash| crash.age);
+        crashes.truncate(MAX_EXCHANGED_CRASHES);
+        let told: BTreeSet<InputId> = crashes.iter().map(|crash| crash.input).collect();
+        self.digest_of(now, crashes, |input| told.contains(&input))
     }
 
-    fn digest_of(&self, now: Instant, includes: impl Fn(InputId, &RunnerProcess, Instant) -> bool) -> CrashDigest {
-        let mut crashes = Vec::new();
-        for (input, by_process) in &self.crashes {
-            let told = by_process
-                .iter()
-                .filter(|(process, at)| includes(*input, process, **at));
-            crashes.extend(told.map(|(process, at)| CrashObservation {
-                input: *input,
-                process: process.clone(),
-                age: now.saturating_duration_since(*at),
-            }));
-        }
-        let disputed = self.crashes.keys().chain(self.quarantined.keys());
-        let disputed: BTreeSet<InputId> = disputed.copied().collect();
-        let sound = disputed.into_iter().filter_map(|input| {
-            let at = self.sound.get(&input)?;
-            Some((input, now.saturating_duration_since(*at)))
-        });
+    /// Returns whether several runners crashed under an input, whoever saw it.
+    fn is_suspect(&self, input: InputId) -> bool {
+        let by_process = self.crashes.get(&input);
+        by_process.is_some_and(|by_process| by_process.len() > 1)
+    }
+
+    fn observations(
+        &self,
+        now: Instant,
+        includes: impl Fn(InputId, &RunnerProcess, Instant) -> bool,
+    ) -> Vec<CrashObservation> {
+        let crashes = self
+            .crashes
+            .iter()
+            .flat_map(|(input, by_process)| by_process.iter().map(|(process, at)| (*input, process, *at)));
+        let told = crashes.filter(|(input, process, at)| includes(*input, process, *at));
+        told.map(|(input, process, at)| CrashObservation {
+            input,
+            process: process.clone(),
+            age: now.saturating_duration_since(at),
+        })
+        .collect()
+    }
+
+    /// Completes a digest with the disputed inputs that were answered well, and with all quarantines.
+    fn digest_of(
+        &self,
+        now: Instant,
+        crashes: Vec<CrashObservation>,
+        is_disputed: impl Fn(InputId) -> bool,
+    ) -> CrashDigest {
+        let sound = self
+            .sound
+            .iter()
+            .filter(|(input, _)| is_disputed(**input) || self.quarantined.contains_key(*input));
         let quarantined = self.quarantined.iter().map(|(input, quarantine)| QuarantineNotice {
             input: *input,
             left: quarantine.until.saturating_duration_since(now),
@@ -255,7 +275,9 @@
         });
         CrashDigest {
             crashes,
-            sound: sound.collect(),
+            sound: sound
+                .map(|(input, at)| (*input, now.saturating_duration_since(*at)))
+                .collect(),
             quarantined: quarantined.collect(),
         }
     }
--- a/crates/mustardgate-core/tests/relay/crashes.rs
+++ b/crates/mustardgate-core/tests/relay/crashes.rs
@@ -144,10 +144,16 @@
         let bystanders = (first..first + BYSTANDERS).map(InputId::Part);
         witness.record_crash(start, &process(number as u64), bystanders.chain([BAD]));
         leader.merge(start, &witness.own_digest(start, None));
+        // Its caller sends it again, and it is answered well.
+        let answered = (first..first + BYSTANDERS).map(InputId::Part);
+        witness.record_sound(start + STEP, answered);
+        leader.merge(start + STEP, &witness.own_digest(start + STEP, None));
         // A report tells only what is new since the one before.
         assert!(witness.own_digest(start, Some(start + STEP)).crashes.is_empty());
     }
-    let told = leader.suspect_digest(start).crashes;
+    let told = leader.suspect_digest(start);
+    assert!(told.sound.is_empty(), "{} sound inputs", told.sound.len());
+    let told = told.crashes;
     assert!(told.iter().all(|crash| crash.input == BAD), "{} crashes", told.len());
     assert_eq!(told.len(), witnesses.len());
     // What a node only heard of is not reported as its own, and nodes without a leader tell a bounded number.
