--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -68,7 +68,7 @@
     pub budgets: ServiceBudgets,
     /// Limits that runners state on the rate of requests.
     pub limits: LimitGuard,
-    /// Prompts under which runners crash.
+    /// Inputs under which runners crash.
     pub crashes: CrashGuard,
     /// Demand by model.
     pub demand: DemandCounter,
--- a/crates/mustardgate-relay/src/fleet/cell.rs
+++ b/crates/mustardgate-relay/src/fleet/cell.rs
@@ -16,7 +16,6 @@
         RelayRequest, ReportedLoad, RunnerState,
     },
 };
-
 use tokio::sync::Mutex as AsyncMutex;
 
 use crate::client::{ConnectionPool, PoolSettings};
--- a/crates/mustardgate-relay/src/peers/mod.rs
+++ b/crates/mustardgate-relay/src/peers/mod.rs
@@ -1,5 +1,5 @@
-//! Calls between nodes: adapter requests, permits, demand reports, log access through a neighbour, and records for a node that
-//! starts while the log is unavailable.
+//! Calls between nodes: adapter requests, permits, demand reports, exchanges without a leader, log access through a
+//! neighbour, and records for a node that starts while the log is unavailable.
 //!
 //! No message between nodes can make a request run twice, release memory or bring a configuration into force that the
 //! log never held: a neighbour's records are used only until the log itself has been read, and orders depend on the
