--- a/crates/standins/src/proof/crashing/simulation.rs
+++ b/crates/standins/src/proof/crashing/simulation.rs
@@ -10,7 +10,10 @@
 use rand_chacha::ChaCha8Rng;
 use smol_str::format_smolstr;
 
-use crate::proof::{GuaranteeViolation, GuardMode};
+use crate::proof::{
+    GuaranteeViolation, GuardMode,
+    cadence::{CONTACT_TIME, REPORT_INTERVAL_MS, message_time},
+};
 
 const STEP: Duration = Duration::from_millis(20);
 const RUN_TIME: Duration = Duration::from_secs(50);
@@ -20,13 +23,13 @@
 /// Nodes whose addresses all nodes know, and those that one node calls at once without a leader.
 const SEEDS: usize = 3;
 const MAX_EXCHANGES: usize = 6;
-/// The rule: crashes, time after them from which it holds, and sends that are allowed then.
+/// The rule: crashes, and sends that are allowed from the contact time after them.
 const RULED_CRASHES: usize = 3;
-const CONTACT_TIME: Duration = Duration::from_secs(3);
 const ALLOWED_SENDS: usize = 3;
 /// Part of the sound requests that must not be refused in the calm time.
 const MIN_SOUND_SHARE: f64 = 0.99;
-const REPORT_INTERVAL_MS: std::ops::Range<u64> = 560..840;
+/// Longest time of a message.
+const MAX_MESSAGE_TIME: Duration = Duration::from_millis(400);
 
 #[derive(Debug)]
 struct SimulatedNode {
@@ -262,7 +265,7 @@
                 Some(leader) if leader == other => ledger.own_digest(self.now, None),
                 _ => ledger.digest(self.now),
             };
-            let delay = self.message_time();
+            let delay = message_time(&mut self.rng, MAX_MESSAGE_TIME);
             self.messages.push((self.now + delay, other, Some(node), digest));
         }
     }
@@ -279,17 +282,12 @@
                     Some(leader) if leader == receiver => ledger.suspect_digest(now),
                     _ => ledger.digest(now),
                 };
-                let delay = self.message_time();
+                let delay = message_time(&mut self.rng, MAX_MESSAGE_TIME);
                 self.messages.push((now + delay, sender, None, answer));
             }
         }
     }
 
-    fn message_time(&mut self) -> Duration {
-        let longest_ms = if self.rng.random_bool(0.02) { 400.0 } else { 20.0 };
-        Duration::from_secs_f64(longest_ms / 1e3 * self.rng.random::<f64>())
-    }
-
     fn send_requests(&mut self) {
         if self.now >= self.next_crash {
             self.next_crash = self.now + self.crash_interval;
--- a/crates/standins/src/proof/limits/simulation.rs
+++ b/crates/standins/src/proof/limits/simulation.rs
@@ -11,7 +11,10 @@
 use smol_str::format_smolstr;
 
 use super::node::{MAX_MESSAGE_TIME, SimulatedNode};
-use crate::proof::{GuaranteeViolation, GuardMode};
+use crate::proof::{
+    GuaranteeViolation, GuardMode,
+    cadence::{CONTACT_TIME, REPORT_INTERVAL_MS, message_time},
+};
 
 const STEP: Duration = Duration::from_millis(10);
 /// Time in which nodes fail, are cut off and come back.
@@ -22,16 +25,14 @@
 const SETTLING_TIME: Duration = Duration::from_secs(10);
 const RUNNERS: usize = 3;
 const MAX_NODES: usize = 120;
-/// The rule: time after the first statement from which it holds, time after a node was told from which it counts, and
-/// the arrivals allowed in a window.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// The rule, which holds from the contact time after the first statement: time after a node was told from which it
+/// counts, and the arrivals allowed in a window.
 const TOLD_TIME: Duration = Duration::from_millis(500);
 const RULED_WINDOW: Duration = Duration::from_secs(4);
 const RULED_FACTOR: f64 = 1.5;
 const RULED_EXTRA: f64 = 5.0;
 /// Part of its limit that a runner must get while more is asked for.
 const MIN_USE: f64 = 0.5;
-const REPORT_INTERVAL_MS: std::ops::Range<u64> = 560..840;
 
 #[derive(Debug)]
 struct SimulatedRunner {
@@ -217,7 +218,7 @@
             return;
         };
         let limits = self.nodes[node].ledger.own_observations(self.now);
-        let delay = self.message_time();
+        let delay = message_time(&mut self.rng, MAX_MESSAGE_TIME);
         self.messages.push((self.now + delay, Message::Report { limits }));
         let reached = self.nodes.iter().filter(|node| node.reaches_leader).count();
         let answer = Message::Leader {
@@ -225,19 +226,10 @@
             nodes: reached as u32,
             limits: self.nodes[leader].ledger.all_observations(self.now),
         };
-        let delay = self.message_time();
+        let delay = message_time(&mut self.rng, MAX_MESSAGE_TIME);
         self.messages.push((self.now + delay, answer));
     }
 
-    fn message_time(&mut self) -> Duration {
-        let longest = if self.rng.random_bool(0.02) {
-            MAX_MESSAGE_TIME
-        } else {
-            Duration::from_millis(20)
-        };
-        longest.mul_f64(self.rng.random())
-    }
-
     fn send(&mut self, node: usize, runner: usize) {
         let now = self.now;
         if self.nodes[node].held_until[runner].is_some_and(|until| now < until) {
@@ -249,7 +241,7 @@
             return self.nodes[node].hold(runner, now, delay, draw);
         }
         // The request is on its way for up to half a second, for example while a connection is made.
-        let arrives_at = now + self.message_time().min(Duration::from_millis(500));
+        let arrives_at = now + message_time(&mut self.rng, MAX_MESSAGE_TIME).min(Duration::from_millis(500));
         let target = &mut self.runners[runner];
         let is_limited = (target.limited.0..target.limited.1).contains(&arrives_at);
         let statement = if is_limited {
--- a/crates/standins/src/proof/mod.rs
+++ b/crates/standins/src/proof/mod.rs
@@ -5,6 +5,7 @@
 //! `docs/PROOFS.md`.
 
 mod at_most_once;
+mod cadence;
 mod config_checks;
 mod config_cluster;
 mod config_log;
