--- a/crates/mustardgate-core/src/relay/catalogue.rs
+++ b/crates/mustardgate-core/src/relay/catalogue.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::processes::ProcessSet;
+use super::{processes::ProcessSet, versions::SoftwareVersion};
 use crate::ids::{AdapterId, BackendId, DomainId, ModelId, ServiceId};
 
 /// Whether a listed runner accepts new requests.
@@ -32,6 +32,8 @@
     pub address: SocketAddr,
     /// Failure domain that it is in.
     pub domain: DomainId,
+    /// Version of its software.
+    pub version: SoftwareVersion,
     /// Largest number of requests that it runs at once.
     pub slots: u32,
     /// Whether it accepts new requests.
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -22,6 +22,7 @@
 mod rate_limits;
 mod request;
 mod selector;
+mod versions;
 
 pub use self::{
     adapters::{AdapterEvictor, AdapterSlot},
@@ -45,4 +46,5 @@
     rate_limits::{LimitChange, LimitLedger, LimitObservation, LimitStatement},
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
     selector::{Candidate, RunnerSelector, SelectionWeights},
+    versions::SoftwareVersion,
 };
--- a/crates/mustardgate-core/src/relay/request.rs
+++ b/crates/mustardgate-core/src/relay/request.rs
@@ -74,9 +74,16 @@
     pub parts: Vec<PromptPart>,
     /// Identifier of the last event that the caller received from an earlier stream, if any.
     pub last_event: Option<SmolStr>,
+    /// Caller's attempt that brought the first event of the stream that this request takes up, if the caller names one.
+    pub resumes: Option<RequestId>,
 }
 
 impl RelayRequest {
+    /// Returns whether the caller takes up a stream of which it has received an event.
+    pub fn takes_up_stream(&self) -> bool {
+        self.resumes.is_some() || self.last_event.is_some()
+    }
+
     /// Returns the deadline for the complete answer on a route with the given timeout.
     pub fn expires_at(&self, route_timeout: Duration) -> Instant {
         self.received_at
--- a/crates/mustardgate-core/tests/relay/catalogue.rs
+++ b/crates/mustardgate-core/tests/relay/catalogue.rs
@@ -5,7 +5,9 @@
     time::{Duration, Instant},
 };
 
-use mustardgate_core::relay::{CatalogueChange, ListedRunner, RunnerCatalogue, RunnerObservation, RunnerState};
+use mustardgate_core::relay::{
+    CatalogueChange, ListedRunner, RunnerCatalogue, RunnerObservation, RunnerState, SoftwareVersion,
+};
 
 const GRACE_PERIOD: Duration = Duration::from_secs(2);
 
@@ -15,6 +17,7 @@
         service: "assist".into(),
         address: "127.0.0.1:80".parse().unwrap(),
         domain: "east".into(),
+        version: SoftwareVersion::Stated("v1".into()),
         slots: 8,
         state,
         models: BTreeMap::new(),
--- a/crates/mustardgate-core/tests/relay/selector.rs
+++ b/crates/mustardgate-core/tests/relay/selector.rs
@@ -115,6 +115,7 @@
         usage: TokenUsage::default(),
         parts: parts.to_vec(),
         last_event: None,
+        resumes: None,
     };
     let mut index = PrefixIndex::default();
     index.record(Instant::now(), &request(&[part(1, 60), part(2, 40)], "menu"));
--- a/crates/mustardgate-relay/src/fleet/runners.rs
+++ b/crates/mustardgate-relay/src/fleet/runners.rs
@@ -191,6 +191,7 @@
         "is_draining" => runner.state == RunnerState::Draining,
         "address" => runner.address.to_string(),
         "service" => runner.service.to_string(),
+        "version" => runner.version.to_string(),
         "backend" => runner.id.to_string(),
     )
 }
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -100,6 +100,9 @@
         Err(_) => return Err(refusal(context, RefusalCause::AttemptsUsedUp)),
     };
     let digests = RequestDigests::of(&head, &body);
+    if route.is_stream && request.takes_up_stream() {
+        log_taken_up(context, &request);
+    }
     let service = route.service_for(rand::rng().random()).clone();
     context.budgets.record_request(request.received_at, &service);
     if let Some(name) = &request.model {
@@ -218,6 +221,15 @@
         .write(events::RELAY_ATTEMPT_FAILED, &received.request.id, values);
 }
 
+fn log_taken_up(context: &RelayContext, request: &RelayRequest) {
+    counter!("mustardgate_streams_taken_up_total").increment(1);
+    let values = o!(
+        "last_event" => request.last_event.as_deref().unwrap_or("none").to_owned(),
+        "begun_as" => request.resumes.as_deref().unwrap_or("unnamed").to_owned(),
+    );
+    context.log.write(events::RELAY_STREAM_TAKEN_UP, &request.id, values);
+}
+
 /// Returns the name of the requested model, for logs.
 fn model_text(request: &RelayRequest) -> String {
     let name = request.model.as_ref();
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -13,7 +13,7 @@
 use mustardgate::events;
 use mustardgate_core::{
     clock,
-    relay::EventSplitter,
+    relay::{EventSplitter, SoftwareVersion},
     retry::{AttemptPlan, NextStep},
     verdict::RunVerdict,
 };
@@ -146,6 +146,7 @@
         // The old connection is closed before another runner continues, so that the request does not run at both at
         // once.
         drop(open);
+        let version = cell.listed().version.clone();
         self.splitter = EventSplitter::default();
         if is_suspect(started_at, reason) {
             let inputs = self.received.inputs();
@@ -163,7 +164,7 @@
             };
             match self.reopen(&excluded).await {
                 Ok(open) => {
-                    self.log_resumed(&open);
+                    self.log_resumed(&open, &version);
                     self.open = Some(open);
                     return true;
                 }
@@ -201,9 +202,11 @@
         Err(refused("resume_refused"))
     }
 
-    fn log_resumed(&self, open: &OpenAnswer) {
+    fn log_resumed(&self, open: &OpenAnswer, version_before: &SoftwareVersion) {
         counter!("mustardgate_streams_resumed_total").increment(1);
         let values = o!(
+            "version" => open.ticket.cell().listed().version.to_string(),
+            "version_before" => version_before.to_string(),
             "last_event" => self.last_event.as_deref().unwrap_or("none").to_owned(),
             "backend" => open.ticket.cell().listed().id.to_string(),
         );
