--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -23,6 +23,7 @@
 mod request;
 mod selector;
 mod stream_origins;
+mod stream_versions;
 mod versions;
 
 pub use self::{
@@ -48,5 +49,6 @@
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
     selector::{Candidate, RunnerSelector, SelectionWeights},
     stream_origins::{NodeMember, OriginFinding, OriginLedger, StreamKey, StreamOrigin, choose_keepers, rank_keepers},
+    stream_versions::{BegunStream, StreamVersions},
     versions::{SeenVersion, SoftwareVersion, VersionDigest, VersionHistory, VersionTag},
 };
--- a/crates/mustardgate-core/src/relay/stream_origins.rs
+++ b/crates/mustardgate-core/src/relay/stream_origins.rs
@@ -67,20 +67,23 @@
     Exact(VersionTag),
     /// Another request with the same identifier did, which may be a copied one. It counts only if nobody knows better.
     OtherRequest(VersionTag),
-    /// Nothing is known, or what is known contradicts itself.
+    /// Records contradict each other.
+    Contradictory,
+    /// Nothing is known.
     #[default]
     Unknown,
 }
 
 impl OriginFinding {
-    /// Returns the better of two findings; two of other requests that differ are none.
+    /// Returns the better of two findings; two of other requests that differ contradict each other.
     #[must_use]
     pub fn or(self, other: Self) -> Self {
         match (self, other) {
-            (Self::Exact(_), _) | (_, Self::Unknown) => self,
+            (Self::Exact(_), _) => self,
             (_, Self::Exact(_)) | (Self::Unknown, _) => other,
+            (_, Self::Unknown) => self,
             (Self::OtherRequest(one), Self::OtherRequest(two)) if one == two => self,
-            (Self::OtherRequest(_), Self::OtherRequest(_)) => Self::Unknown,
+            _ => Self::Contradictory,
         }
     }
 }
@@ -123,7 +126,8 @@
         match (version_of(true), version_of(false)) {
             (Some(Some(version)), _) => OriginFinding::Exact(version),
             (None, Some(Some(version))) => OriginFinding::OtherRequest(version),
-            _ => OriginFinding::Unknown,
+            (None, None) => OriginFinding::Unknown,
+            _ => OriginFinding::Contradictory,
         }
     }
 
--- /dev/null
+++ b/crates/mustardgate-core/src/relay/stream_versions.rs
@@ -0,0 +1,133 @@
+//! What a node knows of the software versions of streams, and which other nodes it has to tell.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use super::{
+    inputs::RequestDigest,
+    stream_origins::{OriginFinding, OriginLedger, StreamKey, StreamOrigin},
+    versions::{VersionDigest, VersionHistory, VersionTag},
+};
+use crate::ids::ServiceId;
+
+/// Age of the last read of the list of runners up to which the list counts as recent.
+const RECENT_LIST_AGE: Duration = Duration::from_secs(2);
+/// Time for which versions are remembered; longer than any stream lasts that may be taken up.
+const VERSION_MEMORY: Duration = Duration::from_secs(300);
+
+/// A stream that begins at this node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BegunStream {
+    /// Its origin.
+    pub origin: StreamOrigin,
+    /// Service of its runner.
+    pub service: ServiceId,
+    /// Longest time until its caller may take it up.
+    pub life: Duration,
+}
+
+/// Records of streams, and the versions that served of late.
+///
+/// While it is certain that a service has runners of one version only, nobody needs to be told where its streams began.
+/// The streams in flight are told once that ends. Times are those of a clock that counts suspensions. See
+/// `docs/design/stream-versions.md`.
+#[derive(Debug, Default)]
+pub struct StreamVersions {
+    ledger: OriginLedger,
+    history: VersionHistory,
+    /// Streams that began at this node, have not ended and were not told of.
+    untold: HashMap<StreamKey, (Instant, BegunStream)>,
+    list_read_at: Option<Instant>,
+}
+
+impl StreamVersions {
+    /// Records that the list of runners was read, and returns the streams of which others have to be told by now.
+    ///
+    /// `is_complete` says that changes since the last read may be missing, `is_first_start` that the deployment starts
+    /// for the first time.
+    pub fn record_list<'a>(
+        &mut self,
+        now: Instant,
+        listed: impl IntoIterator<Item = (&'a ServiceId, VersionTag)>,
+        is_complete: bool,
+        is_first_start: bool,
+    ) -> Vec<StreamOrigin> {
+        if is_complete {
+            self.history.record_gap(now);
+            if is_first_start && self.list_read_at.is_none() {
+                self.history.record_first_start();
+            }
+        }
+        self.list_read_at = Some(now);
+        self.sweep(now, listed)
+    }
+
+    /// Records the versions that are listed now, and returns the streams of which others have to be told by now.
+    pub fn sweep<'a>(
+        &mut self,
+        now: Instant,
+        listed: impl IntoIterator<Item = (&'a ServiceId, VersionTag)>,
+    ) -> Vec<StreamOrigin> {
+        self.history.observe(now, listed);
+        self.history.forget_before(now, VERSION_MEMORY);
+        self.untold
+            .retain(|_, (began_at, stream)| now.saturating_duration_since(*began_at) <= stream.life);
+        let history = &self.history;
+        let is_recent = is_recent(self.list_read_at, now);
+        let due = self.untold.extract_if(|_, (_, stream)| {
+            !is_recent || history.sole_version(now, &stream.service, stream.life).is_none()
+        });
+        due.map(|(_, (_, stream))| stream.origin).collect()
+    }
+
+    /// Returns the only version of a service that may have begun a stream within `life`, if that is certain.
+    pub fn sole_version(&self, now: Instant, service: &ServiceId, life: Duration) -> Option<VersionTag> {
+        let sole = self.history.sole_version(now, service, life);
+        sole.filter(|_| is_recent(self.list_read_at, now))
+    }
+
+    /// Records that a stream begins at this node; returns its origin if others have to be told now.
+    pub fn begin(&mut self, now: Instant, stream: BegunStream) -> Option<StreamOrigin> {
+        let origin = stream.origin;
+        self.ledger.record(now, origin);
+        if self.sole_version(now, &stream.service, stream.life).is_none() {
+            return Some(origin);
+        }
+        self.untold.insert(origin.key, (now, stream));
+        None
+    }
+
+    /// Records that a stream ended as complete, so that its caller does not come back.
+    pub fn finish(&mut self, key: StreamKey) {
+        self.untold.remove(&key);
+    }
+
+    /// Records where streams began that another node told of.
+    pub fn learn(&mut self, now: Instant, origins: &[StreamOrigin]) {
+        for origin in origins {
+            self.ledger.record(now, *origin);
+        }
+    }
+
+    /// Returns what this node knows of the stream that a request takes up.
+    pub fn find(&self, key: StreamKey, digest: &RequestDigest) -> OriginFinding {
+        self.ledger.find(key, digest)
+    }
+
+    /// Returns what other nodes should know of versions.
+    pub fn digest(&self, now: Instant) -> VersionDigest {
+        let list_age = self.list_read_at.map(|at| now.saturating_duration_since(at));
+        self.history.digest(now, list_age)
+    }
+
+    /// Takes over what another node knows, from a message that was under way for `message_time` at most.
+    pub fn merge(&mut self, now: Instant, digest: &VersionDigest, message_time: Duration) {
+        self.history.merge(now, digest, message_time);
+    }
+}
+
+fn is_recent(list_read_at: Option<Instant>, now: Instant) -> bool {
+    list_read_at.is_some_and(|at| now.saturating_duration_since(at) <= RECENT_LIST_AGE)
+}
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -13,3 +13,4 @@
 mod rate_limits;
 mod routes;
 mod selector;
+mod stream_versions;
--- a/crates/mustardgate-relay/src/gateway/origin.rs
+++ b/crates/mustardgate-relay/src/gateway/origin.rs
@@ -7,8 +7,8 @@
 use mustardgate_core::{
     ids::ServiceId,
     relay::{
-        OriginFinding, RefusalCause, RelayRequest, RelayRoute, RepeatPolicy, RequestDigest, StreamKey, StreamOrigin,
-        VersionTag,
+        BegunStream, OriginFinding, RefusalCause, RelayRequest, RelayRoute, RepeatPolicy, RequestDigest, StreamKey,
+        StreamOrigin, VersionTag,
     },
 };
 use slog::o;
@@ -85,6 +85,7 @@
     match own.or(report.finding) {
         OriginFinding::Exact(version) => found(Some(version), "other_nodes"),
         OriginFinding::OtherRequest(version) => found(Some(version), "other_request"),
+        OriginFinding::Contradictory => found(None, "contradictory"),
         OriginFinding::Unknown => VersionLookup {
             is_incomplete: report.is_incomplete,
             ..found(None, "unknown")
@@ -131,6 +132,11 @@
         }
         let origin = StreamOrigin::new(&self.request.id, &self.digests.content, version);
         let now = self.context.leader.lease_time();
-        self.context.streams.begin(now, origin, &self.service, self.stream_life);
+        let stream = BegunStream {
+            origin,
+            service: self.service.clone(),
+            life: self.stream_life,
+        };
+        self.context.streams.begin(now, stream);
     }
 }
--- a/crates/mustardgate-relay/src/peers/origins.rs
+++ b/crates/mustardgate-relay/src/peers/origins.rs
@@ -51,7 +51,8 @@
                     // An error concerns a datagram that was sent earlier and could not be delivered.
                     let Ok((length, _)) = received else { continue };
                     if let Some(origins) = decode::<Vec<StreamOrigin>>(&buffer[..length]) {
-                        self.context.streams.learn(&origins);
+                        let now = self.context.leader.lease_time();
+                        self.context.streams.learn(now, &origins);
                     }
                 }
             }
--- a/crates/mustardgate-relay/tests/messages.rs
+++ b/crates/mustardgate-relay/tests/messages.rs
@@ -4,7 +4,7 @@
 
 use mustardgate_core::{
     ports::TopicRecord,
-    relay::{CrashDigest, CrashObservation, InputId},
+    relay::{CrashDigest, CrashObservation, InputId, RequestContent, SoftwareVersion, StreamOrigin},
 };
 use mustardgate_relay::peers::{CachedRecord, LeaderAnswer, PartCrashDigest};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -108,3 +108,25 @@
     assert_eq!(returned.inputs, None);
     assert_eq!(returned.crashes.or_newer(None), digest);
 }
+
+// Guards the control traffic at the design size: 48 records a second, 6 KB a second for all control.
+#[test]
+fn a_record_of_a_stream_fits_into_the_control_traffic() {
+    const PACKET_HEADER_BYTES: usize = 28;
+    const RECORDS_PER_S: usize = 48;
+    const CONTROL_BYTES_PER_S: usize = 6_000;
+    let content = RequestContent {
+        method: "POST",
+        host: "kitchen.example",
+        target: "/drafts/",
+        account: b"",
+        body: b"",
+    };
+    let version = SoftwareVersion::Stated("v1".into()).tag(&"assist".into());
+    let origin = StreamOrigin::new(&"9c41d07be2a35f68".into(), &content.digest(None), version);
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&vec![origin], &mut bytes).expect("the message is encoded");
+    assert_eq!(convert::<_, Vec<StreamOrigin>>(&vec![origin]), [origin]);
+    let sent = (bytes.len() + PACKET_HEADER_BYTES) * RECORDS_PER_S;
+    assert!(sent <= CONTROL_BYTES_PER_S, "{sent} B/s, {} B a record", bytes.len());
+}
--- a/crates/standins/src/proof/mod.rs
+++ b/crates/standins/src/proof/mod.rs
@@ -20,6 +20,7 @@
 mod replicas;
 mod seeds;
 mod told_not_run;
+mod versions;
 mod whole_answers;
 
 use std::fmt::Debug;
@@ -89,6 +90,7 @@
         Box::new(leaving::LeavingScenario),
         Box::new(limits::LimitScenario),
         Box::new(crashing::CrashScenario),
+        Box::new(versions::VersionScenario),
         Box::new(ConfigScenario::new(ConfigGuard::VersionCheck)),
         Box::new(ConfigScenario::new(ConfigGuard::ChangeIdentifiers)),
         Box::new(ConfigScenario::new(ConfigGuard::ReadBack)),
--- /dev/null
+++ b/crates/standins/tests/version_proofs.rs
@@ -0,0 +1,25 @@
+//! Randomised proof of the software versions of streams on fixed seeds, with the guard and without it.
+
+use mustardgate_standins::proof::{GuardMode, ProofScenario, scenarios};
+
+const GUARDED_SEEDS: std::ops::RangeInclusive<u64> = 1..=12;
+
+fn scenario() -> Box<dyn ProofScenario> {
+    let mut all = scenarios().into_iter();
+    all.find(|scenario| scenario.name() == "stream-versions")
+        .expect("the scenario is registered")
+}
+
+#[test]
+fn a_stream_goes_on_at_the_version_that_began_it_and_callers_who_come_back_are_served() {
+    for seed in GUARDED_SEEDS {
+        let outcome = scenario().run(seed, GuardMode::Enforced);
+        assert!(outcome.is_ok(), "seed {seed}: {outcome:?}");
+    }
+}
+
+#[test]
+fn streams_are_mixed_when_nobody_asks_for_their_version() {
+    let violation = scenario().run(1, GuardMode::Removed).expect_err("streams are mixed");
+    assert_eq!(violation.guarantee, "a stream goes on at the version that began it");
+}
