--- a/crates/standins/src/proof/versions/mod.rs
+++ b/crates/standins/src/proof/versions/mod.rs
@@ -1,6 +1,7 @@
 //! Proof that a stream goes on only at the software version that began it, whichever nodes and runners end, and that
 //! callers who come back are served.
 
+mod callers;
 mod node;
 mod simulation;
 
--- a/crates/standins/src/proof/versions/simulation.rs
+++ b/crates/standins/src/proof/versions/simulation.rs
@@ -8,8 +8,8 @@
 use mustardgate_core::{
     ids::{BackendId, ServiceId},
     relay::{
-        BegunStream, NodeMember, OriginFinding, RequestContent, RequestDigest, SoftwareVersion, StreamKey,
-        StreamOrigin, VersionDigest, VersionTag, choose_keepers, rank_keepers,
+        BegunStream, NodeMember, RequestContent, RequestDigest, SoftwareVersion, StreamKey, StreamOrigin,
+        VersionDigest, VersionTag, choose_keepers,
     },
 };
 use rand::{Rng, SeedableRng, seq::IteratorRandom};
@@ -18,47 +18,42 @@
 
 use super::node::SimulatedNode;
 use crate::proof::{
-    GuaranteeViolation, GuardMode,
-    cadence::{CONTACT_TIME, REPORT_INTERVAL_MS, message_time},
+    GuardMode,
+    cadence::{REPORT_INTERVAL_MS, message_time},
 };
 
-const STEP: Duration = Duration::from_millis(10);
+pub(super) const STEP: Duration = Duration::from_millis(10);
 const RUN_TIME: Duration = Duration::from_secs(60);
 const MAX_NODES: usize = 40;
 /// Longest time from the begin of a stream until its caller may take it up.
-const STREAM_LIFE: Duration = Duration::from_secs(10);
+pub(super) const STREAM_LIFE: Duration = Duration::from_secs(10);
 /// Longest time of a message.
 const MAX_MESSAGE_TIME: Duration = Duration::from_millis(400);
 /// Share of datagrams that are lost.
 const DATAGRAM_LOSS: f64 = 0.02;
-/// Nodes asked at a return.
-const MAX_ASKED: usize = 8;
-/// The rules: streams that may hold events of two versions, and returns from which on shares count.
-const ALLOWED_MIXED: u64 = 2;
-const RULED_RETURNS: usize = 12;
 
 #[derive(Debug)]
-struct RunningStream {
-    attempt: u64,
-    node: usize,
-    runner: BackendId,
+pub(super) struct RunningStream {
+    pub(super) attempt: u64,
+    pub(super) node: usize,
+    pub(super) runner: BackendId,
     /// Versions of the events that were passed on.
-    versions: BTreeSet<VersionTag>,
+    pub(super) versions: BTreeSet<VersionTag>,
     /// When the next event is passed on.
-    next_event: Instant,
-    ends_at: Instant,
+    pub(super) next_event: Instant,
+    pub(super) ends_at: Instant,
 }
 
 #[derive(Debug)]
 pub(super) struct VersionSimulation {
-    rng: ChaCha8Rng,
-    guard: GuardMode,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) guard: GuardMode,
     start: Instant,
-    now: Instant,
-    service: ServiceId,
-    nodes: Vec<SimulatedNode>,
-    runners: BTreeMap<BackendId, VersionTag>,
-    streams: Vec<RunningStream>,
+    pub(super) now: Instant,
+    pub(super) service: ServiceId,
+    pub(super) nodes: Vec<SimulatedNode>,
+    pub(super) runners: BTreeMap<BackendId, VersionTag>,
+    pub(super) streams: Vec<RunningStream>,
     /// Datagrams and digests of versions under way: when they arrive and where.
     datagrams: Vec<(Instant, usize, StreamOrigin)>,
     digests: Vec<(Instant, usize, VersionDigest)>,
@@ -67,11 +62,11 @@
     next_runner: u64,
     newest_version: u64,
     /// Returns at nodes in touch while two runners of the version serve: all, and those that go on.
-    returns: (usize, usize),
+    pub(super) returns: (usize, usize),
     pub(super) counts: BTreeMap<&'static str, u64>,
 }
 
-fn digest(attempt: u64) -> RequestDigest {
+pub(super) fn digest(attempt: u64) -> RequestDigest {
     let target = format!("/{attempt}");
     let content = RequestContent {
         method: "POST",
@@ -83,7 +78,7 @@
     content.digest(None)
 }
 
-fn key(attempt: u64) -> StreamKey {
+pub(super) fn key(attempt: u64) -> StreamKey {
     StreamKey::of(&format_smolstr!("attempt-{attempt}"))
 }
 
@@ -129,7 +124,7 @@
         }
     }
 
-    fn count(&mut self, name: &'static str) {
+    pub(super) fn count(&mut self, name: &'static str) {
         *self.counts.entry(name).or_default() += 1;
     }
 
@@ -215,17 +210,17 @@
     }
 
     /// Returns the nodes that are believed to run, as the last list of a leader says; the killed are not missed yet.
-    fn members(&self, asking: usize) -> Vec<NodeMember> {
+    pub(super) fn members(&self, asking: usize) -> Vec<NodeMember> {
         let others = self.nodes.iter().enumerate().filter(|(number, _)| *number != asking);
         others.map(|(_, node)| node.member.clone()).collect()
     }
 
-    fn number_of(&self, member: &NodeMember) -> usize {
+    pub(super) fn number_of(&self, member: &NodeMember) -> usize {
         let is_same = |node: &SimulatedNode| node.member == *member;
         self.nodes.iter().position(is_same).expect("members are nodes")
     }
 
-    fn reaches(&self, from: usize, other: usize) -> bool {
+    pub(super) fn reaches(&self, from: usize, other: usize) -> bool {
         self.nodes[other].is_up() && self.nodes[from].is_cut == self.nodes[other].is_cut
     }
 
@@ -295,7 +290,7 @@
     }
 
     /// Chooses a runner as a node does that lists runners which have ended already.
-    fn choose_runner(&mut self, node: usize, version: Option<VersionTag>) -> Option<BackendId> {
+    pub(super) fn choose_runner(&mut self, node: usize, version: Option<VersionTag>) -> Option<BackendId> {
         let listed = &self.nodes[node].listed;
         let usable = listed
             .iter()
@@ -352,121 +347,4 @@
             }
         }
     }
-
-    /// Goes on inside the answer at another runner.
-    fn resume(&mut self, mut stream: RunningStream) {
-        let bound = match self.guard {
-            GuardMode::Enforced => stream.versions.first().copied(),
-            GuardMode::Removed => None,
-        };
-        let Some(runner) = self.choose_runner(stream.node, bound) else {
-            return;
-        };
-        self.count("streams resumed");
-        stream.runner = runner;
-        self.streams.push(stream);
-    }
-
-    /// Returns what a node finds out of a stream that its caller takes up.
-    fn look_up(&mut self, node: usize, attempt: u64) -> Option<VersionTag> {
-        let (key, digest) = (key(attempt), digest(attempt));
-        let mut finding = self.nodes[node].versions.find(key, &digest);
-        if let OriginFinding::Exact(version) = finding {
-            return Some(version);
-        }
-        let sole = self.nodes[node]
-            .versions
-            .sole_version(self.now, &self.service, STREAM_LIFE);
-        if sole.is_some() {
-            self.count("returns at the only version");
-            return sole;
-        }
-        let members = self.members(node);
-        let domain = &self.nodes[node].member.domain;
-        let mut asked = choose_keepers(key, &members, domain);
-        let others = rank_keepers(key, &members, domain);
-        asked.extend(
-            others
-                .into_iter()
-                .filter(|member| !asked.contains(member))
-                .collect::<Vec<_>>(),
-        );
-        for member in asked.into_iter().take(MAX_ASKED) {
-            let other = self.number_of(member);
-            if self.reaches(node, other) {
-                finding = finding.or(self.nodes[other].versions.find(key, &digest));
-            }
-        }
-        match finding {
-            OriginFinding::Exact(version) => Some(version),
-            _ => None,
-        }
-    }
-
-    /// Has the caller of a broken stream come back at another node at once.
-    fn take_up(&mut self, mut stream: RunningStream) {
-        // The load balancer sends a caller to nodes of its domain while there are any.
-        let domain = &self.nodes[stream.node].member.domain;
-        let up: Vec<usize> = (0..self.nodes.len()).filter(|node| self.nodes[*node].is_up()).collect();
-        let near = up
-            .iter()
-            .copied()
-            .filter(|node| self.nodes[*node].member.domain == *domain);
-        let Some(node) = near
-            .choose(&mut self.rng)
-            .or_else(|| up.into_iter().choose(&mut self.rng))
-        else {
-            return;
-        };
-        if self.nodes[node].listed.is_empty() {
-            return;
-        }
-        let begun_at = *stream.versions.first().expect("an event was passed on");
-        let version = match self.guard {
-            GuardMode::Enforced => self.look_up(node, stream.attempt),
-            GuardMode::Removed => self.choose_runner(node, None).map(|runner| self.runners[&runner]),
-        };
-        let runner = version.and_then(|version| self.choose_runner(node, Some(version)));
-        let is_in_touch = !self.nodes[node].is_cut && self.now >= self.nodes[node].in_touch_since + CONTACT_TIME;
-        let serving = self.runners.values().filter(|version| **version == begun_at).count();
-        if is_in_touch && serving >= 2 {
-            self.returns.0 += 1;
-            self.returns.1 += usize::from(runner.is_some());
-        }
-        self.count(if runner.is_some() {
-            "returns that go on"
-        } else {
-            "returns refused"
-        });
-        if let Some(runner) = runner {
-            stream.node = node;
-            stream.runner = runner;
-            stream.next_event = self.now + STEP;
-            self.streams.push(stream);
-        }
-    }
-
-    /// Checks that hardly any stream holds events of two versions.
-    pub(super) fn check_versions(&self) -> Result<(), GuaranteeViolation> {
-        let mixed = self.counts.get("mixed streams").copied().unwrap_or_default();
-        if mixed <= ALLOWED_MIXED {
-            return Ok(());
-        }
-        Err(GuaranteeViolation {
-            guarantee: "a stream goes on at the version that began it",
-            detail: format!("{mixed} mixed streams, {} nodes", self.nodes.len()),
-        })
-    }
-
-    /// Checks that callers who come back are served at least half as often as new streams begin, which all do here.
-    pub(super) fn check_returns(&self) -> Result<(), GuaranteeViolation> {
-        let (returns, going_on) = self.returns;
-        if returns < RULED_RETURNS || going_on * 2 >= returns {
-            return Ok(());
-        }
-        Err(GuaranteeViolation {
-            guarantee: "streams that are taken up go on",
-            detail: format!("{going_on} of {returns} go on, {} nodes", self.nodes.len()),
-        })
-    }
 }
