--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -22,6 +22,8 @@
 mod rate_limits;
 mod request;
 mod selector;
+mod stream_origins;
+mod stream_versions;
 mod versions;
 
 pub use self::{
@@ -46,5 +48,7 @@
     rate_limits::{LimitChange, LimitLedger, LimitObservation, LimitStatement},
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
     selector::{Candidate, RunnerSelector, SelectionWeights},
-    versions::SoftwareVersion,
+    stream_origins::{NodeMember, OriginFinding, OriginLedger, StreamKey, StreamOrigin, choose_keepers, rank_keepers},
+    stream_versions::{BegunStream, StreamVersions},
+    versions::{SeenVersion, SoftwareVersion, VersionDigest, VersionHistory, VersionTag},
 };
--- /dev/null
+++ b/crates/mustardgate-relay/src/context/streams.rs
@@ -0,0 +1,121 @@
+//! What this node knows of the software versions of streams, and the records that other nodes have to be told.
+
+use std::{
+    sync::{Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use metrics::counter;
+use mustardgate_core::{
+    ids::ServiceId,
+    relay::{
+        BegunStream, OriginFinding, RequestDigest, StreamKey, StreamOrigin, StreamVersions, VersionDigest, VersionTag,
+    },
+};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+use crate::{fleet::RunnerFleet, peers::MAX_MESSAGE_TIME};
+
+/// Holds the versions of streams, and hands records to the task that tells other nodes.
+///
+/// Times are those of the clock that counts suspensions.
+#[derive(Debug)]
+pub struct StreamGuard {
+    versions: Mutex<StreamVersions>,
+    /// Whether the deployment starts for the first time.
+    is_first_start: bool,
+    outbox: UnboundedSender<StreamOrigin>,
+    /// Taken by the task that tells other nodes.
+    pending: Mutex<Option<UnboundedReceiver<StreamOrigin>>>,
+}
+
+impl StreamGuard {
+    /// Creates a guard that knows nothing; `is_first_start` says that the deployment starts for the first time.
+    pub fn new(is_first_start: bool) -> Self {
+        let (outbox, pending) = unbounded_channel();
+        Self {
+            versions: Mutex::default(),
+            is_first_start,
+            outbox,
+            pending: Mutex::new(Some(pending)),
+        }
+    }
+
+    /// Returns the records to tell other nodes; only the first call does.
+    pub fn take_pending(&self) -> Option<UnboundedReceiver<StreamOrigin>> {
+        self.pending.lock().expect("no holder of the lock panics").take()
+    }
+
+    /// Records that the list of runners was read; `is_complete` says that changes since the last read may be missing.
+    pub fn record_list(&self, now: Instant, fleet: &RunnerFleet, is_complete: bool) {
+        let listed = listed_versions(fleet);
+        let listed = listed.iter().map(|(service, version)| (service, *version));
+        let due = self.lock().record_list(now, listed, is_complete, self.is_first_start);
+        self.tell(due);
+    }
+
+    /// Records the versions that are listed now, and passes on streams of services that may have several by now.
+    pub fn sweep(&self, now: Instant, fleet: &RunnerFleet) {
+        let listed = listed_versions(fleet);
+        let listed = listed.iter().map(|(service, version)| (service, *version));
+        let due = self.lock().sweep(now, listed);
+        self.tell(due);
+    }
+
+    /// Returns the only version of a service that may have begun a stream within `life`, if that is certain.
+    pub fn sole_version(&self, now: Instant, service: &ServiceId, life: Duration) -> Option<VersionTag> {
+        self.lock().sole_version(now, service, life)
+    }
+
+    /// Records that a stream began at this node, whose first event is being passed on.
+    pub fn begin(&self, now: Instant, stream: BegunStream) {
+        let due = self.lock().begin(now, stream);
+        self.tell(due);
+    }
+
+    /// Records that a stream ended as complete, so that its caller does not come back.
+    pub fn finish(&self, key: StreamKey) {
+        self.lock().finish(key);
+    }
+
+    /// Records where streams began that another node told of.
+    pub fn learn(&self, now: Instant, origins: &[StreamOrigin]) {
+        self.lock().learn(now, origins);
+    }
+
+    /// Returns what this node knows of the stream that a request takes up.
+    pub fn find(&self, key: StreamKey, digest: &RequestDigest) -> OriginFinding {
+        self.lock().find(key, digest)
+    }
+
+    /// Returns what other nodes should know of versions.
+    pub fn version_digest(&self, now: Instant) -> VersionDigest {
+        self.lock().digest(now)
+    }
+
+    /// Takes over what another node knows of versions.
+    pub fn merge_versions(&self, now: Instant, digest: &VersionDigest) {
+        self.lock().merge(now, digest, MAX_MESSAGE_TIME);
+    }
+
+    fn tell(&self, origins: impl IntoIterator<Item = StreamOrigin>) {
+        for origin in origins {
+            if self.outbox.send(origin).is_err() {
+                // Without the task, as in a node without a listener for other nodes, nobody can be told.
+                counter!("mustardgate_stream_records_total", "outcome" => "unheard").increment(1);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StreamVersions> {
+        self.versions.lock().expect("no holder of the lock panics")
+    }
+}
+
+fn listed_versions(fleet: &RunnerFleet) -> Vec<(ServiceId, VersionTag)> {
+    let cells = fleet.all();
+    cells
+        .iter()
+        .map(|cell| (cell.listed().service.clone(), cell.version_tag()))
+        .collect()
+}
