Test nodes that are cut off from all runners, failing

Five tests with seven nodes, four of them cut off by a proxy that tells nodes apart by source address: links that hang, are reset, or take no new connections; all nodes cut off; a caller that leaves. A node can be told its source address for that (node.source_ip).

--- a/crates/mustardgate-relay/src/client/connection.rs
+++ b/crates/mustardgate-relay/src/client/connection.rs
@@ -1,6 +1,10 @@
 //! One connection to a runner.
 
-use std::{io::ErrorKind, net::SocketAddr, time::Duration};
+use std::{
+    io::{self, ErrorKind},
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -9,7 +13,10 @@
 use mustardgate_core::verdict::RunVerdict;
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, time};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time,
+};
 use tokio_util::task::AbortOnDropHandle;
 
 /// Time after which unacknowledged data closes a connection, because no reset arrives during a network partition.
@@ -87,12 +94,34 @@
     }
 }
 
+/// Where a connection leads, and from which address of this machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionRoute {
+    /// Address of the peer.
+    pub address: SocketAddr,
+    /// Address of this machine; the operating system's choice without one.
+    pub source: Option<IpAddr>,
+}
+
+impl ConnectionRoute {
+    async fn connect(self) -> io::Result<TcpStream> {
+        let socket = match self.address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        if let Some(source) = self.source {
+            socket.bind(SocketAddr::new(source, 0))?;
+        }
+        socket.connect(self.address).await
+    }
+}
+
 /// Connects to a runner.
 ///
 /// # Errors
 /// [`SendFailure::NotConnected`] when no connection is established in time.
-pub async fn connect_runner(address: SocketAddr, timeout: Duration) -> Result<RunnerConnection, SendFailure> {
-    let connected = probe_runner(address, timeout).await;
+pub async fn connect_runner(route: ConnectionRoute, timeout: Duration) -> Result<RunnerConnection, SendFailure> {
+    let connected = probe_runner(route, timeout).await;
     connected.map_err(|_failure| SendFailure::NotConnected)
 }
 
@@ -106,9 +135,9 @@
 }
 
 /// Connects to a runner; the failure says whether nothing listens at its address.
-pub(super) async fn probe_runner(address: SocketAddr, timeout: Duration) -> Result<RunnerConnection, ProbeFailure> {
+pub(super) async fn probe_runner(route: ConnectionRoute, timeout: Duration) -> Result<RunnerConnection, ProbeFailure> {
     let connecting = async {
-        let stream = TcpStream::connect(address).await.map_err(|error| match error.kind() {
+        let stream = route.connect().await.map_err(|error| match error.kind() {
             ErrorKind::ConnectionRefused => ProbeFailure::Refused,
             _ => ProbeFailure::Other,
         })?;
--- a/crates/mustardgate-relay/src/client/pool.rs
+++ b/crates/mustardgate-relay/src/client/pool.rs
@@ -1,7 +1,7 @@
 //! Idle connections to one runner.
 
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{
         Mutex,
         atomic::{AtomicBool, Ordering},
@@ -14,7 +14,7 @@
 
 use super::{
     RunnerConnection, SendFailure, connect_runner,
-    connection::{ProbeFailure, probe_runner},
+    connection::{ConnectionRoute, ProbeFailure, probe_runner},
 };
 
 /// Settings of [`ConnectionPool`].
@@ -26,6 +26,8 @@
     pub idle_limit: Duration,
     /// Longest time to establish a connection.
     pub connect_timeout: Duration,
+    /// Address of this machine from which connections are established; the operating system's choice without one.
+    pub source: Option<IpAddr>,
 }
 
 impl Default for PoolSettings {
@@ -34,6 +36,7 @@
             max_idle: 64,
             idle_limit: Duration::from_secs(4),
             connect_timeout: Duration::from_millis(400),
+            source: None,
         }
     }
 }
@@ -86,7 +89,7 @@
             });
         }
         counter!("mustardgate_runner_connections_total").increment(1);
-        let connecting = connect_runner(self.address, self.settings.connect_timeout.min(timeout));
+        let connecting = connect_runner(self.route(), self.settings.connect_timeout.min(timeout));
         Ok(TakenConnection {
             connection: connecting.await?,
             is_new: true,
@@ -110,7 +113,7 @@
 
     /// Connects once, and returns whether nothing listens at the address; a connection that is made joins the pool.
     pub async fn is_refused(&self, timeout: Duration) -> bool {
-        match probe_runner(self.address, timeout).await {
+        match probe_runner(self.route(), timeout).await {
             Ok(connection) => {
                 self.give_back(connection, None);
                 false
@@ -148,6 +151,13 @@
         });
     }
 
+    fn route(&self) -> ConnectionRoute {
+        ConnectionRoute {
+            address: self.address,
+            source: self.settings.source,
+        }
+    }
+
     fn take_idle(&self) -> Option<RunnerConnection> {
         let now = clock::now();
         let mut idle = self.lock();
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -62,13 +62,17 @@
     let feed = settings
         .feed
         .limits(settings.node.link_mbps, settings.bounds.shortest_bound());
+    let pool = PoolSettings {
+        source: settings.node.source_ip,
+        ..PoolSettings::default()
+    };
     Arc::new(RelayContext {
         feed: FeedLimiter::new(feed),
         limits: LimitGuard::new(logger.clone()),
         crashes: CrashGuard::new(CrashSettings::default(), logger.clone()),
         log: RequestLog::new(logger.clone(), settings.logging.clone()),
         routes: RouteHolder::default(),
-        fleet: RunnerFleet::new(settings.node.domain.clone(), PoolSettings::default(), logger),
+        fleet: RunnerFleet::new(settings.node.domain.clone(), pool, logger),
         records: RecordCache::default(),
         observations: ObservationBuffer::default(),
         budgets: ServiceBudgets::new(&settings.bounds),
--- a/crates/mustardgate-relay/src/settings/mod.rs
+++ b/crates/mustardgate-relay/src/settings/mod.rs
@@ -4,7 +4,13 @@
 
 mod feed;
 
-use std::{collections::BTreeMap, fs, net::SocketAddr, path::Path, time::Duration};
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::{IpAddr, SocketAddr},
+    path::Path,
+    time::Duration,
+};
 
 use mustardgate::settings::LoggingSettings;
 use mustardgate_core::ids::{DomainId, NodeId, RegionId};
@@ -50,6 +56,9 @@
     /// know.
     #[serde(default)]
     pub first_start: bool,
+    /// Address from which the node connects to runners; the operating system's choice without one.
+    #[serde(default)]
+    pub source_ip: Option<IpAddr>,
 }
 
 /// Returns the capacity assumed of a link whose capacity is not stated.
--- a/crates/mustardgate/src/http/client.rs
+++ b/crates/mustardgate/src/http/client.rs
@@ -1,6 +1,9 @@
 //! HTTP client for backend servers and the platform, whose errors say whether a request may have run.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -88,19 +91,25 @@
 impl HttpClient {
     /// Creates a client that keeps idle connections for further calls.
     pub fn pooled(connect_timeout: Duration) -> Self {
-        Self::build(connect_timeout, usize::MAX)
+        Self::build(connect_timeout, usize::MAX, None)
+    }
+
+    /// Creates a client like [`HttpClient::pooled`] that connects from an address of this machine, if one is given.
+    pub fn pooled_from(connect_timeout: Duration, source: Option<IpAddr>) -> Self {
+        Self::build(connect_timeout, usize::MAX, source)
     }
 
     /// Creates a client that opens a connection for each call: the server may close a reused connection while a request
     /// is in transit, and then it is unknown whether the request ran.
     pub fn unpooled(connect_timeout: Duration) -> Self {
-        Self::build(connect_timeout, 0)
+        Self::build(connect_timeout, 0, None)
     }
 
-    fn build(connect_timeout: Duration, max_idle: usize) -> Self {
+    fn build(connect_timeout: Duration, max_idle: usize, source: Option<IpAddr>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(connect_timeout));
         connector.set_nodelay(true);
+        connector.set_local_address(source);
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
--- a/crates/standins/src/harness/mod.rs
+++ b/crates/standins/src/harness/mod.rs
@@ -8,6 +8,7 @@
 mod node;
 mod proxy;
 mod scratch;
+mod source_proxy;
 mod usage;
 
 pub use self::{
@@ -17,5 +18,6 @@
     node::{NodeAddresses, RunningNode},
     proxy::{FaultProxy, ProxyMode},
     scratch::{ScratchDirectory, free_address},
+    source_proxy::{CutLook, LinkCuts, SourceProxy},
     usage::ProcessUsage,
 };
