Reach runners through another node while the own link to them is cut

Cause: a node sent over its own connections only, and nothing told a cut of its link from failures of runners. Each request found it out anew (405 ms where connections hang), 17 sound runners were noted as crashed at one node within 3 s, and a leader that is cut off kept its lease and gave no orders.

Change: LinkMonitor suspects the link after failures at two runners or 0.4 s without a byte, and takes it for cut once runners of several services do not answer. Then requests are passed on by one of two other nodes drawn at random, the one with less work: the first node chooses the runner, counts and keeps the verdict, the other one only sends, event by event. Two answers in a row restore the link, and requests return to it over a second. A node that is cut off lets its lease run out; crashes are noted only where another runner answers. Where nobody can help, requests are refused at once.

--- a/crates/mustardgate-core/src/lease/tracker.rs
+++ b/crates/mustardgate-core/src/lease/tracker.rs
@@ -58,6 +58,7 @@
     pending: Option<PendingAppend>,
     held_until: Option<Instant>,
     is_draining: bool,
+    is_withdrawn: bool,
 }
 
 impl LeaseTracker {
@@ -71,6 +72,7 @@
             pending: None,
             held_until: None,
             is_draining: false,
+            is_withdrawn: false,
         }
     }
 
@@ -112,6 +114,9 @@
 
     /// Returns the record to append now, if any; it counts as sent at `now`.
     pub fn poll(&mut self, now: Instant) -> Option<LeaseRecord> {
+        if self.is_withdrawn && !self.is_draining {
+            return None;
+        }
         if let Some(pending) = &mut self.pending {
             let retry_at = pending.sent_at + self.settings.term / RENEWALS_PER_TERM;
             if !pending.has_failed && now < retry_at {
@@ -146,6 +151,12 @@
         }
     }
 
+    /// Sets whether the node neither renews nor claims, because it could not act as leader. The lease ends with its term,
+    /// so that holders do not change within it.
+    pub fn set_withdrawn(&mut self, is_withdrawn: bool) {
+        self.is_withdrawn = is_withdrawn;
+    }
+
     /// Gives up the expired claim, so that a late renewal does not restore it.
     pub fn forfeit(&mut self) {
         self.held_until = None;
@@ -197,7 +208,7 @@
             Some(newest) if newest.is_own && !newest.is_released && self.is_draining => {
                 Some(self.record(Some(newest.offset), Some(newest.claim), true))
             }
-            _ if self.is_draining => None,
+            _ if self.is_draining || self.is_withdrawn => None,
             Some(newest) if self.held_claim(now).is_some() => {
                 let until = self.held_until?;
                 let renew_at = until.checked_sub(self.settings.term / RENEWALS_PER_TERM * (RENEWALS_PER_TERM - 1));
--- a/crates/mustardgate-core/src/relay/admission.rs
+++ b/crates/mustardgate-core/src/relay/admission.rs
@@ -37,6 +37,9 @@
     /// No runner of the software version that began the stream can go on with it.
     #[display("stream_version_absent")]
     StreamVersionAbsent,
+    /// Neither this node nor one that it asked reaches the runners.
+    #[display("runners_unreachable")]
+    RunnersUnreachable,
 }
 
 /// Settings of [`AdmissionGate`].
@@ -157,7 +160,8 @@
             | RefusalCause::NoRunner
             | RefusalCause::AdapterAbsent
             | RefusalCause::StreamVersionUnknown
-            | RefusalCause::StreamVersionAbsent => self.settings.absence_delay,
+            | RefusalCause::StreamVersionAbsent
+            | RefusalCause::RunnersUnreachable => self.settings.absence_delay,
         };
         base.mul_f64(1.0 + draw * self.settings.jitter)
     }
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod feed;
 mod health;
 mod inputs;
+mod link;
 mod load;
 mod permits;
 mod planner;
@@ -41,6 +42,7 @@
     feed::{FeedAllowance, FeedLimits},
     health::{HealthSettings, OutcomeTracker},
     inputs::{InputId, PartId, RequestContent, RequestDigest},
+    link::LinkMonitor,
     load::{LoadEstimate, ReportedLoad},
     permits::{PermitIssuer, PermitSchedule},
     planner::{OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
--- a/crates/mustardgate-relay/src/client/connection.rs
+++ b/crates/mustardgate-relay/src/client/connection.rs
@@ -47,14 +47,23 @@
     /// No answer was received in time.
     #[snafu(display("timed_out"))]
     TimedOut,
+    /// The link to the runners is cut, and no other node can pass the request on.
+    #[snafu(display("no_path"))]
+    NoPath,
+    /// Another node passed the request on, and its connection to the runner broke.
+    #[snafu(display("broken_beyond_node"))]
+    BrokenBeyondNode,
+    /// Another node passed the request on, and the runner crashed.
+    #[snafu(display("crashed_beyond_node"))]
+    CrashedBeyondNode,
 }
 
 impl SendFailure {
     /// Returns whether the request may have run.
     pub fn verdict(self) -> RunVerdict {
         match self {
-            Self::NotConnected | Self::Withheld | Self::Limited | Self::NotSent => RunVerdict::NotRun,
-            Self::Broken | Self::TimedOut => RunVerdict::MayHaveRun,
+            Self::NotConnected | Self::Withheld | Self::Limited | Self::NotSent | Self::NoPath => RunVerdict::NotRun,
+            Self::Broken | Self::TimedOut | Self::BrokenBeyondNode | Self::CrashedBeyondNode => RunVerdict::MayHaveRun,
         }
     }
 }
--- a/crates/mustardgate-relay/src/client/pool.rs
+++ b/crates/mustardgate-relay/src/client/pool.rs
@@ -88,14 +88,26 @@
                 is_new: false,
             });
         }
-        counter!("mustardgate_runner_connections_total").increment(1);
-        let connecting = connect_runner(self.route(), self.settings.connect_timeout.min(timeout));
         Ok(TakenConnection {
-            connection: connecting.await?,
+            connection: self.connect(timeout).await?,
             is_new: true,
         })
     }
 
+    /// Establishes a connection.
+    ///
+    /// # Errors
+    /// [`SendFailure::NotConnected`] when no connection is established in time.
+    pub async fn connect(&self, timeout: Duration) -> Result<RunnerConnection, SendFailure> {
+        counter!("mustardgate_runner_connections_total").increment(1);
+        connect_runner(self.route(), self.settings.connect_timeout.min(timeout)).await
+    }
+
+    /// Closes all idle connections.
+    pub fn close_all(&self) {
+        self.lock().clear();
+    }
+
     /// Records that a connection broke, after which another process may answer at the address.
     pub fn record_loss(&self) {
         self.has_lost.store(true, Ordering::Relaxed);
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -4,17 +4,21 @@
 mod crashes;
 mod demand;
 mod limits;
+mod link;
 mod observations;
 mod records;
 mod routes;
 mod streams;
 
-use std::sync::Arc;
+use std::{
+    sync::{Arc, atomic::AtomicUsize},
+    time::Instant,
+};
 
 use mustardgate::drain::DrainController;
 use mustardgate_core::{
     ports::TopicLog,
-    relay::{AdmissionGate, RetryAdvisor},
+    relay::{AdmissionGate, LimitStatement, ListedRunner, RetryAdvisor},
 };
 
 pub use self::{
@@ -22,6 +26,7 @@
     crashes::CrashGuard,
     demand::{AdapterUseGuard, DemandCounter, DemandDigest},
     limits::LimitGuard,
+    link::{AwaitedAnswer, RunnerLink},
     observations::ObservationBuffer,
     records::RecordCache,
     routes::{ActiveRoutes, RouteHolder},
@@ -30,8 +35,9 @@
 use crate::{
     fleet::RunnerFleet,
     leader::SharedLeadership,
+    link::HelperBook,
     peers::{FeedLimiter, PeerClient, PeerDirectory},
-    ports::{CallDialect, RecordDecoder, RunnerControl},
+    ports::{AnswerKind, AnswerMetadata, CallDialect, RecordDecoder, RunnerControl},
     request_log::RequestLog,
     settings::RelaySettings,
 };
@@ -74,6 +80,12 @@
     pub crashes: CrashGuard,
     /// Software versions at which streams began.
     pub streams: StreamGuard,
+    /// Whether this node reaches the runners itself.
+    pub link: RunnerLink,
+    /// Other nodes through which requests reach runners while the link is cut.
+    pub helpers: HelperBook,
+    /// Number of requests that this node passes on for others.
+    pub forwarded: Arc<AtomicUsize>,
     /// Demand by model.
     pub demand: DemandCounter,
     /// What this node knows about the current leader, and the state of runners that it keeps while it leads.
@@ -99,4 +111,15 @@
     pub fn is_ready(&self) -> bool {
         !self.drain.is_draining() && self.routes.current().is_some() && self.fleet.has_runner()
     }
+
+    /// Records what a runner states about itself in an answer to a request sent at `sent_at`, whatever it answers.
+    pub fn record_statements(&self, listed: &ListedRunner, metadata: &AnswerMetadata, sent_at: Instant) {
+        if metadata.is_leaving {
+            self.fleet.record_leaving(listed);
+        }
+        // An answer to another request may be an old one, from before the runner had a limit.
+        if metadata.kind != AnswerKind::OtherRequest || metadata.limit != LimitStatement::Unlimited {
+            self.limits.observe(listed, metadata.limit, sent_at);
+        }
+    }
 }
--- a/crates/mustardgate-relay/src/fleet/cell.rs
+++ b/crates/mustardgate-relay/src/fleet/cell.rs
@@ -40,7 +40,7 @@
     /// Whether the runner is gone from the list, or was replaced there by another process.
     is_retired: AtomicBool,
     /// Idle connections.
-    pub pool: ConnectionPool,
+    pub pool: Arc<ConnectionPool>,
     /// When it was last checked whether the process is gone, and the result; the lock is held during a check.
     process_check: AsyncMutex<Option<(Instant, bool)>>,
     state: Mutex<CellState>,
@@ -80,7 +80,7 @@
     /// Creates the cell of a newly listed runner.
     pub fn new(listed: Arc<ListedRunner>, pool: PoolSettings) -> Self {
         Self {
-            pool: ConnectionPool::new(pool, listed.address),
+            pool: Arc::new(ConnectionPool::new(pool, listed.address)),
             version_tag: listed.version_tag(),
             listed: RwLock::new(listed),
             is_retired: AtomicBool::new(false),
@@ -157,6 +157,11 @@
         self.lock().confirmed_at = Some(now);
     }
 
+    /// Forgets failures that were not the runner's.
+    pub fn forget_failures(&self) {
+        self.lock().outcomes = OutcomeTracker::new(HealthSettings::default());
+    }
+
     /// Sends no request to the runner for a time that it asked for.
     pub fn hold(&self, until: Instant) {
         let mut state = self.lock();
--- a/crates/mustardgate-relay/src/gateway/answer.rs
+++ b/crates/mustardgate-relay/src/gateway/answer.rs
@@ -100,6 +100,6 @@
 }
 
 /// Returns a body whose content is completely known.
-pub(super) fn full_body(content: Bytes) -> RelayBody {
+pub(crate) fn full_body(content: Bytes) -> RelayBody {
     Full::new(content).map_err(|never| match never {}).boxed_unsync()
 }
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -12,20 +12,19 @@
 use mustardgate_core::{
     clock,
     ids::{BackendId, ServiceId},
-    relay::{
-        AdmissionQuery, LimitStatement, ListedRunner, RefusalCause, RelayRequest, RelayRoute, VersionTag, runner_rank,
-    },
+    relay::{AdmissionQuery, RefusalCause, RelayRequest, RelayRoute, VersionTag, runner_rank},
     verdict::RunVerdict,
 };
 use slog::o;
 use smol_str::SmolStr;
 
-use super::{digests::RequestDigests, failure::AttemptError, headers::remove_hop_by_hop_headers};
+use super::{digests::RequestDigests, failure::AttemptError, headers::remove_hop_by_hop_headers, path::OpenPath};
 use crate::{
-    client::{RunnerConnection, SendFailure},
+    client::{ConnectionPool, RunnerConnection, SendFailure},
     context::{AdapterUseGuard, RelayContext},
     fleet::{AttemptOutcome, RunnerPick, RunnerTicket, SelectionError, SelectionQuery},
-    leader::{request_adapter, request_permit},
+    leader::request_adapter,
+    link::HelperUse,
     ports::{AnswerKind, AnswerMetadata, AttemptMetadata},
 };
 
@@ -67,6 +66,10 @@
 pub(super) struct OpenAnswer {
     pub(super) ticket: RunnerTicket,
     pub(super) connection: RunnerConnection,
+    /// Where the connection belongs after the answer.
+    pub(super) pool: Arc<ConnectionPool>,
+    /// The other node that passes the request on, if one does.
+    pub(super) helper: Option<HelperUse>,
     pub(super) head: response::Parts,
     pub(super) body: Incoming,
     pub(super) metadata: AnswerMetadata,
@@ -153,29 +156,14 @@
         self.log_sent(pick);
         let name = self.request.model.as_ref();
         let adapter_use = name.and_then(|name| self.context.demand.record_adapter_use(&listed.id, name));
-        let time_left = self.expires_at.saturating_duration_since(clock::now());
         let sent_at = clock::now();
-        let outcome = async {
-            let mut connection = self.connect(cell, time_left).await?;
-            // The runner may have left since it was chosen, while an adapter was loaded or the connection was made.
-            if !cell.accepts_requests() {
-                return Err(SendFailure::Withheld);
-            }
-            if let Err(delay) = request_permit(&self.context, &listed).await {
-                cell.pool.give_back(connection, None);
-                cell.hold(clock::now() + delay);
-                return Err(SendFailure::Limited);
-            }
-            if !cell.is_in_service() {
-                return Err(SendFailure::Withheld);
-            }
-            let time_left = self.expires_at.saturating_duration_since(clock::now());
-            let request = self.runner_request(&listed.id, time_left, resume_after);
-            let answer = connection.send(request, time_left).await?;
-            Ok::<_, SendFailure>((connection, answer))
-        };
-        let (connection, answer) = match outcome.await {
-            Ok(opened) => opened,
+        let OpenPath {
+            connection,
+            answer,
+            pool,
+            helper,
+        } = match self.send(cell, resume_after).await {
+            Ok(path) => path,
             Err(failure) => return Err(self.end_failed(&mut ticket, failure).await),
         };
         let (head, body) = answer.into_parts();
@@ -189,7 +177,7 @@
             None => metadata.kind != AnswerKind::Misdirected,
         };
         if is_same_runner {
-            self.record_statements(&listed, &metadata, sent_at);
+            self.context.record_statements(&listed, &metadata, sent_at);
         }
         self.check_head(&mut ticket, &head, &metadata)?;
         ticket.record_first_token();
@@ -201,6 +189,8 @@
         Ok(OpenAnswer {
             ticket,
             connection,
+            pool,
+            helper,
             head,
             body,
             metadata,
@@ -211,38 +201,44 @@
 
     /// Ends an attempt that got no head of an answer.
     async fn end_failed(&self, ticket: &mut RunnerTicket, failure: SendFailure) -> AttemptError {
-        let is_withheld = matches!(failure, SendFailure::Withheld | SendFailure::Limited);
+        let is_withheld = matches!(
+            failure,
+            SendFailure::Withheld | SendFailure::Limited | SendFailure::NoPath
+        );
         if is_withheld {
             ticket.discard_wait();
         }
         ticket.set_outcome(match failure {
             SendFailure::NotConnected => AttemptOutcome::Unreachable,
-            SendFailure::Withheld | SendFailure::Limited | SendFailure::NotSent => AttemptOutcome::Neutral,
-            SendFailure::Broken | SendFailure::TimedOut => AttemptOutcome::Failed,
+            SendFailure::Withheld | SendFailure::Limited | SendFailure::NotSent | SendFailure::NoPath => {
+                AttemptOutcome::Neutral
+            }
+            SendFailure::Broken
+            | SendFailure::TimedOut
+            | SendFailure::BrokenBeyondNode
+            | SendFailure::CrashedBeyondNode => AttemptOutcome::Failed,
         });
         let cell = ticket.cell();
         // Parts of prompts are no suspects before the answer begins: the request may still have been waiting.
-        let is_fatal =
-            failure == SendFailure::Broken && self.record_crash(cell, &self.digests.inputs()).await.is_repeated();
+        let inputs = self.digests.inputs();
+        let is_fatal = match failure {
+            SendFailure::Broken => self.record_crash(cell, &inputs).await.is_repeated(),
+            SendFailure::CrashedBeyondNode => self.record_known_crash(cell, &inputs).is_repeated(),
+            _ => false,
+        };
         AttemptError {
             is_timeout: failure == SendFailure::TimedOut,
             is_withheld,
             is_fatal,
+            cause: if failure == SendFailure::NoPath {
+                RefusalCause::RunnersUnreachable
+            } else {
+                RefusalCause::AttemptsUsedUp
+            },
             ..AttemptError::at_runner(&cell.listed().id, failure.verdict(), &failure.to_string())
         }
     }
 
-    /// Records what the runner states about itself, whatever it answers.
-    fn record_statements(&self, listed: &ListedRunner, metadata: &AnswerMetadata, sent_at: Instant) {
-        if metadata.is_leaving {
-            self.context.fleet.record_leaving(listed);
-        }
-        // An answer to another request may be an old one, from before the runner had a limit.
-        if metadata.kind != AnswerKind::OtherRequest || metadata.limit != LimitStatement::Unlimited {
-            self.context.limits.observe(listed, metadata.limit, sent_at);
-        }
-    }
-
     /// Rejects the head of an answer that does not belong to this request, reports that the request did not run, or is
     /// successful but lacks the runner's seal or has an encoded body.
     fn check_head(
@@ -295,7 +291,7 @@
         }
     }
 
-    fn runner_request(
+    pub(super) fn runner_request(
         &self,
         backend: &BackendId,
         time_left: Duration,
--- a/crates/mustardgate-relay/src/gateway/buffered.rs
+++ b/crates/mustardgate-relay/src/gateway/buffered.rs
@@ -44,6 +44,8 @@
     let OpenAnswer {
         mut ticket,
         connection,
+        pool,
+        helper,
         head,
         body,
         metadata,
@@ -52,10 +54,14 @@
     let backend = ticket.cell().listed().id.clone();
     let time_left = received.expires_at.saturating_duration_since(clock::now());
     let collecting = Limited::new(body, MAX_BUFFERED_BYTES).collect();
-    let collected = match tokio::time::timeout(time_left, collecting).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(_)) => Err(("broken_answer", false)),
-        Err(_) => Err(("timed_out", true)),
+    let may_stall = helper.is_none() && received.route.repeat.is_idempotent();
+    let collected = tokio::select! {
+        collected = tokio::time::timeout(time_left, collecting) => match collected {
+            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+            Ok(Err(_)) => Err(("broken_answer", false)),
+            Err(_) => Err(("timed_out", true)),
+        },
+        () = received.context.link.stalled(), if may_stall => Err(("link_cut", false)),
     };
     let is_retryable = head.status.is_server_error() && received.route.repeat.is_idempotent();
     let content = match collected {
@@ -65,6 +71,7 @@
             let cell = Arc::clone(ticket.cell());
             drop((ticket, connection));
             let is_fatal = !is_timeout
+                && helper.is_none()
                 && received
                     .record_crash(&cell, &received.digests.inputs())
                     .await
@@ -90,10 +97,7 @@
         AttemptOutcome::Answered
     });
     if !closes_connection(&head.headers) {
-        ticket
-            .cell()
-            .pool
-            .give_back(connection, keep_alive_timeout(&head.headers));
+        pool.give_back(connection, keep_alive_timeout(&head.headers));
     }
     if is_retryable {
         let error = uncertain(&backend, &format!("status_{}", head.status.as_u16()), false);
@@ -145,7 +149,7 @@
 }
 
 /// Returns whether the runner closes the connection after this answer.
-pub(super) fn closes_connection(headers: &HeaderMap) -> bool {
+pub(crate) fn closes_connection(headers: &HeaderMap) -> bool {
     let values = headers.get_all(CONNECTION).iter();
     values
         .filter_map(|value| value.to_str().ok())
@@ -154,7 +158,7 @@
 }
 
 /// Returns how long the runner keeps an idle connection, according to its `Keep-Alive` field.
-pub(super) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
+pub(crate) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
     let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
     seconds.trim().parse().ok().map(Duration::from_secs)
--- a/crates/mustardgate-relay/src/gateway/crash.rs
+++ b/crates/mustardgate-relay/src/gateway/crash.rs
@@ -3,7 +3,7 @@
 use mustardgate_core::relay::{InputId, RefusalCause, shared_parts};
 
 use super::attempt::ReceivedRequest;
-use crate::fleet::RunnerCell;
+use crate::{fleet::RunnerCell, link::is_link_sound};
 
 /// Whether a runner crashed when its connection broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,9 +47,16 @@
     ///
     /// A runner that leaves as planned ends its connections as well and is not checked.
     pub(super) async fn record_crash(&self, cell: &RunnerCell, inputs: &[InputId]) -> CrashOutcome {
-        if !cell.is_in_service() || !cell.is_process_gone().await {
+        let is_crashed = cell.is_in_service() && cell.is_process_gone().await;
+        // While the link is cut, nothing seems to listen anywhere.
+        if !is_crashed || !is_link_sound(&self.context, cell).await {
             return CrashOutcome::NotCrashed;
         }
+        self.record_known_crash(cell, inputs)
+    }
+
+    /// Records the inputs under which a runner is known to have crashed.
+    pub(super) fn record_known_crash(&self, cell: &RunnerCell, inputs: &[InputId]) -> CrashOutcome {
         let crashes = &self.context.crashes;
         CrashOutcome::Crashed {
             is_repeated: crashes.record_crash(&cell.listed(), &self.request.id, inputs),
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -190,7 +190,16 @@
         };
     };
     if error.is_withheld {
-        return plan.withdraw_attempt();
+        let step = plan.withdraw_attempt();
+        // Neither this node nor another one reaches the runners, so no other runner is tried.
+        return if error.cause == RefusalCause::RunnersUnreachable {
+            NextStep::GiveUp {
+                verdict: plan.verdict(),
+                retry_after: Duration::ZERO,
+            }
+        } else {
+            step
+        };
     }
     let failure = AttemptFailure {
         verdict: error.verdict,
--- a/crates/mustardgate-relay/src/gateway/headers.rs
+++ b/crates/mustardgate-relay/src/gateway/headers.rs
@@ -19,7 +19,7 @@
 const LEGACY_HOP_BY_HOP_HEADERS: [&str; 3] = ["keep-alive", "proxy-connection", "proxy-authenticate"];
 
 /// Removes the hop-by-hop fields, including those that frame the body; the library sets its framing again.
-pub(super) fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
+pub(crate) fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
     let listed: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -11,9 +11,14 @@
 mod headers;
 mod listener;
 mod origin;
-mod process;
+mod path;
 mod stream;
 
+pub(crate) use self::{
+    answer::full_body,
+    buffered::{closes_connection, keep_alive_timeout},
+    headers::remove_hop_by_hop_headers,
+};
 pub use self::{
     answer::{BrokenAnswer, RelayBody},
     exchange::answer_caller,
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -13,7 +13,7 @@
 use mustardgate::events;
 use mustardgate_core::{
     clock,
-    relay::{EventSplitter, SoftwareVersion, StreamKey},
+    relay::{EventSplitter, RepeatPolicy, SoftwareVersion, StreamKey},
     retry::{AttemptPlan, NextStep},
     verdict::RunVerdict,
 };
@@ -77,9 +77,26 @@
         loop {
             let open = self.open.as_mut()?;
             let time_left = self.received.expires_at.saturating_duration_since(clock::now());
-            let frame = time::timeout(time_left, open.body.frame()).await;
+            let link = &self.received.context.link;
+            let is_direct = open.helper.is_none();
+            let may_stall = is_direct && self.received.route.repeat == RepeatPolicy::Resumable;
+            let awaited = is_direct.then(|| link.await_answer());
+            let frame = tokio::select! {
+                frame = time::timeout(time_left, open.body.frame()) => Some(frame),
+                () = link.stalled(), if may_stall => None,
+            };
+            drop(awaited);
+            let Some(frame) = frame else {
+                if self.resume("link_cut").await {
+                    continue;
+                }
+                return Some(Err(BrokenAnswer));
+            };
             let reason = match frame {
                 Ok(Some(Ok(frame))) => {
+                    if is_direct {
+                        link.record_contact(false);
+                    }
                     if let Ok(data) = frame.into_data() {
                         self.splitter.push(&data);
                     }
@@ -138,8 +155,8 @@
         let Some(mut open) = self.open.take() else { return };
         open.ticket.set_outcome(AttemptOutcome::Answered);
         if !closes_connection(&open.head.headers) {
-            let pool = &open.ticket.cell().pool;
-            pool.give_back(open.connection, keep_alive_timeout(&open.head.headers));
+            open.pool
+                .give_back(open.connection, keep_alive_timeout(&open.head.headers));
         }
         self.received.context.crashes.record_sound(self.received.inputs());
         self.received
@@ -158,12 +175,16 @@
             ..AttemptError::at_runner(&open.ticket.cell().listed().id, RunVerdict::MayHaveRun, reason)
         };
         let (cell, started_at) = (Arc::clone(open.ticket.cell()), open.started_at);
+        let is_direct = open.helper.is_none();
+        if is_direct && reason != "timed_out" {
+            self.received.context.link.record_failure(&cell.listed().id);
+        }
         // The old connection is closed before another runner continues, so that the request does not run at both at
         // once.
         drop(open);
         let version = cell.listed().version.clone();
         self.splitter = EventSplitter::default();
-        if is_suspect(started_at, reason) {
+        if is_direct && is_suspect(started_at, reason) {
             let inputs = self.received.inputs();
             if self.received.record_crash(&cell, &inputs).await.is_crashed() {
                 // Another attempt might crash the next runner.
--- a/crates/mustardgate-relay/src/leader/leadership.rs
+++ b/crates/mustardgate-relay/src/leader/leadership.rs
@@ -168,6 +168,11 @@
         self.lock().tracker.drain();
     }
 
+    /// Sets whether the node neither renews the lease nor claims it, because it reaches no runner.
+    pub(super) fn set_withdrawn(&self, is_withdrawn: bool) {
+        self.lock().tracker.set_withdrawn(is_withdrawn);
+    }
+
     /// Stops acting under a claim that a runner refused.
     pub(super) fn forfeit(&self) {
         let mut state = self.lock();
--- a/crates/mustardgate-relay/src/leader/lease.rs
+++ b/crates/mustardgate-relay/src/leader/lease.rs
@@ -91,6 +91,7 @@
     }
 
     async fn step(&mut self) {
+        self.context.leader.set_withdrawn(self.context.link.is_cut());
         let is_read = self.is_leading || (self.is_due() && self.read().await);
         if !is_read || self.is_in_doubt() {
             return;
--- a/crates/mustardgate-relay/src/lib.rs
+++ b/crates/mustardgate-relay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod follow;
 pub mod gateway;
 pub mod leader;
+pub mod link;
 pub mod node;
 pub mod peers;
 pub mod ports;
--- /dev/null
+++ b/crates/mustardgate-relay/src/link/check.rs
@@ -0,0 +1,127 @@
+//! Checks whether runners answer over own connections, when the link is in doubt and until it is restored.
+
+use std::{sync::Arc, time::Duration};
+
+use futures::future::join_all;
+use metrics::counter;
+use mustardgate_core::ids::ServiceId;
+use rand::seq::SliceRandom;
+use tokio::time;
+
+use super::process::read_process;
+use crate::{client::SendFailure, context::RelayContext, fleet::RunnerCell};
+
+/// Time between two looks at the link, and between two probes while it is cut.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Timeout of a probe; a sound runner answers within a few milliseconds.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Runners that are asked at once in a check, and in all of its rounds.
+const PROBES_PER_ROUND: usize = 3;
+const MAX_PROBES: usize = 6;
+
+/// Checks the link to the runners.
+#[derive(Debug)]
+pub struct LinkTask {
+    context: Arc<RelayContext>,
+}
+
+impl LinkTask {
+    /// Creates the task.
+    pub fn new(context: Arc<RelayContext>) -> Self {
+        Self { context }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(self) {
+        let link = &self.context.link;
+        loop {
+            let pause = if link.is_cut() { PROBE_INTERVAL } else { CHECK_INTERVAL };
+            tokio::select! {
+                () = time::sleep(pause) => {}
+                () = link.next_suspicion() => {}
+            }
+            if link.is_cut() {
+                self.probe().await;
+            } else if link.needs_check() {
+                check_link(&self.context, None).await;
+            }
+        }
+    }
+
+    /// Asks one runner whether the link is restored, and a second one right away if so.
+    async fn probe(&self) {
+        for cell in choose_runners(&self.context, None).into_iter().take(2) {
+            let is_answered = probe_runner(&self.context, &cell).await;
+            self.context.link.record_probe(is_answered);
+            if !is_answered {
+                return;
+            }
+        }
+    }
+}
+
+/// Returns whether another runner than `failed` answers, so that the failure is not one of the link.
+pub async fn is_link_sound(context: &RelayContext, failed: &RunnerCell) -> bool {
+    !context.link.is_cut() && check_link(context, Some(failed)).await
+}
+
+/// Asks some runners, and records the link as cut if none of them answers; returns whether one did, or there is none.
+async fn check_link(context: &RelayContext, excluded: Option<&RunnerCell>) -> bool {
+    let (mut asked, mut answered) = (0, 0);
+    for runners in choose_runners(context, excluded).chunks(PROBES_PER_ROUND) {
+        let probes = runners.iter().map(|cell| probe_runner(context, cell));
+        asked += runners.len();
+        answered += join_all(probes)
+            .await
+            .into_iter()
+            .filter(|is_answered| *is_answered)
+            .count();
+        if answered > 0 {
+            break;
+        }
+    }
+    if context.link.record_check(asked, answered) {
+        for cell in context.fleet.all() {
+            cell.forget_failures();
+            cell.pool.close_all();
+        }
+    }
+    answered > 0 || asked == 0
+}
+
+/// Chooses runners to ask at random: those without a failure before others, and different services first.
+fn choose_runners(context: &RelayContext, excluded: Option<&RunnerCell>) -> Vec<Arc<RunnerCell>> {
+    let failed = context.link.failed_runners();
+    let excluded = excluded.map(|cell| cell.listed().id.clone());
+    let mut cells = context.fleet.all();
+    cells.retain(|cell| cell.is_in_service() && Some(&cell.listed().id) != excluded.as_ref());
+    cells.shuffle(&mut rand::rng());
+    cells.sort_by_key(|cell| failed.contains(&cell.listed().id));
+    let mut services: Vec<ServiceId> = Vec::new();
+    let (mut chosen, mut others) = (Vec::new(), Vec::new());
+    for cell in cells {
+        let service = cell.listed().service.clone();
+        if services.contains(&service) {
+            others.push(cell);
+        } else {
+            services.push(service);
+            chosen.push(cell);
+        }
+    }
+    chosen.extend(others);
+    chosen.truncate(MAX_PROBES);
+    chosen
+}
+
+/// Asks a runner over a new connection, which joins its pool.
+async fn probe_runner(context: &RelayContext, cell: &RunnerCell) -> bool {
+    counter!("mustardgate_link_probes_total").increment(1);
+    let probing = async {
+        let mut connection = cell.pool.connect(PROBE_TIMEOUT).await?;
+        read_process(context, cell, &mut connection).await?;
+        cell.pool.give_back(connection, None);
+        Ok::<_, SendFailure>(())
+    };
+    matches!(time::timeout(PROBE_TIMEOUT, probing).await, Ok(Ok(())))
+}
--- /dev/null
+++ b/crates/mustardgate-relay/src/link/process.rs
@@ -0,0 +1,86 @@
+//! Connections to runners, confirmed to lead to the listed process where that is in doubt.
+
+use std::{sync::Arc, time::Duration};
+
+use http_body_util::{BodyExt, Limited};
+use mustardgate::events;
+use mustardgate_core::clock;
+use slog::o;
+use tokio::time;
+
+use crate::{
+    client::{RunnerConnection, SendFailure, TakenConnection},
+    context::RelayContext,
+    fleet::RunnerCell,
+};
+
+/// Timeout of a confirmation, for which a request waits.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(300);
+/// Largest answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+
+/// A runner to which a connection is needed.
+#[derive(Clone, Copy, Debug)]
+pub struct RunnerTarget<'a> {
+    /// The runner.
+    pub cell: &'a Arc<RunnerCell>,
+    /// Whether another process than the listed one must not get the request, because it may have another version.
+    pub needs_process: bool,
+    /// Time left.
+    pub time_left: Duration,
+}
+
+/// Returns a connection to a runner.
+///
+/// A new connection whose process matters and is in doubt is asked for it first: a runner that starts again under its
+/// identity may have another software version.
+///
+/// # Errors
+/// [`SendFailure`]; the request was not sent.
+pub async fn connect_runner_process(
+    context: &RelayContext,
+    target: RunnerTarget<'_>,
+) -> Result<TakenConnection, SendFailure> {
+    let RunnerTarget {
+        cell,
+        needs_process,
+        time_left,
+    } = target;
+    let mut taken = cell.pool.take(time_left).await?;
+    let has_outage = context.fleet.has_recent_outage(clock::now());
+    let needs_check =
+        taken.is_new && needs_process && cell.listed().started_at_ms != 0 && cell.is_doubtful(clock::now(), has_outage);
+    if !needs_check {
+        return Ok(taken);
+    }
+    let checking = read_process(context, cell, &mut taken.connection);
+    let started_at_ms = time::timeout(CONFIRMATION_TIMEOUT.min(time_left), checking).await;
+    let started_at_ms = started_at_ms.map_err(|_elapsed| SendFailure::NotConnected)??;
+    if started_at_ms == Some(cell.listed().started_at_ms) {
+        cell.record_confirmation(clock::now());
+        return Ok(taken);
+    }
+    let values = o!(
+        "listed_start_ms" => cell.listed().started_at_ms,
+        "start_ms" => started_at_ms.unwrap_or_default(),
+        "backend" => cell.listed().id.to_string(),
+    );
+    events::RELAY_PROCESS_REPLACED.write(context.log.logger(), values);
+    cell.retire();
+    Err(SendFailure::Withheld)
+}
+
+/// Reads when the process started that a connection leads to. Whatever fails here, no request was sent.
+pub(super) async fn read_process(
+    context: &RelayContext,
+    cell: &RunnerCell,
+    connection: &mut RunnerConnection,
+) -> Result<Option<u64>, SendFailure> {
+    let control = &context.ports.control;
+    let request = control.process_request(&cell.listed().id);
+    let answer = connection.send(request, CONFIRMATION_TIMEOUT).await;
+    let answer = answer.map_err(|_failure| SendFailure::NotConnected)?;
+    let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
+    let body = body.map_err(|_error| SendFailure::NotConnected)?;
+    Ok(control.read_process(&body.to_bytes()))
+}
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -14,10 +14,11 @@
     client::PoolSettings,
     context::{
         CrashGuard, DemandCounter, LimitGuard, ObservationBuffer, PlatformPorts, RecordCache, RelayContext,
-        RouteHolder, ServiceBudgets, StreamGuard,
+        RouteHolder, RunnerLink, ServiceBudgets, StreamGuard,
     },
     fleet::RunnerFleet,
     leader::{BootClock, SharedLeadership},
+    link::HelperBook,
     peers::{FeedLimiter, NeighbourLog, PeerClient, PeerDirectory},
     request_log::RequestLog,
     settings::RelaySettings,
@@ -68,6 +69,9 @@
     };
     Arc::new(RelayContext {
         feed: FeedLimiter::new(feed),
+        link: RunnerLink::new(logger.clone()),
+        helpers: HelperBook::default(),
+        forwarded: Arc::default(),
         limits: LimitGuard::new(logger.clone()),
         crashes: CrashGuard::new(CrashSettings::default(), logger.clone()),
         log: RequestLog::new(logger.clone(), settings.logging.clone()),
--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -24,6 +24,7 @@
     follow::TopicFollower,
     gateway::{CallerListener, answer_caller, serve_callers},
     leader::{LeaseTask, PlanTask, WatchTask},
+    link::LinkTask,
     peers::{DigestTask, OriginTask, serve_peers},
     settings::RelaySettings,
 };
@@ -72,7 +73,12 @@
         tokio::spawn(TopicFollower::new(Arc::clone(context), topic).run());
     }
     if let Some(address) = listen.peers {
-        tokio::spawn(serve_peers(Arc::clone(context), bind(address).await?, metrics));
+        // A planned stop waits for it as well, because it passes on requests of other nodes.
+        callers.push(tokio::spawn(serve_peers(
+            Arc::clone(context),
+            bind(address).await?,
+            metrics,
+        )));
         tokio::spawn(LeaseTask::new(Arc::clone(context), address).run());
         tokio::spawn(PlanTask::new(Arc::clone(context)).run());
         tokio::spawn(WatchTask::new(Arc::clone(context)).run());
@@ -83,6 +89,7 @@
             tokio::spawn(task.run());
         }
     }
+    tokio::spawn(LinkTask::new(Arc::clone(context)).run());
     tokio::spawn(sweep(Arc::clone(context)));
     tokio::spawn(ReloadTask::new(Arc::clone(context), path)?.run());
     Ok(NodeTasks { callers })
@@ -107,6 +114,7 @@
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         context.fleet.sweep();
+        context.helpers.close_expired();
         context.streams.sweep(context.leader.lease_time(), &context.fleet);
         context.limits.retain(&context.fleet);
     }
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use metrics_exporter_prometheus::PrometheusHandle;
 use mustardgate::http::{
@@ -26,6 +27,7 @@
 use crate::{
     context::RelayContext,
     leader::{issue_permit, load_adapter},
+    link::{answer_forwarded, is_forwarded},
 };
 
 /// Largest number of nodes whose addresses the leader tells in one answer.
@@ -45,7 +47,16 @@
 pub async fn serve_peers(context: Arc<RelayContext>, listener: TcpListener, metrics: PrometheusHandle) {
     let closing = context.drain.closing();
     let logger = context.log.logger().clone();
-    let handler = move |request| answer(Arc::clone(&context), metrics.clone(), request);
+    let handler = move |request| {
+        let (context, metrics) = (Arc::clone(&context), metrics.clone());
+        async move {
+            if is_forwarded(&request) {
+                return answer_forwarded(context, request).await;
+            }
+            let answer = answer(context, metrics, request).await;
+            answer.map(|body| body.map_err(|never| match never {}).boxed_unsync())
+        }
+    };
     let limits = ConnectionLimits {
         max_connections: MAX_CONNECTIONS,
         head_timeout: IDLE_TIMEOUT,
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -123,6 +123,10 @@
 pub const RELAY_STREAM_TAKEN_UP: EventKind = event(628, Level::Info, "stream taken up");
 /// A runner started again and the list does not show it yet.
 pub const RELAY_PROCESS_REPLACED: EventKind = event(629, Level::Info, "runner process replaced");
+/// No runner answers over own connections; requests go through other nodes.
+pub const RELAY_LINK_CUT: EventKind = event(632, Level::Warning, "link to runners cut");
+/// Runners answer over own connections again.
+pub const RELAY_LINK_RESTORED: EventKind = event(633, Level::Info, "link to runners restored");
 /// A lease record was refused or could not be appended, read or decoded, so the lease is uncertain.
 pub const RELAY_LEASE_UNCERTAIN: EventKind = event(620, Level::Warning, "lease uncertain");
 /// An order was sent to a runner; with its reply.
@@ -193,6 +197,8 @@
     RELAY_RUNNER_LIMITED,
     RELAY_STREAM_TAKEN_UP,
     RELAY_PROCESS_REPLACED,
+    RELAY_LINK_CUT,
+    RELAY_LINK_RESTORED,
     RELAY_SETTINGS_CHANGED,
     RELAY_SETTINGS_REFUSED,
 ];
--- a/crates/mustardgate/src/http/server.rs
+++ b/crates/mustardgate/src/http/server.rs
@@ -1,8 +1,13 @@
 //! Accepts connections and serves them until the shutdown.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{convert::Infallible, error::Error, sync::Arc, time::Duration};
 
-use hyper::{Request, Response, body::Incoming, service::service_fn};
+use bytes::Bytes;
+use hyper::{
+    Request, Response,
+    body::{Body, Incoming},
+    service::service_fn,
+};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto::Builder, graceful::GracefulShutdown},
@@ -15,7 +20,6 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use super::answer::AnswerBody;
 use crate::events;
 
 /// Pause after a failed accept, which is usually caused by a lack of file descriptors.
@@ -34,7 +38,7 @@
 }
 
 /// Serves connections until `shutdown` is cancelled, then finishes the requests in flight and returns.
-pub async fn serve_connections<H, F>(
+pub async fn serve_connections<H, F, B>(
     listener: TcpListener,
     handler: H,
     limits: ConnectionLimits,
@@ -42,7 +46,9 @@
     logger: Logger,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let graceful = GracefulShutdown::new();
     let slots = Arc::new(Semaphore::new(limits.max_connections));
@@ -73,7 +79,7 @@
     Ok((stream, slot))
 }
 
-fn spawn_connection<H, F>(
+fn spawn_connection<H, F, B>(
     stream: TcpStream,
     slot: OwnedSemaphorePermit,
     handler: H,
@@ -81,7 +87,9 @@
     graceful: &GracefulShutdown,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let service = service_fn(move |request| {
         let answering = handler(request);
