--- a/crates/mustardgate-relay/src/link/check.rs
+++ b/crates/mustardgate-relay/src/link/check.rs
@@ -4,7 +4,6 @@
 
 use futures::future::join_all;
 use metrics::counter;
-use mustardgate_core::ids::ServiceId;
 use rand::seq::SliceRandom;
 use tokio::time;
 
@@ -90,7 +89,8 @@
     answered > 0 || asked == 0
 }
 
-/// Chooses runners to ask at random: those without a failure before others, and different services first.
+/// Chooses runners to ask at random: of the own failure domain and of others in turn, because a domain that is cut off
+/// reaches its own, and of each those without a failure first.
 fn choose_runners(context: &RelayContext, excluded: Option<&RunnerCell>) -> Vec<Arc<RunnerCell>> {
     let failed = context.link.failed_runners();
     let excluded = excluded.map(|cell| cell.listed().id.clone());
@@ -98,20 +98,16 @@
     cells.retain(|cell| cell.is_in_service() && Some(&cell.listed().id) != excluded.as_ref());
     cells.shuffle(&mut rand::rng());
     cells.sort_by_key(|cell| failed.contains(&cell.listed().id));
-    let mut services: Vec<ServiceId> = Vec::new();
-    let (mut chosen, mut others) = (Vec::new(), Vec::new());
-    for cell in cells {
-        let service = cell.listed().service.clone();
-        if services.contains(&service) {
-            others.push(cell);
-        } else {
-            services.push(service);
-            chosen.push(cell);
-        }
-    }
-    chosen.extend(others);
-    chosen.truncate(MAX_PROBES);
-    chosen
+    let own_domain = &context.settings.node.domain;
+    let (near, far): (Vec<_>, Vec<_>) = cells.into_iter().partition(|cell| cell.listed().domain == *own_domain);
+    let mut ranked: Vec<_> = near
+        .into_iter()
+        .enumerate()
+        .chain(far.into_iter().enumerate())
+        .collect();
+    ranked.sort_by_key(|(rank, _)| *rank);
+    ranked.truncate(MAX_PROBES);
+    ranked.into_iter().map(|(_, cell)| cell).collect()
 }
 
 /// Asks a runner over a new connection, which joins its pool.
