Send brittle runners only what surely finds room

Runners of a service may say that they fall over when they turn more than N requests a second away (LIMIT). Nobody read that, and nodes that do not see each other's requests together send far more than there is room for.

Change: while a service is brittle, the places of its runners (one less than their slots each) are dealt to the nodes in turn, from the same lists at all of them and without a message; a node has no more requests at a runner than places. A rejection keeps all nodes away from its runner for a second, told by datagram. An answer without the statement ends it. Falls of brittle runners are no input's fault. Permits of the leader would cost a call a request and need the leader; places need neither.

--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -6,6 +6,7 @@
 mod adapters;
 mod admission;
 mod backlog;
+mod brittle;
 mod budget;
 mod catalogue;
 mod config;
@@ -31,6 +32,7 @@
     adapters::{AdapterEvictor, AdapterSlot},
     admission::{AdmissionGate, AdmissionQuery, GateSettings, RefusalCause, RetryAdvisor, RetryAdvisorSettings},
     backlog::BacklogEstimate,
+    brittle::{BrittleLedger, BrittleService, BrittleStatement, deal_places},
     budget::{BudgetSettings, RetryShare},
     catalogue::{CatalogueChange, ListedRunner, RunnerCatalogue, RunnerObservation, RunnerState},
     config::{
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -1,5 +1,6 @@
 //! Shared state of a relay node, gathered in one place so that tests can build it with fakes.
 
+mod brittle;
 mod budgets;
 mod crashes;
 mod demand;
@@ -18,10 +19,11 @@
 use mustardgate::drain::DrainController;
 use mustardgate_core::{
     ports::TopicLog,
-    relay::{AdmissionGate, LimitStatement, ListedRunner, RetryAdvisor},
+    relay::{AdmissionGate, BrittleStatement, LimitStatement, ListedRunner, RetryAdvisor},
 };
 
 pub use self::{
+    brittle::{BrittleGuard, PlaceMap},
     budgets::ServiceBudgets,
     crashes::CrashGuard,
     demand::{AdapterUseGuard, DemandCounter, DemandDigest},
@@ -76,6 +78,8 @@
     pub budgets: ServiceBudgets,
     /// Limits that runners state on the rate of requests.
     pub limits: LimitGuard,
+    /// Services whose runners fall over when they turn too many requests away.
+    pub brittle: BrittleGuard,
     /// Inputs under which runners crash.
     pub crashes: CrashGuard,
     /// Software versions at which streams began.
@@ -121,5 +125,8 @@
         if metadata.kind != AnswerKind::OtherRequest || metadata.limit != LimitStatement::Unlimited {
             self.limits.observe(listed, metadata.limit, sent_at);
         }
+        if metadata.kind != AnswerKind::OtherRequest || metadata.brittle != BrittleStatement::Sturdy {
+            self.brittle.observe(listed, metadata.brittle, sent_at);
+        }
     }
 }
--- a/crates/mustardgate-relay/src/fleet/cell.rs
+++ b/crates/mustardgate-relay/src/fleet/cell.rs
@@ -49,6 +49,8 @@
 #[derive(Debug)]
 struct CellState {
     load: LoadEstimate,
+    /// Requests of this node that it has.
+    in_flight: u32,
     backlog: BacklogEstimate,
     outcomes: OutcomeTracker,
     prefixes: PrefixIndex,
@@ -87,6 +89,7 @@
             process_check: AsyncMutex::new(None),
             state: Mutex::new(CellState {
                 load: LoadEstimate::default(),
+                in_flight: 0,
                 backlog: BacklogEstimate::default(),
                 outcomes: OutcomeTracker::new(HealthSettings::default()),
                 prefixes: PrefixIndex::default(),
@@ -225,6 +228,11 @@
         )
     }
 
+    /// Returns the number of requests of this node that the runner has.
+    pub fn in_flight(&self) -> u32 {
+        self.lock().in_flight
+    }
+
     /// Returns the expected time to the first token.
     pub fn expected_wait(&self, now: Instant) -> Duration {
         self.lock().backlog.expected(now)
@@ -244,6 +252,7 @@
     pub fn begin(self: &Arc<Self>, request: &RelayRequest) -> RunnerTicket {
         let mut state = self.lock();
         state.load.begin();
+        state.in_flight += 1;
         let number = state.backlog.begin(clock::now());
         if !request.parts.is_empty() {
             state.prefixes.record(clock::now(), request);
@@ -296,6 +305,7 @@
         let now = clock::now();
         let mut state = self.cell.lock();
         state.load.end();
+        state.in_flight -= 1;
         if self.outcome == AttemptOutcome::Unreachable {
             state.backlog.discard(self.number);
         } else {
--- a/crates/mustardgate-relay/src/fleet/selection.rs
+++ b/crates/mustardgate-relay/src/fleet/selection.rs
@@ -13,6 +13,7 @@
 use snafu::Snafu;
 
 use super::{RunnerCell, RunnerFleet};
+use crate::context::PlaceMap;
 
 /// The request for which a runner is selected.
 #[derive(Clone, Copy, Debug)]
@@ -25,6 +26,18 @@
     pub excluded: &'a [BackendId],
     /// Software version that began the stream, if the request goes on with one.
     pub version: Option<VersionTag>,
+    /// Requests that this node may have at each runner at once, if the runners are brittle.
+    pub places: Option<&'a PlaceMap>,
+}
+
+impl SelectionQuery<'_> {
+    /// Returns whether this node may send one more request to a runner at which it has `in_flight`.
+    fn has_place(&self, runner: &BackendId, in_flight: u32) -> bool {
+        let places = self
+            .places
+            .map(|places| places.get(runner).copied().unwrap_or_default());
+        places.is_none_or(|places| in_flight < places)
+    }
 }
 
 /// A selected runner with the state on which the selection is based.
@@ -68,6 +81,8 @@
             });
         }
         let (held, usable): (Vec<_>, Vec<_>) = in_service.into_iter().partition(|cell| cell.hold_left(now).is_some());
+        let has_place = |cell: &RunnerCell| query.has_place(&cell.listed().id, cell.in_flight());
+        let (usable, full): (Vec<_>, Vec<_>) = usable.into_iter().partition(|cell| has_place(cell));
         let holders: Vec<(Arc<RunnerCell>, Candidate)> = usable
             .into_iter()
             .filter(|cell| !query.excluded.contains(&cell.listed().id))
@@ -84,8 +99,12 @@
                 .iter()
                 .filter(|cell| self.candidate(now, cell, query.request).is_some());
             let retry_after = holders.filter_map(|cell| cell.hold_left(now)).min();
+            let is_full = full
+                .iter()
+                .any(|cell| self.candidate(now, cell, query.request).is_some());
             let cause = match retry_after {
                 Some(_) => RefusalCause::Overloaded,
+                None if is_full => RefusalCause::Overloaded,
                 None if query.excluded.is_empty() => RefusalCause::ModelAbsent,
                 None => RefusalCause::AttemptsUsedUp,
             };
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -85,12 +85,14 @@
             return Err(AttemptError::unplaced(cause));
         }
         let mut excluded = tried.to_vec();
+        let places = self.places();
         for _ in 0..MAX_ADAPTER_LOADS {
             let query = SelectionQuery {
                 service: &self.service,
                 request: &self.request,
                 excluded: &excluded,
                 version: self.version,
+                places: places.as_deref(),
             };
             let pick = match self.select(&query).await {
                 Ok(pick) => pick,
@@ -153,6 +155,10 @@
         let cell = &pick.cell;
         let listed = cell.listed();
         let mut ticket = cell.begin(&self.request);
+        // While an adapter was loaded, other requests may have taken the place.
+        if !self.has_place(cell) {
+            return Err(self.end_failed(&mut ticket, SendFailure::Withheld).await);
+        }
         self.log_sent(pick);
         let name = self.request.model.as_ref();
         let adapter_use = name.and_then(|name| self.context.demand.record_adapter_use(&listed.id, name));
@@ -263,6 +269,9 @@
                 if let Some(delay) = metadata.retry_after {
                     ticket.cell().hold(clock::now() + delay);
                 }
+                if metadata.kind == AnswerKind::NotRun {
+                    self.context.record_rejection(ticket.cell());
+                }
                 let is_full = metadata.load.is_none_or(|load| load.running >= load.slots);
                 if metadata.kind == AnswerKind::Misdirected || !is_full {
                     // A runner that refuses despite free slots is about to evict the model or is still loading it.
--- a/crates/mustardgate-relay/src/gateway/crash.rs
+++ b/crates/mustardgate-relay/src/gateway/crash.rs
@@ -47,7 +47,9 @@
     ///
     /// A runner that leaves as planned ends its connections as well and is not checked.
     pub(super) async fn record_crash(&self, cell: &RunnerCell, inputs: &[InputId]) -> CrashOutcome {
-        let is_crashed = cell.is_in_service() && cell.is_process_gone().await;
+        // A brittle runner falls over for another reason than what it processes.
+        let is_suspect = !self.context.brittle.is_brittle(&self.service);
+        let is_crashed = is_suspect && cell.is_in_service() && cell.is_process_gone().await;
         // While the link is cut, nothing seems to listen anywhere.
         if !is_crashed || !is_link_sound(&self.context, cell).await {
             return CrashOutcome::NotCrashed;
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -12,12 +12,14 @@
 mod listener;
 mod origin;
 mod path;
+mod places;
 mod stream;
 
 pub(crate) use self::{
     answer::full_body,
     buffered::{closes_connection, keep_alive_timeout},
     headers::remove_hop_by_hop_headers,
+    places::REJECTION_PAUSE,
 };
 pub use self::{
     answer::{BrokenAnswer, RelayBody},
--- a/crates/mustardgate-relay/src/link/forward.rs
+++ b/crates/mustardgate-relay/src/link/forward.rs
@@ -189,6 +189,9 @@
     if is_same_runner {
         context.record_statements(&listed, metadata, sent_at);
     }
+    if metadata.kind == AnswerKind::NotRun {
+        context.record_rejection(cell);
+    }
     if let (AnswerKind::NotRun | AnswerKind::Misdirected, Some(delay)) = (metadata.kind, metadata.retry_after) {
         cell.hold(clock::now() + delay);
     }
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -13,8 +13,8 @@
 use crate::{
     client::PoolSettings,
     context::{
-        CrashGuard, DemandCounter, LimitGuard, ObservationBuffer, PlatformPorts, RecordCache, RelayContext,
-        RouteHolder, RunnerLink, ServiceBudgets, StreamGuard,
+        BrittleGuard, CrashGuard, DemandCounter, LimitGuard, ObservationBuffer, PlatformPorts, RecordCache,
+        RelayContext, RouteHolder, RunnerLink, ServiceBudgets, StreamGuard,
     },
     fleet::RunnerFleet,
     leader::{BootClock, SharedLeadership},
@@ -72,6 +72,7 @@
         link: RunnerLink::new(logger.clone()),
         helpers: HelperBook::default(),
         forwarded: Arc::default(),
+        brittle: BrittleGuard::new(logger.clone()),
         limits: LimitGuard::new(logger.clone()),
         crashes: CrashGuard::new(CrashSettings::default(), logger.clone()),
         log: RequestLog::new(logger.clone(), settings.logging.clone()),
--- a/crates/mustardgate-relay/src/peers/digests.rs
+++ b/crates/mustardgate-relay/src/peers/digests.rs
@@ -97,6 +97,7 @@
             domain: Some(self.context.settings.node.domain.clone()),
             members_seen: self.context.directory.members_digest(),
             versions: self.context.streams.version_digest(now),
+            brittle: self.context.brittle.services(),
             seen: seen.map_or(0, |(_, seen)| seen),
         };
         let reporting = self.context.peers.report_demand(address, &report);
@@ -127,6 +128,7 @@
         }
         let now = self.context.leader.lease_time();
         self.context.streams.merge_versions(now, &answer.versions);
+        self.context.brittle.merge(&answer.brittle);
         directory.remember(&answer.neighbours);
         for observation in &answer.observations {
             self.context.fleet.observe(observation);
--- a/crates/mustardgate-relay/src/peers/directory.rs
+++ b/crates/mustardgate-relay/src/peers/directory.rs
@@ -89,6 +89,11 @@
         fresh.map(|(address, _)| *address).collect()
     }
 
+    /// Returns the address at which other nodes reach this one.
+    pub fn own_address(&self) -> Option<SocketAddr> {
+        self.own.as_ref().map(|own| own.address)
+    }
+
     /// Returns the other nodes that are believed to run, with their failure domains.
     pub fn members(&self) -> Vec<NodeMember> {
         let members = self.lock_members().members(clock::now());
--- a/crates/mustardgate-relay/src/peers/exchange.rs
+++ b/crates/mustardgate-relay/src/peers/exchange.rs
@@ -19,6 +19,7 @@
         limits: context.limits.own_observations(),
         domain: Some(context.settings.node.domain.clone()),
         versions: context.streams.version_digest(context.leader.lease_time()),
+        brittle: context.brittle.services(),
     }
 }
 
@@ -28,6 +29,7 @@
     context.limits.merge(&knowledge.limits);
     let now = context.leader.lease_time();
     context.streams.merge_versions(now, &knowledge.versions);
+    context.brittle.merge(&knowledge.brittle);
 }
 
 /// Exchanges what this node knows with some nodes that it has heard of.
--- a/crates/mustardgate-relay/src/peers/messages.rs
+++ b/crates/mustardgate-relay/src/peers/messages.rs
@@ -3,11 +3,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use mustardgate_core::{
-    ids::{BackendId, DomainId, Offset, ServiceId},
+    ids::{BackendId, DomainId, Offset, RunnerProcess, ServiceId},
     ports::{ConditionalAppendError, LogEra, LogTopic, TopicError, TopicPage, TopicRecord},
     relay::{
-        CrashDigest, LimitObservation, NodeMember, OriginFinding, RequestDigest, RunnerObservation, StreamKey,
-        VersionDigest,
+        BrittleService, CrashDigest, LimitObservation, NodeMember, OriginFinding, RequestDigest, RunnerObservation,
+        StreamKey, StreamOrigin, VersionDigest,
     },
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -70,6 +70,9 @@
     /// Versions of runners that the node has seen.
     #[serde(default)]
     pub versions: VersionDigest,
+    /// Services whose runners are brittle.
+    #[serde(default)]
+    pub brittle: Vec<BrittleService>,
 }
 
 /// Answer of the called node.
@@ -105,6 +108,9 @@
     /// Versions of runners that the leader has seen or heard of.
     #[serde(default)]
     pub versions: VersionDigest,
+    /// Services whose runners are brittle.
+    #[serde(default)]
+    pub brittle: Vec<BrittleService>,
 }
 
 /// What a node knows that binds all nodes. Nodes exchange it with each other while they reach no leader.
@@ -122,6 +128,18 @@
     /// Versions of runners that the node has seen or heard of.
     #[serde(default)]
     pub versions: VersionDigest,
+    /// Services whose runners are brittle.
+    #[serde(default)]
+    pub brittle: Vec<BrittleService>,
+}
+
+/// What a node tells others at once, in a datagram.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerNotice {
+    /// Streams that began at it.
+    Streams(Vec<StreamOrigin>),
+    /// Brittle runner processes that turned a request away.
+    Rejections(Vec<RunnerProcess>),
 }
 
 /// A node asks at which version a stream began that its caller takes up.
--- a/crates/mustardgate-relay/src/peers/origins.rs
+++ b/crates/mustardgate-relay/src/peers/origins.rs
@@ -7,11 +7,15 @@
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use metrics::counter;
-use mustardgate_core::relay::{OriginFinding, RequestDigest, StreamKey, StreamOrigin, choose_keepers, rank_keepers};
+use mustardgate_core::{
+    clock,
+    ids::RunnerProcess,
+    relay::{OriginFinding, RequestDigest, StreamKey, StreamOrigin, choose_keepers, rank_keepers},
+};
 use tokio::{net::UdpSocket, sync::mpsc::UnboundedReceiver};
 
-use super::messages::{OriginQuery, decode, encode};
-use crate::context::RelayContext;
+use super::messages::{OriginQuery, PeerNotice, decode, encode};
+use crate::{context::RelayContext, gateway::REJECTION_PAUSE};
 
 /// Largest datagram, which fits into one packet.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
@@ -47,12 +51,12 @@
         loop {
             tokio::select! {
                 Some(origin) = self.pending.recv() => self.tell(origin),
+                rejected = self.context.brittle.next_rejections() => self.tell_all(rejected),
                 received = self.socket.recv_from(&mut buffer) => {
                     // An error concerns a datagram that was sent earlier and could not be delivered.
                     let Ok((length, _)) = received else { continue };
-                    if let Some(origins) = decode::<Vec<StreamOrigin>>(&buffer[..length]) {
-                        let now = self.context.leader.lease_time();
-                        self.context.streams.learn(now, &origins);
+                    if let Some(notice) = decode::<PeerNotice>(&buffer[..length]) {
+                        self.take_over(&notice);
                     }
                 }
             }
@@ -73,18 +77,44 @@
         }
         for (address, origins) in batches {
             for records in origins.chunks(MAX_RECORDS) {
-                self.send(address, records);
+                let outcome = self.send(address, &PeerNotice::Streams(records.to_vec()));
+                counter!("mustardgate_stream_records_total", "outcome" => outcome).increment(records.len() as u64);
             }
         }
     }
 
-    fn send(&self, address: SocketAddr, records: &[StreamOrigin]) {
-        let outcome = match self.socket.try_send_to(&encode(&records), address) {
+    /// Tells all other nodes which brittle runners turned a request away: one more may make them fall over.
+    fn tell_all(&self, rejected: Vec<RunnerProcess>) {
+        let notice = PeerNotice::Rejections(rejected);
+        for member in self.context.directory.members() {
+            let outcome = self.send(member.address, &notice);
+            counter!("mustardgate_rejections_told_total", "outcome" => outcome).increment(1);
+        }
+    }
+
+    fn take_over(&self, notice: &PeerNotice) {
+        match notice {
+            PeerNotice::Streams(origins) => {
+                let now = self.context.leader.lease_time();
+                self.context.streams.learn(now, origins);
+            }
+            PeerNotice::Rejections(rejected) => {
+                for (id, started_at_ms) in rejected {
+                    let cell = self.context.fleet.get(id);
+                    if let Some(cell) = cell.filter(|cell| cell.listed().started_at_ms == *started_at_ms) {
+                        cell.hold(clock::now() + REJECTION_PAUSE);
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(&self, address: SocketAddr, notice: &PeerNotice) -> &'static str {
+        match self.socket.try_send_to(&encode(notice), address) {
             Ok(_) => "sent",
-            // A record that does not fit into the socket's buffer now is lost, like one that a link drops.
+            // What does not fit into the socket's buffer now is lost, like a datagram that a link drops.
             Err(_) => "dropped",
-        };
-        counter!("mustardgate_stream_records_total", "outcome" => outcome).increment(records.len() as u64);
+        }
     }
 }
 
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -110,6 +110,7 @@
     context.directory.record_contact(report.address, report.domain.clone());
     let versions_now = context.leader.lease_time();
     context.streams.merge_versions(versions_now, &report.versions);
+    context.brittle.merge(&report.brittle);
     let inputs = report.crashes.or_newer(report.inputs.as_ref());
     context.crashes.merge(&inputs);
     context.limits.merge(&report.limits);
@@ -131,6 +132,7 @@
         limits: context.limits.all_observations(),
         members: context.directory.changed_members(report.members_seen),
         versions: context.streams.version_digest(versions_now),
+        brittle: context.brittle.services(),
     }))
 }
 
--- a/crates/mustardgate-relay/src/ports/mod.rs
+++ b/crates/mustardgate-relay/src/ports/mod.rs
@@ -13,7 +13,9 @@
 use hyper::{HeaderMap, Request, http::request, http::response};
 use mustardgate_core::{
     ids::{BackendId, ModelId, RequestId},
-    relay::{LimitStatement, ListedRunner, ModelName, OrderKind, RelayConfig, RelayRequest, ReportedLoad},
+    relay::{
+        BrittleStatement, LimitStatement, ListedRunner, ModelName, OrderKind, RelayConfig, RelayRequest, ReportedLoad,
+    },
 };
 use smol_str::SmolStr;
 use snafu::Snafu;
@@ -102,6 +104,8 @@
     pub is_leaving: bool,
     /// Rate of requests that the runner that answered takes from all nodes together.
     pub limit: LimitStatement,
+    /// Whether the runners of its service fall over when they turn too many requests away.
+    pub brittle: BrittleStatement,
 }
 
 /// Reads and writes the header fields that the platform defines for requests and answers.
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -127,6 +127,8 @@
 pub const RELAY_LINK_CUT: EventKind = event(632, Level::Warning, "link to runners cut");
 /// Runners answer over own connections again.
 pub const RELAY_LINK_RESTORED: EventKind = event(633, Level::Info, "link to runners restored");
+/// The runners of a service fall over when they turn too many requests away, or do so no more.
+pub const RELAY_SERVICE_BRITTLE: EventKind = event(634, Level::Info, "service brittle");
 /// A lease record was refused or could not be appended, read or decoded, so the lease is uncertain.
 pub const RELAY_LEASE_UNCERTAIN: EventKind = event(620, Level::Warning, "lease uncertain");
 /// An order was sent to a runner; with its reply.
@@ -199,6 +201,7 @@
     RELAY_PROCESS_REPLACED,
     RELAY_LINK_CUT,
     RELAY_LINK_RESTORED,
+    RELAY_SERVICE_BRITTLE,
     RELAY_SETTINGS_CHANGED,
     RELAY_SETTINGS_REFUSED,
 ];
