--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -6,6 +6,7 @@
 mod adapters;
 mod admission;
 mod backlog;
+mod brittle;
 mod budget;
 mod catalogue;
 mod config;
@@ -14,6 +15,7 @@
 mod feed;
 mod health;
 mod inputs;
+mod link;
 mod load;
 mod permits;
 mod planner;
@@ -30,6 +32,7 @@
     adapters::{AdapterEvictor, AdapterSlot},
     admission::{AdmissionGate, AdmissionQuery, GateSettings, RefusalCause, RetryAdvisor, RetryAdvisorSettings},
     backlog::BacklogEstimate,
+    brittle::{BrittleLedger, BrittleService, BrittleStatement, deal_places},
     budget::{BudgetSettings, RetryShare},
     catalogue::{CatalogueChange, ListedRunner, RunnerCatalogue, RunnerObservation, RunnerState},
     config::{
@@ -41,6 +44,7 @@
     feed::{FeedAllowance, FeedLimits},
     health::{HealthSettings, OutcomeTracker},
     inputs::{InputId, PartId, RequestContent, RequestDigest},
+    link::LinkMonitor,
     load::{LoadEstimate, ReportedLoad},
     permits::{PermitIssuer, PermitSchedule},
     planner::{OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
--- a/crates/mustardgate-relay/src/fleet/cell.rs
+++ b/crates/mustardgate-relay/src/fleet/cell.rs
@@ -40,7 +40,7 @@
     /// Whether the runner is gone from the list, or was replaced there by another process.
     is_retired: AtomicBool,
     /// Idle connections.
-    pub pool: ConnectionPool,
+    pub pool: Arc<ConnectionPool>,
     /// When it was last checked whether the process is gone, and the result; the lock is held during a check.
     process_check: AsyncMutex<Option<(Instant, bool)>>,
     state: Mutex<CellState>,
@@ -49,6 +49,8 @@
 #[derive(Debug)]
 struct CellState {
     load: LoadEstimate,
+    /// Requests of this node that it has.
+    in_flight: u32,
     backlog: BacklogEstimate,
     outcomes: OutcomeTracker,
     prefixes: PrefixIndex,
@@ -80,13 +82,14 @@
     /// Creates the cell of a newly listed runner.
     pub fn new(listed: Arc<ListedRunner>, pool: PoolSettings) -> Self {
         Self {
-            pool: ConnectionPool::new(pool, listed.address),
+            pool: Arc::new(ConnectionPool::new(pool, listed.address)),
             version_tag: listed.version_tag(),
             listed: RwLock::new(listed),
             is_retired: AtomicBool::new(false),
             process_check: AsyncMutex::new(None),
             state: Mutex::new(CellState {
                 load: LoadEstimate::default(),
+                in_flight: 0,
                 backlog: BacklogEstimate::default(),
                 outcomes: OutcomeTracker::new(HealthSettings::default()),
                 prefixes: PrefixIndex::default(),
@@ -157,6 +160,11 @@
         self.lock().confirmed_at = Some(now);
     }
 
+    /// Forgets failures that were not the runner's.
+    pub fn forget_failures(&self) {
+        self.lock().outcomes = OutcomeTracker::new(HealthSettings::default());
+    }
+
     /// Sends no request to the runner for a time that it asked for.
     pub fn hold(&self, until: Instant) {
         let mut state = self.lock();
@@ -220,6 +228,11 @@
         )
     }
 
+    /// Returns the number of requests of this node that the runner has.
+    pub fn in_flight(&self) -> u32 {
+        self.lock().in_flight
+    }
+
     /// Returns the expected time to the first token.
     pub fn expected_wait(&self, now: Instant) -> Duration {
         self.lock().backlog.expected(now)
@@ -239,6 +252,7 @@
     pub fn begin(self: &Arc<Self>, request: &RelayRequest) -> RunnerTicket {
         let mut state = self.lock();
         state.load.begin();
+        state.in_flight += 1;
         let number = state.backlog.begin(clock::now());
         if !request.parts.is_empty() {
             state.prefixes.record(clock::now(), request);
@@ -291,6 +305,7 @@
         let now = clock::now();
         let mut state = self.cell.lock();
         state.load.end();
+        state.in_flight -= 1;
         if self.outcome == AttemptOutcome::Unreachable {
             state.backlog.discard(self.number);
         } else {
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -13,11 +13,12 @@
 use crate::{
     client::PoolSettings,
     context::{
-        CrashGuard, DemandCounter, LimitGuard, ObservationBuffer, PlatformPorts, RecordCache, RelayContext,
-        RouteHolder, ServiceBudgets, StreamGuard,
+        BrittleGuard, CrashGuard, DemandCounter, LimitGuard, ObservationBuffer, PlatformPorts, RecordCache,
+        RelayContext, RouteHolder, RunnerLink, ServiceBudgets, StreamGuard,
     },
     fleet::RunnerFleet,
     leader::{BootClock, SharedLeadership},
+    link::HelperBook,
     peers::{FeedLimiter, NeighbourLog, PeerClient, PeerDirectory},
     request_log::RequestLog,
     settings::RelaySettings,
@@ -62,13 +63,21 @@
     let feed = settings
         .feed
         .limits(settings.node.link_mbps, settings.bounds.shortest_bound());
+    let pool = PoolSettings {
+        source: settings.node.source_ip,
+        ..PoolSettings::default()
+    };
     Arc::new(RelayContext {
         feed: FeedLimiter::new(feed),
+        link: RunnerLink::new(logger.clone()),
+        helpers: HelperBook::default(),
+        forwarded: Arc::default(),
+        brittle: BrittleGuard::new(logger.clone()),
         limits: LimitGuard::new(logger.clone()),
         crashes: CrashGuard::new(CrashSettings::default(), logger.clone()),
         log: RequestLog::new(logger.clone(), settings.logging.clone()),
         routes: RouteHolder::default(),
-        fleet: RunnerFleet::new(settings.node.domain.clone(), PoolSettings::default(), logger),
+        fleet: RunnerFleet::new(settings.node.domain.clone(), pool, logger),
         records: RecordCache::default(),
         observations: ObservationBuffer::default(),
         budgets: ServiceBudgets::new(&settings.bounds),
