Do not bring a brittle state back that has ended

A test of the ledger found it: after an answer without the statement had ended a service's state, the next message of a node that still believed in it brought it back, for up to 30 s. The ledger remembers when the state ended and takes over nothing older.

--- a/crates/mustardgate-core/src/relay/brittle.rs
+++ b/crates/mustardgate-core/src/relay/brittle.rs
@@ -39,6 +39,8 @@
 pub struct BrittleLedger {
     /// When the newest request was sent whose answer said that the service is brittle.
     said: BTreeMap<ServiceId, Instant>,
+    /// When the request was sent whose answer ended such a state; other nodes may still tell of it.
+    ended: BTreeMap<ServiceId, Instant>,
 }
 
 impl BrittleLedger {
@@ -47,6 +49,10 @@
     /// All runners of a service say the same, so an answer that says nothing ends it, unless its request was sent before
     /// that of an answer which said so.
     pub fn observe(&mut self, service: &ServiceId, statement: BrittleStatement, sent_at: Instant) -> bool {
+        let is_outdated = self.ended.get(service).is_some_and(|ended| sent_at <= *ended);
+        if is_outdated {
+            return false;
+        }
         let known = self.said.get(service).copied();
         match (statement, known) {
             (BrittleStatement::Brittle(_), None) => {
@@ -59,6 +65,7 @@
             }
             (BrittleStatement::Sturdy, Some(known)) if sent_at > known => {
                 self.said.remove(service);
+                self.ended.insert(service.clone(), sent_at);
                 true
             }
             (BrittleStatement::Sturdy | BrittleStatement::Unreadable, _) => false,
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Decisions about relayed requests, each tested with the load pattern that it handles.
 
 mod admission;
+mod brittle;
 mod budget;
 mod catalogue;
 mod crashes;
@@ -8,6 +9,7 @@
 mod feed;
 mod inputs;
 mod limited_replicas;
+mod link;
 mod permits;
 mod placement;
 mod rate_limits;
