--- a/crates/mustardgate-relay/src/gateway/path.rs
+++ b/crates/mustardgate-relay/src/gateway/path.rs
@@ -150,12 +150,15 @@
         let (verdict, load) = ForwardVerdict::take(answer.headers_mut());
         node.record_load(load);
         match verdict {
-            ForwardVerdict::Answered => Ok(OpenPath {
-                connection: taken.connection,
-                answer,
-                pool: Arc::clone(&node.pool),
-                helper: Some(helper),
-            }),
+            ForwardVerdict::Answered => {
+                node.record_help();
+                Ok(OpenPath {
+                    connection: taken.connection,
+                    answer,
+                    pool: Arc::clone(&node.pool),
+                    helper: Some(helper),
+                })
+            }
             ForwardVerdict::Refused(ForwardRefusal::Unavailable) => {
                 node.rest();
                 Err(SendFailure::NoPath)
--- a/crates/mustardgate-relay/src/link/helpers.rs
+++ b/crates/mustardgate-relay/src/link/helpers.rs
@@ -11,7 +11,7 @@
 };
 
 use mustardgate_core::{clock, relay::NodeMember};
-use rand::seq::IteratorRandom;
+use rand::{Rng, seq::IteratorRandom};
 
 use crate::client::{ConnectionPool, PoolSettings};
 
@@ -19,6 +19,10 @@
 const REST_TIME: Duration = Duration::from_secs(1);
 /// Longest time to connect to another node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for which a node that passed a request on is asked before others, and share of the requests that try another one
+/// all the same, so that work spreads to those that can help again.
+const PROOF_TIME: Duration = Duration::from_secs(5);
+const TRIAL_SHARE: f64 = 0.1;
 /// Number of nodes among which the one with the least work is taken. With all of them, nodes with the same knowledge
 /// would take the same one.
 const CHOICES: usize = 2;
@@ -33,6 +37,8 @@
     /// Requests that it passes on for all nodes, as it said last.
     load: AtomicUsize,
     rests_until: Mutex<Option<Instant>>,
+    /// When it last passed a request on.
+    helped_at: Mutex<Option<Instant>>,
 }
 
 /// A request that another node passes on, until it is dropped.
@@ -63,6 +69,7 @@
             in_flight: AtomicUsize::new(0),
             load: AtomicUsize::new(0),
             rests_until: Mutex::new(None),
+            helped_at: Mutex::new(None),
         }
     }
 
@@ -71,6 +78,16 @@
         self.load.store(load, Ordering::Relaxed);
     }
 
+    /// Records that the node passed a request on.
+    pub fn record_help(&self) {
+        *self.helped_at.lock().expect("no holder of the lock panics") = Some(clock::now());
+    }
+
+    fn has_helped(&self) -> bool {
+        let helped_at = self.helped_at.lock().expect("no holder of the lock panics");
+        helped_at.is_some_and(|at| clock::now().saturating_duration_since(at) < PROOF_TIME)
+    }
+
     /// Records that the node could not help.
     pub fn rest(&self) {
         *self.rests_until.lock().expect("no holder of the lock panics") = Some(clock::now() + REST_TIME);
@@ -104,7 +121,10 @@
                 .or_insert_with(|| Arc::new(HelperCell::new(address)));
             (!tried.contains(&address) && !cell.is_resting()).then(|| (address, Arc::clone(cell)))
         });
-        let drawn = usable.choose_multiple(&mut rand::rng(), CHOICES);
+        let (proven, others): (Vec<_>, Vec<_>) = usable.partition(|(_, cell)| cell.has_helped());
+        let is_trial = rand::rng().random_bool(TRIAL_SHARE) && !others.is_empty();
+        let drawn_from = if proven.is_empty() || is_trial { others } else { proven };
+        let drawn = drawn_from.into_iter().choose_multiple(&mut rand::rng(), CHOICES);
         helpers.retain(|address, _| members.iter().any(|member| member.address == *address));
         drop(helpers);
         let (address, cell) = drawn.into_iter().min_by_key(|(_, cell)| cell.work())?;
--- a/crates/standins/src/proof/mod.rs
+++ b/crates/standins/src/proof/mod.rs
@@ -5,6 +5,7 @@
 //! `docs/PROOFS.md`.
 
 mod at_most_once;
+mod brittle;
 mod cadence;
 mod config_checks;
 mod config_cluster;
@@ -12,6 +13,7 @@
 mod config_node;
 mod config_scenarios;
 mod crashing;
+mod cuts;
 mod domain;
 mod keyed;
 mod leaving;
@@ -91,6 +93,8 @@
         Box::new(limits::LimitScenario),
         Box::new(crashing::CrashScenario),
         Box::new(versions::VersionScenario),
+        Box::new(cuts::CutScenario),
+        Box::new(brittle::BrittleScenario),
         Box::new(ConfigScenario::new(ConfigGuard::VersionCheck)),
         Box::new(ConfigScenario::new(ConfigGuard::ChangeIdentifiers)),
         Box::new(ConfigScenario::new(ConfigGuard::ReadBack)),
