--- a/crates/standins/src/proof/brittle/simulation.rs
+++ b/crates/standins/src/proof/brittle/simulation.rs
@@ -124,7 +124,7 @@
             for runner in self.runners.values_mut() {
                 runner.running.retain(|(ends_at, _)| *ends_at > self.now);
             }
-            let was_burst = self.burst_until > self.now - STEP;
+            let was_burst = self.burst_until + STEP > self.now;
             let is_burst = self.burst_until > self.now;
             for node in 0..self.nodes.len() {
                 if !self.present.contains(&self.nodes[node].address) {
