--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -177,12 +177,7 @@
         if let Some(load) = metadata.load {
             cell.report_load(clock::now(), load);
         }
-        // Another runner may answer at the address; it does not run this request and need not name itself.
-        let is_same_runner = match &metadata.backend {
-            Some(backend) => *backend == listed.id,
-            None => metadata.kind != AnswerKind::Misdirected,
-        };
-        if is_same_runner {
+        if metadata.is_from(&listed.id) {
             self.context.record_statements(&listed, &metadata, sent_at);
         }
         self.check_head(&mut ticket, &head, &metadata)?;
--- a/crates/mustardgate-relay/src/link/forward.rs
+++ b/crates/mustardgate-relay/src/link/forward.rs
@@ -182,11 +182,7 @@
     if let Some(load) = metadata.load {
         cell.report_load(clock::now(), load);
     }
-    let is_same_runner = match &metadata.backend {
-        Some(backend) => *backend == listed.id,
-        None => metadata.kind != AnswerKind::Misdirected,
-    };
-    if is_same_runner {
+    if metadata.is_from(&listed.id) {
         context.record_statements(&listed, metadata, sent_at);
     }
     if metadata.kind == AnswerKind::NotRun {
--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -25,7 +25,7 @@
     gateway::{CallerListener, answer_caller, serve_callers},
     leader::{LeaseTask, PlanTask, WatchTask},
     link::LinkTask,
-    peers::{DigestTask, OriginTask, serve_peers},
+    peers::{DigestTask, NoticeTask, serve_peers},
     settings::RelaySettings,
 };
 
@@ -85,7 +85,7 @@
         tokio::spawn(DigestTask::new(Arc::clone(context), address).run());
         tokio::spawn(load_neighbour_records(Arc::clone(context)));
         let datagrams = bind_datagrams(address).await?;
-        if let Some(task) = OriginTask::new(Arc::clone(context), datagrams) {
+        if let Some(task) = NoticeTask::new(Arc::clone(context), datagrams) {
             tokio::spawn(task.run());
         }
     }
--- a/crates/mustardgate-relay/src/peers/mod.rs
+++ b/crates/mustardgate-relay/src/peers/mod.rs
@@ -27,7 +27,7 @@
         AdapterRequest, CachedRecord, CachedRecords, DemandReport, KnowledgeExchange, LeaderAnswer, LogCall, LogReply,
         PermitAnswer, PermitRequest,
     },
-    origins::{OriginReport, OriginTask, ask_origin},
+    origins::{NoticeTask, OriginReport, ask_origin},
     part_crashes::{PartCrash, PartCrashDigest},
     server::serve_peers,
 };
--- a/crates/mustardgate-relay/src/peers/origins.rs
+++ b/crates/mustardgate-relay/src/peers/origins.rs
@@ -1,7 +1,8 @@
-//! Tells some other nodes at which version streams began, and asks them when a caller takes a stream up.
+//! Notices to other nodes: at which version streams began, and which brittle runners turned requests away; and the
+//! question where a stream began that a caller takes up.
 //!
-//! Records go out as datagrams, because a first event must not wait for another node and a lost record costs one caller
-//! its stream at most. See `docs/design/stream-versions.md`.
+//! Notices are datagrams, because a first event must not wait for another node and a lost notice costs one caller its
+//! stream at most. See `docs/design/stream-versions.md`.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -26,16 +27,16 @@
 /// Timeout for the answers, for which a caller waits.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Sends records of streams that began here, and receives those of other nodes.
+/// Sends this node's notices, and takes over those of other nodes.
 #[derive(Debug)]
-pub struct OriginTask {
+pub struct NoticeTask {
     context: Arc<RelayContext>,
     socket: UdpSocket,
     pending: UnboundedReceiver<StreamOrigin>,
 }
 
-impl OriginTask {
-    /// Creates the task of a node that receives records at `socket`; returns `None` if another one was created.
+impl NoticeTask {
+    /// Creates the task of a node that receives notices at `socket`; returns `None` if another one was created.
     pub fn new(context: Arc<RelayContext>, socket: UdpSocket) -> Option<Self> {
         let pending = context.streams.take_pending()?;
         Some(Self {
--- a/crates/mustardgate-relay/src/ports/mod.rs
+++ b/crates/mustardgate-relay/src/ports/mod.rs
@@ -108,6 +108,17 @@
     pub brittle: BrittleStatement,
 }
 
+impl AnswerMetadata {
+    /// Returns whether the answer is of this runner. Another one may answer at its address; it does not run the request
+    /// and need not name itself.
+    pub fn is_from(&self, runner: &BackendId) -> bool {
+        match &self.backend {
+            Some(backend) => backend == runner,
+            None => self.kind != AnswerKind::Misdirected,
+        }
+    }
+}
+
 /// Reads and writes the header fields that the platform defines for requests and answers.
 pub trait CallDialect: Debug + Send + Sync {
     /// Returns the path at which the platform asks whether the node is ready.
--- a/crates/mustardgate-relay/tests/messages.rs
+++ b/crates/mustardgate-relay/tests/messages.rs
@@ -1,12 +1,18 @@
 //! Messages between nodes of two builds: values were sent as lists of numbers, and are sent as byte strings.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use mustardgate_core::{
     ports::TopicRecord,
-    relay::{CrashDigest, CrashObservation, InputId, RequestContent, SoftwareVersion, StreamOrigin},
+    relay::{
+        CrashDigest, CrashObservation, InputId, LimitObservation, NodeMember, RequestContent, RunnerObservation,
+        SoftwareVersion, StreamOrigin,
+    },
+};
+use mustardgate_relay::{
+    context::DemandDigest,
+    peers::{CachedRecord, DemandReport, KnowledgeExchange, LeaderAnswer, PartCrashDigest},
 };
-use mustardgate_relay::peers::{CachedRecord, LeaderAnswer, PartCrashDigest};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// A record as earlier builds send and read it.
@@ -130,3 +136,74 @@
     let sent = (bytes.len() + PACKET_HEADER_BYTES) * RECORDS_PER_S;
     assert!(sent <= CONTROL_BYTES_PER_S, "{sent} B/s, {} B a record", bytes.len());
 }
+
+/// A report of the build before versions, members and brittle services were told.
+#[derive(Debug, Serialize, Deserialize)]
+struct UnversionedReport {
+    address: SocketAddr,
+    digest: DemandDigest,
+    seen: u64,
+    crashes: PartCrashDigest,
+    inputs: Option<CrashDigest>,
+    limits: Vec<LimitObservation>,
+}
+
+/// The leader's answer of that build.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct UnversionedAnswer {
+    is_leading: bool,
+    is_done: bool,
+    nodes: u32,
+    observations: Vec<RunnerObservation>,
+    seen: u64,
+    crashes: PartCrashDigest,
+    inputs: Option<CrashDigest>,
+    neighbours: Vec<SocketAddr>,
+    limits: Vec<LimitObservation>,
+}
+
+/// What nodes of that build exchange without a leader.
+#[derive(Debug, Serialize, Deserialize)]
+struct UnversionedExchange {
+    address: Option<SocketAddr>,
+    inputs: CrashDigest,
+    limits: Vec<LimitObservation>,
+}
+
+// Guards nodes of two builds side by side: fields are added, and none is lost.
+#[test]
+fn messages_of_the_build_before_versions_are_understood_and_understand_these() {
+    let address = SocketAddr::from(([10, 0, 0, 1], 80));
+    let report: DemandReport = convert(&UnversionedReport {
+        address,
+        digest: DemandDigest::default(),
+        seen: 7,
+        crashes: PartCrashDigest::default(),
+        inputs: None,
+        limits: Vec::new(),
+    });
+    assert_eq!((report.address, report.seen, report.domain.clone()), (address, 7, None));
+    assert_eq!(convert::<_, UnversionedReport>(&report).seen, 7);
+    let answer: LeaderAnswer = convert(&UnversionedAnswer {
+        is_leading: true,
+        nodes: 9,
+        ..UnversionedAnswer::default()
+    });
+    assert!(answer.is_leading && answer.members.is_none() && answer.versions.covers.is_none());
+    let told = LeaderAnswer {
+        nodes: 9,
+        members: Some(vec![NodeMember {
+            address,
+            domain: "east".into(),
+        }]),
+        ..LeaderAnswer::default()
+    };
+    assert_eq!(convert::<_, UnversionedAnswer>(&told).nodes, 9);
+    let exchange: KnowledgeExchange = convert(&UnversionedExchange {
+        address: Some(address),
+        inputs: CrashDigest::default(),
+        limits: Vec::new(),
+    });
+    assert_eq!((exchange.address, exchange.domain.clone()), (Some(address), None));
+    assert_eq!(convert::<_, UnversionedExchange>(&exchange).address, Some(address));
+}
