Read a request to its end before it is refused

Callers whose request no route serves, or that come before a configuration is known, could get neither an answer nor a refusal: the node answered as soon as it had read the head and closed the connection while the body was under way. Closing with unread bytes resets the connection, and the reset may overtake the answer.

Evidence: a_request_that_no_route_serves_is_answered_although_its_body_comes_slowly failed in four cases of four (404 and 400, with a length and chunked: broken pipe while the body was sent), and passes now.

The rest of the body is read and dropped first, within the limits on callers and their head timeout.

--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -14,7 +14,7 @@
 use mustardgate_core::{
     clock,
     ids::RequestId,
-    relay::{RefusalCause, RelayRequest},
+    relay::{CallerLimits, RefusalCause, RelayRequest},
     retry::{AttemptFailure, AttemptPlan, NextStep, NoRetries, PlanSettings},
 };
 use rand::Rng;
@@ -23,6 +23,7 @@
 use super::{
     answer::{LocalAnswer, RelayBody, full_body},
     attempt::{OpenAnswer, ReceivedRequest},
+    body::discard_body,
     buffered::{ForwardOutcome, forward_answer},
     digests::RequestDigests,
     failure::AttemptError,
@@ -44,10 +45,11 @@
     // A chunked request may smuggle another one past a peer that frames by length, so the connection is closed after
     // it.
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let relayed = match context.ports.dialect.read_request(&head, received_at) {
         Ok(relayed) => relayed,
         Err(error) => {
+            discard_body(&mut body, caller_limits(&context)).await;
             counter!("mustardgate_relay_answers_total", "outcome" => "malformed").increment(1);
             events::RELAY_REQUEST_NOT_SERVED.write(context.log.logger(), o!("reason" => error.to_string()));
             return LocalAnswer::Malformed.into_response();
@@ -77,10 +79,11 @@
 async fn receive(
     context: &Arc<RelayContext>,
     head: hyper::http::request::Parts,
-    body: Incoming,
+    mut body: Incoming,
     request: RelayRequest,
 ) -> Result<ReceivedRequest, LocalAnswer> {
     let Some(active) = context.routes.current() else {
+        discard_body(&mut body, caller_limits(context)).await;
         return Err(refusal(context, RefusalCause::NoConfiguration));
     };
     let host = head
@@ -89,8 +92,11 @@
         .and_then(|host| host.to_str().ok())
         .or_else(|| head.uri.host());
     let route = host.and_then(|host| active.table.find(host, head.uri.path()));
-    let route = Arc::clone(route.ok_or(LocalAnswer::NoRoute)?);
     let limits = active.config.limits;
+    let Some(route) = route.map(Arc::clone) else {
+        discard_body(&mut body, limits).await;
+        return Err(LocalAnswer::NoRoute);
+    };
     let expires_at = request.expires_at(route.timeout);
     let time_left = expires_at.saturating_duration_since(clock::now());
     let collecting = Limited::new(body, limits.max_body_bytes).collect();
@@ -126,6 +132,12 @@
     })
 }
 
+/// Returns what the configuration in force allows callers.
+fn caller_limits(context: &RelayContext) -> CallerLimits {
+    let active = context.routes.current();
+    active.map(|active| active.config.limits).unwrap_or_default()
+}
+
 /// Tries runners until one answers or no further attempt is allowed.
 async fn serve(mut received: ReceivedRequest) -> Response<RelayBody> {
     let mut plan = AttemptPlan::new(PlanSettings {
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 mod answer;
 mod attempt;
+mod body;
 mod buffered;
 mod crash;
 mod digests;
--- a/crates/mustardgate-relay/src/link/forward.rs
+++ b/crates/mustardgate-relay/src/link/forward.rs
@@ -80,22 +80,23 @@
 ) -> Result<Response<RelayBody>, ForwardVerdict> {
     let refused = ForwardVerdict::Refused;
     let (mut head, body) = request.into_parts();
+    let forwarded = ForwardRequest::take(&mut head.headers).ok_or(refused(ForwardRefusal::Withheld))?;
+    let ends_at = time::Instant::now() + forwarded.time_left;
+    // A refusal before the whole request was read might be lost in the reset that follows it.
+    let body = Limited::new(body, MAX_BODY_BYTES).collect();
+    let body = time::timeout_at(ends_at, body).await;
+    let Ok(Ok(body)) = body else {
+        return Err(refused(ForwardRefusal::Withheld));
+    };
     if context.drain.is_draining() || context.link.is_cut() || load > MAX_FORWARDED {
         return Err(refused(ForwardRefusal::Unavailable));
     }
-    let forwarded = ForwardRequest::take(&mut head.headers).ok_or(refused(ForwardRefusal::Withheld))?;
     let cell = context.fleet.get(&forwarded.backend);
     let cell = cell.filter(|cell| cell.listed().started_at_ms == forwarded.started_at_ms && cell.is_in_service());
     let cell = cell.ok_or(refused(ForwardRefusal::Withheld))?;
     if let Some(delay) = cell.hold_left(clock::now()) {
         return Err(refused(ForwardRefusal::Held(delay)));
     }
-    let ends_at = time::Instant::now() + forwarded.time_left;
-    let body = Limited::new(body, MAX_BODY_BYTES).collect();
-    let body = time::timeout_at(ends_at, body).await;
-    let Ok(Ok(body)) = body else {
-        return Err(refused(ForwardRefusal::Withheld));
-    };
     let mut connection = connect(context, &cell, &forwarded).await?;
     let sent_at = clock::now();
     let time_left = ends_at.saturating_duration_since(time::Instant::now());
