Give an answer up over a cut link only if another node reaches its runner

Callers lost answers that were under way: streams ended unfinished after 0.7 s without a byte, and idempotent requests got 502.

Cause: silence was taken for loss. When no runner answered its probes, the node took the link for cut and ended what had brought no byte for 0.3 s, before it knew whether anybody could go on. Sound runners may be silent for a second or two, all of them or those that were asked, and then go on; from one node that looks like a cut. The class: an irreversible step on the evidence of one observer.

Change: an answer is given up only if another node, asked for the report of that very runner, gets it, and if another attempt may follow and is paid for. A stream keeps its answer open until the next one has begun.

--- a/crates/mustardgate-core/src/retry/budget.rs
+++ b/crates/mustardgate-core/src/retry/budget.rs
@@ -42,6 +42,18 @@
     }
 }
 
+/// An allowance of one retry that was taken from a budget before.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PrepaidRetry {
+    is_used: bool,
+}
+
+impl RetryAllowance for PrepaidRetry {
+    fn spend(&mut self, _now: Instant) -> bool {
+        !std::mem::replace(&mut self.is_used, true)
+    }
+}
+
 /// An allowance of no retries, for a request that must not be sent again.
 #[derive(Clone, Copy, Debug)]
 pub struct NoRetries;
--- a/crates/mustardgate-core/src/retry/mod.rs
+++ b/crates/mustardgate-core/src/retry/mod.rs
@@ -4,6 +4,6 @@
 mod plan;
 
 pub use self::{
-    budget::{NoRetries, RetryAllowance, RetryBudget, RetryLimits},
+    budget::{NoRetries, PrepaidRetry, RetryAllowance, RetryBudget, RetryLimits},
     plan::{AttemptFailure, AttemptPlan, NextStep, PlanSettings},
 };
--- a/crates/mustardgate-core/src/retry/plan.rs
+++ b/crates/mustardgate-core/src/retry/plan.rs
@@ -96,6 +96,11 @@
         true
     }
 
+    /// Returns whether another attempt could follow if the one in flight were given up now, the budget aside.
+    pub fn allows_another(&self, now: Instant, answer_time: Duration) -> bool {
+        self.verdict().permits_retry(self.settings.is_idempotent) && self.may_retry(now, answer_time)
+    }
+
     /// Withdraws an attempt that was begun but not sent: it counts neither as an attempt nor in the retry budget.
     pub fn withdraw_attempt(&mut self) -> NextStep {
         self.in_flight = self.in_flight.saturating_sub(1);
--- a/crates/mustardgate-relay/src/context/link.rs
+++ b/crates/mustardgate-relay/src/context/link.rs
@@ -1,21 +1,12 @@
 //! Whether this node reaches the runners over its own connections, shared between its tasks.
 
-use std::{
-    sync::{Mutex, MutexGuard},
-    time::Duration,
-};
+use std::sync::{Mutex, MutexGuard};
 
 use mustardgate::events;
 use mustardgate_core::{clock, ids::BackendId, relay::LinkMonitor};
 use rand::Rng;
 use slog::{Logger, o};
-use tokio::{
-    sync::{Notify, watch},
-    time,
-};
-
-/// Time without a byte after which an answer is given up once the link is cut.
-const STALL_LIMIT: Duration = Duration::from_millis(300);
+use tokio::sync::{Notify, watch};
 
 /// Holds the state of the link to the runners.
 #[derive(Debug)]
@@ -111,13 +102,11 @@
         self.lock().uses_neighbours(clock::now(), draw)
     }
 
-    /// Completes when the link has been cut for so long since the call that an answer is not to be expected.
-    pub async fn stalled(&self) {
+    /// Completes when the link is cut.
+    pub async fn next_cut(&self) {
         let mut is_cut = self.is_cut.subscribe();
-        // The sender lives as long as this link.
-        if is_cut.wait_for(|is_cut| *is_cut).await.is_ok() {
-            time::sleep(STALL_LIMIT).await;
-        }
+        let waited = is_cut.wait_for(|is_cut| *is_cut).await;
+        debug_assert!(waited.is_ok(), "the sender lives as long as this link");
     }
 
     fn lock(&self) -> MutexGuard<'_, LinkMonitor> {
--- a/crates/mustardgate-relay/src/fleet/cell.rs
+++ b/crates/mustardgate-relay/src/fleet/cell.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeSet, HashMap},
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, RwLock,
         atomic::{AtomicBool, Ordering},
@@ -43,6 +44,8 @@
     pub pool: Arc<ConnectionPool>,
     /// When it was last checked whether the process is gone, and the result; the lock is held during a check.
     process_check: AsyncMutex<Option<(Instant, bool)>>,
+    /// When other nodes were last asked whether they reach the runner, and which one does; the lock is held meanwhile.
+    pub last_witness: AsyncMutex<Option<(Instant, Option<SocketAddr>)>>,
     state: Mutex<CellState>,
 }
 
@@ -87,6 +90,7 @@
             listed: RwLock::new(listed),
             is_retired: AtomicBool::new(false),
             process_check: AsyncMutex::new(None),
+            last_witness: AsyncMutex::new(None),
             state: Mutex::new(CellState {
                 load: LoadEstimate::default(),
                 in_flight: 0,
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -18,7 +18,12 @@
 use slog::o;
 use smol_str::SmolStr;
 
-use super::{digests::RequestDigests, failure::AttemptError, headers::remove_hop_by_hop_headers, path::OpenPath};
+use super::{
+    digests::RequestDigests,
+    failure::AttemptError,
+    headers::remove_hop_by_hop_headers,
+    path::{OpenPath, ResumePoint},
+};
 use crate::{
     client::{ConnectionPool, RunnerConnection, SendFailure},
     context::{AdapterUseGuard, RelayContext},
@@ -147,11 +152,7 @@
     }
 
     /// Sends the request to the chosen runner and reads the head of its answer.
-    pub(super) async fn open(
-        &self,
-        pick: &RunnerPick,
-        resume_after: Option<SmolStr>,
-    ) -> Result<OpenAnswer, AttemptError> {
+    pub(super) async fn open(&self, pick: &RunnerPick, resume: &ResumePoint) -> Result<OpenAnswer, AttemptError> {
         let cell = &pick.cell;
         let listed = cell.listed();
         let mut ticket = cell.begin(&self.request);
@@ -168,7 +169,7 @@
             answer,
             pool,
             helper,
-        } = match self.send(cell, resume_after).await {
+        } = match self.send(cell, resume).await {
             Ok(path) => path,
             Err(failure) => return Err(self.end_failed(&mut ticket, failure).await),
         };
--- a/crates/mustardgate-relay/src/gateway/body.rs
+++ b/crates/mustardgate-relay/src/gateway/body.rs
@@ -1,5 +1,6 @@
 //! Bodies of requests that are not passed on.
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use mustardgate_core::relay::CallerLimits;
@@ -13,7 +14,7 @@
         let mut left = limits.max_body_bytes;
         while !body.is_end_stream() {
             let Some(Ok(frame)) = body.frame().await else { return };
-            let length = frame.data_ref().map_or(0, |data| data.len());
+            let length = frame.data_ref().map_or(0, Bytes::len);
             let Some(rest) = left.checked_sub(length) else { return };
             left = rest;
         }
--- a/crates/mustardgate-relay/src/gateway/buffered.rs
+++ b/crates/mustardgate-relay/src/gateway/buffered.rs
@@ -15,12 +15,12 @@
 use super::{
     answer::{RelayBody, full_body},
     attempt::{OpenAnswer, ReceivedRequest},
-    exchange::record_runner_answer,
+    exchange::{MIN_ATTEMPT_TIME, record_runner_answer},
     failure::AttemptError,
     headers::remove_hop_by_hop_headers,
     stream::StreamRelay,
 };
-use crate::fleet::AttemptOutcome;
+use crate::{fleet::AttemptOutcome, link::lost_answer};
 
 /// Largest buffered answer.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
@@ -54,21 +54,21 @@
     let backend = ticket.cell().listed().id.clone();
     let time_left = received.expires_at.saturating_duration_since(clock::now());
     let collecting = Limited::new(body, MAX_BUFFERED_BYTES).collect();
-    let may_stall = helper.is_none() && received.route.repeat.is_idempotent();
+    let may_move = helper.is_none() && plan.allows_another(clock::now(), MIN_ATTEMPT_TIME);
+    let cell = Arc::clone(ticket.cell());
     let collected = tokio::select! {
         collected = tokio::time::timeout(time_left, collecting) => match collected {
             Ok(Ok(collected)) => Ok(collected.to_bytes()),
             Ok(Err(_)) => Err(("broken_answer", false)),
             Err(_) => Err(("timed_out", true)),
         },
-        () = received.context.link.stalled(), if may_stall => Err(("link_cut", false)),
+        () = lost_answer(&received.context, &cell, &received.request.id), if may_move => Err(("link_cut", false)),
     };
     let is_retryable = head.status.is_server_error() && received.route.repeat.is_idempotent();
     let content = match collected {
         Ok(content) => content,
         Err((reason, is_timeout)) => {
             ticket.set_outcome(AttemptOutcome::Failed);
-            let cell = Arc::clone(ticket.cell());
             drop((ticket, connection));
             let is_fatal = !is_timeout
                 && helper.is_none()
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -15,7 +15,7 @@
     clock,
     ids::RequestId,
     relay::{CallerLimits, RefusalCause, RelayRequest},
-    retry::{AttemptFailure, AttemptPlan, NextStep, NoRetries, PlanSettings},
+    retry::{AttemptFailure, AttemptPlan, NextStep, NoRetries, PlanSettings, RetryAllowance},
 };
 use rand::Rng;
 use slog::o;
@@ -28,11 +28,12 @@
     digests::RequestDigests,
     failure::AttemptError,
     origin::{find_version, service_of},
+    path::ResumePoint,
 };
 use crate::context::RelayContext;
 
 /// Shortest time before the deadline in which another attempt is still made.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
+pub(super) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
 
 /// Answers one request of a caller.
 pub async fn answer_caller(context: Arc<RelayContext>, request: Request<Incoming>) -> Response<RelayBody> {
@@ -191,10 +192,24 @@
             ..AttemptError::at_runner(&pick.cell.listed().id, plan.verdict(), "not_permitted")
         });
     }
-    received.open(&pick, None).await
+    let resume = ResumePoint {
+        after: None,
+        may_follow: plan.allows_another(clock::now(), MIN_ATTEMPT_TIME),
+    };
+    received.open(&pick, &resume).await
 }
 
+/// Decides what follows a failed attempt; another one is paid from the budget of the service.
 pub(super) fn next_step(received: &ReceivedRequest, plan: &mut AttemptPlan, error: &AttemptError) -> NextStep {
+    next_step_within(plan, error, &mut received.allowance())
+}
+
+/// Decides what follows a failed attempt; another one is paid from the allowance.
+pub(super) fn next_step_within(
+    plan: &mut AttemptPlan,
+    error: &AttemptError,
+    allowance: &mut dyn RetryAllowance,
+) -> NextStep {
     let Some(backend) = error.backend.clone() else {
         return NextStep::GiveUp {
             verdict: plan.verdict(),
@@ -219,12 +234,18 @@
         retry_after: None,
         answer_time: MIN_ATTEMPT_TIME,
     };
-    let nodes = received.context.directory.largest_node_count();
     if error.is_fatal {
         return plan.fail_attempt(clock::now(), &failure, &mut NoRetries);
     }
-    let mut allowance = received.context.budgets.allowance(&received.service, nodes);
-    plan.fail_attempt(clock::now(), &failure, &mut allowance)
+    plan.fail_attempt(clock::now(), &failure, allowance)
+}
+
+impl ReceivedRequest {
+    /// Returns this node's share of the retry budget of the service.
+    pub(super) fn allowance(&self) -> impl RetryAllowance + use<'_> {
+        let nodes = self.context.directory.largest_node_count();
+        self.context.budgets.allowance(&self.service, nodes)
+    }
 }
 
 pub(super) fn log_failure(received: &ReceivedRequest, error: &AttemptError, step: &NextStep) {
--- a/crates/mustardgate-relay/src/gateway/path.rs
+++ b/crates/mustardgate-relay/src/gateway/path.rs
@@ -12,7 +12,9 @@
     client::{ConnectionPool, RunnerConnection, SendFailure},
     fleet::RunnerCell,
     leader::request_permit,
-    link::{ForwardRefusal, ForwardRequest, ForwardVerdict, HelperUse, RunnerTarget, connect_runner_process},
+    link::{
+        ForwardRefusal, ForwardRequest, ForwardVerdict, HelperUse, RunnerTarget, connect_runner_process, lost_answer,
+    },
 };
 
 /// Largest number of other nodes that are asked to pass one request on.
@@ -31,28 +33,29 @@
     pub(super) helper: Option<HelperUse>,
 }
 
+/// Where an attempt takes the answer up, and what may follow it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ResumePoint {
+    /// Last event that the caller has.
+    pub(super) after: Option<SmolStr>,
+    /// Whether another attempt may follow this one.
+    pub(super) may_follow: bool,
+}
+
 impl ReceivedRequest {
     /// Sends the request and waits for the head of the answer.
-    pub(super) async fn send(
-        &self,
-        cell: &Arc<RunnerCell>,
-        resume_after: Option<SmolStr>,
-    ) -> Result<OpenPath, SendFailure> {
+    pub(super) async fn send(&self, cell: &Arc<RunnerCell>, resume: &ResumePoint) -> Result<OpenPath, SendFailure> {
         if self.context.link.uses_neighbours() {
-            return self.send_through_node(cell, resume_after).await;
+            return self.send_through_node(cell, resume.after.clone()).await;
         }
-        let outcome = self.send_directly(cell, resume_after).await;
+        let outcome = self.send_directly(cell, resume).await;
         if let Err(SendFailure::NotConnected | SendFailure::Broken) = &outcome {
             self.context.link.record_failure(&cell.listed().id);
         }
         outcome
     }
 
-    async fn send_directly(
-        &self,
-        cell: &Arc<RunnerCell>,
-        resume_after: Option<SmolStr>,
-    ) -> Result<OpenPath, SendFailure> {
+    async fn send_directly(&self, cell: &Arc<RunnerCell>, resume: &ResumePoint) -> Result<OpenPath, SendFailure> {
         let target = RunnerTarget {
             cell,
             needs_process: self.route.repeat == RepeatPolicy::Resumable,
@@ -71,13 +74,13 @@
         if !cell.is_in_service() {
             return Err(SendFailure::Withheld);
         }
-        let request = self.runner_request(&cell.listed().id, self.time_left(), resume_after);
+        let request = self.runner_request(&cell.listed().id, self.time_left(), resume.after.clone());
         let link = &self.context.link;
         let awaited = link.await_answer();
         let answer = tokio::select! {
             answer = taken.connection.send(request, self.time_left()) => answer,
-            // What must run once cannot be sent again, so its answer is awaited as long as there is time.
-            () = link.stalled(), if self.route.repeat.is_idempotent() => Err(SendFailure::Broken),
+            // What cannot be sent again is awaited as long as there is time.
+            () = lost_answer(&self.context, cell, &self.request.id), if resume.may_follow => Err(SendFailure::Broken),
         };
         drop(awaited);
         let answer = answer?;
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -13,8 +13,8 @@
 use mustardgate::events;
 use mustardgate_core::{
     clock,
-    relay::{EventSplitter, RepeatPolicy, SoftwareVersion, StreamKey},
-    retry::{AttemptPlan, NextStep},
+    relay::{EventSplitter, SoftwareVersion, StreamKey},
+    retry::{AttemptPlan, NextStep, PrepaidRetry, RetryAllowance},
     verdict::RunVerdict,
 };
 use slog::o;
@@ -25,11 +25,12 @@
     answer::{BrokenAnswer, RelayBody},
     attempt::{OpenAnswer, ReceivedRequest},
     buffered::{closes_connection, keep_alive_timeout},
-    exchange::{log_failure, next_step, record_runner_answer},
+    exchange::{MIN_ATTEMPT_TIME, log_failure, next_step, next_step_within, record_runner_answer},
     failure::AttemptError,
     headers::remove_hop_by_hop_headers,
+    path::ResumePoint,
 };
-use crate::fleet::AttemptOutcome;
+use crate::{fleet::AttemptOutcome, link::lost_answer};
 
 /// Time from the head of an answer within which a runner crashes that cannot process the request.
 const ANSWER_START_TIME: Duration = Duration::from_millis(500);
@@ -43,6 +44,8 @@
     splitter: EventSplitter,
     /// Whether the answer went on beyond the point at which a runner would have crashed under its prompt.
     is_sound: bool,
+    /// Whether the answer of the current runner is awaited although the link to it is cut, because no other one can go on.
+    is_bound: bool,
     /// Identifier of the last event that was passed on.
     last_event: Option<SmolStr>,
     status: hyper::StatusCode,
@@ -61,6 +64,7 @@
             open: Some(open),
             splitter: EventSplitter::default(),
             is_sound: false,
+            is_bound: false,
             status,
         };
         let frames = stream::unfold(relay, |mut relay| async move {
@@ -79,18 +83,17 @@
             let time_left = self.received.expires_at.saturating_duration_since(clock::now());
             let link = &self.received.context.link;
             let is_direct = open.helper.is_none();
-            let may_stall = is_direct && self.received.route.repeat == RepeatPolicy::Resumable;
+            let may_move = is_direct && !self.is_bound && self.plan.allows_another(clock::now(), MIN_ATTEMPT_TIME);
+            let request = &self.received.request.id;
             let awaited = is_direct.then(|| link.await_answer());
             let frame = tokio::select! {
                 frame = time::timeout(time_left, open.body.frame()) => Some(frame),
-                () = link.stalled(), if may_stall => None,
+                () = lost_answer(&self.received.context, open.ticket.cell(), request), if may_move => None,
             };
             drop(awaited);
             let Some(frame) = frame else {
-                if self.resume("link_cut").await {
-                    continue;
-                }
-                return Some(Err(BrokenAnswer));
+                self.is_bound = !self.move_elsewhere().await;
+                continue;
             };
             let reason = match frame {
                 Ok(Some(Ok(frame))) => {
@@ -170,7 +173,7 @@
     async fn resume(&mut self, reason: &'static str) -> bool {
         let Some(mut open) = self.open.take() else { return false };
         open.ticket.set_outcome(AttemptOutcome::Failed);
-        let mut error = AttemptError {
+        let error = AttemptError {
             is_timeout: reason == "timed_out",
             ..AttemptError::at_runner(&open.ticket.cell().listed().id, RunVerdict::MayHaveRun, reason)
         };
@@ -192,23 +195,49 @@
                 return false;
             }
         }
+        let step = next_step(&self.received, &mut self.plan, &error);
+        if self.go_on(step, error, &version).await {
+            return true;
+        }
+        self.log_broken(reason);
+        false
+    }
+
+    /// Goes on at another runner while the answer of the current one does not come over a cut link; returns `false` if
+    /// that is not possible, and the current one is awaited further.
+    async fn move_elsewhere(&mut self) -> bool {
+        let Some(open) = &self.open else { return false };
+        if !self.received.allowance().spend(clock::now()) {
+            return false;
+        }
+        let backend = open.ticket.cell().listed().id.clone();
+        let version = open.ticket.cell().listed().version.clone();
+        let error = AttemptError::at_runner(&backend, RunVerdict::MayHaveRun, "link_cut");
+        let mut paid = PrepaidRetry::default();
+        let step = next_step_within(&mut self.plan, &error, &mut paid);
+        self.go_on(step, error, &version).await
+    }
+
+    /// Opens the rest of the stream at another runner if the next step allows it; the answer before it, if still open, is
+    /// dropped only then.
+    async fn go_on(&mut self, mut step: NextStep, mut error: AttemptError, version: &SoftwareVersion) -> bool {
         loop {
-            let step = next_step(&self.received, &mut self.plan, &error);
             log_failure(&self.received, &error, &step);
             let NextStep::RetryElsewhere { excluded } = step else {
-                break;
+                return false;
             };
             match self.reopen(&excluded).await {
                 Ok(open) => {
-                    self.log_resumed(&open, &version);
+                    self.log_resumed(&open, version);
+                    self.splitter = EventSplitter::default();
+                    self.is_bound = false;
                     self.open = Some(open);
                     return true;
                 }
                 Err(next) => error = next,
             }
+            step = next_step(&self.received, &mut self.plan, &error);
         }
-        self.log_broken(reason);
-        false
     }
 
     /// Clears the parts of the prompt once the runner has answered for longer than the start of an answer takes.
@@ -230,7 +259,11 @@
                 ..refused("not_permitted")
             });
         }
-        let mut open = self.received.open(&pick, self.last_event.clone()).await?;
+        let resume = ResumePoint {
+            after: self.last_event.clone(),
+            may_follow: self.plan.allows_another(clock::now(), MIN_ATTEMPT_TIME),
+        };
+        let mut open = self.received.open(&pick, &resume).await?;
         if open.head.status.is_success() {
             return Ok(open);
         }
--- a/crates/mustardgate-relay/src/link/mod.rs
+++ b/crates/mustardgate-relay/src/link/mod.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod headers;
 mod helpers;
+mod lost;
 mod process;
 
 pub use self::{
@@ -14,5 +15,6 @@
     forward::{answer_forwarded, is_forwarded},
     headers::{ForwardRefusal, ForwardRequest, ForwardVerdict},
     helpers::{HelperBook, HelperCell, HelperUse},
+    lost::lost_answer,
     process::{RunnerTarget, connect_runner_process},
 };
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -129,6 +129,10 @@
 pub const RELAY_LINK_RESTORED: EventKind = event(633, Level::Info, "link to runners restored");
 /// The runners of a service fall over when they turn too many requests away, or do so no more.
 pub const RELAY_SERVICE_BRITTLE: EventKind = event(634, Level::Info, "service brittle");
+/// A caller's connection ended before its request had a whole answer; with the step that the request had reached.
+pub const RELAY_REQUEST_ABANDONED: EventKind = event(635, Level::Info, "request abandoned");
+/// An answer over a cut link is not awaited any longer, because another node reaches its runner.
+pub const RELAY_ANSWER_GIVEN_UP: EventKind = event(636, Level::Info, "answer over cut link given up");
 /// A lease record was refused or could not be appended, read or decoded, so the lease is uncertain.
 pub const RELAY_LEASE_UNCERTAIN: EventKind = event(620, Level::Warning, "lease uncertain");
 /// An order was sent to a runner; with its reply.
@@ -204,6 +208,8 @@
     RELAY_LINK_CUT,
     RELAY_LINK_RESTORED,
     RELAY_SERVICE_BRITTLE,
+    RELAY_REQUEST_ABANDONED,
+    RELAY_ANSWER_GIVEN_UP,
 ];
 
 impl EventKind {
