Record requests that end because their callers' connections end

A request whose connection ended before its answer was whole left no line: the HTTP library drops it with the connection.

--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -29,6 +29,7 @@
     failure::AttemptError,
     origin::{find_version, service_of},
     path::ResumePoint,
+    trace::{RequestStep, RequestTrace},
 };
 use crate::context::RelayContext;
 
@@ -57,10 +58,15 @@
         }
     };
     let id = relayed.id.clone();
+    let mut trace = RequestTrace::begin(Arc::clone(&context), &relayed, RequestStep::Receiving);
     let mut response = match receive(&context, head, body, relayed).await {
-        Ok(received) => serve(received).await,
+        Ok(received) => {
+            trace.reach(RequestStep::Waiting);
+            serve(received).await
+        }
         Err(answer) => finish_local(&context, &id, answer, received_at, "none"),
     };
+    trace.end();
     if is_chunked || context.drain.is_draining() {
         let headers = response.headers_mut();
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod path;
 mod places;
 mod stream;
+mod trace;
 
 pub(crate) use self::{
     answer::full_body,
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -29,6 +29,7 @@
     failure::AttemptError,
     headers::remove_hop_by_hop_headers,
     path::ResumePoint,
+    trace::{RequestStep, RequestTrace},
 };
 use crate::{fleet::AttemptOutcome, link::lost_answer};
 
@@ -38,6 +39,7 @@
 /// An event stream that is passed on from one runner, or several in turn, to a caller.
 #[derive(Debug)]
 pub(super) struct StreamRelay {
+    trace: RequestTrace,
     received: ReceivedRequest,
     plan: AttemptPlan,
     open: Option<OpenAnswer>,
@@ -58,6 +60,7 @@
         let mut headers = open.head.headers.clone();
         remove_hop_by_hop_headers(&mut headers);
         let relay = Self {
+            trace: RequestTrace::begin(Arc::clone(&received.context), &received.request, RequestStep::Answering),
             last_event: received.request.last_event.clone(),
             received,
             plan,
@@ -156,6 +159,7 @@
 
     fn finish(&mut self) {
         let Some(mut open) = self.open.take() else { return };
+        self.trace.end();
         open.ticket.set_outcome(AttemptOutcome::Answered);
         if !closes_connection(&open.head.headers) {
             open.pool
@@ -283,7 +287,8 @@
         log.write(events::RELAY_STREAM_RESUMED, &self.received.request.id, values);
     }
 
-    fn log_broken(&self, reason: &'static str) {
+    fn log_broken(&mut self, reason: &'static str) {
+        self.trace.end();
         counter!("mustardgate_streams_broken_total").increment(1);
         let values = o!(
             "reason" => reason,
