Let connections outlast a silence of two seconds

A peer that is silent at the network for a second while a request waits for it could lose its connection: keep-alive probes began after 2 s without a byte, and TCP_USER_TIMEOUT of 2.5 s also decides when probes give up, so half a second of silence at the wrong moment was enough where it is read strictly, and an answer that was waited for ended as broken.

Probes are sent each second now, and the limit of 3.5 s outlasts a silence of 2 s that begins just before a probe or a retransmission; a constant assertion keeps the relation. A connection that is silent for good is noticed a second later.

--- a/crates/mustardgate-relay/src/client/connection.rs
+++ b/crates/mustardgate-relay/src/client/connection.rs
@@ -19,10 +19,15 @@
 };
 use tokio_util::task::AbortOnDropHandle;
 
-/// Time after which unacknowledged data closes a connection, because no reset arrives during a network partition.
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time for which a sound peer may be silent and then go on.
+const LONGEST_SILENCE: Duration = Duration::from_secs(2);
 /// Idle time before the first keep-alive probe, and between probes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(2);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after which unacknowledged data or keep-alive probes close a connection, because no reset arrives during a network
+/// partition. A silence that begins just before a probe, or before a retransmission that comes a second late, must end
+/// before it.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(3_500);
+const _: () = assert!(UNACKNOWLEDGED_LIMIT.as_millis() > LONGEST_SILENCE.as_millis() + PROBE_INTERVAL.as_millis());
 /// Largest accepted head of an answer.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
