--- a/crates/mustardgate-relay/src/link/headers.rs
+++ b/crates/mustardgate-relay/src/link/headers.rs
@@ -25,7 +25,7 @@
     pub backend: BackendId,
     /// Start time of its process in Unix milliseconds.
     pub started_at_ms: u64,
-    /// Identifier of the caller's attempt.
+    /// Identifier of the caller's attempt; empty if the other node itself asks the runner something.
     pub request: RequestId,
     /// Time left.
     pub time_left: Duration,
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Returns whether the other node asks the runner something for itself, to which no request of a caller belongs.
+    pub fn is_own_question(&self) -> bool {
+        self.request.is_empty()
+    }
+
     /// Returns whether the fields are those of a request that is passed on.
     pub fn is_in(headers: &HeaderMap) -> bool {
         headers.contains_key(BACKEND)
--- a/crates/mustardgate-relay/src/link/lost.rs
+++ b/crates/mustardgate-relay/src/link/lost.rs
@@ -24,8 +24,6 @@
 const MAX_WITNESSES: usize = 2;
 /// Largest answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 1024 * 1024;
-/// Identifier of the question in the place of a caller's request.
-const QUESTION_ID: &str = "is-runner-reached";
 
 /// Completes when the answer of a runner will not come: the link is cut, and the runner answers another node.
 pub async fn lost_answer(context: &RelayContext, cell: &RunnerCell, request: &RequestId) {
@@ -81,7 +79,7 @@
     let forwarded = ForwardRequest {
         backend: listed.id.clone(),
         started_at_ms: listed.started_at_ms,
-        request: QUESTION_ID.into(),
+        request: RequestId::default(),
         time_left: WITNESS_TIMEOUT,
         needs_process: false,
     };
