Ask the own link once more before an answer is given up, and listen to it while the stream moves

The node asks the runner itself after the other node has answered, and gives up only if that fails. A stream that moves goes on listening to its current answer, which wins if it is heard of first, and tries again later if nobody could go on. Questions of nodes are answered by a probe: they cost a runner no permit, and no request. A node that is full discards what it refuses instead of collecting it, and a refused request is read no longer than its caller waits.

--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -51,7 +51,8 @@
     let relayed = match context.ports.dialect.read_request(&head, received_at) {
         Ok(relayed) => relayed,
         Err(error) => {
-            discard_body(&mut body, caller_limits(&context)).await;
+            let limits = caller_limits(&context);
+            discard_body(&mut body, limits.max_body_bytes, limits.header_timeout).await;
             counter!("mustardgate_relay_answers_total", "outcome" => "malformed").increment(1);
             events::RELAY_REQUEST_NOT_SERVED.write(context.log.logger(), o!("reason" => error.to_string()));
             return LocalAnswer::Malformed.into_response();
@@ -90,7 +91,7 @@
     request: RelayRequest,
 ) -> Result<ReceivedRequest, LocalAnswer> {
     let Some(active) = context.routes.current() else {
-        discard_body(&mut body, caller_limits(context)).await;
+        discard_refused(&mut body, caller_limits(context), &request).await;
         return Err(refusal(context, RefusalCause::NoConfiguration));
     };
     let host = head
@@ -101,7 +102,7 @@
     let route = host.and_then(|host| active.table.find(host, head.uri.path()));
     let limits = active.config.limits;
     let Some(route) = route.map(Arc::clone) else {
-        discard_body(&mut body, limits).await;
+        discard_refused(&mut body, limits, &request).await;
         return Err(LocalAnswer::NoRoute);
     };
     let expires_at = request.expires_at(route.timeout);
@@ -139,6 +140,13 @@
     })
 }
 
+/// Reads the rest of a request that is refused, while its caller waits.
+async fn discard_refused(body: &mut Incoming, limits: CallerLimits, request: &RelayRequest) {
+    let expires_at = request.expires_at(limits.header_timeout);
+    let time_left = expires_at.saturating_duration_since(clock::now());
+    discard_body(body, limits.max_body_bytes, time_left).await;
+}
+
 /// Returns what the configuration in force allows callers.
 fn caller_limits(context: &RelayContext) -> CallerLimits {
     let active = context.routes.current();
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 
 pub(crate) use self::{
     answer::full_body,
+    body::discard_body,
     buffered::{closes_connection, keep_alive_timeout},
     headers::remove_hop_by_hop_headers,
     places::REJECTION_PAUSE,
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -46,8 +46,6 @@
     splitter: EventSplitter,
     /// Whether the answer went on beyond the point at which a runner would have crashed under its prompt.
     is_sound: bool,
-    /// Whether the answer of the current runner is awaited although the link to it is cut, because no other one can go on.
-    is_bound: bool,
     /// Identifier of the last event that was passed on.
     last_event: Option<SmolStr>,
     status: hyper::StatusCode,
@@ -67,7 +65,6 @@
             open: Some(open),
             splitter: EventSplitter::default(),
             is_sound: false,
-            is_bound: false,
             status,
         };
         let frames = stream::unfold(relay, |mut relay| async move {
@@ -86,7 +83,7 @@
             let time_left = self.received.expires_at.saturating_duration_since(clock::now());
             let link = &self.received.context.link;
             let is_direct = open.helper.is_none();
-            let may_move = is_direct && !self.is_bound && self.plan.allows_another(clock::now(), MIN_ATTEMPT_TIME);
+            let may_move = is_direct && self.plan.allows_another(clock::now(), MIN_ATTEMPT_TIME);
             let request = &self.received.request.id;
             let awaited = is_direct.then(|| link.await_answer());
             let frame = tokio::select! {
@@ -95,8 +92,16 @@
             };
             drop(awaited);
             let Some(frame) = frame else {
-                self.is_bound = !self.move_elsewhere().await;
-                continue;
+                if !self.move_elsewhere().await {
+                    self.log_broken("link_cut");
+                    return Some(Err(BrokenAnswer));
+                }
+                let events = self.take_events();
+                if events.is_empty() {
+                    continue;
+                }
+                self.record_origin();
+                return Some(Ok(events));
             };
             let reason = match frame {
                 Ok(Some(Ok(frame))) => {
@@ -207,19 +212,39 @@
         false
     }
 
-    /// Goes on at another runner while the answer of the current one does not come over a cut link; returns `false` if
-    /// that is not possible, and the current one is awaited further.
+    /// Goes on at another runner while the answer of the current one does not come over a cut link. The current one is
+    /// awaited further if nobody else goes on, or if it is heard of first; returns `false` if both fail.
     async fn move_elsewhere(&mut self) -> bool {
-        let Some(open) = &self.open else { return false };
         if !self.received.allowance().spend(clock::now()) {
-            return false;
+            return true;
         }
-        let backend = open.ticket.cell().listed().id.clone();
-        let version = open.ticket.cell().listed().version.clone();
-        let error = AttemptError::at_runner(&backend, RunVerdict::MayHaveRun, "link_cut");
+        let Some(mut current) = self.open.take() else {
+            return false;
+        };
+        let listed = current.ticket.cell().listed();
+        let error = AttemptError::at_runner(&listed.id, RunVerdict::MayHaveRun, "link_cut");
         let mut paid = PrepaidRetry::default();
         let step = next_step_within(&mut self.plan, &error, &mut paid);
-        self.go_on(step, error, &version).await
+        let heard = {
+            let mut moving = std::pin::pin!(self.go_on(step, error, &listed.version));
+            tokio::select! {
+                has_moved = &mut moving => {
+                    if has_moved {
+                        return true;
+                    }
+                    None
+                }
+                frame = current.body.frame() => match frame {
+                    Some(Err(_)) => return moving.await,
+                    frame => frame,
+                },
+            }
+        };
+        if let Some(data) = heard.and_then(Result::ok).and_then(|frame| frame.into_data().ok()) {
+            self.splitter.push(&data);
+        }
+        self.open = Some(current);
+        true
     }
 
     /// Opens the rest of the stream at another runner if the next step allows it; the answer before it, if still open, is
@@ -234,7 +259,6 @@
                 Ok(open) => {
                     self.log_resumed(&open, version);
                     self.splitter = EventSplitter::default();
-                    self.is_bound = false;
                     self.open = Some(open);
                     return true;
                 }
--- a/crates/mustardgate-relay/src/link/check.rs
+++ b/crates/mustardgate-relay/src/link/check.rs
@@ -111,7 +111,7 @@
 }
 
 /// Asks a runner over a new connection, which joins its pool.
-async fn probe_runner(context: &RelayContext, cell: &RunnerCell) -> bool {
+pub(super) async fn probe_runner(context: &RelayContext, cell: &RunnerCell) -> bool {
     counter!("mustardgate_link_probes_total").increment(1);
     let probing = async {
         let mut connection = cell.pool.connect(PROBE_TIMEOUT).await?;
--- a/crates/mustardgate-relay/src/link/forward.rs
+++ b/crates/mustardgate-relay/src/link/forward.rs
@@ -20,7 +20,7 @@
 use tokio::time;
 
 use super::{
-    check::is_link_sound,
+    check::{is_link_sound, probe_runner},
     headers::{ForwardRefusal, ForwardRequest, ForwardVerdict},
     process::{RunnerTarget, connect_runner_process},
 };
@@ -28,7 +28,10 @@
     client::{RunnerConnection, SendFailure},
     context::RelayContext,
     fleet::RunnerCell,
-    gateway::{BrokenAnswer, RelayBody, closes_connection, full_body, keep_alive_timeout, remove_hop_by_hop_headers},
+    gateway::{
+        BrokenAnswer, RelayBody, closes_connection, discard_body, full_body, keep_alive_timeout,
+        remove_hop_by_hop_headers,
+    },
     leader::request_permit,
     ports::{AnswerKind, AnswerMetadata},
 };
@@ -79,21 +82,25 @@
     slot: ForwardSlot,
 ) -> Result<Response<RelayBody>, ForwardVerdict> {
     let refused = ForwardVerdict::Refused;
-    let (mut head, body) = request.into_parts();
+    let (mut head, mut body) = request.into_parts();
     let forwarded = ForwardRequest::take(&mut head.headers).ok_or(refused(ForwardRefusal::Withheld))?;
     let ends_at = time::Instant::now() + forwarded.time_left;
-    // A refusal before the whole request was read might be lost in the reset that follows it.
+    if context.drain.is_draining() || context.link.is_cut() || load > MAX_FORWARDED {
+        // A refusal before the whole request was read might be lost in the reset that follows it.
+        discard_body(&mut body, MAX_BODY_BYTES, forwarded.time_left).await;
+        return Err(refused(ForwardRefusal::Unavailable));
+    }
     let body = Limited::new(body, MAX_BODY_BYTES).collect();
     let body = time::timeout_at(ends_at, body).await;
     let Ok(Ok(body)) = body else {
         return Err(refused(ForwardRefusal::Withheld));
     };
-    if context.drain.is_draining() || context.link.is_cut() || load > MAX_FORWARDED {
-        return Err(refused(ForwardRefusal::Unavailable));
-    }
     let cell = context.fleet.get(&forwarded.backend);
     let cell = cell.filter(|cell| cell.listed().started_at_ms == forwarded.started_at_ms && cell.is_in_service());
     let cell = cell.ok_or(refused(ForwardRefusal::Withheld))?;
+    if forwarded.is_own_question() {
+        return answer_question(context, &cell, load).await;
+    }
     if let Some(delay) = cell.hold_left(clock::now()) {
         return Err(refused(ForwardRefusal::Held(delay)));
     }
@@ -144,6 +151,20 @@
     Ok(response)
 }
 
+/// Answers another node that asks whether this one reaches a runner. That costs the runner no permit and no place.
+async fn answer_question(
+    context: &RelayContext,
+    cell: &RunnerCell,
+    load: usize,
+) -> Result<Response<RelayBody>, ForwardVerdict> {
+    if !probe_runner(context, cell).await {
+        return Err(ForwardVerdict::Refused(ForwardRefusal::NotConnected));
+    }
+    let mut response = Response::new(full_body(Bytes::new()));
+    ForwardVerdict::Answered.write(response.headers_mut(), load);
+    Ok(response)
+}
+
 /// Obtains a connection and what the send needs besides; the same checks hold as for own requests.
 async fn connect(
     context: &RelayContext,
--- a/crates/mustardgate-relay/src/link/lost.rs
+++ b/crates/mustardgate-relay/src/link/lost.rs
@@ -13,7 +13,10 @@
 use slog::o;
 use tokio::time;
 
-use super::headers::{ForwardRefusal, ForwardRequest, ForwardVerdict};
+use super::{
+    check::probe_runner,
+    headers::{ForwardRefusal, ForwardRequest, ForwardVerdict},
+};
 use crate::{client::SendFailure, context::RelayContext, fleet::RunnerCell, link::HelperUse};
 
 /// Time without a byte over a cut link after which other nodes are asked, and time between two rounds.
@@ -33,7 +36,9 @@
         if !context.link.is_cut() {
             continue;
         }
-        if let Some(witness) = find_witness(context, cell).await {
+        if let Some(witness) = find_witness(context, cell).await
+            && context.link.is_cut()
+        {
             counter!("mustardgate_answers_given_up_total").increment(1);
             let values = o!("node" => witness.to_string(), "backend" => cell.listed().id.to_string());
             context.log.write(events::RELAY_ANSWER_GIVEN_UP, request, values);
@@ -42,7 +47,7 @@
     }
 }
 
-/// Returns another node that reaches the runner now; answers in flight at the same runner share the question.
+/// Returns another node that reaches the runner while this one does not; answers in flight at the same runner share the question.
 async fn find_witness(context: &RelayContext, cell: &RunnerCell) -> Option<SocketAddr> {
     let mut last = cell.last_witness.lock().await;
     if let Some((at, witness)) = *last
@@ -50,7 +55,11 @@
     {
         return witness;
     }
-    let witness = ask_nodes(context, cell).await;
+    let mut witness = ask_nodes(context, cell).await;
+    // After a silence of all runners, the other node may only have noticed their return first.
+    if witness.is_some() && probe_runner(context, cell).await {
+        witness = None;
+    }
     *last = Some((clock::now(), witness));
     witness
 }
