Take a refusal that names no request for none of a later one on its connection

Callers were told 'not run, try again' (REFUSED) for requests that a runner ran, or such a request ran at a second runner (TWICE): a faulty runner wrote an earlier refusal once more on a kept connection, and the node read the copy as the answer to the next request.

Cause: a refusal may omit the identifier of its request, and then only its place on the connection said to which request it belongs. That place proves nothing once the connection carried an answer before. An identifier does; an answer with another one already counted as 'may have run'.

Change: a connection counts its answers. A refusal without an identifier that is not the first answer of its connection is dropped as an answer to another request: the request may have run, the connection is closed, and nothing that the copy states (pause, load, limit, leaving) is taken over. A node that passes requests on for a cut-off node judges by its own connection, says 'may have run', and keeps no connection after a refusal, as the direct way does; a node cannot see the other node's connection, so there only an identifier binds. Event 660 tells such answers apart.

--- a/crates/mustardgate-relay/src/client/connection.rs
+++ b/crates/mustardgate-relay/src/client/connection.rs
@@ -73,6 +73,8 @@
 #[derive(Debug)]
 pub struct RunnerConnection {
     sender: http1::SendRequest<Full<Bytes>>,
+    /// Answers whose heads were received.
+    answer_count: u64,
     _driver: AbortOnDropHandle<()>,
 }
 
@@ -82,6 +84,11 @@
         self.sender.is_ready()
     }
 
+    /// Returns whether the last answer was the connection's first one, so that it cannot be a copy of an earlier one.
+    pub fn is_first_answer(&self) -> bool {
+        self.answer_count <= 1
+    }
+
     /// Sends a request and waits for the head of its answer.
     ///
     /// # Errors
@@ -92,7 +99,10 @@
         timeout: Duration,
     ) -> Result<Response<Incoming>, SendFailure> {
         match time::timeout(timeout, self.sender.try_send_request(request)).await {
-            Ok(Ok(answer)) => Ok(answer),
+            Ok(Ok(answer)) => {
+                self.answer_count += 1;
+                Ok(answer)
+            }
             // The library returns the request only if none of its bytes was written.
             Ok(Err(mut error)) => Err(match error.take_message() {
                 Some(_) => SendFailure::NotSent,
@@ -164,6 +174,7 @@
     });
     Ok(RunnerConnection {
         sender,
+        answer_count: 0,
         _driver: AbortOnDropHandle::new(driver),
     })
 }
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -16,11 +16,15 @@
     time::Instant,
 };
 
-use mustardgate::drain::DrainController;
+use hyper::StatusCode;
+use metrics::counter;
+use mustardgate::{drain::DrainController, events};
 use mustardgate_core::{
+    ids::{BackendId, RequestId},
     ports::TopicLog,
     relay::{AdmissionGate, BrittleStatement, LimitStatement, ListedRunner, RetryAdvisor},
 };
+use slog::o;
 
 pub use self::{
     brittle::{BrittleGuard, PlaceMap},
@@ -129,4 +133,16 @@
             self.brittle.observe(listed, metadata.brittle, sent_at);
         }
     }
+
+    /// Records an answer that nothing binds to the request after which it arrived.
+    pub fn record_dropped_answer(&self, backend: &BackendId, request: &RequestId, status: StatusCode, is_named: bool) {
+        let reason = if is_named { "other_request" } else { "no_request" };
+        counter!("mustardgate_runner_answers_dropped_total", "reason" => reason).increment(1);
+        let values = o!(
+            "reason" => reason,
+            "status" => status.as_u16(),
+            "backend" => backend.to_string(),
+        );
+        self.log.write(events::RELAY_ANSWER_DROPPED, request, values);
+    }
 }
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -166,6 +166,7 @@
         let OpenPath {
             connection,
             answer,
+            is_first_answer,
             pool,
             helper,
         } = match self.send(cell, resume_after).await {
@@ -174,6 +175,7 @@
         };
         let (head, body) = answer.into_parts();
         let metadata = self.context.ports.dialect.read_answer(&head, &self.request.id);
+        let metadata = metadata.bound_by(is_first_answer);
         if let Some(load) = metadata.load {
             cell.report_load(clock::now(), load);
         }
@@ -253,6 +255,8 @@
             AnswerKind::Outcome => {}
             AnswerKind::OtherRequest => {
                 ticket.set_outcome(AttemptOutcome::Failed);
+                self.context
+                    .record_dropped_answer(&backend, &self.request.id, head.status, metadata.is_named);
                 return Err(AttemptError::at_runner(
                     &backend,
                     RunVerdict::MayHaveRun,
--- a/crates/mustardgate-relay/src/gateway/path.rs
+++ b/crates/mustardgate-relay/src/gateway/path.rs
@@ -25,6 +25,8 @@
 pub(super) struct OpenPath {
     pub(super) connection: RunnerConnection,
     pub(super) answer: Response<Incoming>,
+    /// Whether it is the first answer of the runner's connection; not known of another node's.
+    pub(super) is_first_answer: bool,
     /// Where the connection belongs after the answer.
     pub(super) pool: Arc<ConnectionPool>,
     /// The other node that passes the request on, if one does.
@@ -83,6 +85,7 @@
         let answer = answer?;
         link.record_contact(taken.is_new);
         Ok(OpenPath {
+            is_first_answer: taken.connection.is_first_answer(),
             connection: taken.connection,
             answer,
             pool: Arc::clone(&cell.pool),
@@ -155,6 +158,7 @@
                 Ok(OpenPath {
                     connection: taken.connection,
                     answer,
+                    is_first_answer: false,
                     pool: Arc::clone(&node.pool),
                     helper: Some(helper),
                 })
--- a/crates/mustardgate-relay/src/link/forward.rs
+++ b/crates/mustardgate-relay/src/link/forward.rs
@@ -125,12 +125,19 @@
     context.link.record_contact(false);
     let (head, body) = answer.into_parts();
     let metadata = context.ports.dialect.read_answer(&head, &forwarded.request);
+    let metadata = metadata.bound_by(connection.is_first_answer());
     record_answer(context, &cell, &metadata, sent_at);
+    if metadata.kind == AnswerKind::OtherRequest {
+        context.record_dropped_answer(&forwarded.backend, &forwarded.request, head.status, metadata.is_named);
+        // The connection is closed, which ends the runner's work: its own answer would be read for the next request.
+        return Err(ForwardVerdict::Broken { is_timeout: false });
+    }
     let answer = ForwardedAnswer {
         context: Arc::clone(context),
         cell,
         connection: Some(connection),
-        is_kept: !closes_connection(&head.headers),
+        // After a refusal the runner may write more; the first node closes its connection then as well.
+        is_kept: metadata.kind == AnswerKind::Outcome && !closes_connection(&head.headers),
         keep_alive: keep_alive_timeout(&head.headers),
         body,
         _slot: slot,
--- a/crates/mustardgate-relay/src/ports/mod.rs
+++ b/crates/mustardgate-relay/src/ports/mod.rs
@@ -80,7 +80,7 @@
     NotRun,
     /// Another runner than the addressed one answered, or the runner lacks the model; the request did not run.
     Misdirected,
-    /// It names another request, or none.
+    /// It names another request, or nothing binds it to this one.
     #[default]
     OtherRequest,
 }
@@ -90,6 +90,8 @@
 pub struct AnswerMetadata {
     /// Whether the answer belongs to the request, and whether the request ran.
     pub kind: AnswerKind,
+    /// Whether the answer names a request; a refusal need not.
+    pub is_named: bool,
     /// Whether the answer carries the seal that proves it is the runner's own.
     pub is_sealed: bool,
     /// Runner that answered, if stated.
@@ -109,6 +111,16 @@
 }
 
 impl AnswerMetadata {
+    /// Takes an answer that names no request for one of another request, unless it is the first of its connection:
+    /// later on it may be an earlier refusal that the runner wrote once more, and what it says may be outdated.
+    #[must_use]
+    pub fn bound_by(self, is_first_answer: bool) -> Self {
+        if self.is_named || is_first_answer {
+            return self;
+        }
+        Self::default()
+    }
+
     /// Returns whether the answer is of this runner. Another one may answer at its address; it does not run the request
     /// and need not name itself.
     pub fn is_from(&self, runner: &BackendId) -> bool {
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -129,6 +129,8 @@
 pub const RELAY_LINK_RESTORED: EventKind = event(633, Level::Info, "link to runners restored");
 /// The runners of a service fall over when they turn too many requests away, or do so no more.
 pub const RELAY_SERVICE_BRITTLE: EventKind = event(634, Level::Info, "service brittle");
+/// An answer of a runner was dropped and its connection closed, because nothing binds it to the request before it.
+pub const RELAY_ANSWER_DROPPED: EventKind = event(660, Level::Warning, "stray runner answer dropped");
 /// A lease record was refused or could not be appended, read or decoded, so the lease is uncertain.
 pub const RELAY_LEASE_UNCERTAIN: EventKind = event(620, Level::Warning, "lease uncertain");
 /// An order was sent to a runner; with its reply.
@@ -204,6 +206,7 @@
     RELAY_LINK_CUT,
     RELAY_LINK_RESTORED,
     RELAY_SERVICE_BRITTLE,
+    RELAY_ANSWER_DROPPED,
 ];
 
 impl EventKind {
