Look at a kept connection before each use

A request could be sent on a connection on which bytes had already arrived: an earlier refusal written again, or the end of the connection. The runtime knows of bytes only once it has polled the operating system, so the client library found the connection ready, sent the request, and read the bytes as its answer.

Change: the pool peeks at the socket when it takes a connection out. A connection with unread bytes, or one that has ended, is closed, and the request goes over another one. The socket still closes when the connection's task ends.

--- a/crates/mustardgate-relay/src/client/connection.rs
+++ b/crates/mustardgate-relay/src/client/connection.rs
@@ -19,6 +19,8 @@
 };
 use tokio_util::task::AbortOnDropHandle;
 
+use super::socket::{SocketWatch, WatchedSocket};
+
 /// Time after which unacknowledged data closes a connection, because no reset arrives during a network partition.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2_500);
 /// Idle time before the first keep-alive probe, and between probes.
@@ -75,13 +77,15 @@
     sender: http1::SendRequest<Full<Bytes>>,
     /// Answers whose heads were received.
     answer_count: u64,
+    watch: SocketWatch,
     _driver: AbortOnDropHandle<()>,
 }
 
 impl RunnerConnection {
-    /// Returns whether a request can be sent on the connection now.
+    /// Returns whether a request can be sent on the connection now. Bytes that arrived since the last answer would be read
+    /// as the next one.
     pub fn is_ready(&self) -> bool {
-        self.sender.is_ready()
+        self.sender.is_ready() && self.watch.is_silent()
     }
 
     /// Returns whether the last answer was the connection's first one, so that it cannot be a copy of an earlier one.
@@ -163,11 +167,14 @@
         tune_socket(&stream);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
-        let handshake = builder.handshake(TokioIo::new(stream)).await;
-        handshake.map_err(|_error| ProbeFailure::Other)
+        let socket = WatchedSocket::new(stream);
+        let watch = socket.watch();
+        let handshake = builder.handshake(TokioIo::new(socket)).await;
+        let (sender, connection) = handshake.map_err(|_error| ProbeFailure::Other)?;
+        Ok((sender, connection, watch))
     };
     let connected = time::timeout(timeout, connecting).await;
-    let (sender, connection) = connected.unwrap_or(Err(ProbeFailure::Other))?;
+    let (sender, connection, watch) = connected.unwrap_or(Err(ProbeFailure::Other))?;
     let driver = tokio::spawn(async move {
         // The caller that waits for an answer on the connection receives its error.
         drop(connection.await);
@@ -175,6 +182,7 @@
     Ok(RunnerConnection {
         sender,
         answer_count: 0,
+        watch,
         _driver: AbortOnDropHandle::new(driver),
     })
 }
--- a/crates/mustardgate-relay/src/client/mod.rs
+++ b/crates/mustardgate-relay/src/client/mod.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 mod pool;
+mod socket;
 
 pub use self::{
     connection::{RunnerConnection, SendFailure, connect_runner, tune_socket},
