--- a/crates/mustardgate/src/http/client.rs
+++ b/crates/mustardgate/src/http/client.rs
@@ -102,12 +102,7 @@
     /// Creates a client that opens a connection for each call: the server may close a reused connection while a request
     /// is in transit, and then it is unknown whether the request ran.
     pub fn unpooled(connect_timeout: Duration) -> Self {
-        Self::unpooled_from(connect_timeout, None)
-    }
-
-    /// Creates a client like [`HttpClient::unpooled`] that connects from an address of this machine, if one is given.
-    pub fn unpooled_from(connect_timeout: Duration, source: Option<IpAddr>) -> Self {
-        Self::build(connect_timeout, 0, source)
+        Self::build(connect_timeout, 0, None)
     }
 
     fn build(connect_timeout: Duration, max_idle: usize, source: Option<IpAddr>) -> Self {
