--- a/crates/mustardgate-relay/src/client/socket.rs
+++ b/crates/mustardgate-relay/src/client/socket.rs
@@ -57,34 +57,34 @@
 }
 
 impl AsyncRead for WatchedSocket {
-    fn poll_read(self: Pin<&mut Self>, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *lock(&self.reader)).poll_read(context, buffer)
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *lock(&self.reader)).poll_read(cx, buf)
     }
 }
 
 impl AsyncWrite for WatchedSocket {
-    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.writer).poll_write(context, bytes)
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.writer).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[IoSlice<'_>],
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.writer).poll_write_vectored(context, buffers)
+        Pin::new(&mut self.writer).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
         self.writer.is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.writer).poll_flush(context)
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.writer).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.writer).poll_shutdown(context)
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.writer).poll_shutdown(cx)
     }
 }
 
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -43,7 +43,7 @@
     leader::SharedLeadership,
     link::HelperBook,
     peers::{FeedLimiter, PeerClient, PeerDirectory},
-    ports::{AnswerKind, AnswerMetadata, CallDialect, RecordDecoder, RunnerControl},
+    ports::{AnswerKind, AnswerMetadata, CallDialect, RecordDecoder, RequestName, RunnerControl},
     request_log::RequestLog,
     settings::RelaySettings,
 };
@@ -135,8 +135,17 @@
     }
 
     /// Records an answer that nothing binds to the request after which it arrived.
-    pub fn record_dropped_answer(&self, backend: &BackendId, request: &RequestId, status: StatusCode, is_named: bool) {
-        let reason = if is_named { "other_request" } else { "no_request" };
+    pub fn record_dropped_answer(
+        &self,
+        backend: &BackendId,
+        request: &RequestId,
+        status: StatusCode,
+        name: RequestName,
+    ) {
+        let reason = match name {
+            RequestName::Present => "other_request",
+            RequestName::Absent => "no_request",
+        };
         counter!("mustardgate_runner_answers_dropped_total", "reason" => reason).increment(1);
         let values = o!(
             "reason" => reason,
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -256,7 +256,7 @@
             AnswerKind::OtherRequest => {
                 ticket.set_outcome(AttemptOutcome::Failed);
                 self.context
-                    .record_dropped_answer(&backend, &self.request.id, head.status, metadata.is_named);
+                    .record_dropped_answer(&backend, &self.request.id, head.status, metadata.name);
                 return Err(AttemptError::at_runner(
                     &backend,
                     RunVerdict::MayHaveRun,
--- a/crates/mustardgate-relay/src/link/forward.rs
+++ b/crates/mustardgate-relay/src/link/forward.rs
@@ -128,7 +128,7 @@
     let metadata = metadata.bound_by(connection.is_first_answer());
     record_answer(context, &cell, &metadata, sent_at);
     if metadata.kind == AnswerKind::OtherRequest {
-        context.record_dropped_answer(&forwarded.backend, &forwarded.request, head.status, metadata.is_named);
+        context.record_dropped_answer(&forwarded.backend, &forwarded.request, head.status, metadata.name);
         // The connection is closed, which ends the runner's work: its own answer would be read for the next request.
         return Err(ForwardVerdict::Broken { is_timeout: false });
     }
--- a/crates/mustardgate-relay/src/ports/mod.rs
+++ b/crates/mustardgate-relay/src/ports/mod.rs
@@ -85,13 +85,23 @@
     OtherRequest,
 }
 
+/// Whether an answer names the request that it belongs to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RequestName {
+    /// It names a request.
+    Present,
+    /// It names none.
+    #[default]
+    Absent,
+}
+
 /// Metadata in the head of a runner's answer.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerMetadata {
     /// Whether the answer belongs to the request, and whether the request ran.
     pub kind: AnswerKind,
     /// Whether the answer names a request; a refusal need not.
-    pub is_named: bool,
+    pub name: RequestName,
     /// Whether the answer carries the seal that proves it is the runner's own.
     pub is_sealed: bool,
     /// Runner that answered, if stated.
@@ -115,7 +125,7 @@
     /// later on it may be an earlier refusal that the runner wrote once more, and what it says may be outdated.
     #[must_use]
     pub fn bound_by(self, is_first_answer: bool) -> Self {
-        if self.is_named || is_first_answer {
+        if self.name == RequestName::Present || is_first_answer {
             return self;
         }
         Self::default()
