--- a/crates/mustardgate-relay/src/client/connection.rs
+++ b/crates/mustardgate-relay/src/client/connection.rs
@@ -19,6 +19,8 @@
 };
 use tokio_util::task::AbortOnDropHandle;
 
+use super::socket::{SocketWatch, WatchedSocket};
+
 /// Time for which a sound peer may be silent and then go on.
 const LONGEST_SILENCE: Duration = Duration::from_secs(2);
 /// Idle time before the first keep-alive probe, and between probes.
@@ -78,13 +80,22 @@
 #[derive(Debug)]
 pub struct RunnerConnection {
     sender: http1::SendRequest<Full<Bytes>>,
+    /// Answers whose heads were received.
+    answer_count: u64,
+    watch: SocketWatch,
     _driver: AbortOnDropHandle<()>,
 }
 
 impl RunnerConnection {
-    /// Returns whether a request can be sent on the connection now.
+    /// Returns whether a request can be sent on the connection now. Bytes that arrived since the last answer would be read
+    /// as the next one.
     pub fn is_ready(&self) -> bool {
-        self.sender.is_ready()
+        self.sender.is_ready() && self.watch.is_silent()
+    }
+
+    /// Returns whether the last answer was the connection's first one, so that it cannot be a copy of an earlier one.
+    pub fn is_first_answer(&self) -> bool {
+        self.answer_count <= 1
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -97,7 +108,10 @@
         timeout: Duration,
     ) -> Result<Response<Incoming>, SendFailure> {
         match time::timeout(timeout, self.sender.try_send_request(request)).await {
-            Ok(Ok(answer)) => Ok(answer),
+            Ok(Ok(answer)) => {
+                self.answer_count += 1;
+                Ok(answer)
+            }
             // The library returns the request only if none of its bytes was written.
             Ok(Err(mut error)) => Err(match error.take_message() {
                 Some(_) => SendFailure::NotSent,
@@ -158,17 +172,22 @@
         tune_socket(&stream);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
-        let handshake = builder.handshake(TokioIo::new(stream)).await;
-        handshake.map_err(|_error| ProbeFailure::Other)
+        let socket = WatchedSocket::new(stream);
+        let watch = socket.watch();
+        let handshake = builder.handshake(TokioIo::new(socket)).await;
+        let (sender, connection) = handshake.map_err(|_error| ProbeFailure::Other)?;
+        Ok((sender, connection, watch))
     };
     let connected = time::timeout(timeout, connecting).await;
-    let (sender, connection) = connected.unwrap_or(Err(ProbeFailure::Other))?;
+    let (sender, connection, watch) = connected.unwrap_or(Err(ProbeFailure::Other))?;
     let driver = tokio::spawn(async move {
         // The caller that waits for an answer on the connection receives its error.
         drop(connection.await);
     });
     Ok(RunnerConnection {
         sender,
+        answer_count: 0,
+        watch,
         _driver: AbortOnDropHandle::new(driver),
     })
 }
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -167,6 +167,7 @@
         let OpenPath {
             connection,
             answer,
+            is_first_answer,
             pool,
             helper,
         } = match self.send(cell, resume).await {
@@ -175,6 +176,7 @@
         };
         let (head, body) = answer.into_parts();
         let metadata = self.context.ports.dialect.read_answer(&head, &self.request.id);
+        let metadata = metadata.bound_by(is_first_answer);
         if let Some(load) = metadata.load {
             cell.report_load(clock::now(), load);
         }
@@ -254,6 +256,8 @@
             AnswerKind::Outcome => {}
             AnswerKind::OtherRequest => {
                 ticket.set_outcome(AttemptOutcome::Failed);
+                self.context
+                    .record_dropped_answer(&backend, &self.request.id, head.status, metadata.name);
                 return Err(AttemptError::at_runner(
                     &backend,
                     RunVerdict::MayHaveRun,
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -133,6 +133,8 @@
 pub const RELAY_REQUEST_ABANDONED: EventKind = event(635, Level::Info, "request abandoned");
 /// An answer over a cut link is not awaited any longer, because another node reaches its runner.
 pub const RELAY_ANSWER_GIVEN_UP: EventKind = event(636, Level::Info, "answer over cut link given up");
+/// An answer of a runner was dropped and its connection closed, because nothing binds it to the request before it.
+pub const RELAY_ANSWER_DROPPED: EventKind = event(660, Level::Warning, "stray runner answer dropped");
 /// A lease record was refused or could not be appended, read or decoded, so the lease is uncertain.
 pub const RELAY_LEASE_UNCERTAIN: EventKind = event(620, Level::Warning, "lease uncertain");
 /// An order was sent to a runner; with its reply.
@@ -210,6 +212,7 @@
     RELAY_SERVICE_BRITTLE,
     RELAY_REQUEST_ABANDONED,
     RELAY_ANSWER_GIVEN_UP,
+    RELAY_ANSWER_DROPPED,
 ];
 
 impl EventKind {
