Add up a reported load without overflow

A runner whose answer states "Mustardgate-Server-Load: 4294967295,4294967295,1" makes the sum of running and waiting requests overflow. In builds with overflow checks that panics while the lock of the runner's state is held, so that every later request that looks at the runner panics too; in a release build the sum wraps and a full runner looks empty.

Change: the sum saturates.

--- a/crates/mustardgate-core/src/relay/load.rs
+++ b/crates/mustardgate-core/src/relay/load.rs
@@ -42,7 +42,7 @@
 
     /// Records a reported load, which includes this node's own requests.
     pub fn report(&mut self, now: Instant, load: ReportedLoad) {
-        let total = load.running + load.waiting;
+        let total = load.running.saturating_add(load.waiting);
         self.others = f64::from(total.saturating_sub(self.own));
         self.reported_at = Some(now);
     }
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -10,6 +10,7 @@
 mod inputs;
 mod limited_replicas;
 mod link;
+mod load;
 mod permits;
 mod placement;
 mod rate_limits;
