Deal places without a loop over the slots that entries state

Cause: while a service is brittle, places are dealt one by one, in as many rounds as the largest `slots` of its entries.

Change: rounds with the same runners are counted, not played: the runners of a node's turns repeat after at most as many turns as there are runners. Every node computes exactly the same places as before, which nodes of two builds rely on.

--- a/crates/mustardgate-core/src/relay/brittle.rs
+++ b/crates/mustardgate-core/src/relay/brittle.rs
@@ -117,19 +117,56 @@
         return places;
     };
     let usable = |slots: u32| slots.saturating_sub(1).max(1);
-    let most = runners.values().copied().map(usable).max().unwrap_or_default();
-    let dealt = (0..most).flat_map(|round| {
-        let left = runners.iter().filter(move |(_, slots)| round < usable(**slots));
-        left.map(|(id, _)| id)
-    });
-    for id in dealt.skip(own_index).step_by(nodes.len()) {
-        *places.get_mut(id).expect("it is one of the runners") += 1;
+    let levels: BTreeSet<u32> = runners.values().map(|slots| usable(*slots)).collect();
+    let mut turn = NodeTurn {
+        left: own_index as u64,
+        nodes: nodes.len() as u64,
+    };
+    let mut dealt_rounds = 0;
+    for level in levels {
+        let open = runners.iter().filter(|(_, slots)| usable(**slots) >= level);
+        let open: Vec<&BackendId> = open.map(|(id, _)| id).collect();
+        turn.deal(&mut places, &open, u64::from(level - dealt_rounds));
+        dealt_rounds = level;
     }
-    let total: u32 = places.values().sum();
-    if total == 0
-        && let Some(place) = places.values_mut().nth(own_index % runners.len().max(1))
-    {
+    let has_place = places.values().any(|places| *places > 0);
+    if !has_place && let Some(place) = places.values_mut().nth(own_index % runners.len().max(1)) {
         *place = 1;
     }
     places
 }
+
+/// The turns of one node while places are dealt.
+struct NodeTurn {
+    /// Places that are dealt to other nodes before the next one of this node.
+    left: u64,
+    nodes: u64,
+}
+
+impl NodeTurn {
+    /// Deals one place of each runner in each round. The number of rounds is stated by runners, so the work must not grow
+    /// with it: the runners of a node's turns repeat after as many turns as there are runners at most.
+    fn deal(&mut self, places: &mut BTreeMap<BackendId, u32>, runners: &[&BackendId], rounds: u64) {
+        let runner_count = runners.len() as u64;
+        let dealt = rounds * runner_count;
+        let turns = dealt.saturating_sub(self.left).div_ceil(self.nodes);
+        let cycle = runner_count / greatest_divisor(runner_count, self.nodes);
+        for turn in 0..cycle.min(turns) {
+            let runner = (self.left + turn * self.nodes) % runner_count;
+            let count = turns / cycle + u64::from(turn < turns % cycle);
+            *places
+                .get_mut(runners[runner as usize])
+                .expect("it is one of the runners") += count as u32;
+        }
+        self.left = self.left + turns * self.nodes - dealt;
+    }
+}
+
+/// Returns the greatest common divisor of two numbers.
+fn greatest_divisor(left: u64, right: u64) -> u64 {
+    if right == 0 {
+        left
+    } else {
+        greatest_divisor(right, left % right)
+    }
+}
--- a/crates/mustardgate-core/tests/relay/brittle.rs
+++ b/crates/mustardgate-core/tests/relay/brittle.rs
@@ -10,6 +10,10 @@
     ids::BackendId,
     relay::{BrittleLedger, BrittleStatement, deal_places},
 };
+use proptest::{
+    prelude::{ProptestConfig, prop_assert_eq, proptest},
+    test_runner::RngSeed,
+};
 
 const MESSAGE_TIME: Duration = Duration::from_millis(800);
 
@@ -55,6 +59,53 @@
     );
 }
 
+// Guards against a node that is busy for minutes with one entry whose slots are the largest number.
+#[test]
+fn an_entry_with_huge_slots_does_not_hold_up_the_dealing_of_places() {
+    let mut runners = runners(3, 6);
+    runners.insert("odd-1".into(), u32::MAX);
+    runners.insert("odd-2".into(), u32::MAX);
+    runners.insert("odd-3".into(), 0);
+    for node_count in [1, 2, 7] {
+        let nodes = nodes(node_count);
+        let dealt: Vec<_> = nodes.iter().map(|node| deal_places(&runners, &nodes, *node)).collect();
+        for (id, slots) in &runners {
+            let places: u64 = dealt.iter().map(|places| u64::from(places[id])).sum();
+            let most = u64::from(slots.saturating_sub(1).max(1));
+            assert_eq!(places, most, "{id} with {node_count} nodes");
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(29), ..ProptestConfig::default() })]
+
+    #[test]
+    fn places_are_dealt_one_by_one_in_turn(
+        slots in proptest::collection::vec(0_u32..70, 1..20),
+        node_count in 1_u8..30,
+        own in 0_u8..30,
+    ) {
+        let runners: BTreeMap<BackendId, u32> = slots
+            .iter()
+            .enumerate()
+            .map(|(number, slots)| (format!("engine-{number:02}").into(), *slots))
+            .collect();
+        let (nodes, own) = (nodes(node_count), own % node_count);
+        let mut expected: BTreeMap<BackendId, u32> = runners.keys().map(|id| (id.clone(), 0)).collect();
+        let usable = |slots: u32| slots.saturating_sub(1).max(1);
+        let places = (0..70).flat_map(|round| runners.iter().filter(move |(_, slots)| round < usable(**slots)));
+        for (id, _) in places.skip(usize::from(own)).step_by(usize::from(node_count)) {
+            *expected.get_mut(id).unwrap() += 1;
+        }
+        if expected.values().all(|places| *places == 0) {
+            *expected.values_mut().nth(usize::from(own) % runners.len()).unwrap() = 1;
+        }
+        let dealt = deal_places(&runners, &nodes, SocketAddr::from(([10, 0, 0, own], 80)));
+        prop_assert_eq!(dealt, expected);
+    }
+}
+
 #[test]
 fn a_service_is_brittle_until_a_later_answer_does_not_say_so() {
     let start = Instant::now();
