Let a runner's newest entry hold whatever an earlier one stated

Cause: an entry whose `born` lies before that of the known one was ignored, and so were the models of an entry with a lower `sequence`, because only a later process or a later order was thought to raise them. Another writer's entry under a live runner's id with a `born` or `sequence` that the runner never reaches shut the runner's own entries out until the entry was removed: requests went to an address where nobody listens, or the runner counted as one without models. The sets of leaving and gone processes kept the highest start time of each runner, with the same effect.

Change: records of the log apply in its order, whatever they state; a record that is older than the one known for its key (changes that a page of newest records showed already are read again) is passed over by its offset. Only a list restored from an older copy is still held against start times and counts. A runner's own reports count as newer than its entry, as before; that is now kept apart from what entries state. The sets hold each process by itself.

Weighed: a former process whose last write reaches the log after its successor's first entry is listed again until the successor's next heartbeat. It was passed over before; nothing in an entry tells the two cases apart.

--- a/crates/mustardgate-core/src/relay/catalogue.rs
+++ b/crates/mustardgate-core/src/relay/catalogue.rs
@@ -91,6 +91,8 @@
     runners: BTreeMap<BackendId, Arc<ListedRunner>>,
     /// Runners whose entries vanished around an outage, and when they are removed.
     unconfirmed: BTreeMap<BackendId, Instant>,
+    /// Orders that known runners have accepted by their own reports, where these were newer than their entries.
+    reported_counts: BTreeMap<BackendId, u64>,
     /// End of the grace period after the last recorded outage of the list.
     outage_until: Option<Instant>,
     /// Processes that announced their stop, which none of them takes back; kept beyond their entries.
@@ -108,6 +110,7 @@
             grace_period,
             runners: BTreeMap::new(),
             unconfirmed: BTreeMap::new(),
+            reported_counts: BTreeMap::new(),
             outage_until: None,
             leaving: ProcessSet::default(),
             gone: ProcessSet::default(),
@@ -143,6 +146,7 @@
         runner.models.clone_from(&observation.models);
         runner.cached_models.clone_from(&observation.cached_models);
         runner.order_count = Some(observation.order_count);
+        self.reported_counts.insert(runner.id.clone(), observation.order_count);
         if **known == runner {
             return None;
         }
@@ -164,26 +168,50 @@
         Some(CatalogueChange::Updated(Arc::clone(known)))
     }
 
-    /// Applies a new or changed entry.
-    pub fn put(&mut self, mut runner: ListedRunner) -> Option<CatalogueChange> {
-        self.unconfirmed.remove(&runner.id);
-        self.gone.remove(&runner.id);
-        if runner.state == RunnerState::Draining {
-            self.leaving.insert(&runner.id, runner.started_at_ms);
-        } else if self.leaving.contains(&runner.id, runner.started_at_ms) {
+    /// Applies a new or changed entry from a list that may be an older copy: what is known of a later process or after
+    /// more orders stays.
+    pub fn put(&mut self, runner: ListedRunner) -> Option<CatalogueChange> {
+        let known = self.runners.get(&runner.id);
+        if known.is_some_and(|known| known.started_at_ms > runner.started_at_ms) {
+            self.record_entry(&runner);
+            return None;
+        }
+        let newer_count = known
+            .filter(|known| known.started_at_ms == runner.started_at_ms)
+            .and_then(|known| known.order_count);
+        self.apply_entry(runner, newer_count)
+    }
+
+    /// Applies the newest entry of a runner, which holds whatever an earlier one stated.
+    ///
+    /// Anyone may write an entry under a runner's identity once, with a start time or a number of orders that the runner
+    /// never reaches. Only the runner's own reports count as newer than its entry.
+    pub fn put_newest(&mut self, runner: ListedRunner) -> Option<CatalogueChange> {
+        let known = self.runners.get(&runner.id);
+        if known.is_some_and(|known| known.started_at_ms != runner.started_at_ms) {
+            self.reported_counts.remove(&runner.id);
+        }
+        let newer_count = self.reported_counts.get(&runner.id).copied();
+        self.apply_entry(runner, newer_count)
+    }
+
+    /// Applies an entry; `newer_count` is the number of orders up to which the models are known better.
+    fn apply_entry(&mut self, mut runner: ListedRunner, newer_count: Option<u64>) -> Option<CatalogueChange> {
+        self.record_entry(&runner);
+        if self.leaving.contains(&runner.id, runner.started_at_ms) {
             runner.state = RunnerState::Draining;
         }
-        if let Some(known) = self.runners.get(&runner.id)
-            && known.started_at_ms == runner.started_at_ms
-            && known.order_count > runner.order_count
+        let known = self.runners.get(&runner.id);
+        if newer_count > runner.order_count
+            && let Some(known) = known
         {
-            // The runner's own report is newer than the entry.
             runner.models.clone_from(&known.models);
             runner.cached_models.clone_from(&known.cached_models);
-            runner.order_count = known.order_count;
+            runner.order_count = newer_count;
+        } else {
+            self.reported_counts.remove(&runner.id);
         }
-        let known = self.runners.get(&runner.id);
-        if known.is_some_and(|known| known.started_at_ms > runner.started_at_ms || **known == runner) {
+        if known.is_some_and(|known| **known == runner) {
             return None;
         }
         let is_same_start = known.is_some_and(|known| known.started_at_ms == runner.started_at_ms);
@@ -196,6 +224,15 @@
         })
     }
 
+    /// Records that a runner has an entry, and whether its process leaves.
+    fn record_entry(&mut self, runner: &ListedRunner) {
+        self.unconfirmed.remove(&runner.id);
+        self.gone.remove(&runner.id);
+        if runner.state == RunnerState::Draining {
+            self.leaving.insert(&runner.id, runner.started_at_ms);
+        }
+    }
+
     /// Applies the end of an entry.
     ///
     /// Around an outage of the list a ready runner is kept for the rest of the grace period, because its entry may have
@@ -213,6 +250,12 @@
 
     /// Applies the whole list; a runner missing from it is treated as removed.
     pub fn replace(&mut self, now: Instant, listed: Vec<ListedRunner>) -> Vec<CatalogueChange> {
+        let mut changes = self.remove_missing(now, &listed);
+        changes.extend(listed.into_iter().filter_map(|runner| self.put_newest(runner)));
+        changes
+    }
+
+    fn remove_missing(&mut self, now: Instant, listed: &[ListedRunner]) -> Vec<CatalogueChange> {
         let present: BTreeSet<BackendId> = listed.iter().map(|runner| runner.id.clone()).collect();
         let missing: Vec<BackendId> = self
             .runners
@@ -220,9 +263,7 @@
             .filter(|id| !present.contains(*id))
             .cloned()
             .collect();
-        let removed = missing.iter().filter_map(|id| self.remove(now, id)).collect::<Vec<_>>();
-        let added = listed.into_iter().filter_map(|runner| self.put(runner));
-        removed.into_iter().chain(added).collect()
+        missing.iter().filter_map(|id| self.remove(now, id)).collect()
     }
 
     /// Applies the whole list after it was restored from an older copy.
@@ -232,8 +273,10 @@
     pub fn restore(&mut self, now: Instant, listed: Vec<ListedRunner>) -> Vec<CatalogueChange> {
         self.record_outage(now);
         let is_alive = |runner: &ListedRunner| !self.gone.contains(&runner.id, runner.started_at_ms);
-        let listed = listed.into_iter().filter(is_alive).collect();
-        self.replace(now, listed)
+        let listed: Vec<ListedRunner> = listed.into_iter().filter(is_alive).collect();
+        let mut changes = self.remove_missing(now, &listed);
+        changes.extend(listed.into_iter().filter_map(|runner| self.put(runner)));
+        changes
     }
 
     /// Removes the runners whose entries vanished around an outage and whose grace period is over.
@@ -254,6 +297,7 @@
 
     fn drop_runner(&mut self, id: &BackendId) -> Option<CatalogueChange> {
         self.unconfirmed.remove(id);
+        self.reported_counts.remove(id);
         let runner = self.runners.remove(id)?;
         self.gone.insert(id, runner.started_at_ms);
         if runner.started_at_ms == 0 {
--- a/crates/mustardgate-core/src/relay/processes.rs
+++ b/crates/mustardgate-core/src/relay/processes.rs
@@ -1,45 +1,46 @@
 //! Sets of runner processes.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
-use crate::ids::BackendId;
+use crate::ids::{BackendId, RunnerProcess};
 
 /// Largest number of processes in a set.
 const MAX_PROCESSES: usize = 4_096;
 
-/// A bounded set of runner processes, each identified by its runner and its start time; holds the newest process of
-/// each runner and drops the runners that were added first.
+/// A bounded set of runner processes, each identified by its runner and its start time; drops the processes that were
+/// added first.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ProcessSet {
-    started_at_ms: BTreeMap<BackendId, u64>,
-    order: VecDeque<BackendId>,
+    processes: BTreeSet<RunnerProcess>,
+    order: VecDeque<RunnerProcess>,
 }
 
 impl ProcessSet {
-    /// Adds a process unless a later one of the same runner is in the set.
+    /// Adds a process.
     pub(super) fn insert(&mut self, id: &BackendId, started_at_ms: u64) {
-        if let Some(known) = self.started_at_ms.get_mut(id) {
-            *known = started_at_ms.max(*known);
+        let process = (id.clone(), started_at_ms);
+        if !self.processes.insert(process.clone()) {
             return;
         }
-        self.started_at_ms.insert(id.clone(), started_at_ms);
-        self.order.push_back(id.clone());
+        self.order.push_back(process);
         if self.order.len() > MAX_PROCESSES
             && let Some(oldest) = self.order.pop_front()
         {
-            self.started_at_ms.remove(&oldest);
+            self.processes.remove(&oldest);
         }
     }
 
     /// Returns whether a process is in the set.
     pub(super) fn contains(&self, id: &BackendId, started_at_ms: u64) -> bool {
-        self.started_at_ms.get(id) == Some(&started_at_ms)
+        self.processes.contains(&(id.clone(), started_at_ms))
     }
 
-    /// Removes a runner's process.
+    /// Removes a runner's processes.
     pub(super) fn remove(&mut self, id: &BackendId) {
-        if self.started_at_ms.remove(id).is_some() {
-            self.order.retain(|known| known != id);
+        let known = self.processes.range((id.clone(), 0)..=(id.clone(), u64::MAX));
+        for process in known.cloned().collect::<Vec<_>>() {
+            self.processes.remove(&process);
+            self.order.retain(|known| *known != process);
         }
     }
 }
--- a/crates/mustardgate-core/tests/relay/catalogue.rs
+++ b/crates/mustardgate-core/tests/relay/catalogue.rs
@@ -189,3 +189,81 @@
     assert!(catalogue.expire(now + GRACE_PERIOD / 2).is_empty());
     assert_eq!(catalogue.expire(now + GRACE_PERIOD).len(), 2);
 }
+
+// Guards against an entry of another writer that shuts a live runner's own entries out for good.
+#[test]
+fn an_odd_entry_with_a_huge_start_time_does_not_shut_a_runner_out() {
+    for odd_start in [2, 1 << 53, u64::MAX] {
+        let now = Instant::now();
+        let mut catalogue = catalogue();
+        let odd = ListedRunner {
+            started_at_ms: odd_start,
+            address: "127.0.0.1:9".parse().unwrap(),
+            ..runner("one", RunnerState::Draining)
+        };
+        catalogue.put_newest(odd);
+        let change = catalogue.put_newest(runner("one", RunnerState::Ready));
+        assert!(matches!(change, Some(CatalogueChange::Added(_))), "{odd_start}");
+        assert_eq!(
+            **catalogue.get("one").unwrap(),
+            runner("one", RunnerState::Ready),
+            "{odd_start}"
+        );
+        assert!(catalogue.record_leaving(&"one".into(), 1).is_some());
+        catalogue.put_newest(runner("one", RunnerState::Ready));
+        assert_eq!(
+            catalogue.get("one").unwrap().state,
+            RunnerState::Draining,
+            "{odd_start}"
+        );
+        catalogue.replace(now, vec![runner("two", RunnerState::Ready)]);
+        assert!(catalogue.get("one").is_none());
+    }
+}
+
+#[test]
+fn an_odd_entry_with_a_huge_count_does_not_freeze_the_models_of_a_runner() {
+    for odd_count in [1, 1 << 53, u64::MAX] {
+        let mut catalogue = catalogue();
+        let odd = ListedRunner {
+            order_count: Some(odd_count),
+            ..runner("one", RunnerState::Ready)
+        };
+        catalogue.put_newest(odd);
+        let held = [("menu".into(), BTreeSet::new())];
+        let newest = ListedRunner {
+            models: held.into_iter().collect(),
+            ..runner("one", RunnerState::Ready)
+        };
+        catalogue.put_newest(newest.clone());
+        assert_eq!(**catalogue.get("one").unwrap(), newest, "{odd_count}");
+        assert!(
+            catalogue
+                .observe(Instant::now(), &observation(1, &["menu", "rare"]))
+                .is_some()
+        );
+        assert_eq!(catalogue.put_newest(newest), None, "the report is newer");
+    }
+}
+
+#[test]
+fn an_older_copy_of_the_list_does_not_undo_what_a_later_entry_stated() {
+    let now = Instant::now();
+    let mut catalogue = catalogue();
+    let held = [("menu".into(), BTreeSet::new())];
+    let later = ListedRunner {
+        order_count: Some(3),
+        models: held.into_iter().collect(),
+        ..runner("one", RunnerState::Ready)
+    };
+    let restarted = ListedRunner {
+        started_at_ms: 2,
+        ..runner("two", RunnerState::Ready)
+    };
+    catalogue.put_newest(later.clone());
+    catalogue.put_newest(restarted.clone());
+    let copy = vec![runner("one", RunnerState::Ready), runner("two", RunnerState::Ready)];
+    assert_eq!(catalogue.restore(now, copy), Vec::new());
+    assert_eq!(**catalogue.get("one").unwrap(), later);
+    assert_eq!(**catalogue.get("two").unwrap(), restarted);
+}
--- a/crates/mustardgate-relay/src/context/records.rs
+++ b/crates/mustardgate-relay/src/context/records.rs
@@ -37,17 +37,31 @@
 }
 
 impl RecordCache {
-    /// Stores a page that was read at `now`; `is_snapshot` says that it holds the newest record of every key.
-    pub fn store(&self, topic: LogTopic, page: &TopicPage, is_snapshot: bool, now: Instant) {
-        let Some(mut cache) = self.lock(topic) else { return };
+    /// Stores a page that was read at `now`; `is_snapshot` says that it holds the newest record of every key. Returns the
+    /// records that are not older than those known: changes that a snapshot showed already are read again after it.
+    pub fn store<'a>(
+        &self,
+        topic: LogTopic,
+        page: &'a TopicPage,
+        is_snapshot: bool,
+        now: Instant,
+    ) -> Vec<&'a TopicRecord> {
+        let Some(mut cache) = self.lock(topic) else {
+            return Vec::new();
+        };
         if is_snapshot {
             cache.records.clear();
             cache.complete_from = page.next;
             cache.next = page.next;
             cache.era = page.era;
         }
-        for record in &page.records {
-            cache.records.insert(record.key.clone(), record.clone());
+        let is_current = |record: &&TopicRecord| {
+            let known = cache.records.get(&record.key);
+            known.is_none_or(|known| known.offset <= record.offset)
+        };
+        let current: Vec<&TopicRecord> = page.records.iter().filter(is_current).collect();
+        for record in &current {
+            cache.records.insert(record.key.clone(), TopicRecord::clone(record));
         }
         cache.next = cache.next.max(page.next);
         cache.read_at = Some(now);
@@ -56,6 +70,7 @@
         if !page.records.is_empty() {
             self.changed.notify_waiters();
         }
+        current
     }
 
     /// Returns the newest record of every key.
--- a/crates/mustardgate-relay/src/fleet/runners.rs
+++ b/crates/mustardgate-relay/src/fleet/runners.rs
@@ -43,9 +43,9 @@
         }
     }
 
-    /// Adds or updates a runner from its entry.
+    /// Adds or updates a runner from its newest entry.
     pub fn put(&self, runner: ListedRunner) {
-        let change = self.lock().put(runner);
+        let change = self.lock().put_newest(runner);
         self.apply(change);
     }
 
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -118,17 +118,17 @@
     fn apply_page(&self, page: &TopicPage, extent: PageExtent) {
         let is_complete = extent != PageExtent::Changes;
         let now = self.context.leader.lease_time();
-        self.context.records.store(self.topic, page, is_complete, now);
+        let records = self.context.records.store(self.topic, page, is_complete, now);
         match self.topic {
             LogTopic::Configuration => {
-                for record in &page.records {
+                for record in records {
                     apply_configuration(&self.context, record);
                 }
             }
             LogTopic::Runners if extent == PageExtent::Restored => restore_runners(&self.context, &page.records),
             LogTopic::Runners if is_complete => replace_runners(&self.context, &page.records),
             LogTopic::Runners => {
-                for record in &page.records {
+                for record in records {
                     apply_runner(&self.context, record);
                 }
             }
