Bound the log lines about records in number and length

What callers saw: nothing; the log is what fills.

Cause: event 611 repeats what could not be decoded at its full length (an unknown state or address, or text where a number is due, of up to a whole record), for every record; another writer's heartbeat makes that a megabyte each. Events 612, 613 and 617 list all models of an entry.

Change: reasons of at most 200 characters; at most 20 lines of event 611 in 10 s, each of which says how many records got none; names of at most 64 characters and lists of 64.

--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -40,7 +40,7 @@
     link::HelperBook,
     peers::{FeedLimiter, PeerClient, PeerDirectory},
     ports::{AnswerKind, AnswerMetadata, CallDialect, RecordDecoder, RunnerControl},
-    request_log::RequestLog,
+    request_log::{RefusalLog, RequestLog},
     settings::RelaySettings,
 };
 
@@ -72,6 +72,8 @@
     pub fleet: RunnerFleet,
     /// The newest records read from the log, for neighbours that read them here or start while the log is unavailable.
     pub records: RecordCache,
+    /// Limit on the log lines about records that cannot be used.
+    pub refusals: RefusalLog,
     /// What the leader observed of runners while their entries could not be read.
     pub observations: ObservationBuffer,
     /// Retry budget shares by service.
--- a/crates/mustardgate-relay/src/fleet/runners.rs
+++ b/crates/mustardgate-relay/src/fleet/runners.rs
@@ -15,7 +15,10 @@
 use slog::{Logger, o};
 
 use super::RunnerCell;
-use crate::client::PoolSettings;
+use crate::{
+    client::PoolSettings,
+    request_log::{list_names, shorten},
+};
 
 /// Time for which runners whose entries vanished around an outage of the list are kept after the outage; a live runner
 /// renews its entry within that time.
@@ -55,6 +58,12 @@
         self.apply(change);
     }
 
+    /// Stops using a runner whose entry cannot be used.
+    pub fn refuse(&self, id: &BackendId) {
+        let change = self.lock().refuse(id);
+        self.apply(change);
+    }
+
     /// Replaces all entries with the complete list.
     pub fn replace(&self, listed: Vec<ListedRunner>) {
         let changes = self.lock().replace(clock::now(), listed);
@@ -183,15 +192,13 @@
 }
 
 fn describe(runner: &ListedRunner) -> slog::OwnedKV<impl slog::SendSyncRefUnwindSafeKV + use<>> {
-    let models: Vec<&str> = runner.models.keys().map(AsRef::as_ref).collect();
-    let copies: Vec<&str> = runner.cached_models.iter().map(AsRef::as_ref).collect();
     o!(
-        "copies" => copies.join(","),
-        "models" => models.join(","),
+        "copies" => list_names(runner.cached_models.iter()),
+        "models" => list_names(runner.models.keys()),
         "is_draining" => runner.state == RunnerState::Draining,
         "address" => runner.address.to_string(),
-        "service" => runner.service.to_string(),
-        "version" => runner.version.to_string(),
-        "backend" => runner.id.to_string(),
+        "service" => shorten(&runner.service),
+        "version" => shorten(&runner.version.to_string()),
+        "backend" => shorten(&runner.id),
     )
 }
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -241,8 +241,16 @@
 
 fn report_refused_record(context: &RelayContext, record: &TopicRecord, error: &crate::ports::DecodeError) {
     counter!("mustardgate_records_refused_total").increment(1);
+    let Some(unlogged) = context.refusals.admit(clock::now()) else {
+        return;
+    };
     events::RELAY_RECORD_REFUSED.write(
         context.log.logger(),
-        o!("reason" => error.to_string(), "offset" => record.offset, "key" => record.key.to_string()),
+        o!(
+            "unlogged" => unlogged,
+            "reason" => error.to_string(),
+            "offset" => record.offset,
+            "key" => record.key.to_string(),
+        ),
     );
 }
--- a/crates/mustardgate-relay/src/leader/watch.rs
+++ b/crates/mustardgate-relay/src/leader/watch.rs
@@ -12,7 +12,7 @@
 use slog::o;
 use tokio::time;
 
-use crate::context::RelayContext;
+use crate::{context::RelayContext, request_log::list_names};
 
 /// Time between two polls of the runners with pending orders.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -67,11 +67,10 @@
             return;
         }
         counter!("mustardgate_runner_observations_total").increment(1);
-        let models: Vec<&str> = observation.models.keys().map(AsRef::as_ref).collect();
         events::RELAY_RUNNER_OBSERVED.write(
             self.context.log.logger(),
             o!(
-                "models" => models.join(","),
+                "models" => list_names(observation.models.keys()),
                 "order_count" => observation.order_count,
                 "backend" => listed.id.to_string(),
             ),
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -20,7 +20,7 @@
     leader::{BootClock, SharedLeadership},
     link::HelperBook,
     peers::{FeedLimiter, NeighbourLog, PeerClient, PeerDirectory},
-    request_log::RequestLog,
+    request_log::{RefusalLog, RequestLog},
     settings::RelaySettings,
 };
 
@@ -79,6 +79,7 @@
         routes: RouteHolder::default(),
         fleet: RunnerFleet::new(settings.node.domain.clone(), pool, logger),
         records: RecordCache::default(),
+        refusals: RefusalLog::default(),
         observations: ObservationBuffer::default(),
         budgets: ServiceBudgets::new(&settings.bounds),
         streams: StreamGuard::new(settings.node.first_start),
--- a/crates/mustardgate-relay/src/ports/mod.rs
+++ b/crates/mustardgate-relay/src/ports/mod.rs
@@ -30,12 +30,15 @@
     pub reason: String,
 }
 
+/// Longest reason that is kept, in characters; what could not be decoded may be repeated in it at its full length.
+const MAX_REASON_CHARS: usize = 200;
+
 impl DecodeError {
     /// Creates an error about one field.
     pub fn new(field: &str, reason: impl Into<String>) -> Self {
         Self {
             field: field.into(),
-            reason: reason.into(),
+            reason: reason.into().chars().take(MAX_REASON_CHARS).collect(),
         }
     }
 }
--- a/crates/mustardgate-relay/src/request_log/mod.rs
+++ b/crates/mustardgate-relay/src/request_log/mod.rs
@@ -1,4 +1,6 @@
-//! Log lines about requests, limited to a rate that does not depend on the load.
+//! Log lines about requests, limited to a rate that does not depend on the load, and about records of other writers.
+
+mod records;
 
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
@@ -11,6 +13,8 @@
 use mustardgate_core::{clock, ids::RequestId};
 use slog::{KV, Logger, OwnedKV, SendSyncRefUnwindSafeKV, o};
 
+pub use self::records::RefusalLog;
+pub(crate) use self::records::{list_names, shorten};
 use crate::settings::LogLineSettings;
 
 /// Window of the rate limit; the number of lines dropped in it is logged after its end.
