Refuse entries that no runner can mean, and stop using their runners at once

Cause: everything that had the right types was taken for a runner. An address that is 0.0.0.0, a multicast or broadcast address, port 0, the log's or the node's own was sent requests; at the node's own address the node answers itself, each time with one more connection. And a known runner whose entry turned odd went on being used for the rest of the grace time after an outage of the list, as if its entry had only expired.

A refused entry ends the use of its runner at once; it comes back with its own next entry.

--- a/crates/mustardgate-core/src/relay/catalogue.rs
+++ b/crates/mustardgate-core/src/relay/catalogue.rs
@@ -248,6 +248,11 @@
         self.drop_runner(id)
     }
 
+    /// Applies an entry that cannot be used: unlike one that vanished, it ends the use of its runner at once.
+    pub fn refuse(&mut self, id: &BackendId) -> Option<CatalogueChange> {
+        self.drop_runner(id)
+    }
+
     /// Applies the whole list; a runner missing from it is treated as removed.
     pub fn replace(&mut self, now: Instant, listed: Vec<ListedRunner>) -> Vec<CatalogueChange> {
         let mut changes = self.remove_missing(now, &listed);
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -13,12 +13,13 @@
 use mustardgate_core::{
     clock,
     ports::{LogEra, LogTopic, TopicError, TopicPage, TopicPosition, TopicRecord},
+    relay::ListedRunner,
 };
 use rand::Rng;
 use slog::o;
 use tokio::time;
 
-use crate::context::RelayContext;
+use crate::{context::RelayContext, ports::DecodeError};
 
 /// Fraction of the shortest bound on taking up a change for which a read waits for records. The log may not wake a read
 /// that arrives while a change is being written, so the read after it must still be in time.
@@ -208,38 +209,57 @@
     }
 }
 
-/// Applies a record of the runners' topic; a deleted or unreadable entry removes its runner.
+/// Applies a record of the runners' topic; a deleted entry removes its runner.
 pub(crate) fn apply_runner(context: &RelayContext, record: &TopicRecord) {
-    match decode_runner(context, record) {
-        Some(runner) => context.fleet.put(runner),
-        None => context.fleet.remove(&record.key),
+    let Some(value) = &record.value else {
+        return context.fleet.remove(&record.key);
+    };
+    if let Some(runner) = decode_runner(context, record, value) {
+        context.fleet.put(runner);
     }
 }
 
 /// Replaces all runners with the newest records of the runners' topic, which contain every existing runner.
 pub(crate) fn replace_runners(context: &RelayContext, records: &[TopicRecord]) {
-    let listed = records.iter().filter_map(|record| decode_runner(context, record));
-    context.fleet.replace(listed.collect());
+    context.fleet.replace(decode_runners(context, records));
 }
 
 /// Applies the newest records of the runners' topic after the log was restored from an older copy.
 fn restore_runners(context: &RelayContext, records: &[TopicRecord]) {
-    let listed = records.iter().filter_map(|record| decode_runner(context, record));
-    context.fleet.restore(listed.collect());
+    context.fleet.restore(decode_runners(context, records));
+}
+
+fn decode_runners(context: &RelayContext, records: &[TopicRecord]) -> Vec<ListedRunner> {
+    let decoded = records.iter().filter_map(|record| {
+        let value = record.value.as_ref()?;
+        decode_runner(context, record, value)
+    });
+    decoded.collect()
 }
 
-fn decode_runner(context: &RelayContext, record: &TopicRecord) -> Option<mustardgate_core::relay::ListedRunner> {
-    let value = record.value.as_ref()?;
-    match context.ports.decoder.decode_runner(&record.key, value) {
+/// Decodes an entry; a runner whose entry cannot be used is not used either.
+fn decode_runner(context: &RelayContext, record: &TopicRecord, value: &[u8]) -> Option<ListedRunner> {
+    let decoded = context.ports.decoder.decode_runner(&record.key, value);
+    let usable = decoded.and_then(|runner| {
+        if context.settings.is_own_address(runner.address) {
+            return Err(DecodeError::new(
+                &record.key,
+                format!("no runner is at {}", runner.address),
+            ));
+        }
+        Ok(runner)
+    });
+    match usable {
         Ok(runner) => Some(runner),
         Err(error) => {
+            context.fleet.refuse(&record.key);
             report_refused_record(context, record, &error);
             None
         }
     }
 }
 
-fn report_refused_record(context: &RelayContext, record: &TopicRecord, error: &crate::ports::DecodeError) {
+fn report_refused_record(context: &RelayContext, record: &TopicRecord, error: &DecodeError) {
     counter!("mustardgate_records_refused_total").increment(1);
     let Some(unlogged) = context.refusals.admit(clock::now()) else {
         return;
--- a/crates/mustardgate-relay/src/settings/mod.rs
+++ b/crates/mustardgate-relay/src/settings/mod.rs
@@ -221,6 +221,21 @@
         Ok(settings)
     }
 
+    /// Returns whether this node itself or the log listens at an address, so that no runner does.
+    pub fn is_own_address(&self, address: SocketAddr) -> bool {
+        let listen = &self.listen;
+        let is_own_host = |ip: IpAddr| {
+            ip.is_loopback() || listen.peers.is_some_and(|own| own.ip() == ip) || self.node.source_ip == Some(ip)
+        };
+        let is_covered = |listener: SocketAddr| {
+            let is_same_host =
+                listener.ip() == address.ip() || (listener.ip().is_unspecified() && is_own_host(address.ip()));
+            listener.port() == address.port() && is_same_host
+        };
+        let listeners = [Some(listen.callers), Some(listen.readiness), listen.peers];
+        self.log.address == address || listeners.into_iter().flatten().any(is_covered)
+    }
+
     fn check(&self) -> Result<(), RelaySettingsError> {
         let reject = |field, reason: &str| {
             Err(RelaySettingsError::OutOfRange {
