--- a/crates/mustardgate-core/src/relay/config.rs
+++ b/crates/mustardgate-core/src/relay/config.rs
@@ -61,13 +61,14 @@
 impl RelayRoute {
     /// Returns the service for a random number from 0 up to the sum of the weights.
     pub fn service_for(&self, draw: u32) -> &ServiceId {
-        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
-        let mut remaining = draw % total.max(1);
+        let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
+        let mut remaining = u64::from(draw) % total.max(1);
         for target in &self.targets {
-            if remaining < target.weight {
+            let weight = u64::from(target.weight);
+            if remaining < weight {
                 return &target.service;
             }
-            remaining -= target.weight;
+            remaining -= weight;
         }
         &self.targets[0].service
     }
