Ask only runners of named services whether the link is cut

Cause: a check of the link asks six runners of the whole list at random, those without a failure first. Where most entries are another writer's, of a service that no route leads to, nobody answers there; the node records its link to all runners as cut, closes all connections and leads no more.

Change: only runners of services that the configuration names are asked, which are those that requests go to.

Evidence: entries_of_services_that_are_not_named_do_not_make_the_link_look_cut (2,000 entries, two plain runners that lose answers) failed before ("link to runners cut") and holds now. With crashed runners in place of lost answers it did not fail before.

--- a/crates/mustardgate-relay/src/link/check.rs
+++ b/crates/mustardgate-relay/src/link/check.rs
@@ -96,6 +96,10 @@
     let excluded = excluded.map(|cell| cell.listed().id.clone());
     let mut cells = context.fleet.all();
     cells.retain(|cell| cell.is_in_service() && Some(&cell.listed().id) != excluded.as_ref());
+    // Runners of other services get no requests, and anyone may list some at which nobody listens.
+    if let Some(active) = context.routes.current() {
+        cells.retain(|cell| active.config.services.contains_key(&cell.listed().service));
+    }
     cells.shuffle(&mut rand::rng());
     cells.sort_by_key(|cell| failed.contains(&cell.listed().id));
     let own_domain = &context.settings.node.domain;
