Start a task again that panicked

Cause: the tasks of a node are started once and nobody looks at their end. One that panics, such as the follower of the configuration under the timeout of the commit before, is gone for the rest of the process; the node serves on with what it knew.

The tasks of the lease, of plans, of notices and of the settings file are left: a lease that is not renewed ends, and another node leads.

Evidence: a_task_that_panics_is_started_again (paused clock; the function is new, so there is no run before). No entry that was tried makes these tasks panic any more, so it is a second line of defence. A panic under a lock still makes every later user of that lock panic.

--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod reload;
 mod seeds;
 mod stop;
+mod supervision;
 
 use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
@@ -17,7 +18,7 @@
 use slog::o;
 use tokio::net::{TcpListener, UdpSocket};
 
-pub use self::build::build_context;
+pub use self::{build::build_context, supervision::keep_running};
 use self::{reload::ReloadTask, seeds::load_neighbour_records, stop::stop_node};
 use crate::{
     context::{PlatformPorts, RelayContext},
@@ -70,7 +71,9 @@
         callers.push(tokio::spawn(serve_callers(Arc::clone(context), listener)));
     }
     for topic in [LogTopic::Configuration, LogTopic::Runners] {
-        tokio::spawn(TopicFollower::new(Arc::clone(context), topic).run());
+        keep(context, "follow", move |context| {
+            TopicFollower::new(context, topic).run()
+        });
     }
     if let Some(address) = listen.peers {
         // A planned stop waits for it as well, because it passes on requests of other nodes.
@@ -81,20 +84,34 @@
         )));
         tokio::spawn(LeaseTask::new(Arc::clone(context), address).run());
         tokio::spawn(PlanTask::new(Arc::clone(context)).run());
-        tokio::spawn(WatchTask::new(Arc::clone(context)).run());
-        tokio::spawn(DigestTask::new(Arc::clone(context), address).run());
+        keep(context, "watch", |context| WatchTask::new(context).run());
+        keep(context, "digest", move |context| {
+            DigestTask::new(context, address).run()
+        });
         tokio::spawn(load_neighbour_records(Arc::clone(context)));
         let datagrams = bind_datagrams(address).await?;
         if let Some(task) = NoticeTask::new(Arc::clone(context), datagrams) {
             tokio::spawn(task.run());
         }
     }
-    tokio::spawn(LinkTask::new(Arc::clone(context)).run());
-    tokio::spawn(sweep(Arc::clone(context)));
+    keep(context, "link", |context| LinkTask::new(context).run());
+    keep(context, "sweep", sweep);
     tokio::spawn(ReloadTask::new(Arc::clone(context), path)?.run());
     Ok(NodeTasks { callers })
 }
 
+/// Keeps a task running that holds nothing which is needed after a panic.
+fn keep<T: Future<Output = ()> + Send + 'static>(
+    context: &Arc<RelayContext>,
+    name: &'static str,
+    start: impl Fn(Arc<RelayContext>) -> T + Send + 'static,
+) {
+    let logger = context.log.logger().clone();
+    let context = Arc::clone(context);
+    // The task ends with the runtime.
+    drop(keep_running(logger, name, move || start(Arc::clone(&context))));
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address)
         .await
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -141,6 +141,8 @@
 pub const RELAY_SETTINGS_CHANGED: EventKind = event(630, Level::Info, "settings file changed");
 /// The changed settings file has an error, so the old settings stay in force.
 pub const RELAY_SETTINGS_REFUSED: EventKind = event(631, Level::Warning, "settings file refused");
+/// A task of the node panicked and is started again.
+pub const RELAY_TASK_PANICKED: EventKind = event(650, Level::Error, "task panicked");
 
 /// Every event, ordered by number.
 pub const ALL: &[EventKind] = &[
@@ -204,6 +206,7 @@
     RELAY_LINK_CUT,
     RELAY_LINK_RESTORED,
     RELAY_SERVICE_BRITTLE,
+    RELAY_TASK_PANICKED,
 ];
 
 impl EventKind {
