Add up the age of another node's list without overflow

Cause: the time for which a message was under way is added to the age of its list of versions. An age of the largest number, from a node of another build or of another writer, overflows it; the panic holds the lock of what all streams look at.

Change: the sum saturates.

Evidence: ages_of_the_largest_numbers_are_taken_over_without_a_panic failed before ("overflow when adding durations") and holds now; it also merges such ages, rates and notices into the ledgers of crashes, limits and brittle services, which held before.

--- a/crates/mustardgate-core/src/relay/versions.rs
+++ b/crates/mustardgate-core/src/relay/versions.rs
@@ -163,9 +163,9 @@
             *known = at.max(*known);
         }
         // The other node's knowledge has to reach up to the begin of this node's own.
-        let is_joined = self
-            .began_at
-            .is_some_and(|began_at| now.saturating_duration_since(began_at) >= digest.list_age + message_time);
+        let is_joined = self.began_at.is_some_and(|began_at| {
+            now.saturating_duration_since(began_at) >= digest.list_age.saturating_add(message_time)
+        });
         let Some(covers) = digest.covers.filter(|_| is_joined) else {
             return;
         };
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -11,6 +11,7 @@
 mod limited_replicas;
 mod link;
 mod load;
+mod odd_messages;
 mod permits;
 mod placement;
 mod rate_limits;
