--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -10,6 +10,8 @@
 mod inputs;
 mod limited_replicas;
 mod link;
+mod load;
+mod odd_messages;
 mod permits;
 mod placement;
 mod rate_limits;
