Believe an entry that states less than the known one only once it is repeated

Review of the odd entries: since the newest entry holds whatever an earlier one stated, a late entry of a runner's former process would have replaced the current one until its next heartbeat. Its version differs and its identity does not, so streams could have been recorded and taken up at the wrong version (ORDER), and a draining runner could have got requests (by reading, no run).

An entry with a lower start time, or with fewer orders than the entry before, holds once the runner has written it again; a late announcement of a stop holds at once. An entry without a start time after one with it ends the use of the runner, as other odd entries do. Only the listed process is taken out of those that are gone. The planning task is started again after a panic, too.

--- a/crates/mustardgate-core/src/relay/catalogue.rs
+++ b/crates/mustardgate-core/src/relay/catalogue.rs
@@ -1,6 +1,7 @@
 //! Runners as the platform lists them; a runner whose entry vanishes around an outage of the list is kept for a while.
 
 use std::{
+    cmp::Ordering,
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::Arc,
@@ -93,6 +94,8 @@
     unconfirmed: BTreeMap<BackendId, Instant>,
     /// Orders that known runners have accepted by their own reports, where these were newer than their entries.
     reported_counts: BTreeMap<BackendId, u64>,
+    /// Start time and number of orders in the last entry of a runner, if they were lower than known before.
+    unrepeated: BTreeMap<BackendId, (u64, Option<u64>)>,
     /// End of the grace period after the last recorded outage of the list.
     outage_until: Option<Instant>,
     /// Processes that announced their stop, which none of them takes back; kept beyond their entries.
@@ -111,6 +114,7 @@
             runners: BTreeMap::new(),
             unconfirmed: BTreeMap::new(),
             reported_counts: BTreeMap::new(),
+            unrepeated: BTreeMap::new(),
             outage_until: None,
             leaving: ProcessSet::default(),
             gone: ProcessSet::default(),
@@ -182,15 +186,42 @@
         self.apply_entry(runner, newer_count)
     }
 
-    /// Applies the newest entry of a runner, which holds whatever an earlier one stated.
+    /// Applies the newest entry of a runner, which in the end holds whatever an earlier one stated.
     ///
     /// Anyone may write an entry under a runner's identity once, with a start time or a number of orders that the runner
-    /// never reaches. Only the runner's own reports count as newer than its entry.
+    /// never reaches. An entry that states less than the known one may also be a late one, of the process before or from
+    /// before an order, so it holds only once the runner has repeated it. Only the runner's own reports count as newer than
+    /// its entry for good.
     pub fn put_newest(&mut self, runner: ListedRunner) -> Option<CatalogueChange> {
-        let known = self.runners.get(&runner.id);
-        if known.is_some_and(|known| known.started_at_ms != runner.started_at_ms) {
-            self.reported_counts.remove(&runner.id);
+        let Some(known) = self.runners.get(&runner.id) else {
+            return self.apply_entry(runner, None);
+        };
+        let (started_at_ms, order_count) = (known.started_at_ms, known.order_count);
+        if runner.started_at_ms == 0 && started_at_ms != 0 {
+            // An entry without a start time names no process, so the known one is no longer confirmed.
+            return self.drop_runner(&runner.id);
+        }
+        let reported_count = self.reported_counts.get(&runner.id).copied();
+        let is_repeated = |catalogue: &mut Self| {
+            let stated = (runner.started_at_ms, runner.order_count);
+            catalogue.unrepeated.insert(runner.id.clone(), stated) == Some(stated)
+        };
+        match runner.started_at_ms.cmp(&started_at_ms) {
+            // A late announcement of a stop costs a runner its work until its next entry; a missed one costs requests.
+            Ordering::Less if runner.state == RunnerState::Ready && !is_repeated(self) => {
+                self.unconfirmed.remove(&runner.id);
+                return None;
+            }
+            Ordering::Equal if reported_count.is_none() && runner.order_count < order_count => {
+                let known_count = order_count.filter(|_| !is_repeated(self));
+                return self.apply_entry(runner, known_count);
+            }
+            Ordering::Equal => {}
+            Ordering::Less | Ordering::Greater => {
+                self.reported_counts.remove(&runner.id);
+            }
         }
+        self.unrepeated.remove(&runner.id);
         let newer_count = self.reported_counts.get(&runner.id).copied();
         self.apply_entry(runner, newer_count)
     }
@@ -227,7 +258,7 @@
     /// Records that a runner has an entry, and whether its process leaves.
     fn record_entry(&mut self, runner: &ListedRunner) {
         self.unconfirmed.remove(&runner.id);
-        self.gone.remove(&runner.id);
+        self.gone.remove_process(&runner.id, runner.started_at_ms);
         if runner.state == RunnerState::Draining {
             self.leaving.insert(&runner.id, runner.started_at_ms);
         }
@@ -303,6 +334,7 @@
     fn drop_runner(&mut self, id: &BackendId) -> Option<CatalogueChange> {
         self.unconfirmed.remove(id);
         self.reported_counts.remove(id);
+        self.unrepeated.remove(id);
         let runner = self.runners.remove(id)?;
         self.gone.insert(id, runner.started_at_ms);
         if runner.started_at_ms == 0 {
--- a/crates/mustardgate-core/src/relay/processes.rs
+++ b/crates/mustardgate-core/src/relay/processes.rs
@@ -35,6 +35,14 @@
         self.processes.contains(&(id.clone(), started_at_ms))
     }
 
+    /// Removes a process.
+    pub(super) fn remove_process(&mut self, id: &BackendId, started_at_ms: u64) {
+        let process = (id.clone(), started_at_ms);
+        if self.processes.remove(&process) {
+            self.order.retain(|known| *known != process);
+        }
+    }
+
     /// Removes a runner's processes.
     pub(super) fn remove(&mut self, id: &BackendId) {
         let known = self.processes.range((id.clone(), 0)..=(id.clone(), u64::MAX));
--- a/crates/mustardgate-core/tests/relay/catalogue.rs
+++ b/crates/mustardgate-core/tests/relay/catalogue.rs
@@ -202,6 +202,11 @@
             ..runner("one", RunnerState::Draining)
         };
         catalogue.put_newest(odd);
+        assert_eq!(
+            catalogue.put_newest(runner("one", RunnerState::Ready)),
+            None,
+            "it may be a late one"
+        );
         let change = catalogue.put_newest(runner("one", RunnerState::Ready));
         assert!(matches!(change, Some(CatalogueChange::Added(_))), "{odd_start}");
         assert_eq!(
@@ -236,6 +241,7 @@
             ..runner("one", RunnerState::Ready)
         };
         catalogue.put_newest(newest.clone());
+        catalogue.put_newest(newest.clone());
         assert_eq!(**catalogue.get("one").unwrap(), newest, "{odd_count}");
         assert!(
             catalogue
@@ -267,3 +273,39 @@
     assert_eq!(**catalogue.get("one").unwrap(), later);
     assert_eq!(**catalogue.get("two").unwrap(), restarted);
 }
+
+// Guards against a stream that goes on at another software version, because a late entry of the process before was believed.
+#[test]
+fn a_late_entry_of_the_process_before_does_not_replace_a_runner() {
+    let mut catalogue = catalogue();
+    let held = [("menu".into(), BTreeSet::new())];
+    let restarted = ListedRunner {
+        started_at_ms: 2,
+        order_count: Some(1),
+        models: held.into_iter().collect(),
+        ..runner("one", RunnerState::Ready)
+    };
+    let earlier = ListedRunner {
+        order_count: Some(0),
+        models: BTreeMap::default(),
+        ..restarted.clone()
+    };
+    catalogue.put_newest(restarted.clone());
+    for late in [runner("one", RunnerState::Ready), earlier] {
+        assert_eq!(catalogue.put_newest(late), None);
+        assert_eq!(**catalogue.get("one").unwrap(), restarted);
+        assert_eq!(catalogue.put_newest(restarted.clone()), None);
+    }
+    let nameless = ListedRunner {
+        started_at_ms: 0,
+        ..restarted.clone()
+    };
+    assert!(matches!(
+        catalogue.put_newest(nameless),
+        Some(CatalogueChange::Removed(_))
+    ));
+    assert!(matches!(
+        catalogue.put_newest(restarted),
+        Some(CatalogueChange::Added(_))
+    ));
+}
--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -83,7 +83,7 @@
             metrics,
         )));
         tokio::spawn(LeaseTask::new(Arc::clone(context), address).run());
-        tokio::spawn(PlanTask::new(Arc::clone(context)).run());
+        keep(context, "plan", |context| PlanTask::new(context).run());
         keep(context, "watch", |context| WatchTask::new(context).run());
         keep(context, "digest", move |context| {
             DigestTask::new(context, address).run()
