Keep the versions of streams in the log, for when all nodes end at once

Cause: at which version a stream began was known in the memory of nodes only, so the guard of ORDER had to refuse every return once all of them had ended. Class: what a promise rests on had fewer copies than can fail at once.

A node reads the topic when a caller takes up a stream that no node knows; where it cannot be read, the caller is refused with a time to return. Nodes of earlier builds drop the new notice and call, and do not follow the topic.

--- a/crates/mustardgate-core/src/ports/keyed_log.rs
+++ b/crates/mustardgate-core/src/ports/keyed_log.rs
@@ -31,6 +31,15 @@
     Runners,
     /// Lease records, without keys.
     Leases,
+    /// Batches of stream origins, without keys.
+    StreamOrigins,
+}
+
+impl LogTopic {
+    /// Returns whether the records of the topic have keys, of which the newest record is kept.
+    pub fn is_keyed(self) -> bool {
+        matches!(self, Self::Configuration | Self::Runners)
+    }
 }
 
 /// One record of a topic.
@@ -142,4 +151,11 @@
         at: TopicPosition,
         value: Vec<u8>,
     ) -> Result<Offset, ConditionalAppendError>;
+
+    /// Appends records wherever the topic ends. When the call fails they may have been appended nevertheless, so a
+    /// record has to mean the same when it comes twice.
+    ///
+    /// # Errors
+    /// [`TopicError::Unavailable`] when the records are not known to be appended.
+    async fn append(&self, topic: LogTopic, records: Vec<Vec<u8>>) -> Result<(), TopicError>;
 }
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -24,6 +24,7 @@
 mod rate_limits;
 mod request;
 mod selector;
+mod stream_batches;
 mod stream_origins;
 mod stream_versions;
 mod versions;
@@ -52,6 +53,7 @@
     rate_limits::{LimitChange, LimitLedger, LimitObservation, LimitStatement},
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
     selector::{Candidate, RunnerSelector, SelectionWeights},
+    stream_batches::{choose_recorder, decode_batch, encode_batches, record_interval},
     stream_origins::{NodeMember, OriginFinding, OriginLedger, StreamKey, StreamOrigin, choose_keepers, rank_keepers},
     stream_versions::{BegunStream, StreamVersions},
     versions::{SeenVersion, SoftwareVersion, VersionDigest, VersionHistory, VersionTag},
--- a/crates/mustardgate-core/src/relay/stream_origins.rs
+++ b/crates/mustardgate-core/src/relay/stream_origins.rs
@@ -36,6 +36,16 @@
     pub fn of(attempt: &RequestId) -> Self {
         Self(leading_number(&Sha256::digest(attempt.as_bytes())))
     }
+
+    /// Returns the key that a record holds as this number.
+    pub(super) fn from_number(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number that stands for the key in records.
+    pub(super) fn number(self) -> u64 {
+        self.0
+    }
 }
 
 /// At which version a stream began.
--- a/crates/mustardgate-core/src/relay/versions.rs
+++ b/crates/mustardgate-core/src/relay/versions.rs
@@ -63,6 +63,18 @@
 #[display("{_0:016x}")]
 pub struct VersionTag(u64);
 
+impl VersionTag {
+    /// Returns the tag that a record holds as this number.
+    pub(super) fn from_number(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number that stands for the tag in records.
+    pub(super) fn number(self) -> u64 {
+        self.0
+    }
+}
+
 /// Returns the first eight bytes of a hash.
 pub(super) fn leading_number(hash: &[u8]) -> u64 {
     hash.iter()
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -15,4 +15,5 @@
 mod rate_limits;
 mod routes;
 mod selector;
+mod stream_batches;
 mod stream_versions;
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -38,7 +38,7 @@
     fleet::RunnerFleet,
     leader::SharedLeadership,
     link::HelperBook,
-    peers::{FeedLimiter, PeerClient, PeerDirectory},
+    peers::{FeedLimiter, PeerClient, PeerDirectory, StreamLogReader},
     ports::{AnswerKind, AnswerMetadata, CallDialect, RecordDecoder, RunnerControl},
     request_log::RequestLog,
     settings::RelaySettings,
@@ -84,6 +84,8 @@
     pub crashes: CrashGuard,
     /// Software versions at which streams began.
     pub streams: StreamGuard,
+    /// Origins of streams that the log keeps.
+    pub stream_log: StreamLogReader,
     /// Whether this node reaches the runners itself.
     pub link: RunnerLink,
     /// Other nodes through which requests reach runners while the link is cut.
--- a/crates/mustardgate-relay/src/context/records.rs
+++ b/crates/mustardgate-relay/src/context/records.rs
@@ -97,7 +97,7 @@
         let cache = match topic {
             LogTopic::Configuration => &self.configuration,
             LogTopic::Runners => &self.runners,
-            LogTopic::Leases => return None,
+            LogTopic::Leases | LogTopic::StreamOrigins => return None,
         };
         Some(cache.lock().expect("no holder of the lock panics"))
     }
--- a/crates/mustardgate-relay/src/context/streams.rs
+++ b/crates/mustardgate-relay/src/context/streams.rs
@@ -27,17 +27,23 @@
     outbox: UnboundedSender<StreamOrigin>,
     /// Taken by the task that tells other nodes.
     pending: Mutex<Option<UnboundedReceiver<StreamOrigin>>>,
+    recorder: UnboundedSender<StreamOrigin>,
+    /// Taken by the task that writes to the log.
+    unrecorded: Mutex<Option<UnboundedReceiver<StreamOrigin>>>,
 }
 
 impl StreamGuard {
     /// Creates a guard that knows nothing; `is_first_start` says that the deployment starts for the first time.
     pub fn new(is_first_start: bool) -> Self {
         let (outbox, pending) = unbounded_channel();
+        let (recorder, unrecorded) = unbounded_channel();
         Self {
             versions: Mutex::default(),
             is_first_start,
             outbox,
             pending: Mutex::new(Some(pending)),
+            recorder,
+            unrecorded: Mutex::new(Some(unrecorded)),
         }
     }
 
@@ -46,6 +52,20 @@
         self.pending.lock().expect("no holder of the lock panics").take()
     }
 
+    /// Returns the records to write to the log; only the first call does.
+    pub fn take_unrecorded(&self) -> Option<UnboundedReceiver<StreamOrigin>> {
+        self.unrecorded.lock().expect("no holder of the lock panics").take()
+    }
+
+    /// Hands records to the task that writes them to the log.
+    pub fn record_to_log(&self, origins: &[StreamOrigin]) {
+        for origin in origins {
+            if self.recorder.send(*origin).is_err() {
+                counter!("mustardgate_stream_records_total", "outcome" => "unrecorded").increment(1);
+            }
+        }
+    }
+
     /// Records that the list of runners was read; `is_complete` says that changes since the last read may be missing.
     pub fn record_list(&self, now: Instant, fleet: &RunnerFleet, is_complete: bool) {
         let listed = listed_versions(fleet);
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -132,7 +132,7 @@
                     apply_runner(&self.context, record);
                 }
             }
-            LogTopic::Leases => {}
+            LogTopic::Leases | LogTopic::StreamOrigins => {}
         }
         if self.topic == LogTopic::Runners {
             self.context.streams.record_list(now, &self.context.fleet, is_complete);
--- a/crates/mustardgate-relay/src/gateway/origin.rs
+++ b/crates/mustardgate-relay/src/gateway/origin.rs
@@ -55,7 +55,7 @@
 struct VersionLookup {
     version: Option<VersionTag>,
     source: &'static str,
-    /// Whether a node that may know the version did not answer.
+    /// Whether a node or the log may know the version and did not answer.
     is_incomplete: bool,
 }
 
@@ -82,12 +82,18 @@
         return found(None, "unknown");
     };
     let report = ask_origin(context, key, digest).await;
-    match own.or(report.finding) {
-        OriginFinding::Exact(version) => found(Some(version), "other_nodes"),
+    let told = own.or(report.finding);
+    if let OriginFinding::Exact(version) = told {
+        return found(Some(version), "other_nodes");
+    }
+    // All nodes may have ended since the stream began.
+    let is_read = context.stream_log.refresh(context).await;
+    match told.or(context.streams.find(key, &digest)) {
+        OriginFinding::Exact(version) => found(Some(version), "log"),
         OriginFinding::OtherRequest(version) => found(Some(version), "other_request"),
         OriginFinding::Contradictory => found(None, "contradictory"),
         OriginFinding::Unknown => VersionLookup {
-            is_incomplete: report.is_incomplete,
+            is_incomplete: report.is_incomplete || !is_read,
             ..found(None, "unknown")
         },
     }
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -19,7 +19,7 @@
     fleet::RunnerFleet,
     leader::{BootClock, SharedLeadership},
     link::HelperBook,
-    peers::{FeedLimiter, NeighbourLog, PeerClient, PeerDirectory},
+    peers::{FeedLimiter, NeighbourLog, PeerClient, PeerDirectory, StreamLogReader},
     request_log::RequestLog,
     settings::RelaySettings,
 };
@@ -82,6 +82,7 @@
         observations: ObservationBuffer::default(),
         budgets: ServiceBudgets::new(&settings.bounds),
         streams: StreamGuard::new(settings.node.first_start),
+        stream_log: StreamLogReader::default(),
         demand: DemandCounter::default(),
         leader: SharedLeadership::new(lease, planner, Arc::new(BootClock::start())),
         peers,
--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -25,7 +25,7 @@
     gateway::{CallerListener, answer_caller, serve_callers},
     leader::{LeaseTask, PlanTask, WatchTask},
     link::LinkTask,
-    peers::{DigestTask, NoticeTask, serve_peers},
+    peers::{DigestTask, NoticeTask, RecordTask, serve_peers},
     settings::RelaySettings,
 };
 
@@ -88,6 +88,9 @@
         if let Some(task) = NoticeTask::new(Arc::clone(context), datagrams) {
             tokio::spawn(task.run());
         }
+        if let Some(task) = RecordTask::new(Arc::clone(context)) {
+            tokio::spawn(task.run());
+        }
     }
     tokio::spawn(LinkTask::new(Arc::clone(context)).run());
     tokio::spawn(sweep(Arc::clone(context)));
--- a/crates/mustardgate-relay/src/peers/directory.rs
+++ b/crates/mustardgate-relay/src/peers/directory.rs
@@ -89,6 +89,11 @@
         fresh.map(|(address, _)| *address).collect()
     }
 
+    /// Returns this node as others list it, if they reach it.
+    pub fn own(&self) -> Option<&NodeMember> {
+        self.own.as_ref()
+    }
+
     /// Returns the address at which other nodes reach this one.
     pub fn own_address(&self) -> Option<SocketAddr> {
         self.own.as_ref().map(|own| own.address)
--- a/crates/mustardgate-relay/src/peers/log.rs
+++ b/crates/mustardgate-relay/src/peers/log.rs
@@ -15,6 +15,7 @@
     ports::{ConditionalAppendError, LogTopic, TopicError, TopicLog, TopicPage, TopicPosition},
 };
 use rand::seq::IndexedRandom;
+use serde_bytes::ByteBuf;
 use slog::{Logger, o};
 
 use super::{LogCall, LogReply, PeerClient, PeerDirectory};
@@ -71,7 +72,7 @@
     /// Wait, timeout and accepted age together stay within the bound on taking up a change, so that no node exceeds the
     /// bound when the leader or the leader's connection to the log stops responding.
     async fn read_from_feeder(&self, topic: LogTopic, from: TopicPosition) -> Option<TopicPage> {
-        let feeder = self.directory.feeder().filter(|_| topic != LogTopic::Leases)?;
+        let feeder = self.directory.feeder().filter(|_| topic.is_keyed())?;
         let wait = self.bound.mul_f64(FEEDER_WAIT_SHARE);
         let call = LogCall::Changes {
             topic,
@@ -146,7 +147,7 @@
 #[async_trait]
 impl TopicLog for NeighbourLog {
     async fn read(&self, topic: LogTopic, from: TopicPosition, wait: Duration) -> Result<TopicPage, TopicError> {
-        let has_feeder = self.directory.feeder().is_some() && topic != LogTopic::Leases;
+        let has_feeder = self.directory.feeder().is_some() && topic.is_keyed();
         if let Some(page) = self.read_from_feeder(topic, from).await {
             return Ok(page);
         }
@@ -217,4 +218,24 @@
             _ => Err(ConditionalAppendError::Unknown),
         }
     }
+
+    async fn append(&self, topic: LogTopic, records: Vec<Vec<u8>>) -> Result<(), TopicError> {
+        let mut error = TopicError::unavailable("the last call failed");
+        if self.is_direct_due() {
+            let started_at = clock::now();
+            match self.direct.append(topic, records.clone()).await {
+                Ok(()) => {
+                    self.record_direct_call(started_at, true);
+                    return Ok(());
+                }
+                Err(unavailable) => error = unavailable,
+            }
+            self.record_direct_call(started_at, false);
+        }
+        let values = records.into_iter().map(ByteBuf::from).collect();
+        match self.call_neighbour(&LogCall::Append { topic, values }).await {
+            Some(LogReply::Written(outcome)) => outcome,
+            _ => Err(error),
+        }
+    }
 }
--- a/crates/mustardgate-relay/src/peers/messages.rs
+++ b/crates/mustardgate-relay/src/peers/messages.rs
@@ -11,6 +11,7 @@
     },
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_bytes::ByteBuf;
 use smol_str::SmolStr;
 
 use super::part_crashes::PartCrashDigest;
@@ -140,6 +141,8 @@
     Streams(Vec<StreamOrigin>),
     /// Brittle runner processes that turned a request away.
     Rejections(Vec<RunnerProcess>),
+    /// Streams that the called node writes to the log; earlier builds do not understand it.
+    Unrecorded(Vec<StreamOrigin>),
 }
 
 /// A node asks at which version a stream began that its caller takes up.
@@ -220,6 +223,13 @@
         #[serde(default)]
         era: Option<LogEra>,
     },
+    /// Appends records wherever the topic ends; earlier builds do not understand it.
+    Append {
+        /// Topic.
+        topic: LogTopic,
+        /// The records.
+        values: Vec<ByteBuf>,
+    },
 }
 
 /// Answer to a [`LogCall`].
@@ -231,6 +241,8 @@
     Changes(Result<(TopicPage, Duration), TopicError>),
     /// Offset of the appended record, or why none was appended.
     Appended(Result<Offset, ConditionalAppendError>),
+    /// Whether records were appended wherever the topic ended.
+    Written(Result<(), TopicError>),
 }
 
 /// One record as a neighbour read it from the log.
--- a/crates/mustardgate-relay/src/peers/mod.rs
+++ b/crates/mustardgate-relay/src/peers/mod.rs
@@ -16,6 +16,7 @@
 mod origins;
 mod part_crashes;
 mod server;
+mod stream_log;
 
 pub use self::{
     client::{MAX_MESSAGE_TIME, PeerClient},
@@ -30,4 +31,5 @@
     origins::{NoticeTask, OriginReport, ask_origin},
     part_crashes::{PartCrash, PartCrashDigest},
     server::serve_peers,
+    stream_log::{RecordTask, StreamLogReader},
 };
--- a/crates/mustardgate-relay/src/peers/origins.rs
+++ b/crates/mustardgate-relay/src/peers/origins.rs
@@ -11,7 +11,7 @@
 use mustardgate_core::{
     clock,
     ids::RunnerProcess,
-    relay::{OriginFinding, RequestDigest, StreamKey, StreamOrigin, choose_keepers, rank_keepers},
+    relay::{OriginFinding, RequestDigest, StreamKey, StreamOrigin, choose_keepers, choose_recorder, rank_keepers},
 };
 use tokio::{net::UdpSocket, sync::mpsc::UnboundedReceiver};
 
@@ -68,12 +68,15 @@
     fn tell(&mut self, origin: StreamOrigin) {
         let members = self.context.directory.members();
         let domain = &self.context.settings.node.domain;
+        let recorder = self.context.directory.own().map(|own| choose_recorder(own, &members));
         let mut batches: BTreeMap<SocketAddr, Vec<StreamOrigin>> = BTreeMap::new();
+        let mut unrecorded = Vec::new();
         let mut next = Some(origin);
         while let Some(origin) = next {
             for keeper in choose_keepers(origin.key, &members, domain) {
                 batches.entry(keeper.address).or_default().push(origin);
             }
+            unrecorded.push(origin);
             next = self.pending.try_recv().ok();
         }
         for (address, origins) in batches {
@@ -82,6 +85,14 @@
                 counter!("mustardgate_stream_records_total", "outcome" => outcome).increment(records.len() as u64);
             }
         }
+        let Some(recorder) = recorder else { return };
+        if self.context.directory.own_address() == Some(recorder.address) {
+            return self.context.streams.record_to_log(&unrecorded);
+        }
+        for records in unrecorded.chunks(MAX_RECORDS) {
+            let outcome = self.send(recorder.address, &PeerNotice::Unrecorded(records.to_vec()));
+            counter!("mustardgate_stream_records_total", "outcome" => outcome).increment(records.len() as u64);
+        }
     }
 
     /// Tells all other nodes which brittle runners turned a request away: one more may make them fall over.
@@ -99,6 +110,7 @@
                 let now = self.context.leader.lease_time();
                 self.context.streams.learn(now, origins);
             }
+            PeerNotice::Unrecorded(origins) => self.context.streams.record_to_log(origins),
             PeerNotice::Rejections(rejected) => {
                 for (id, started_at_ms) in rejected {
                     let cell = self.context.fleet.get(id);
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -13,6 +13,7 @@
     ports::{LogTopic, TopicError, TopicPage, TopicPosition},
     relay::ModelName,
 };
+use serde_bytes::ByteBuf;
 use tokio::{net::TcpListener, time};
 
 use super::{
@@ -175,6 +176,10 @@
             let at = TopicPosition { era, offset: at };
             LogReply::Appended(context.direct_log.append_at(topic, at, value).await)
         }
+        LogCall::Append { topic, values } => {
+            let records = values.into_iter().map(ByteBuf::into_vec).collect();
+            LogReply::Written(context.direct_log.append(topic, records).await)
+        }
     };
     let message = encode(&reply);
     if context.feed.admit(message.len()).await {
@@ -184,7 +189,7 @@
     Some(encode(&match reply {
         LogReply::Page(_) => LogReply::Page(Err(refusal)),
         LogReply::Changes(_) => LogReply::Changes(Err(refusal)),
-        LogReply::Appended(_) => reply,
+        LogReply::Appended(_) | LogReply::Written(_) => reply,
     }))
 }
 
--- /dev/null
+++ b/crates/mustardgate-relay/src/peers/stream_log.rs
@@ -0,0 +1,170 @@
+//! Origins of streams in the platform's log, which keeps them when all nodes end at once.
+//!
+//! See `docs/design/stream-versions.md`.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use metrics::counter;
+use mustardgate::events;
+use mustardgate_core::{
+    clock,
+    ports::{LogTopic, TopicError, TopicPosition},
+    relay::{StreamOrigin, decode_batch, encode_batches, record_interval},
+};
+use slog::o;
+use tokio::{
+    sync::{Mutex, mpsc::UnboundedReceiver},
+    time,
+};
+
+use crate::context::RelayContext;
+
+/// Largest record, below what the log accepts.
+const MAX_RECORD_BYTES: usize = 128 * 1024;
+/// Largest number of origins that wait while the log cannot be written; the oldest are dropped first.
+const MAX_WAITING: usize = 16_384;
+/// Longest pause after a failed write; the pause doubles with each further failure.
+const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(800);
+/// Age up to which the result of a read serves further callers.
+const READ_VALIDITY: Duration = Duration::from_millis(100);
+/// Longest time that a caller who takes a stream up waits for the log.
+const READ_TIMEOUT: Duration = Duration::from_millis(600);
+/// Largest number of pages in one read of the log.
+const MAX_PAGES: usize = 64;
+
+/// Writes the origins of the streams of a failure domain to the log, at the node that records them.
+#[derive(Debug)]
+pub struct RecordTask {
+    context: Arc<RelayContext>,
+    pending: UnboundedReceiver<StreamOrigin>,
+    /// Origins that are not known to be written.
+    waiting: Vec<StreamOrigin>,
+    failures: u32,
+}
+
+impl RecordTask {
+    /// Creates the task; returns `None` if another one was created.
+    pub fn new(context: Arc<RelayContext>) -> Option<Self> {
+        let pending = context.streams.take_unrecorded()?;
+        Some(Self {
+            context,
+            pending,
+            waiting: Vec::new(),
+            failures: 0,
+        })
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        loop {
+            if self.waiting.is_empty() {
+                let Some(origin) = self.pending.recv().await else {
+                    return;
+                };
+                self.waiting.push(origin);
+            }
+            while let Ok(origin) = self.pending.try_recv() {
+                self.waiting.push(origin);
+            }
+            let excess = self.waiting.len().saturating_sub(MAX_WAITING);
+            self.waiting.drain(..excess);
+            self.write().await;
+            time::sleep(self.pause()).await;
+        }
+    }
+
+    async fn write(&mut self) {
+        let batches = encode_batches(&self.waiting, MAX_RECORD_BYTES);
+        let outcome = self.context.ports.topics.append(LogTopic::StreamOrigins, batches).await;
+        let result = if outcome.is_ok() { "written" } else { "failed" };
+        counter!("mustardgate_stream_batches_total", "outcome" => result).increment(1);
+        let Err(error) = outcome else {
+            let count = self.waiting.len();
+            self.waiting.clear();
+            if std::mem::take(&mut self.failures) > 0 {
+                events::RELAY_ORIGINS_RECORDED.write(self.context.log.logger(), o!("origins" => count));
+            }
+            return;
+        };
+        if self.failures == 0 {
+            let values = o!("reason" => error.to_string(), "origins" => self.waiting.len());
+            events::RELAY_ORIGINS_UNRECORDED.write(self.context.log.logger(), values);
+        }
+        self.failures = (self.failures + 1).min(4);
+    }
+
+    fn pause(&self) -> Duration {
+        let interval = self.context.directory.own().map_or(FAILURE_PAUSE_MAX, |own| {
+            record_interval(own, &self.context.directory.members())
+        });
+        if self.failures == 0 {
+            return interval;
+        }
+        (interval * 2_u32.pow(self.failures)).min(FAILURE_PAUSE_MAX)
+    }
+}
+
+/// Reads origins from the log when a caller takes up a stream that no node knows.
+#[derive(Debug, Default)]
+pub struct StreamLogReader {
+    state: Mutex<ReadState>,
+}
+
+#[derive(Debug, Default)]
+struct ReadState {
+    next: TopicPosition,
+    /// When the last read began.
+    began_at: Option<Instant>,
+    /// Whether it read everything up to the end of the topic.
+    is_complete: bool,
+}
+
+impl StreamLogReader {
+    /// Takes over what the log holds by now; returns whether everything was read.
+    pub async fn refresh(&self, context: &RelayContext) -> bool {
+        let reading = async {
+            let mut state = self.state.lock().await;
+            let now = clock::now();
+            let is_recent = |at: Instant| now.saturating_duration_since(at) < READ_VALIDITY;
+            if !state.began_at.is_some_and(is_recent) {
+                state.began_at = Some(now);
+                state.is_complete = false;
+                state.read(context).await;
+            }
+            state.is_complete
+        };
+        let is_complete = time::timeout(READ_TIMEOUT, reading).await.unwrap_or(false);
+        counter!("mustardgate_stream_log_reads_total", "is_complete" => is_complete.to_string()).increment(1);
+        is_complete
+    }
+}
+
+impl ReadState {
+    async fn read(&mut self, context: &RelayContext) {
+        for _ in 0..MAX_PAGES {
+            let reading = context
+                .ports
+                .topics
+                .read(LogTopic::StreamOrigins, self.next, Duration::ZERO);
+            match reading.await {
+                Ok(page) if page.records.is_empty() => {
+                    self.is_complete = true;
+                    return;
+                }
+                Ok(page) => {
+                    let now = context.leader.lease_time();
+                    for origins in page.records.iter().filter_map(|record| record.value.as_deref()) {
+                        context.streams.learn(now, &decode_batch(origins).unwrap_or_default());
+                    }
+                    self.next = page.end();
+                }
+                Err(TopicError::Trimmed { earliest }) => self.next.offset = earliest,
+                Err(TopicError::Restored) => self.next = TopicPosition::default(),
+                Err(TopicError::Unavailable { .. }) => return,
+            }
+        }
+    }
+}
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -129,6 +129,10 @@
 pub const RELAY_LINK_RESTORED: EventKind = event(633, Level::Info, "link to runners restored");
 /// The runners of a service fall over when they turn too many requests away, or do so no more.
 pub const RELAY_SERVICE_BRITTLE: EventKind = event(634, Level::Info, "service brittle");
+/// Origins of streams could not be written to the log; they are written when it answers again.
+pub const RELAY_ORIGINS_UNRECORDED: EventKind = event(640, Level::Warning, "stream origins not recorded");
+/// Origins of streams are written to the log again; with their number.
+pub const RELAY_ORIGINS_RECORDED: EventKind = event(641, Level::Info, "stream origins recorded again");
 /// A lease record was refused or could not be appended, read or decoded, so the lease is uncertain.
 pub const RELAY_LEASE_UNCERTAIN: EventKind = event(620, Level::Warning, "lease uncertain");
 /// An order was sent to a runner; with its reply.
@@ -204,6 +208,8 @@
     RELAY_LINK_CUT,
     RELAY_LINK_RESTORED,
     RELAY_SERVICE_BRITTLE,
+    RELAY_ORIGINS_UNRECORDED,
+    RELAY_ORIGINS_RECORDED,
 ];
 
 impl EventKind {
