Know the only version of a service after all nodes ended at once

What callers saw: with one software version in service no stream is recorded, so after the end of all nodes every return was refused until the new nodes' history was as long as a stream may last (LOST).

Cause: the history of versions lived in nodes only; a fresh node's begins with its first read of the list.

Change: the leader writes the versions that it has seen, with the position up to which it has read the list of runners, to the topic of stream origins every 3 s. A node that must know reads the newest such record and every change of the list since that position, entries that were deleted again included. The history is joined without a clock: the record's times count as if it were written now. If the changes are gone (deleted, restored log), one version stays uncertain and returns are refused.

--- a/crates/mustardgate-core/src/relay/stream_versions.rs
+++ b/crates/mustardgate-core/src/relay/stream_versions.rs
@@ -122,6 +122,16 @@
         self.history.digest(now, list_age)
     }
 
+    /// Takes over what a record in the log says of versions, and the versions that were listed since it was written.
+    pub fn merge_record<'a>(
+        &mut self,
+        now: Instant,
+        record: &VersionDigest,
+        listed_since: impl IntoIterator<Item = (&'a ServiceId, VersionTag)>,
+    ) {
+        self.history.merge_record(now, record, listed_since);
+    }
+
     /// Takes over what another node knows, from a message that was under way for `message_time` at most.
     pub fn merge(&mut self, now: Instant, digest: &VersionDigest, message_time: Duration) {
         self.history.merge(now, digest, message_time);
--- a/crates/mustardgate-core/src/relay/versions.rs
+++ b/crates/mustardgate-core/src/relay/versions.rs
@@ -168,19 +168,45 @@
 
     /// Takes over what another node knows, from a message that was under way for `message_time` at most.
     pub fn merge(&mut self, now: Instant, digest: &VersionDigest, message_time: Duration) {
-        for seen in &digest.seen {
+        self.merge_seen(now, &digest.seen);
+        // The other node's knowledge has to reach up to the begin of this node's own.
+        let is_joined = self
+            .began_at
+            .is_some_and(|began_at| now.saturating_duration_since(began_at) >= digest.list_age + message_time);
+        if let Some(covers) = digest.covers.filter(|_| is_joined) {
+            self.extend_back(now, covers);
+        }
+    }
+
+    /// Takes over what a record in the log says of the time before, and every version that was listed since it was
+    /// written.
+    ///
+    /// The age of the record is not known. Its times count as if it were written now, so that versions are remembered
+    /// longer than needed and the history reaches back less far than it might.
+    pub fn merge_record<'a>(
+        &mut self,
+        now: Instant,
+        record: &VersionDigest,
+        listed_since: impl IntoIterator<Item = (&'a ServiceId, VersionTag)>,
+    ) {
+        self.observe(now, listed_since);
+        self.merge_seen(now, &record.seen);
+        if let Some(covers) = record.covers {
+            self.extend_back(now, covers);
+        }
+    }
+
+    fn merge_seen(&mut self, now: Instant, digest: &[SeenVersion]) {
+        for seen in digest {
             let Some(at) = now.checked_sub(seen.age) else { continue };
             let versions = self.seen.entry(seen.service.clone()).or_default();
             let known = versions.entry(seen.version).or_insert(at);
             *known = at.max(*known);
         }
-        // The other node's knowledge has to reach up to the begin of this node's own.
-        let is_joined = self
-            .began_at
-            .is_some_and(|began_at| now.saturating_duration_since(began_at) >= digest.list_age + message_time);
-        let Some(covers) = digest.covers.filter(|_| is_joined) else {
-            return;
-        };
+    }
+
+    /// Records that no version is missing since `covers` before now.
+    fn extend_back(&mut self, now: Instant, covers: Duration) {
         let since = match now.checked_sub(covers) {
             Some(at) if covers < FIRST_START_AGE => CompleteSince::Time(at),
             _ => CompleteSince::FirstStart,
--- a/crates/mustardgate-core/tests/relay/stream_versions.rs
+++ b/crates/mustardgate-core/tests/relay/stream_versions.rs
@@ -212,3 +212,35 @@
     let alone = choose_keepers(StreamKey::of(&"s".into()), &east, &"north".into());
     assert_eq!(alone.len(), 2);
 }
+
+#[test]
+fn nodes_that_all_start_anew_take_one_version_for_certain_only_from_a_whole_record() {
+    let (start, service) = (Instant::now(), service());
+    let later = start + LIFE * 3;
+    let former = running_node(start, later, &["v1"], true);
+    let record = former.digest(later);
+    let restart = later + Duration::from_secs(2);
+    let fresh = || running_node(restart, restart, &["v1"], false);
+    assert_eq!(fresh().sole_version(restart, &service, LIFE), None);
+    let mut joined = fresh();
+    joined.merge_record(restart, &record, [(&service, tag("v1"))]);
+    assert_eq!(joined.sole_version(restart, &service, LIFE), Some(tag("v1")));
+    // A runner of another version came and left while no node ran.
+    let mut informed = fresh();
+    informed.merge_record(restart, &record, [(&service, tag("v1")), (&service, tag("v2"))]);
+    assert_eq!(informed.sole_version(restart, &service, LIFE), None);
+}
+
+#[test]
+fn a_record_of_a_short_history_does_not_make_one_version_certain() {
+    let (start, service) = (Instant::now(), service());
+    let later = start + LIFE / 2;
+    let record = running_node(start, later, &["v1"], false).digest(later);
+    let restart = later + Duration::from_secs(2);
+    let mut joined = running_node(restart, restart, &["v1"], false);
+    joined.merge_record(restart, &record, [(&service, tag("v1"))]);
+    assert_eq!(joined.sole_version(restart, &service, LIFE), None);
+    let much_later = restart + LIFE / 2;
+    read(&mut joined, much_later, &["v1"]);
+    assert_eq!(joined.sole_version(much_later, &service, LIFE), Some(tag("v1")));
+}
--- a/crates/mustardgate-relay/src/context/records.rs
+++ b/crates/mustardgate-relay/src/context/records.rs
@@ -65,6 +65,15 @@
             .unwrap_or_default()
     }
 
+    /// Returns the position up to which this node has read a topic, or `None` if it has not.
+    pub fn position(&self, topic: LogTopic) -> Option<TopicPosition> {
+        let cache = self.lock(topic)?;
+        cache.read_at.map(|_| TopicPosition {
+            era: Some(cache.era),
+            offset: cache.next,
+        })
+    }
+
     /// Returns the changes from a position on, and the time at which the log was last read.
     ///
     /// # Errors
--- a/crates/mustardgate-relay/src/context/streams.rs
+++ b/crates/mustardgate-relay/src/context/streams.rs
@@ -1,6 +1,7 @@
 //! What this node knows of the software versions of streams, and the records that other nodes have to be told.
 
 use std::{
+    collections::BTreeSet,
     sync::{Mutex, MutexGuard},
     time::{Duration, Instant},
 };
@@ -118,6 +119,17 @@
         self.lock().merge(now, digest, MAX_MESSAGE_TIME);
     }
 
+    /// Takes over what a record in the log says of versions, and the versions that were listed since it was written.
+    pub fn merge_version_record(
+        &self,
+        now: Instant,
+        record: &VersionDigest,
+        listed_since: &BTreeSet<(ServiceId, VersionTag)>,
+    ) {
+        let listed = listed_since.iter().map(|(service, version)| (service, *version));
+        self.lock().merge_record(now, record, listed);
+    }
+
     fn tell(&self, origins: impl IntoIterator<Item = StreamOrigin>) {
         for origin in origins {
             if self.outbox.send(origin).is_err() {
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -118,7 +118,6 @@
     fn apply_page(&self, page: &TopicPage, extent: PageExtent) {
         let is_complete = extent != PageExtent::Changes;
         let now = self.context.leader.lease_time();
-        self.context.records.store(self.topic, page, is_complete, now);
         match self.topic {
             LogTopic::Configuration => {
                 for record in &page.records {
@@ -137,6 +136,8 @@
         if self.topic == LogTopic::Runners {
             self.context.streams.record_list(now, &self.context.fleet, is_complete);
         }
+        // The position of the cache vouches for the history of versions, so it moves last.
+        self.context.records.store(self.topic, page, is_complete, now);
     }
 
     fn log_changes(&self, page: &TopicPage, wait: Duration, started_at: Instant) {
--- a/crates/mustardgate-relay/src/gateway/origin.rs
+++ b/crates/mustardgate-relay/src/gateway/origin.rs
@@ -79,7 +79,7 @@
         return found(Some(version), "sole_version");
     }
     let Some(key) = key else {
-        return found(None, "unknown");
+        return look_up_sole(context, route).await;
     };
     let report = ask_origin(context, key, digest).await;
     let told = own.or(report.finding);
@@ -92,10 +92,29 @@
         OriginFinding::Exact(version) => found(Some(version), "log"),
         OriginFinding::OtherRequest(version) => found(Some(version), "other_request"),
         OriginFinding::Contradictory => found(None, "contradictory"),
-        OriginFinding::Unknown => VersionLookup {
-            is_incomplete: report.is_incomplete || !is_read,
-            ..found(None, "unknown")
+        OriginFinding::Unknown => {
+            let lookup = look_up_sole(context, route).await;
+            VersionLookup {
+                is_incomplete: lookup.is_incomplete || report.is_incomplete || !is_read,
+                ..lookup
+            }
+        }
+    }
+}
+
+/// Returns the only version that may have begun a stream on the route, from what the log says of the time before this
+/// node's start.
+async fn look_up_sole(context: &RelayContext, route: &RelayRoute) -> VersionLookup {
+    let is_joined = context.stream_log.join_history(context).await;
+    let version = sole_version(context, route);
+    VersionLookup {
+        version,
+        source: if version.is_some() {
+            "versions_in_log"
+        } else {
+            "unknown"
         },
+        is_incomplete: !is_joined,
     }
 }
 
--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -25,7 +25,7 @@
     gateway::{CallerListener, answer_caller, serve_callers},
     leader::{LeaseTask, PlanTask, WatchTask},
     link::LinkTask,
-    peers::{DigestTask, NoticeTask, RecordTask, serve_peers},
+    peers::{DigestTask, NoticeTask, RecordTask, VersionRecordTask, serve_peers},
     settings::RelaySettings,
 };
 
@@ -83,6 +83,7 @@
         tokio::spawn(PlanTask::new(Arc::clone(context)).run());
         tokio::spawn(WatchTask::new(Arc::clone(context)).run());
         tokio::spawn(DigestTask::new(Arc::clone(context), address).run());
+        tokio::spawn(VersionRecordTask::new(Arc::clone(context)).run());
         tokio::spawn(load_neighbour_records(Arc::clone(context)));
         let datagrams = bind_datagrams(address).await?;
         if let Some(task) = NoticeTask::new(Arc::clone(context), datagrams) {
--- a/crates/mustardgate-relay/src/peers/mod.rs
+++ b/crates/mustardgate-relay/src/peers/mod.rs
@@ -17,6 +17,7 @@
 mod part_crashes;
 mod server;
 mod stream_log;
+mod version_log;
 
 pub use self::{
     client::{MAX_MESSAGE_TIME, PeerClient},
@@ -32,4 +33,5 @@
     part_crashes::{PartCrash, PartCrashDigest},
     server::serve_peers,
     stream_log::{RecordTask, StreamLogReader},
+    version_log::VersionRecordTask,
 };
--- a/crates/mustardgate-relay/src/peers/stream_log.rs
+++ b/crates/mustardgate-relay/src/peers/stream_log.rs
@@ -20,6 +20,7 @@
     time,
 };
 
+use super::version_log::VersionRecord;
 use crate::context::RelayContext;
 
 /// Largest record, below what the log accepts.
@@ -120,6 +121,10 @@
     began_at: Option<Instant>,
     /// Whether it read everything up to the end of the topic.
     is_complete: bool,
+    /// The newest record of versions.
+    versions: Option<VersionRecord>,
+    /// Whether the history of versions holds what the log says of the time before this node's start.
+    is_joined: bool,
 }
 
 impl StreamLogReader {
@@ -140,9 +145,33 @@
         counter!("mustardgate_stream_log_reads_total", "is_complete" => is_complete.to_string()).increment(1);
         is_complete
     }
+
+    /// Takes over what the log says of versions before this node's start; returns whether nothing more can be learnt.
+    pub async fn join_history(&self, context: &RelayContext) -> bool {
+        let joining = async { self.state.lock().await.join_history(context).await };
+        time::timeout(READ_TIMEOUT, joining).await.unwrap_or(false)
+    }
+
+    /// Returns whether the history of versions holds what the log says.
+    pub async fn is_joined(&self) -> bool {
+        self.state.lock().await.is_joined
+    }
 }
 
 impl ReadState {
+    async fn join_history(&mut self, context: &RelayContext) -> bool {
+        if self.is_joined || !self.is_complete {
+            return self.is_joined;
+        }
+        let outcome = match &self.versions {
+            Some(record) => record.join(context).await,
+            None => Ok(()),
+        };
+        // What was deleted or lost by a restore does not come back.
+        self.is_joined = !matches!(outcome, Err(TopicError::Unavailable { .. }));
+        self.is_joined
+    }
+
     async fn read(&mut self, context: &RelayContext) {
         for _ in 0..MAX_PAGES {
             let reading = context
@@ -156,13 +185,19 @@
                 }
                 Ok(page) => {
                     let now = context.leader.lease_time();
-                    for origins in page.records.iter().filter_map(|record| record.value.as_deref()) {
-                        context.streams.learn(now, &decode_batch(origins).unwrap_or_default());
+                    for value in page.records.iter().filter_map(|record| record.value.as_deref()) {
+                        match VersionRecord::of(value) {
+                            Some(record) => self.versions = Some(record),
+                            None => context.streams.learn(now, &decode_batch(value).unwrap_or_default()),
+                        }
                     }
                     self.next = page.end();
                 }
                 Err(TopicError::Trimmed { earliest }) => self.next.offset = earliest,
-                Err(TopicError::Restored) => self.next = TopicPosition::default(),
+                Err(TopicError::Restored) => {
+                    self.next = TopicPosition::default();
+                    self.versions = None;
+                }
                 Err(TopicError::Unavailable { .. }) => return,
             }
         }
