Hold writes of stream origins back until a node knows the others

When all nodes start at once, none has the list by which one node of a domain writes, so each of 77 nodes would write ten batches a second, beyond what the log takes in all, and lease records with them would be refused. A node that knows no other one waits 1 to 3 s before a write.

--- a/crates/mustardgate-relay/src/peers/stream_log.rs
+++ b/crates/mustardgate-relay/src/peers/stream_log.rs
@@ -14,6 +14,7 @@
     ports::{LogTopic, TopicError, TopicPosition},
     relay::{StreamOrigin, decode_batch, encode_batches, record_interval},
 };
+use rand::Rng;
 use slog::o;
 use tokio::{
     sync::{Mutex, mpsc::UnboundedReceiver},
@@ -29,6 +30,9 @@
 const MAX_WAITING: usize = 16_384;
 /// Longest pause after a failed write; the pause doubles with each further failure.
 const FAILURE_PAUSE_MAX: Duration = Duration::from_millis(800);
+/// Mean time before a write of a node that knows no other one. When all nodes start at once, none knows yet which ones
+/// write, and the log must not get a write of each.
+const UNLISTED_PAUSE: Duration = Duration::from_secs(2);
 /// Age up to which the result of a read serves further callers.
 const READ_VALIDITY: Duration = Duration::from_millis(100);
 /// Longest time that a caller who takes a stream up waits for the log.
@@ -67,6 +71,10 @@
                 };
                 self.waiting.push(origin);
             }
+            if self.context.directory.members().is_empty() {
+                let pause = UNLISTED_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5));
+                time::sleep(pause).await;
+            }
             while let Ok(origin) = self.pending.try_recv() {
                 self.waiting.push(origin);
             }
--- a/crates/mustardgate-relay/src/peers/version_log.rs
+++ b/crates/mustardgate-relay/src/peers/version_log.rs
@@ -103,7 +103,9 @@
     async fn write(&self) {
         // The record replaces earlier ones, so it must hold what they say.
         let log = &self.context.stream_log;
-        if !log.is_joined().await && !(log.refresh(&self.context).await && log.join_history(&self.context).await) {
+        let is_joined =
+            log.is_joined().await || (log.refresh(&self.context).await && log.join_history(&self.context).await);
+        if !is_joined {
             return;
         }
         let now = self.context.leader.lease_time();
