Have the proof of streams' versions end all nodes at once

The scenario stream-versions ends all nodes now and then, keeps a log with the retention of the users' platform, and has the callers of all broken streams come back when a node is ready again.

--- a/crates/standins/src/proof/versions/callers.rs
+++ b/crates/standins/src/proof/versions/callers.rs
@@ -59,12 +59,12 @@
         }
         match finding {
             OriginFinding::Exact(version) => Some(version),
-            _ => None,
+            _ => self.look_up_log(node, key, &digest),
         }
     }
 
-    /// Has the caller of a broken stream come back at another node at once.
-    pub(super) fn take_up(&mut self, mut stream: RunningStream) {
+    /// Has the caller of a broken stream come back at another node; `is_stranded` says that none ran before.
+    pub(super) fn take_up(&mut self, mut stream: RunningStream, is_stranded: bool) {
         // The load balancer sends a caller to nodes of its domain while there are any.
         let domain = &self.nodes[stream.node].member.domain;
         let up: Vec<usize> = (0..self.nodes.len()).filter(|node| self.nodes[*node].is_up()).collect();
@@ -76,9 +76,12 @@
             .choose(&mut self.rng)
             .or_else(|| up.into_iter().choose(&mut self.rng))
         else {
+            self.stranded.push(stream);
             return;
         };
         if self.nodes[node].listed.is_empty() {
+            // The node is not ready; callers that find no other one come back.
+            self.stranded.extend(is_stranded.then_some(stream));
             return;
         }
         let begun_at = *stream.versions.first().expect("an event was passed on");
@@ -93,6 +96,15 @@
             self.returns.0 += 1;
             self.returns.1 += usize::from(runner.is_some());
         }
+        if is_stranded && !self.nodes[node].is_cut && serving >= 2 {
+            self.rejoined.0 += 1;
+            self.rejoined.1 += usize::from(runner.is_some());
+            self.count(if runner.is_some() {
+                "rejoined that go on"
+            } else {
+                "rejoined refused"
+            });
+        }
         self.count(if runner.is_some() {
             "returns that go on"
         } else {
--- a/crates/standins/src/proof/versions/mod.rs
+++ b/crates/standins/src/proof/versions/mod.rs
@@ -2,6 +2,7 @@
 //! callers who come back are served.
 
 mod callers;
+mod log;
 mod node;
 mod simulation;
 
@@ -22,6 +23,7 @@
         simulation.run();
         simulation.check_versions()?;
         simulation.check_returns()?;
+        simulation.check_rejoined()?;
         let counts = simulation.counts.iter();
         Ok(ProofFigures {
             counts: counts.map(|(name, value)| ProofCount { name, value: *value }).collect(),
--- a/crates/standins/src/proof/versions/node.rs
+++ b/crates/standins/src/proof/versions/node.rs
@@ -19,6 +19,14 @@
 /// Failure domains of the nodes.
 const DOMAINS: usize = 3;
 
+/// The list of runners as the log holds it.
+#[derive(Debug)]
+pub(super) struct SimulatedList<'a> {
+    pub(super) runners: &'a BTreeMap<BackendId, VersionTag>,
+    /// Number of changes that led to it.
+    pub(super) position: usize,
+}
+
 #[derive(Debug)]
 pub(super) struct SimulatedNode {
     pub(super) member: NodeMember,
@@ -34,6 +42,10 @@
     next_read: Instant,
     pub(super) next_report: Instant,
     has_read: bool,
+    /// Number of changes of the list that it had read at its last read.
+    pub(super) read_position: usize,
+    /// Whether it has taken over what the log says of versions before its start.
+    pub(super) is_joined: bool,
 }
 
 impl SimulatedNode {
@@ -51,6 +63,8 @@
             next_read: now,
             next_report: now,
             has_read: false,
+            read_position: 0,
+            is_joined: false,
         }
     }
 
@@ -63,6 +77,7 @@
         self.versions = StreamVersions::default();
         self.listed.clear();
         self.has_read = false;
+        self.is_joined = false;
         self.down_until = Some(now + down_time);
     }
 
@@ -77,7 +92,7 @@
     pub(super) fn read_list(
         &mut self,
         now: Instant,
-        runners: &BTreeMap<BackendId, VersionTag>,
+        list: &SimulatedList<'_>,
         service: &ServiceId,
         is_first_start: bool,
         rng: &mut ChaCha8Rng,
@@ -90,7 +105,8 @@
             let listed = self.listed.values().map(|version| (service, *version));
             return self.versions.sweep(now, listed);
         }
-        self.listed.clone_from(runners);
+        self.listed.clone_from(list.runners);
+        self.read_position = list.position;
         let is_complete = !std::mem::replace(&mut self.has_read, true);
         let listed = self.listed.values().map(|version| (service, *version));
         self.versions.record_list(now, listed, is_complete, is_first_start)
--- a/crates/standins/src/proof/versions/simulation.rs
+++ b/crates/standins/src/proof/versions/simulation.rs
@@ -16,7 +16,10 @@
 use rand_chacha::ChaCha8Rng;
 use smol_str::format_smolstr;
 
-use super::node::SimulatedNode;
+use super::{
+    log::SimulatedLog,
+    node::{SimulatedList, SimulatedNode},
+};
 use crate::proof::{
     GuardMode,
     cadence::{REPORT_INTERVAL_MS, message_time},
@@ -57,13 +60,18 @@
     /// Datagrams and digests of versions under way: when they arrive and where.
     datagrams: Vec<(Instant, usize, StreamOrigin)>,
     digests: Vec<(Instant, usize, VersionDigest)>,
-    leader: Option<usize>,
+    pub(super) leader: Option<usize>,
     next_attempt: u64,
     next_runner: u64,
     newest_version: u64,
     /// Returns at nodes in touch while two runners of the version serve: all, and those that go on.
     pub(super) returns: (usize, usize),
     pub(super) counts: BTreeMap<&'static str, u64>,
+    pub(super) log: SimulatedLog,
+    /// Streams whose callers find no node that runs.
+    pub(super) stranded: Vec<RunningStream>,
+    /// Returns after all nodes ended while two runners of the version serve: all, and those that go on.
+    pub(super) rejoined: (usize, usize),
 }
 
 pub(super) fn digest(attempt: u64) -> RequestDigest {
@@ -103,6 +111,9 @@
             newest_version: 1,
             returns: (0, 0),
             counts: BTreeMap::new(),
+            log: SimulatedLog::default(),
+            stranded: Vec::new(),
+            rejoined: (0, 0),
             rng,
         };
         for _ in 0..simulation.rng.random_range(2..10) {
@@ -117,6 +128,8 @@
             self.change_runners();
             self.fail_nodes();
             self.deliver();
+            self.step_log();
+            self.return_stranded();
             for node in 0..self.nodes.len() {
                 self.step_node(node);
             }
@@ -132,7 +145,9 @@
         self.next_runner += 1;
         let id = format_smolstr!("engine-{}", self.next_runner);
         let version = SoftwareVersion::Stated(format_smolstr!("v{}", self.newest_version));
-        self.runners.insert(id, version.tag(&self.service));
+        let version = version.tag(&self.service);
+        self.runners.insert(id, version);
+        self.log.record_listed(version);
     }
 
     /// Rolls runners over to new versions, and ends some.
@@ -184,6 +199,12 @@
                 self.kill(node);
             }
         }
+        if self.rng.random_bool(0.0004) {
+            for node in 0..self.nodes.len() {
+                self.kill(node);
+            }
+            self.count("ends of all nodes");
+        }
         for node in &mut self.nodes {
             if node.down_until.is_some_and(|until| until <= self.now) {
                 node.start(self.now);
@@ -204,7 +225,7 @@
         let broken: Vec<RunningStream> = self.streams.extract_if(.., |stream| stream.node == node).collect();
         for stream in broken {
             if !stream.versions.is_empty() {
-                self.take_up(stream);
+                self.take_up(stream, false);
             }
         }
     }
@@ -230,7 +251,11 @@
         }
         let is_first_start = self.now < self.start + Duration::from_secs(1);
         let node = &mut self.nodes[number];
-        let due = node.read_list(self.now, &self.runners, &self.service, is_first_start, &mut self.rng);
+        let list = SimulatedList {
+            runners: &self.runners,
+            position: self.log.position(),
+        };
+        let due = node.read_list(self.now, &list, &self.service, is_first_start, &mut self.rng);
         for origin in due {
             self.tell(number, origin);
         }
@@ -287,6 +312,7 @@
                 self.count("records told");
             }
         }
+        self.record(from, &members, origin);
     }
 
     /// Chooses a runner as a node does that lists runners which have ended already.
