Admit streams that have begun where new ones are refused

Change: the gate accepts a longer wait for a stream of which the caller holds a part, as load shedding prefers work that has begun. A core test shows that a wait is refused to a new request and granted to a begun one; it did not compile before.

--- a/crates/mustardgate-core/src/relay/admission.rs
+++ b/crates/mustardgate-core/src/relay/admission.rs
@@ -54,6 +54,11 @@
     pub tolerant_factor: u32,
     /// Longest time that a request may wait to be admitted, as a fraction of its route's target latency.
     pub max_queue_share: f64,
+    /// Longest accepted wait of a stream that has begun, as a fraction of its route's target latency. Its caller holds a
+    /// part of it, which would be lost, and only the runners of one version can go on with it.
+    pub begun_wait_share: f64,
+    /// Longest time that a stream that has begun may wait to be admitted, as a fraction of that target.
+    pub begun_queue_share: f64,
 }
 
 impl Default for GateSettings {
@@ -63,6 +68,8 @@
             tolerant_share: 0.5,
             tolerant_factor: 4,
             max_queue_share: 0.12,
+            begun_wait_share: 1.5,
+            begun_queue_share: 0.5,
         }
     }
 }
@@ -78,6 +85,8 @@
     pub target: Duration,
     /// Shortest target latency of the routes to the same service.
     pub urgent_target: Duration,
+    /// Whether the request goes on with a stream of which the caller has received a part.
+    pub is_begun: bool,
 }
 
 /// Refuses requests that a runner could not start answering in time.
@@ -97,6 +106,9 @@
 
     /// Returns whether the request may be sent to the runner now.
     pub fn admits(&self, query: &AdmissionQuery) -> bool {
+        if query.is_begun {
+            return query.wait <= query.target.mul_f64(self.settings.begun_wait_share);
+        }
         let shortest = query.urgent_target.min(query.target);
         let is_tolerant = query.target >= shortest * self.settings.tolerant_factor;
         let share = if is_tolerant {
@@ -109,7 +121,12 @@
 
     /// Returns how long after its arrival a request may still wait to be admitted; then it is refused.
     pub fn max_queue_time(&self, query: &AdmissionQuery) -> Duration {
-        query.target.mul_f64(self.settings.max_queue_share)
+        let share = if query.is_begun {
+            self.settings.begun_queue_share
+        } else {
+            self.settings.max_queue_share
+        };
+        query.target.mul_f64(share)
     }
 }
 
--- a/crates/mustardgate-core/tests/relay/admission.rs
+++ b/crates/mustardgate-core/tests/relay/admission.rs
@@ -21,6 +21,7 @@
         elapsed: Duration::ZERO,
         target: TARGET,
         urgent_target: TARGET,
+        is_begun: false,
     }
 }
 
@@ -127,3 +128,22 @@
     let load = Duration::from_secs(6);
     assert!(advisor.retry_delay(RefusalCause::ModelAbsent, Some(load), 0.0) >= load);
 }
+
+// Guards against LOST breaks: streams that are taken up have the runners of one version only, which are full first.
+#[test]
+fn a_stream_that_has_begun_is_admitted_where_a_new_one_is_refused() {
+    let gate = AdmissionGate::default();
+    let wait = TARGET.mul_f64(0.9);
+    let begun = AdmissionQuery {
+        is_begun: true,
+        ..query(wait)
+    };
+    assert!(!gate.admits(&query(wait)));
+    assert!(gate.admits(&begun));
+    assert!(gate.max_queue_time(&begun) > gate.max_queue_time(&query(wait)));
+    // A runner at which it would wait longer than callers do is no use to it.
+    assert!(!gate.admits(&AdmissionQuery {
+        wait: TARGET * 4,
+        ..begun
+    }));
+}
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -131,6 +131,7 @@
                 elapsed: now.saturating_duration_since(self.request.received_at),
                 target: self.route.target_latency,
                 urgent_target: self.urgent_target,
+                is_begun: self.version.is_some(),
             };
             let gate = &self.context.gate;
             if !self.route.is_stream || gate.admits(&admission) {
