--- a/crates/mustardgate-relay/src/context/records.rs
+++ b/crates/mustardgate-relay/src/context/records.rs
@@ -80,6 +80,15 @@
             .unwrap_or_default()
     }
 
+    /// Returns the position up to which this node has read a topic, or `None` if it has not.
+    pub fn position(&self, topic: LogTopic) -> Option<TopicPosition> {
+        let cache = self.lock(topic)?;
+        cache.read_at.map(|_| TopicPosition {
+            era: Some(cache.era),
+            offset: cache.next,
+        })
+    }
+
     /// Returns the changes from a position on, and the time at which the log was last read.
     ///
     /// # Errors
@@ -112,7 +121,7 @@
         let cache = match topic {
             LogTopic::Configuration => &self.configuration,
             LogTopic::Runners => &self.runners,
-            LogTopic::Leases => return None,
+            LogTopic::Leases | LogTopic::StreamOrigins => return None,
         };
         Some(cache.lock().expect("no holder of the lock panics"))
     }
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -19,7 +19,7 @@
     fleet::RunnerFleet,
     leader::{BootClock, SharedLeadership},
     link::HelperBook,
-    peers::{FeedLimiter, NeighbourLog, PeerClient, PeerDirectory},
+    peers::{FeedLimiter, NeighbourLog, PeerClient, PeerDirectory, StreamLogReader},
     request_log::{RefusalLog, RequestLog},
     settings::RelaySettings,
 };
@@ -83,6 +83,7 @@
         observations: ObservationBuffer::default(),
         budgets: ServiceBudgets::new(&settings.bounds),
         streams: StreamGuard::new(settings.node.first_start),
+        stream_log: StreamLogReader::default(),
         demand: DemandCounter::default(),
         leader: SharedLeadership::new(lease, planner, Arc::new(BootClock::start())),
         peers,
--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -26,7 +26,7 @@
     gateway::{CallerListener, answer_caller, serve_callers},
     leader::{LeaseTask, PlanTask, WatchTask},
     link::LinkTask,
-    peers::{DigestTask, NoticeTask, serve_peers},
+    peers::{DigestTask, NoticeTask, RecordTask, VersionRecordTask, serve_peers},
     settings::RelaySettings,
 };
 
@@ -88,11 +88,15 @@
         keep(context, "digest", move |context| {
             DigestTask::new(context, address).run()
         });
+        keep(context, "versions", |context| VersionRecordTask::new(context).run());
         tokio::spawn(load_neighbour_records(Arc::clone(context)));
         let datagrams = bind_datagrams(address).await?;
         if let Some(task) = NoticeTask::new(Arc::clone(context), datagrams) {
             tokio::spawn(task.run());
         }
+        if let Some(task) = RecordTask::new(Arc::clone(context)) {
+            tokio::spawn(task.run());
+        }
     }
     keep(context, "link", |context| LinkTask::new(context).run());
     keep(context, "sweep", sweep);
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -135,6 +135,10 @@
 pub const RELAY_ANSWER_GIVEN_UP: EventKind = event(636, Level::Info, "answer over cut link given up");
 /// An answer of a runner was dropped and its connection closed, because nothing binds it to the request before it.
 pub const RELAY_ANSWER_DROPPED: EventKind = event(660, Level::Warning, "stray runner answer dropped");
+/// Origins of streams could not be written to the log; they are written when it answers again.
+pub const RELAY_ORIGINS_UNRECORDED: EventKind = event(640, Level::Warning, "stream origins not recorded");
+/// Origins of streams are written to the log again; with their number.
+pub const RELAY_ORIGINS_RECORDED: EventKind = event(641, Level::Info, "stream origins recorded again");
 /// A lease record was refused or could not be appended, read or decoded, so the lease is uncertain.
 pub const RELAY_LEASE_UNCERTAIN: EventKind = event(620, Level::Warning, "lease uncertain");
 /// An order was sent to a runner; with its reply.
@@ -216,6 +220,8 @@
     RELAY_ANSWER_GIVEN_UP,
     RELAY_ANSWER_DROPPED,
     RELAY_TASK_PANICKED,
+    RELAY_ORIGINS_UNRECORDED,
+    RELAY_ORIGINS_RECORDED,
 ];
 
 impl EventKind {
