Join the history of versions again after a gap, and read the log to its real end

A gap makes the node join the history of the log again before it writes. A read ends where the log does not go on.

--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -136,6 +136,9 @@
             LogTopic::Leases | LogTopic::StreamOrigins => {}
         }
         if self.topic == LogTopic::Runners {
+            if is_complete {
+                self.context.stream_log.record_gap();
+            }
             self.context.streams.record_list(now, &self.context.fleet, is_complete);
         }
     }
--- a/crates/mustardgate-relay/src/gateway/origin.rs
+++ b/crates/mustardgate-relay/src/gateway/origin.rs
@@ -79,6 +79,7 @@
         return found(Some(version), "sole_version");
     }
     let Some(key) = key else {
+        context.stream_log.refresh(context).await;
         return look_up_sole(context, route).await;
     };
     let report = ask_origin(context, key, digest).await;
--- a/crates/mustardgate-relay/src/peers/stream_log.rs
+++ b/crates/mustardgate-relay/src/peers/stream_log.rs
@@ -3,7 +3,10 @@
 //! See `docs/design/stream-versions.md`.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -17,7 +20,7 @@
 use rand::Rng;
 use slog::o;
 use tokio::{
-    sync::{Mutex, mpsc::UnboundedReceiver},
+    sync::{Mutex, MutexGuard, mpsc::UnboundedReceiver},
     time,
 };
 
@@ -120,6 +123,8 @@
 #[derive(Debug, Default)]
 pub struct StreamLogReader {
     state: Mutex<ReadState>,
+    /// Whether changes of the list of runners may have been missed since the history was joined.
+    has_gap: AtomicBool,
 }
 
 #[derive(Debug, Default)]
@@ -136,10 +141,15 @@
 }
 
 impl StreamLogReader {
+    /// Records that changes of the list of runners may have been missed, so that the history has to be joined again.
+    pub fn record_gap(&self) {
+        self.has_gap.store(true, Ordering::Relaxed);
+    }
+
     /// Takes over what the log holds by now; returns whether everything was read.
     pub async fn refresh(&self, context: &RelayContext) -> bool {
         let reading = async {
-            let mut state = self.state.lock().await;
+            let mut state = self.lock().await;
             let now = clock::now();
             let is_recent = |at: Instant| now.saturating_duration_since(at) < READ_VALIDITY;
             if !state.began_at.is_some_and(is_recent) {
@@ -156,13 +166,21 @@
 
     /// Takes over what the log says of versions before this node's start; returns whether nothing more can be learnt.
     pub async fn join_history(&self, context: &RelayContext) -> bool {
-        let joining = async { self.state.lock().await.join_history(context).await };
+        let joining = async { self.lock().await.join_history(context).await };
         time::timeout(READ_TIMEOUT, joining).await.unwrap_or(false)
     }
 
     /// Returns whether the history of versions holds what the log says.
     pub async fn is_joined(&self) -> bool {
-        self.state.lock().await.is_joined
+        self.lock().await.is_joined
+    }
+
+    async fn lock(&self) -> MutexGuard<'_, ReadState> {
+        let mut state = self.state.lock().await;
+        if self.has_gap.swap(false, Ordering::Relaxed) {
+            state.is_joined = false;
+        }
+        state
     }
 }
 
@@ -187,7 +205,7 @@
                 .topics
                 .read(LogTopic::StreamOrigins, self.next, Duration::ZERO);
             match reading.await {
-                Ok(page) if page.records.is_empty() => {
+                Ok(page) if page.next == self.next.offset => {
                     self.is_complete = true;
                     return;
                 }
--- a/crates/mustardgate-relay/src/peers/version_log.rs
+++ b/crates/mustardgate-relay/src/peers/version_log.rs
@@ -65,7 +65,8 @@
     let mut listed = BTreeSet::new();
     for _ in 0..MAX_PAGES {
         let page = context.direct_log.read(LogTopic::Runners, from, Duration::ZERO).await?;
-        if page.records.is_empty() {
+        // A page of which no record can be read is not the end.
+        if page.next == from.offset {
             return Ok(listed);
         }
         for record in &page.records {
