--- a/crates/mustardgate-relay/src/link/lost.rs
+++ b/crates/mustardgate-relay/src/link/lost.rs
@@ -47,7 +47,9 @@
     }
 }
 
-/// Returns another node that reaches the runner while this one does not; answers in flight at the same runner share the question.
+/// Returns another node that reaches the runner while this one does not.
+///
+/// The answers in flight at the same runner share the question.
 async fn find_witness(context: &RelayContext, cell: &RunnerCell) -> Option<SocketAddr> {
     let mut last = cell.last_witness.lock().await;
     if let Some((at, witness)) = *last
--- a/crates/mustardgate-relay/src/peers/mod.rs
+++ b/crates/mustardgate-relay/src/peers/mod.rs
@@ -27,7 +27,7 @@
     log::NeighbourLog,
     messages::{
         AdapterRequest, CachedRecord, CachedRecords, DemandReport, KnowledgeExchange, LeaderAnswer, LogCall, LogReply,
-        PermitAnswer, PermitRequest,
+        PeerNotice, PermitAnswer, PermitRequest,
     },
     origins::{NoticeTask, OriginReport, ask_origin},
     part_crashes::{PartCrash, PartCrashDigest},
--- a/crates/mustardgate-relay/tests/messages.rs
+++ b/crates/mustardgate-relay/tests/messages.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use mustardgate_core::{
-    ports::TopicRecord,
+    ports::{LogTopic, TopicRecord},
     relay::{
         CrashDigest, CrashObservation, InputId, LimitObservation, NodeMember, RequestContent, RunnerObservation,
         SoftwareVersion, StreamOrigin,
@@ -11,7 +11,7 @@
 };
 use mustardgate_relay::{
     context::DemandDigest,
-    peers::{CachedRecord, DemandReport, KnowledgeExchange, LeaderAnswer, PartCrashDigest},
+    peers::{CachedRecord, DemandReport, KnowledgeExchange, LeaderAnswer, LogCall, PartCrashDigest, PeerNotice},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -207,3 +207,69 @@
     assert_eq!((exchange.address, exchange.domain.clone()), (Some(address), None));
     assert_eq!(convert::<_, UnversionedExchange>(&exchange).address, Some(address));
 }
+
+/// Notices of the build before streams were recorded in the log.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierNotice {
+    Streams(Vec<StreamOrigin>),
+    Rejections(Vec<(String, u64)>),
+}
+
+/// Calls to the log of that build.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierCall {
+    Newest {
+        topic: EarlierTopic,
+    },
+    Read {
+        topic: EarlierTopic,
+        from: u64,
+        wait: Duration,
+    },
+}
+
+/// Topics of that build.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierTopic {
+    Configuration,
+    Runners,
+    Leases,
+}
+
+fn bytes_of<T: Serialize>(message: &T) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes).expect("the message is encoded");
+    bytes
+}
+
+fn is_understood<T: DeserializeOwned>(bytes: &[u8]) -> bool {
+    ciborium::from_reader::<T, _>(bytes).is_ok()
+}
+
+// Guards against nodes of the build before that take a new message for another one, or whose messages are lost here.
+#[test]
+fn messages_of_the_build_before_recorded_streams_are_understood_and_new_ones_are_not_mistaken() {
+    let rejected = EarlierNotice::Rejections(vec![("one".to_owned(), 7)]);
+    let notice: PeerNotice = convert(&rejected);
+    assert_eq!(notice, PeerNotice::Rejections(vec![("one".into(), 7)]));
+    assert_eq!(convert::<_, EarlierNotice>(&notice), rejected);
+    for topic in [EarlierTopic::Configuration, EarlierTopic::Runners, EarlierTopic::Leases] {
+        let call = EarlierCall::Read {
+            topic,
+            from: 3,
+            wait: Duration::from_millis(600),
+        };
+        assert_eq!(convert::<_, EarlierCall>(&convert::<_, LogCall>(&call)), call);
+    }
+    let unrecorded = bytes_of(&PeerNotice::Unrecorded(Vec::new()));
+    assert!(!is_understood::<EarlierNotice>(&unrecorded));
+    let append = bytes_of(&LogCall::Append {
+        topic: LogTopic::StreamOrigins,
+        values: Vec::new(),
+    });
+    assert!(!is_understood::<EarlierCall>(&append));
+    let read = bytes_of(&LogCall::Newest {
+        topic: LogTopic::StreamOrigins,
+    });
+    assert!(!is_understood::<EarlierCall>(&read));
+}
