Ask a runner for its process unless an open connection vouches for it

A node took the process at the address for the listed one unless a connection had broken or the list was known to be unreadable; a node without any connection to the runner saw neither. Connections that other requests, crash checks and link probes had opened were kept and used unasked.

Now it is a property of the connection that it leads to the listed process (RunnerConnection::is_confirmed). A connection without it is asked before a stream that may be resumed is sent on it, unless another confirmed connection to the runner is still open, no connection broke since, and the list can be read or the process was confirmed within a second (ProcessEvidence, in the core). The answer to the question counts as no answer of the connection.

--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -20,6 +20,7 @@
 mod permits;
 mod planner;
 mod prefix;
+mod process_evidence;
 mod processes;
 mod rate_limits;
 mod request;
@@ -50,6 +51,7 @@
     permits::{PermitIssuer, PermitSchedule},
     planner::{OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
     prefix::PrefixIndex,
+    process_evidence::ProcessEvidence,
     rate_limits::{LimitChange, LimitLedger, LimitObservation, LimitStatement},
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
     selector::{Candidate, RunnerSelector, SelectionWeights},
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -14,6 +14,7 @@
 mod odd_messages;
 mod permits;
 mod placement;
+mod process_evidence;
 mod rate_limits;
 mod routes;
 mod selector;
--- a/crates/mustardgate-relay/src/client/connection.rs
+++ b/crates/mustardgate-relay/src/client/connection.rs
@@ -3,6 +3,10 @@
 use std::{
     io::{self, ErrorKind},
     net::{IpAddr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -75,6 +79,19 @@
     }
 }
 
+/// Whether a connection is still open at both ends, as its owner and its pool see it.
+#[derive(Debug, Default)]
+pub(super) struct ConnectionLife {
+    is_closed: AtomicBool,
+}
+
+impl ConnectionLife {
+    /// Returns whether the peer has not closed the connection.
+    pub(super) fn is_open(&self) -> bool {
+        !self.is_closed.load(Ordering::Relaxed)
+    }
+}
+
 /// A connection that carries one request at a time; dropping it closes the socket at once, which stops the runner's
 /// work.
 #[derive(Debug)]
@@ -83,6 +100,9 @@
     /// Answers whose heads were received.
     answer_count: u64,
     watch: SocketWatch,
+    life: Arc<ConnectionLife>,
+    /// Whether it certainly leads to the listed process, which holds as long as the connection lasts.
+    is_confirmed: bool,
     _driver: AbortOnDropHandle<()>,
 }
 
@@ -98,6 +118,17 @@
         self.answer_count <= 1
     }
 
+    /// Returns whether the connection certainly leads to the listed process.
+    pub fn is_confirmed(&self) -> bool {
+        self.is_confirmed
+    }
+
+    /// Records that the connection leads to the listed process.
+    pub(super) fn confirm(&mut self) -> &Arc<ConnectionLife> {
+        self.is_confirmed = true;
+        &self.life
+    }
+
     /// Sends a request and waits for the head of its answer.
     ///
     /// # Errors
@@ -106,12 +137,23 @@
         &mut self,
         request: Request<Full<Bytes>>,
         timeout: Duration,
+    ) -> Result<Response<Incoming>, SendFailure> {
+        let answer = self.ask(request, timeout).await?;
+        self.answer_count += 1;
+        Ok(answer)
+    }
+
+    /// Sends a question about the runner itself, whose answer cannot be taken for that of a request.
+    ///
+    /// # Errors
+    /// [`SendFailure`] when no head of an answer is received.
+    pub async fn ask(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
     ) -> Result<Response<Incoming>, SendFailure> {
         match time::timeout(timeout, self.sender.try_send_request(request)).await {
-            Ok(Ok(answer)) => {
-                self.answer_count += 1;
-                Ok(answer)
-            }
+            Ok(Ok(answer)) => Ok(answer),
             // The library returns the request only if none of its bytes was written.
             Ok(Err(mut error)) => Err(match error.take_message() {
                 Some(_) => SendFailure::NotSent,
@@ -180,14 +222,19 @@
     };
     let connected = time::timeout(timeout, connecting).await;
     let (sender, connection, watch) = connected.unwrap_or(Err(ProbeFailure::Other))?;
+    let life = Arc::<ConnectionLife>::default();
+    let ending = Arc::clone(&life);
     let driver = tokio::spawn(async move {
         // The caller that waits for an answer on the connection receives its error.
         drop(connection.await);
+        ending.is_closed.store(true, Ordering::Relaxed);
     });
     Ok(RunnerConnection {
         sender,
         answer_count: 0,
         watch,
+        life,
+        is_confirmed: false,
         _driver: AbortOnDropHandle::new(driver),
     })
 }
--- a/crates/mustardgate-relay/src/client/pool.rs
+++ b/crates/mustardgate-relay/src/client/pool.rs
@@ -3,7 +3,7 @@
 use std::{
     net::{IpAddr, SocketAddr},
     sync::{
-        Mutex,
+        Arc, Mutex, MutexGuard, Weak,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
@@ -14,7 +14,7 @@
 
 use super::{
     RunnerConnection, SendFailure, connect_runner,
-    connection::{ConnectionRoute, ProbeFailure, probe_runner},
+    connection::{ConnectionLife, ConnectionRoute, ProbeFailure, probe_runner},
 };
 
 /// Settings of [`ConnectionPool`].
@@ -55,6 +55,8 @@
     idle: Mutex<Vec<IdleConnection>>,
     /// Whether a connection broke since the last confirmation of the process.
     has_lost: AtomicBool,
+    /// Connections, idle or in use, that certainly lead to the listed process.
+    confirmed: Mutex<Vec<Weak<ConnectionLife>>>,
 }
 
 /// A connection to a runner.
@@ -74,6 +76,7 @@
             address,
             idle: Mutex::new(Vec::new()),
             has_lost: AtomicBool::new(false),
+            confirmed: Mutex::default(),
         }
     }
 
@@ -113,9 +116,23 @@
         self.has_lost.store(true, Ordering::Relaxed);
     }
 
-    /// Records that the process at the address was confirmed.
-    pub fn record_confirmation(&self) {
+    /// Records that a connection was asked for its process, which is the listed one.
+    pub fn record_confirmation(&self, connection: &mut RunnerConnection) {
         self.has_lost.store(false, Ordering::Relaxed);
+        self.confirm(connection);
+    }
+
+    /// Records that a connection leads to the listed process.
+    pub fn confirm(&self, connection: &mut RunnerConnection) {
+        let life = Arc::downgrade(connection.confirm());
+        let mut confirmed = self.lock_confirmed();
+        confirmed.retain(is_open);
+        confirmed.push(life);
+    }
+
+    /// Returns whether a connection that leads to the listed process is open, idle or in use.
+    pub fn has_confirmed_connection(&self) -> bool {
+        self.lock_confirmed().iter().any(is_open)
     }
 
     /// Returns whether a connection broke since the process at the address was confirmed.
@@ -183,7 +200,16 @@
         None
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<IdleConnection>> {
+    fn lock(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
         self.idle.lock().expect("no holder of the lock panics")
     }
+
+    fn lock_confirmed(&self) -> MutexGuard<'_, Vec<Weak<ConnectionLife>>> {
+        self.confirmed.lock().expect("no holder of the lock panics")
+    }
+}
+
+/// Returns whether a connection exists and its peer has not closed it.
+fn is_open(life: &Weak<ConnectionLife>) -> bool {
+    life.upgrade().is_some_and(|life| life.is_open())
 }
--- a/crates/mustardgate-relay/src/fleet/cell.rs
+++ b/crates/mustardgate-relay/src/fleet/cell.rs
@@ -14,19 +14,16 @@
     clock,
     relay::{
         BacklogEstimate, HealthSettings, ListedRunner, LoadEstimate, ModelName, OutcomeTracker, PrefixIndex,
-        RelayRequest, ReportedLoad, RunnerState, VersionTag,
+        ProcessEvidence, RelayRequest, ReportedLoad, RunnerState, VersionTag,
     },
 };
 use tokio::sync::Mutex as AsyncMutex;
 
-use crate::client::{ConnectionPool, PoolSettings};
+use crate::client::{ConnectionPool, PoolSettings, RunnerConnection};
 
 /// Time for which a runner's statement that it lacks a model or adapter overrides its entry, which may be older.
 const ABSENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time for which a confirmed process needs no new confirmation while the list of runners cannot be read.
-const CONFIRMATION_VALIDITY: Duration = Duration::from_secs(1);
-
 /// Timeout of the connection that tells a crashed runner from a broken connection.
 const PROCESS_CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time for which the result of such a check is used again, for the other requests that the same event broke off.
@@ -150,17 +147,20 @@
         is_gone
     }
 
-    /// Returns whether another process than the listed one may answer a new connection: connections broke, or the list
-    /// cannot be read and the process was not confirmed of late.
-    pub fn is_doubtful(&self, now: Instant, has_outage: bool) -> bool {
-        let confirmed_at = self.lock().confirmed_at;
-        let is_recent = confirmed_at.is_some_and(|at| now.saturating_duration_since(at) < CONFIRMATION_VALIDITY);
-        self.pool.has_lost() || (has_outage && !is_recent)
+    /// Returns what this node knows of the process at the address; `is_list_away` says that the list of runners cannot be
+    /// read.
+    pub fn process_evidence(&self, is_list_away: bool) -> ProcessEvidence {
+        ProcessEvidence {
+            has_open_connection: self.pool.has_confirmed_connection(),
+            has_lost: self.pool.has_lost(),
+            is_list_away,
+            confirmed_at: self.lock().confirmed_at,
+        }
     }
 
-    /// Records that the listed process answers at the address.
-    pub fn record_confirmation(&self, now: Instant) {
-        self.pool.record_confirmation();
+    /// Records that the listed process answered a question on the connection.
+    pub fn record_confirmation(&self, now: Instant, connection: &mut RunnerConnection) {
+        self.pool.record_confirmation(connection);
         self.lock().confirmed_at = Some(now);
     }
 
--- a/crates/mustardgate-relay/src/link/process.rs
+++ b/crates/mustardgate-relay/src/link/process.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use http_body_util::{BodyExt, Limited};
+use metrics::counter;
 use mustardgate::events;
 use mustardgate_core::clock;
 use slog::o;
@@ -32,8 +33,8 @@
 
 /// Returns a connection to a runner.
 ///
-/// A new connection whose process matters and is in doubt is asked for it first: a runner that starts again under its
-/// identity may have another software version.
+/// A connection whose process matters and is not certain is asked for it first: a runner that starts again under its
+/// identity may have another software version. See `docs/design/stream-versions.md`.
 ///
 /// # Errors
 /// [`SendFailure`]; the request was not sent.
@@ -47,17 +48,21 @@
         time_left,
     } = target;
     let mut taken = cell.pool.take(time_left).await?;
-    let has_outage = context.fleet.has_recent_outage(clock::now());
-    let needs_check =
-        taken.is_new && needs_process && cell.listed().started_at_ms != 0 && cell.is_doubtful(clock::now(), has_outage);
-    if !needs_check {
+    if !needs_process || taken.connection.is_confirmed() || cell.listed().started_at_ms == 0 {
         return Ok(taken);
     }
+    let now = clock::now();
+    let evidence = cell.process_evidence(context.fleet.has_recent_outage(now));
+    if taken.is_new && evidence.is_sufficient(now) {
+        cell.pool.confirm(&mut taken.connection);
+        return Ok(taken);
+    }
+    counter!("mustardgate_process_checks_total").increment(1);
     let checking = read_process(context, cell, &mut taken.connection);
     let started_at_ms = time::timeout(CONFIRMATION_TIMEOUT.min(time_left), checking).await;
     let started_at_ms = started_at_ms.map_err(|_elapsed| SendFailure::NotConnected)??;
     if started_at_ms == Some(cell.listed().started_at_ms) {
-        cell.record_confirmation(clock::now());
+        cell.record_confirmation(clock::now(), &mut taken.connection);
         return Ok(taken);
     }
     let values = o!(
@@ -78,7 +83,7 @@
 ) -> Result<Option<u64>, SendFailure> {
     let control = &context.ports.control;
     let request = control.process_request(&cell.listed().id);
-    let answer = connection.send(request, CONFIRMATION_TIMEOUT).await;
+    let answer = connection.ask(request, CONFIRMATION_TIMEOUT).await;
     let answer = answer.map_err(|_failure| SendFailure::NotConnected)?;
     let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
     let body = body.map_err(|_error| SendFailure::NotConnected)?;
