Read the list of runners again before one version counts as certain, and tell one keeper of every stream

A stream that no record names goes on at the only version only if the list was read by a read that began after its caller came back (StreamVersions::certain_version, ListRefresher), directly or through other nodes. Every stream is told to one keeper with its first event, to both and the recorder once a second version may serve. Tests of the old signatures were rewritten with the same expectations.

--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -57,6 +57,6 @@
     selector::{Candidate, RunnerSelector, SelectionWeights},
     stream_batches::{choose_recorder, decode_batch, encode_batches, record_interval},
     stream_origins::{NodeMember, OriginFinding, OriginLedger, StreamKey, StreamOrigin, choose_keepers, rank_keepers},
-    stream_versions::{BegunStream, StreamVersions},
+    stream_versions::{BegunStream, ListRead, NoticeScope, StreamVersions},
     versions::{SeenVersion, SoftwareVersion, VersionDigest, VersionHistory, VersionTag},
 };
--- a/crates/mustardgate-core/src/relay/stream_versions.rs
+++ b/crates/mustardgate-core/src/relay/stream_versions.rs
@@ -28,43 +28,69 @@
     pub life: Duration,
 }
 
+/// A read of the list of runners.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListRead {
+    /// When the read began.
+    pub began_at: Instant,
+    /// When it ended.
+    pub ended_at: Instant,
+    /// Whether it went up to the end of the list, so that everything listed before it began is known.
+    pub reaches_end: bool,
+    /// Whether it was of the whole list, so that changes since the read before may be missing.
+    pub is_complete: bool,
+    /// Whether the deployment starts for the first time.
+    pub is_first_start: bool,
+}
+
+/// Which other nodes have to be told where a stream began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoticeScope {
+    /// One keeper. One version serves, so the origin counts only if another version comes while the stream lasts and this
+    /// node cannot tell of it any more then.
+    OneKeeper,
+    /// Both keepers and the recorder, because several versions may serve.
+    All,
+}
+
 /// Records of streams, and the versions that served of late.
 ///
-/// While it is certain that a service has runners of one version only, nobody needs to be told where its streams began.
-/// The streams in flight are told once that ends. Times are those of a clock that counts suspensions. See
-/// `docs/design/stream-versions.md`.
+/// While it is certain that a service has runners of one version only, one other node is told where its streams began. All
+/// that keep such records are told of the streams in flight once that ends. Times are those of a clock that counts
+/// suspensions. See `docs/design/stream-versions.md`.
 #[derive(Debug, Default)]
 pub struct StreamVersions {
     ledger: OriginLedger,
     history: VersionHistory,
-    /// Streams that began at this node, have not ended and were not told of.
+    /// Streams that began at this node, have not ended, and of which one keeper at most was told.
     untold: HashMap<StreamKey, (Instant, BegunStream)>,
     list_read_at: Option<Instant>,
+    /// Time up to which everything that was listed is known.
+    current_as_of: Option<Instant>,
 }
 
 impl StreamVersions {
-    /// Records that the list of runners was read, and returns the streams of which others have to be told by now.
-    ///
-    /// `is_complete` says that changes since the last read may be missing, `is_first_start` that the deployment starts
-    /// for the first time.
+    /// Records that the list of runners was read, and returns the streams of which all keepers have to be told by now.
     pub fn record_list<'a>(
         &mut self,
-        now: Instant,
+        read: ListRead,
         listed: impl IntoIterator<Item = (&'a ServiceId, VersionTag)>,
-        is_complete: bool,
-        is_first_start: bool,
     ) -> Vec<StreamOrigin> {
-        if is_complete {
-            self.history.record_gap(now);
-            if is_first_start && self.list_read_at.is_none() {
+        if read.is_complete {
+            self.history.record_gap(read.ended_at);
+            if read.is_first_start && self.list_read_at.is_none() {
                 self.history.record_first_start();
             }
         }
-        self.list_read_at = Some(now);
-        self.sweep(now, listed)
+        self.list_read_at = Some(read.ended_at);
+        if read.reaches_end {
+            // Two reads may overlap.
+            self.current_as_of = self.current_as_of.max(Some(read.began_at));
+        }
+        self.sweep(read.ended_at, listed)
     }
 
-    /// Records the versions that are listed now, and returns the streams of which others have to be told by now.
+    /// Records the versions that are listed now, and returns the streams of which all keepers have to be told by now.
     pub fn sweep<'a>(
         &mut self,
         now: Instant,
@@ -82,21 +108,42 @@
         due.map(|(_, (_, stream))| stream.origin).collect()
     }
 
-    /// Returns the only version of a service that may have begun a stream within `life`, if that is certain.
+    /// Returns the only version of a service that may have begun a stream within `life`, as far as this node knows. Other
+    /// nodes may know better since the list was read.
     pub fn sole_version(&self, now: Instant, service: &ServiceId, life: Duration) -> Option<VersionTag> {
         let sole = self.history.sole_version(now, service, life);
         sole.filter(|_| is_recent(self.list_read_at, now))
     }
 
-    /// Records that a stream begins at this node; returns its origin if others have to be told now.
-    pub fn begin(&mut self, now: Instant, stream: BegunStream) -> Option<StreamOrigin> {
+    /// Returns the only version that may have begun a stream which its caller took up at `taken_up_at`, if that is certain.
+    ///
+    /// Runners are listed before they begin a stream, so only a read of the list that began later shows all that may have
+    /// begun this one.
+    pub fn certain_version(
+        &self,
+        now: Instant,
+        service: &ServiceId,
+        life: Duration,
+        taken_up_at: Instant,
+    ) -> Option<VersionTag> {
+        let sole = self.history.sole_version(now, service, life);
+        sole.filter(|_| self.has_list_of(taken_up_at))
+    }
+
+    /// Returns whether everything that was listed until `at` is known.
+    pub fn has_list_of(&self, at: Instant) -> bool {
+        self.current_as_of.is_some_and(|known| known >= at)
+    }
+
+    /// Records that a stream begins at this node; returns which nodes have to be told of its origin now.
+    pub fn begin(&mut self, now: Instant, stream: BegunStream) -> NoticeScope {
         let origin = stream.origin;
         self.ledger.record(now, origin);
         if self.sole_version(now, &stream.service, stream.life).is_none() {
-            return Some(origin);
+            return NoticeScope::All;
         }
         self.untold.insert(origin.key, (now, stream));
-        None
+        NoticeScope::OneKeeper
     }
 
     /// Records that a stream ended as complete, so that its caller does not come back.
--- a/crates/mustardgate-core/tests/relay/odd_messages.rs
+++ b/crates/mustardgate-core/tests/relay/odd_messages.rs
@@ -4,7 +4,7 @@
 
 use mustardgate_core::relay::{
     BrittleLedger, BrittleService, CrashDigest, CrashLedger, CrashObservation, CrashSettings, InputId, LimitLedger,
-    LimitObservation, QuarantineNotice, SeenVersion, SoftwareVersion, StreamVersions, VersionDigest,
+    LimitObservation, ListRead, QuarantineNotice, SeenVersion, SoftwareVersion, StreamVersions, VersionDigest,
 };
 
 const MESSAGE_TIME: Duration = Duration::from_millis(800);
@@ -18,7 +18,14 @@
     let version = SoftwareVersion::Stated("v1".into()).tag(&service);
     for age in ODD_TIMES {
         let mut versions = StreamVersions::default();
-        versions.record_list(now, [(&service, version)], true, false);
+        let read = ListRead {
+            began_at: now,
+            ended_at: now,
+            reaches_end: true,
+            is_complete: true,
+            is_first_start: false,
+        };
+        versions.record_list(read, [(&service, version)]);
         let seen = SeenVersion {
             service: service.clone(),
             version,
--- a/crates/mustardgate-core/tests/relay/stream_versions.rs
+++ b/crates/mustardgate-core/tests/relay/stream_versions.rs
@@ -8,8 +8,8 @@
 use mustardgate_core::{
     ids::ServiceId,
     relay::{
-        BegunStream, NodeMember, OriginFinding, OriginLedger, RequestContent, RequestDigest, SoftwareVersion,
-        StreamKey, StreamOrigin, StreamVersions, VersionTag, choose_keepers, rank_keepers,
+        BegunStream, ListRead, NodeMember, NoticeScope, OriginFinding, OriginLedger, RequestContent, RequestDigest,
+        SoftwareVersion, StreamKey, StreamOrigin, StreamVersions, VersionTag, choose_keepers, rank_keepers,
     },
 };
 
@@ -43,7 +43,18 @@
 fn read(versions: &mut StreamVersions, now: Instant, listed: &[&str]) -> Vec<StreamOrigin> {
     let service = service();
     let listed: Vec<VersionTag> = listed.iter().map(|version| tag(version)).collect();
-    versions.record_list(now, listed.iter().map(|version| (&service, *version)), false, false)
+    versions.record_list(list_read(now, now), listed.iter().map(|version| (&service, *version)))
+}
+
+/// Returns a read of all changes of the list.
+fn list_read(began_at: Instant, ended_at: Instant) -> ListRead {
+    ListRead {
+        began_at,
+        ended_at,
+        reaches_end: true,
+        is_complete: false,
+        is_first_start: false,
+    }
 }
 
 /// Returns the knowledge of a node that has read the list for a time, first as a whole.
@@ -51,12 +62,12 @@
     let mut versions = StreamVersions::default();
     let service = service();
     let tags: Vec<VersionTag> = listed.iter().map(|version| tag(version)).collect();
-    versions.record_list(
-        start,
-        tags.iter().map(|version| (&service, *version)),
-        true,
+    let whole = ListRead {
+        is_complete: true,
         is_first_start,
-    );
+        ..list_read(start, start)
+    };
+    versions.record_list(whole, tags.iter().map(|version| (&service, *version)));
     read(&mut versions, now, listed);
     versions
 }
@@ -127,14 +138,14 @@
         };
         versions.begin(now, stream)
     };
-    assert_eq!(begin(&mut versions, "running"), None);
-    assert_eq!(begin(&mut versions, "ended"), None);
+    assert_eq!(begin(&mut versions, "running"), NoticeScope::OneKeeper);
+    assert_eq!(begin(&mut versions, "ended"), NoticeScope::OneKeeper);
     versions.finish(StreamKey::of(&"ended".into()));
     assert_eq!(
         read(&mut versions, now, &["v1", "v2"]),
         [origin("running", "/menu", "v1")]
     );
-    assert_eq!(begin(&mut versions, "later"), Some(origin("later", "/menu", "v1")));
+    assert_eq!(begin(&mut versions, "later"), NoticeScope::All);
     assert!(read(&mut versions, now, &["v1", "v2"]).is_empty());
 }
 
@@ -244,3 +255,46 @@
     read(&mut joined, much_later, &["v1"]);
     assert_eq!(joined.sole_version(much_later, &service, LIFE), Some(tag("v1")));
 }
+
+// Guards against ORDER breaks by a node that is out of step: the others list runners of a second version and begin streams
+// there while it believes in one version for up to two seconds.
+#[test]
+fn one_version_is_certain_for_a_stream_only_by_a_list_read_after_it_was_taken_up() {
+    let (start, service) = (Instant::now(), service());
+    let now = start + LIFE;
+    let mut versions = running_node(start, now, &["v1"], false);
+    let taken_up_at = now + Duration::from_millis(1);
+    let certain = |versions: &StreamVersions, at| versions.certain_version(at, &service, LIFE, taken_up_at);
+    assert_eq!(versions.sole_version(taken_up_at, &service, LIFE), Some(tag("v1")));
+    assert_eq!(
+        certain(&versions, taken_up_at),
+        None,
+        "the list is older than the return"
+    );
+    // A long poll that was waiting already, and a page that is not the last one, show only some changes.
+    let listed = [(&service, tag("v1"))];
+    let ended_at = taken_up_at + Duration::from_millis(5);
+    versions.record_list(list_read(now, ended_at), listed);
+    let partial = ListRead {
+        reaches_end: false,
+        ..list_read(taken_up_at, ended_at)
+    };
+    versions.record_list(partial, listed);
+    assert_eq!(certain(&versions, ended_at), None);
+    versions.record_list(list_read(taken_up_at, ended_at), listed);
+    assert_eq!(certain(&versions, ended_at), Some(tag("v1")));
+}
+
+#[test]
+fn a_read_that_shows_a_second_version_ends_the_certainty() {
+    let (start, service) = (Instant::now(), service());
+    let now = start + LIFE;
+    let mut versions = running_node(start, now, &["v1"], false);
+    let listed = [(&service, tag("v1")), (&service, tag("v2"))];
+    versions.record_list(list_read(now, now), listed);
+    assert_eq!(versions.certain_version(now, &service, LIFE, now), None);
+    // A late answer to an earlier read takes nothing back.
+    versions.record_list(list_read(start, now), [(&service, tag("v1"))]);
+    assert_eq!(versions.certain_version(now, &service, LIFE, now), None);
+    assert!(versions.has_list_of(now));
+}
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -36,10 +36,11 @@
     observations::ObservationBuffer,
     records::RecordCache,
     routes::{ActiveRoutes, RouteHolder},
-    streams::StreamGuard,
+    streams::{StreamGuard, StreamNotice},
 };
 use crate::{
     fleet::RunnerFleet,
+    follow::ListRefresher,
     leader::SharedLeadership,
     link::HelperBook,
     peers::{FeedLimiter, PeerClient, PeerDirectory, StreamLogReader},
@@ -90,6 +91,8 @@
     pub crashes: CrashGuard,
     /// Software versions at which streams began.
     pub streams: StreamGuard,
+    /// Reads of the list of runners for decisions that must not rest on an older one.
+    pub list: ListRefresher,
     /// Origins of streams that the log keeps.
     pub stream_log: StreamLogReader,
     /// Whether this node reaches the runners itself.
--- a/crates/mustardgate-relay/src/context/streams.rs
+++ b/crates/mustardgate-relay/src/context/streams.rs
@@ -10,13 +10,17 @@
 use mustardgate_core::{
     ids::ServiceId,
     relay::{
-        BegunStream, OriginFinding, RequestDigest, StreamKey, StreamOrigin, StreamVersions, VersionDigest, VersionTag,
+        BegunStream, ListRead, NoticeScope, OriginFinding, RequestDigest, StreamKey, StreamOrigin, StreamVersions,
+        VersionDigest, VersionTag,
     },
 };
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::{fleet::RunnerFleet, peers::MAX_MESSAGE_TIME};
 
+/// Where a stream began, and which other nodes have to be told.
+pub type StreamNotice = (StreamOrigin, NoticeScope);
+
 /// Holds the versions of streams, and hands records to the task that tells other nodes.
 ///
 /// Times are those of the clock that counts suspensions.
@@ -25,9 +29,9 @@
     versions: Mutex<StreamVersions>,
     /// Whether the deployment starts for the first time.
     is_first_start: bool,
-    outbox: UnboundedSender<StreamOrigin>,
+    outbox: UnboundedSender<StreamNotice>,
     /// Taken by the task that tells other nodes.
-    pending: Mutex<Option<UnboundedReceiver<StreamOrigin>>>,
+    pending: Mutex<Option<UnboundedReceiver<StreamNotice>>>,
     recorder: UnboundedSender<StreamOrigin>,
     /// Taken by the task that writes to the log.
     unrecorded: Mutex<Option<UnboundedReceiver<StreamOrigin>>>,
@@ -49,7 +53,7 @@
     }
 
     /// Returns the records to tell other nodes; only the first call does.
-    pub fn take_pending(&self) -> Option<UnboundedReceiver<StreamOrigin>> {
+    pub fn take_pending(&self) -> Option<UnboundedReceiver<StreamNotice>> {
         self.pending.lock().expect("no holder of the lock panics").take()
     }
 
@@ -67,12 +71,23 @@
         }
     }
 
-    /// Records that the list of runners was read; `is_complete` says that changes since the last read may be missing.
-    pub fn record_list(&self, now: Instant, fleet: &RunnerFleet, is_complete: bool) {
+    /// Returns a read of the list of runners.
+    pub fn list_read(&self, began_at: Instant, ended_at: Instant) -> ListRead {
+        ListRead {
+            began_at,
+            ended_at,
+            reaches_end: false,
+            is_complete: false,
+            is_first_start: self.is_first_start,
+        }
+    }
+
+    /// Records that the list of runners was read and applied to the fleet.
+    pub fn record_list(&self, read: ListRead, fleet: &RunnerFleet) {
         let listed = listed_versions(fleet);
         let listed = listed.iter().map(|(service, version)| (service, *version));
-        let due = self.lock().record_list(now, listed, is_complete, self.is_first_start);
-        self.tell(due);
+        let due = self.lock().record_list(read, listed);
+        self.tell_all(due);
     }
 
     /// Records the versions that are listed now, and passes on streams of services that may have several by now.
@@ -80,18 +95,31 @@
         let listed = listed_versions(fleet);
         let listed = listed.iter().map(|(service, version)| (service, *version));
         let due = self.lock().sweep(now, listed);
-        self.tell(due);
+        self.tell_all(due);
+    }
+
+    /// Returns the only version of a service that may have begun a stream which its caller took up at `taken_up_at`, at most
+    /// `life` after its begin, if that is certain.
+    pub fn certain_version(
+        &self,
+        now: Instant,
+        service: &ServiceId,
+        life: Duration,
+        taken_up_at: Instant,
+    ) -> Option<VersionTag> {
+        self.lock().certain_version(now, service, life, taken_up_at)
     }
 
-    /// Returns the only version of a service that may have begun a stream within `life`, if that is certain.
-    pub fn sole_version(&self, now: Instant, service: &ServiceId, life: Duration) -> Option<VersionTag> {
-        self.lock().sole_version(now, service, life)
+    /// Returns whether everything that was listed until `at` is known.
+    pub fn has_list_of(&self, at: Instant) -> bool {
+        self.lock().has_list_of(at)
     }
 
     /// Records that a stream began at this node, whose first event is being passed on.
     pub fn begin(&self, now: Instant, stream: BegunStream) {
-        let due = self.lock().begin(now, stream);
-        self.tell(due);
+        let origin = stream.origin;
+        let scope = self.lock().begin(now, stream);
+        self.tell(origin, scope);
     }
 
     /// Records that a stream ended as complete, so that its caller does not come back.
@@ -130,12 +158,16 @@
         self.lock().merge_record(now, record, listed);
     }
 
-    fn tell(&self, origins: impl IntoIterator<Item = StreamOrigin>) {
+    fn tell_all(&self, origins: impl IntoIterator<Item = StreamOrigin>) {
         for origin in origins {
-            if self.outbox.send(origin).is_err() {
-                // Without the task, as in a node without a listener for other nodes, nobody can be told.
-                counter!("mustardgate_stream_records_total", "outcome" => "unheard").increment(1);
-            }
+            self.tell(origin, NoticeScope::All);
+        }
+    }
+
+    fn tell(&self, origin: StreamOrigin, scope: NoticeScope) {
+        if self.outbox.send((origin, scope)).is_err() {
+            // Without the task, as in a node without a listener for other nodes, nobody can be told.
+            counter!("mustardgate_stream_records_total", "outcome" => "unheard").increment(1);
         }
     }
 
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -3,6 +3,8 @@
 //! Each topic is read by long polls that end after a bounded wait, so that a dead connection is detected well within
 //! the time in which a change must take effect. The state read last stays in use while the topic cannot be read.
 
+mod refresh;
+
 use std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -13,12 +15,13 @@
 use mustardgate_core::{
     clock,
     ports::{LogEra, LogTopic, TopicError, TopicPage, TopicPosition, TopicRecord},
-    relay::ListedRunner,
+    relay::{ListRead, ListedRunner},
 };
 use rand::Rng;
 use slog::o;
 use tokio::time;
 
+pub use self::refresh::ListRefresher;
 use crate::{context::RelayContext, ports::DecodeError};
 
 /// Fraction of the shortest bound on taking up a change for which a read waits for records. The log may not wake a read
@@ -78,6 +81,7 @@
     /// Reads once and returns the pause before the next read.
     async fn step(&mut self) -> Duration {
         let (started_at, wait) = (clock::now(), self.wait());
+        let began_at = self.context.leader.lease_time();
         let outcome = match self.next {
             None => self.context.ports.topics.newest(self.topic).await,
             Some(from) => self.context.ports.topics.read(self.topic, from, wait).await,
@@ -96,7 +100,7 @@
                 self.next = Some(page.end());
                 self.era = Some(page.era);
                 let is_empty = page.records.is_empty();
-                self.apply_page(&page, extent);
+                self.apply_page(&page, extent, began_at);
                 if is_empty { Duration::ZERO } else { self.batch_pause() }
             }
             Err(TopicError::Trimmed { .. } | TopicError::Restored) => {
@@ -116,31 +120,22 @@
         self.context.settings.bounds.shortest_bound() / BATCH_PAUSE_DIVISOR
     }
 
-    fn apply_page(&self, page: &TopicPage, extent: PageExtent) {
-        let is_complete = extent != PageExtent::Changes;
-        let now = self.context.leader.lease_time();
-        let records = self.context.records.store(self.topic, page, is_complete, now);
+    fn apply_page(&self, page: &TopicPage, extent: PageExtent, began_at: Instant) {
         match self.topic {
             LogTopic::Configuration => {
-                for record in records {
+                let is_complete = extent != PageExtent::Changes;
+                let now = self.context.leader.lease_time();
+                for record in self.context.records.store(self.topic, page, is_complete, now) {
                     apply_configuration(&self.context, record);
                 }
             }
-            LogTopic::Runners if extent == PageExtent::Restored => restore_runners(&self.context, &page.records),
-            LogTopic::Runners if is_complete => replace_runners(&self.context, &page.records),
             LogTopic::Runners => {
-                for record in records {
-                    apply_runner(&self.context, record);
-                }
+                // Changes may be those that another node had read.
+                let reaches_end = extent != PageExtent::Changes;
+                apply_runners(&self.context, page, extent, began_at, reaches_end);
             }
             LogTopic::Leases | LogTopic::StreamOrigins => {}
         }
-        if self.topic == LogTopic::Runners {
-            if is_complete {
-                self.context.stream_log.record_gap();
-            }
-            self.context.streams.record_list(now, &self.context.fleet, is_complete);
-        }
     }
 
     fn log_changes(&self, page: &TopicPage, wait: Duration, started_at: Instant) {
@@ -188,6 +183,32 @@
     }
 }
 
+/// Applies a page of the runners' topic that was read in a read that began at `began_at`; `reaches_end` says that the topic
+/// held no more then.
+fn apply_runners(context: &RelayContext, page: &TopicPage, extent: PageExtent, began_at: Instant, reaches_end: bool) {
+    let is_complete = extent != PageExtent::Changes;
+    let now = context.leader.lease_time();
+    let records = context.records.store(LogTopic::Runners, page, is_complete, now);
+    match extent {
+        PageExtent::Restored => restore_runners(context, &page.records),
+        PageExtent::Complete => replace_runners(context, &page.records),
+        PageExtent::Changes => {
+            for record in records {
+                apply_runner(context, record);
+            }
+        }
+    }
+    if is_complete {
+        context.stream_log.record_gap();
+    }
+    let read = ListRead {
+        reaches_end,
+        is_complete,
+        ..context.streams.list_read(began_at, now)
+    };
+    context.streams.record_list(read, &context.fleet);
+}
+
 /// Applies a record of the configuration topic; records under other keys are ignored.
 pub(crate) fn apply_configuration(context: &RelayContext, record: &TopicRecord) {
     let decoder = &context.ports.decoder;
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -115,9 +115,10 @@
         Err(_) => return Err(refusal(context, RefusalCause::AttemptsUsedUp)),
     };
     let digests = RequestDigests::of(&head, &body);
-    let version = find_version(context, &route, &request, digests.content).await?;
+    let taken_up_at = context.leader.lease_time();
+    let version = find_version(context, &route, &request, digests.content, taken_up_at).await?;
     let service = match version {
-        Some(version) => service_of(context, &route, version)?,
+        Some(version) => service_of(context, &route, version, taken_up_at).await?,
         None => route.service_for(rand::rng().random()).clone(),
     };
     context.budgets.record_request(request.received_at, &service);
--- a/crates/mustardgate-relay/src/gateway/origin.rs
+++ b/crates/mustardgate-relay/src/gateway/origin.rs
@@ -1,7 +1,11 @@
 //! The software version at which a stream goes on.
 
-use std::time::Duration;
+use std::{
+    pin::pin,
+    time::{Duration, Instant},
+};
 
+use futures::future::{Either, select};
 use metrics::counter;
 use mustardgate::events;
 use mustardgate_core::{
@@ -14,7 +18,10 @@
 use slog::o;
 
 use super::{answer::LocalAnswer, attempt::ReceivedRequest};
-use crate::{context::RelayContext, peers::ask_origin};
+use crate::{
+    context::RelayContext,
+    peers::{OriginReport, ask_origin},
+};
 
 /// Delay after which a caller may return whose stream may be known to a node that did not answer.
 const SILENT_KEEPER_DELAY: Duration = Duration::from_millis(400);
@@ -28,11 +35,12 @@
     route: &RelayRoute,
     request: &RelayRequest,
     digest: RequestDigest,
+    taken_up_at: Instant,
 ) -> Result<Option<VersionTag>, LocalAnswer> {
     if !route.is_stream || !request.takes_up_stream() {
         return Ok(None);
     }
-    let lookup = look_up(context, route, request, digest).await;
+    let lookup = look_up(context, route, request, digest, taken_up_at).await;
     let values = o!(
         "source" => lookup.source,
         "version" => lookup.version.map_or_else(|| "unknown".to_owned(), |version| version.to_string()),
@@ -64,6 +72,7 @@
     route: &RelayRoute,
     request: &RelayRequest,
     digest: RequestDigest,
+    taken_up_at: Instant,
 ) -> VersionLookup {
     let found = |version, source| VersionLookup {
         version,
@@ -75,47 +84,57 @@
     if let OriginFinding::Exact(version) = own {
         return found(Some(version), "own_record");
     }
-    if let Some(version) = sole_version(context, route) {
-        return found(Some(version), "sole_version");
-    }
-    let Some(key) = key else {
-        context.stream_log.refresh(context).await;
-        return look_up_sole(context, route).await;
+    let asking = async {
+        match key {
+            Some(key) => ask_origin(context, key, digest).await,
+            None => OriginReport::default(),
+        }
     };
-    let report = ask_origin(context, key, digest).await;
+    let (report, sole) = first_certain(asking, certain_version(context, route, taken_up_at)).await;
+    if sole.is_some() {
+        return found(sole, "sole_version");
+    }
     let told = own.or(report.finding);
     if let OriginFinding::Exact(version) = told {
         return found(Some(version), "other_nodes");
     }
     // All nodes may have ended since the stream began.
     let is_read = context.stream_log.refresh(context).await;
-    match told.or(context.streams.find(key, &digest)) {
+    let recorded = key.map_or(OriginFinding::Unknown, |key| context.streams.find(key, &digest));
+    match told.or(recorded) {
         OriginFinding::Exact(version) => found(Some(version), "log"),
         OriginFinding::OtherRequest(version) => found(Some(version), "other_request"),
         OriginFinding::Contradictory => found(None, "contradictory"),
         OriginFinding::Unknown => {
-            let lookup = look_up_sole(context, route).await;
+            let is_joined = context.stream_log.join_history(context).await;
+            let version = certain_version(context, route, taken_up_at).await;
+            let is_current = context.streams.has_list_of(taken_up_at);
             VersionLookup {
-                is_incomplete: lookup.is_incomplete || report.is_incomplete || !is_read,
-                ..lookup
+                version,
+                source: if version.is_some() {
+                    "versions_in_log"
+                } else {
+                    "unknown"
+                },
+                is_incomplete: report.is_incomplete || !is_read || !is_joined || !is_current,
             }
         }
     }
 }
 
-/// Returns the only version that may have begun a stream on the route, from what the log says of the time before this
-/// node's start.
-async fn look_up_sole(context: &RelayContext, route: &RelayRoute) -> VersionLookup {
-    let is_joined = context.stream_log.join_history(context).await;
-    let version = sole_version(context, route);
-    VersionLookup {
-        version,
-        source: if version.is_some() {
-            "versions_in_log"
-        } else {
-            "unknown"
+/// Waits for what other nodes know of a stream and for the only version that may have begun it, until one of them is
+/// certain.
+async fn first_certain(
+    asking: impl Future<Output = OriginReport>,
+    reading: impl Future<Output = Option<VersionTag>>,
+) -> (OriginReport, Option<VersionTag>) {
+    match select(pin!(asking), pin!(reading)).await {
+        Either::Left((report, reading)) => match report.finding {
+            OriginFinding::Exact(_) => (report, None),
+            _ => (report, reading.await),
         },
-        is_incomplete: !is_joined,
+        Either::Right((None, asking)) => (asking.await, None),
+        Either::Right((sole, _)) => (OriginReport::default(), sole),
     }
 }
 
@@ -123,31 +142,47 @@
 ///
 /// # Errors
 /// The refusal when the route leads to no such runner any more.
-pub(super) fn service_of(
+pub(super) async fn service_of(
     context: &RelayContext,
     route: &RelayRoute,
     version: VersionTag,
+    taken_up_at: Instant,
 ) -> Result<ServiceId, LocalAnswer> {
+    let mut service = find_service(context, route, version);
+    if service.is_none() {
+        // Other nodes may have told of a version whose runners this node has not read of.
+        context.list.refresh(context, taken_up_at).await;
+        service = find_service(context, route, version);
+    }
+    service.ok_or(LocalAnswer::Refused {
+        cause: RefusalCause::StreamVersionAbsent,
+        retry_after: None,
+    })
+}
+
+fn find_service(context: &RelayContext, route: &RelayRoute, version: VersionTag) -> Option<ServiceId> {
     let has_version = |service: &ServiceId| {
         let runners = context.fleet.of_service(service);
         runners.iter().any(|runner| runner.version_tag() == version)
     };
     let services = route.targets.iter().map(|target| &target.service);
-    let service = services.into_iter().find(|service| has_version(service));
-    service.cloned().ok_or(LocalAnswer::Refused {
-        cause: RefusalCause::StreamVersionAbsent,
-        retry_after: None,
-    })
+    services.into_iter().find(|service| has_version(service)).cloned()
 }
 
-/// Returns the version of all runners that may have begun a stream on the route, if there was certainly only one.
-fn sole_version(context: &RelayContext, route: &RelayRoute) -> Option<VersionTag> {
+/// Returns the version of all runners that may have begun a stream on the route, if there was certainly only one when its
+/// caller took it up.
+///
+/// Runners of another version may have joined and begun the stream through other nodes since this node read the list, so
+/// the list is read again.
+async fn certain_version(context: &RelayContext, route: &RelayRoute, taken_up_at: Instant) -> Option<VersionTag> {
+    let is_current = context.list.refresh(context, taken_up_at).await;
     let [target] = route.targets.as_slice() else {
         return None;
     };
     let life = context.routes.current()?.stream_life(&target.service);
     let now = context.leader.lease_time();
-    context.streams.sole_version(now, &target.service, life)
+    let sole = context.streams.certain_version(now, &target.service, life, taken_up_at);
+    sole.filter(|_| is_current)
 }
 
 impl ReceivedRequest {
--- a/crates/mustardgate-relay/src/peers/origins.rs
+++ b/crates/mustardgate-relay/src/peers/origins.rs
@@ -11,12 +11,18 @@
 use mustardgate_core::{
     clock,
     ids::RunnerProcess,
-    relay::{OriginFinding, RequestDigest, StreamKey, StreamOrigin, choose_keepers, choose_recorder, rank_keepers},
+    relay::{
+        NoticeScope, OriginFinding, RequestDigest, StreamKey, StreamOrigin, choose_keepers, choose_recorder,
+        rank_keepers,
+    },
 };
 use tokio::{net::UdpSocket, sync::mpsc::UnboundedReceiver};
 
 use super::messages::{OriginQuery, PeerNotice, decode, encode};
-use crate::{context::RelayContext, gateway::REJECTION_PAUSE};
+use crate::{
+    context::{RelayContext, StreamNotice},
+    gateway::REJECTION_PAUSE,
+};
 
 /// Largest datagram, which fits into one packet.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
@@ -32,7 +38,7 @@
 pub struct NoticeTask {
     context: Arc<RelayContext>,
     socket: UdpSocket,
-    pending: UnboundedReceiver<StreamOrigin>,
+    pending: UnboundedReceiver<StreamNotice>,
 }
 
 impl NoticeTask {
@@ -51,7 +57,7 @@
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
             tokio::select! {
-                Some(origin) = self.pending.recv() => self.tell(origin),
+                Some(notice) = self.pending.recv() => self.tell(notice),
                 rejected = self.context.brittle.next_rejections() => self.tell_all(rejected),
                 received = self.socket.recv_from(&mut buffer) => {
                     // An error concerns a datagram that was sent earlier and could not be delivered.
@@ -65,18 +71,22 @@
     }
 
     /// Tells the keepers of a stream, and of the other streams that wait, where they began.
-    fn tell(&mut self, origin: StreamOrigin) {
+    fn tell(&mut self, notice: StreamNotice) {
         let members = self.context.directory.members();
         let domain = &self.context.settings.node.domain;
         let recorder = self.context.directory.own().map(|own| choose_recorder(own, &members));
         let mut batches: BTreeMap<SocketAddr, Vec<StreamOrigin>> = BTreeMap::new();
         let mut unrecorded = Vec::new();
-        let mut next = Some(origin);
-        while let Some(origin) = next {
-            for keeper in choose_keepers(origin.key, &members, domain) {
+        let mut next = Some(notice);
+        while let Some((origin, scope)) = next {
+            let mut keepers = choose_keepers(origin.key, &members, domain);
+            match scope {
+                NoticeScope::OneKeeper => keepers.truncate(1),
+                NoticeScope::All => unrecorded.push(origin),
+            }
+            for keeper in keepers {
                 batches.entry(keeper.address).or_default().push(origin);
             }
-            unrecorded.push(origin);
             next = self.pending.try_recv().ok();
         }
         for (address, origins) in batches {
--- a/crates/standins/src/proof/versions/callers.rs
+++ b/crates/standins/src/proof/versions/callers.rs
@@ -1,9 +1,12 @@
 //! Streams that break off: nodes that go on with them, callers who take them up, and what the rules ask of both.
 
-use mustardgate_core::relay::{OriginFinding, VersionTag, choose_keepers, rank_keepers};
+use mustardgate_core::relay::{NoticeScope, OriginFinding, VersionTag, choose_keepers, rank_keepers};
 use rand::seq::IteratorRandom;
 
-use super::simulation::{RunningStream, STEP, STREAM_LIFE, VersionSimulation, digest, key};
+use super::{
+    node::SimulatedList,
+    simulation::{RunningStream, STEP, STREAM_LIFE, VersionSimulation, digest, key},
+};
 use crate::proof::{GuaranteeViolation, GuardMode, cadence::CONTACT_TIME};
 
 /// Nodes asked at a return.
@@ -34,9 +37,10 @@
         if let OriginFinding::Exact(version) = finding {
             return Some(version);
         }
+        self.refresh_list(node);
         let sole = self.nodes[node]
             .versions
-            .sole_version(self.now, &self.service, STREAM_LIFE);
+            .certain_version(self.now, &self.service, STREAM_LIFE, self.now);
         if sole.is_some() {
             self.count("returns at the only version");
             return sole;
@@ -63,6 +67,17 @@
         }
     }
 
+    /// Has a node read the list before it goes on with a stream, and tell of the streams that are due by then.
+    fn refresh_list(&mut self, node: usize) {
+        let list = SimulatedList {
+            runners: &self.runners,
+            position: self.log.position(),
+        };
+        for origin in self.nodes[node].refresh_list(self.now, &list, &self.service) {
+            self.tell(node, origin, NoticeScope::All);
+        }
+    }
+
     /// Has the caller of a broken stream come back at another node; `is_stranded` says that none ran before.
     pub(super) fn take_up(&mut self, mut stream: RunningStream, is_stranded: bool) {
         // The load balancer sends a caller to nodes of its domain while there are any.
--- a/crates/standins/src/proof/versions/log.rs
+++ b/crates/standins/src/proof/versions/log.rs
@@ -112,7 +112,7 @@
         self.join_history(node);
         self.nodes[node]
             .versions
-            .sole_version(self.now, &self.service, STREAM_LIFE)
+            .certain_version(self.now, &self.service, STREAM_LIFE, self.now)
     }
 
     /// Has callers that found no node come back once one has started again.
--- a/crates/standins/src/proof/versions/node.rs
+++ b/crates/standins/src/proof/versions/node.rs
@@ -8,7 +8,7 @@
 
 use mustardgate_core::{
     ids::{BackendId, ServiceId},
-    relay::{NodeMember, StreamVersions, VersionTag},
+    relay::{ListRead, NodeMember, StreamOrigin, StreamVersions, VersionTag},
 };
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -96,7 +96,7 @@
         service: &ServiceId,
         is_first_start: bool,
         rng: &mut ChaCha8Rng,
-    ) -> Vec<mustardgate_core::relay::StreamOrigin> {
+    ) -> Vec<StreamOrigin> {
         if now < self.next_read {
             return Vec::new();
         }
@@ -105,10 +105,39 @@
             let listed = self.listed.values().map(|version| (service, *version));
             return self.versions.sweep(now, listed);
         }
+        self.apply_list(now, list, service, is_first_start)
+    }
+
+    /// Reads the list for a caller who takes a stream up, unless the node is cut off from it.
+    pub(super) fn refresh_list(
+        &mut self,
+        now: Instant,
+        list: &SimulatedList<'_>,
+        service: &ServiceId,
+    ) -> Vec<StreamOrigin> {
+        if self.is_cut || !self.has_read {
+            return Vec::new();
+        }
+        self.apply_list(now, list, service, false)
+    }
+
+    fn apply_list(
+        &mut self,
+        now: Instant,
+        list: &SimulatedList<'_>,
+        service: &ServiceId,
+        is_first_start: bool,
+    ) -> Vec<StreamOrigin> {
         self.listed.clone_from(list.runners);
         self.read_position = list.position;
-        let is_complete = !std::mem::replace(&mut self.has_read, true);
+        let read = ListRead {
+            began_at: now,
+            ended_at: now,
+            reaches_end: true,
+            is_complete: !std::mem::replace(&mut self.has_read, true),
+            is_first_start,
+        };
         let listed = self.listed.values().map(|version| (service, *version));
-        self.versions.record_list(now, listed, is_complete, is_first_start)
+        self.versions.record_list(read, listed)
     }
 }
--- a/crates/standins/src/proof/versions/simulation.rs
+++ b/crates/standins/src/proof/versions/simulation.rs
@@ -8,7 +8,7 @@
 use mustardgate_core::{
     ids::{BackendId, ServiceId},
     relay::{
-        BegunStream, NodeMember, RequestContent, RequestDigest, SoftwareVersion, StreamKey, StreamOrigin,
+        BegunStream, NodeMember, NoticeScope, RequestContent, RequestDigest, SoftwareVersion, StreamKey, StreamOrigin,
         VersionDigest, VersionTag, choose_keepers,
     },
 };
@@ -257,7 +257,7 @@
         };
         let due = node.read_list(self.now, &list, &self.service, is_first_start, &mut self.rng);
         for origin in due {
-            self.tell(number, origin);
+            self.tell(number, origin, NoticeScope::All);
         }
         self.report(number);
         if self.rng.random_bool(0.03) {
@@ -301,9 +301,12 @@
         }
     }
 
-    fn tell(&mut self, from: usize, origin: StreamOrigin) {
+    pub(super) fn tell(&mut self, from: usize, origin: StreamOrigin, scope: NoticeScope) {
         let members = self.members(from);
-        let keepers = choose_keepers(origin.key, &members, &self.nodes[from].member.domain);
+        let mut keepers = choose_keepers(origin.key, &members, &self.nodes[from].member.domain);
+        if scope == NoticeScope::OneKeeper {
+            keepers.truncate(1);
+        }
         let keepers: Vec<usize> = keepers.into_iter().map(|keeper| self.number_of(keeper)).collect();
         for keeper in keepers {
             if self.reaches(from, keeper) && !self.rng.random_bool(DATAGRAM_LOSS) {
@@ -312,7 +315,9 @@
                 self.count("records told");
             }
         }
-        self.record(from, &members, origin);
+        if scope == NoticeScope::All {
+            self.record(from, &members, origin);
+        }
     }
 
     /// Chooses a runner as a node does that lists runners which have ended already.
@@ -359,9 +364,8 @@
                     service: self.service.clone(),
                     life: STREAM_LIFE,
                 };
-                if let Some(origin) = self.nodes[node].versions.begin(self.now, begun) {
-                    self.tell(node, origin);
-                }
+                let scope = self.nodes[node].versions.begin(self.now, begun);
+                self.tell(node, origin, scope);
             }
         }
         let now = self.now;
