Decide in one place what of an answer reaches a stream, and when a stream is complete

A 2xx counted as the rest of a stream whatever it held, an event was dropped only if its number was not higher, and any whole body completed the stream.

HeadFacts::verdict (core) maps the head of an answer to what follows, for four stages of the caller's answer: only a sealed 200 with an event stream goes on with a stream. StreamProgress (core) decides on each event and on the end: the rest begins with the next event and skips none, holds no event without a number, and brings at least one. Where identifiers of a service rise by more than one, which a fresh stream shows, gaps are accepted. An answer without length or chunks and without an event does not complete a stream either.

Property tests cut streams at every byte; they found that comments of the next runner were passed on, which are dropped now.

--- a/crates/mustardgate-core/src/relay/events.rs
+++ b/crates/mustardgate-core/src/relay/events.rs
@@ -12,6 +12,14 @@
     pub id: Option<String>,
 }
 
+impl StreamEvent {
+    /// Returns whether it consists of comments, which keep a connection alive and say nothing.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+    }
+}
+
 /// Buffers bytes and returns complete events, so that an incomplete one is never passed on to the caller.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -5,6 +5,7 @@
 
 mod adapters;
 mod admission;
+mod answer_head;
 mod backlog;
 mod brittle;
 mod budget;
@@ -27,12 +28,14 @@
 mod selector;
 mod stream_batches;
 mod stream_origins;
+mod stream_progress;
 mod stream_versions;
 mod versions;
 
 pub use self::{
     adapters::{AdapterEvictor, AdapterSlot},
     admission::{AdmissionGate, AdmissionQuery, GateSettings, RefusalCause, RetryAdvisor, RetryAdvisorSettings},
+    answer_head::{AnswerKind, AnswerStage, HeadFacts, HeadVerdict},
     backlog::BacklogEstimate,
     brittle::{BrittleLedger, BrittleService, BrittleStatement, deal_places},
     budget::{BudgetSettings, RetryShare},
@@ -57,6 +60,7 @@
     selector::{Candidate, RunnerSelector, SelectionWeights},
     stream_batches::{choose_recorder, decode_batch, encode_batches, record_interval},
     stream_origins::{NodeMember, OriginFinding, OriginLedger, StreamKey, StreamOrigin, choose_keepers, rank_keepers},
+    stream_progress::{EndVerdict, EventVerdict, StreamProgress},
     stream_versions::{BegunStream, ListRead, NoticeScope, StreamVersions},
     versions::{SeenVersion, SoftwareVersion, VersionDigest, VersionHistory, VersionTag},
 };
--- /dev/null
+++ b/crates/mustardgate-core/src/relay/stream_progress.rs
@@ -0,0 +1,113 @@
+//! Which events of a runner's answer belong to a caller's stream, and whether the stream is complete when the answer ends.
+//!
+//! This is the one place that decides it. See `docs/design/whole-answers.md`.
+
+use smol_str::SmolStr;
+
+use super::events::StreamEvent;
+
+/// Whether an event belongs to the caller's stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EventVerdict {
+    /// It is the next event.
+    PassOn,
+    /// It holds nothing that the caller lacks: an event that it has already, or a comment.
+    Skip,
+    /// It cannot follow the events that the caller has, so the answer is not the rest of the stream.
+    Foreign,
+}
+
+/// Whether a stream is complete when the body of an answer ends as its framing requires.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndVerdict {
+    /// It is.
+    Complete,
+    /// It was broken off, for this reason.
+    Broken(&'static str),
+}
+
+/// How far a stream has come, over the answers of one runner or several in turn.
+#[derive(Clone, Debug, Default)]
+pub struct StreamProgress {
+    /// Identifier of the last event that the caller has.
+    last: Option<SmolStr>,
+    /// Whether the caller had events before the current answer began.
+    is_continued: bool,
+    /// Whether an event of the current answer was passed on.
+    has_event: bool,
+    /// Whether identifiers of the service's events may rise by more than one.
+    has_gaps: bool,
+}
+
+impl StreamProgress {
+    /// Creates the progress of a stream of which the caller has the events up to `last`, if it takes one up; `has_gaps` says
+    /// that identifiers of the service's events are known to rise by more than one.
+    pub fn new(last: Option<SmolStr>, has_gaps: bool) -> Self {
+        Self {
+            is_continued: last.is_some(),
+            last,
+            has_event: false,
+            has_gaps,
+        }
+    }
+
+    /// Records that another runner's answer follows.
+    pub fn begin_answer(&mut self) {
+        self.is_continued = self.last.is_some();
+        self.has_event = false;
+    }
+
+    /// Returns the identifier of the last event that the caller has.
+    pub fn last(&self) -> Option<&SmolStr> {
+        self.last.as_ref()
+    }
+
+    /// Returns whether identifiers rose by more than one within the answer of one runner.
+    pub fn has_gaps(&self) -> bool {
+        self.has_gaps
+    }
+
+    /// Returns whether an event belongs to the stream, and takes it over if it is the next one.
+    pub fn accept(&mut self, event: &StreamEvent) -> EventVerdict {
+        let Some(id) = &event.id else {
+            // Only an answer that began the stream may hold what has no place in it.
+            return match self.is_continued {
+                false => EventVerdict::PassOn,
+                true if event.is_comment() => EventVerdict::Skip,
+                true => EventVerdict::Foreign,
+            };
+        };
+        let number = |text: &str| text.parse::<u64>().ok();
+        if let (Some(last), Some(number)) = (self.last.as_deref().and_then(number), number(id)) {
+            let is_first_of_rest = self.is_continued && !self.has_event;
+            if number <= last {
+                return if is_first_of_rest {
+                    EventVerdict::Foreign
+                } else {
+                    EventVerdict::Skip
+                };
+            }
+            if number - last > 1 {
+                if self.is_continued && !self.has_gaps {
+                    return EventVerdict::Foreign;
+                }
+                self.has_gaps = true;
+            }
+        }
+        self.last = Some(id.into());
+        self.has_event = true;
+        EventVerdict::PassOn
+    }
+
+    /// Returns whether the stream is complete; `has_remainder` says that the answer ended inside an event, `is_framed` that it
+    /// had a length or chunks, so that its end is known to be one.
+    pub fn end(&self, has_remainder: bool, is_framed: bool) -> EndVerdict {
+        if has_remainder {
+            return EndVerdict::Broken("unfinished_event");
+        }
+        if !self.has_event && (self.is_continued || !is_framed) {
+            return EndVerdict::Broken("no_event");
+        }
+        EndVerdict::Complete
+    }
+}
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Decisions about relayed requests, each tested with the load pattern that it handles.
 
 mod admission;
+mod answer_head;
 mod brittle;
 mod budget;
 mod catalogue;
@@ -19,4 +20,5 @@
 mod routes;
 mod selector;
 mod stream_batches;
+mod stream_progress;
 mod stream_versions;
--- a/crates/mustardgate-relay/src/context/streams.rs
+++ b/crates/mustardgate-relay/src/context/streams.rs
@@ -33,6 +33,8 @@
     /// Taken by the task that tells other nodes.
     pending: Mutex<Option<UnboundedReceiver<StreamNotice>>>,
     recorder: UnboundedSender<StreamOrigin>,
+    /// Services in whose streams the identifiers of events rise by more than one.
+    gapped: Mutex<BTreeSet<ServiceId>>,
     /// Taken by the task that writes to the log.
     unrecorded: Mutex<Option<UnboundedReceiver<StreamOrigin>>>,
 }
@@ -48,6 +50,7 @@
             outbox,
             pending: Mutex::new(Some(pending)),
             recorder,
+            gapped: Mutex::default(),
             unrecorded: Mutex::new(Some(unrecorded)),
         }
     }
@@ -127,6 +130,20 @@
         self.lock().finish(key);
     }
 
+    /// Records that identifiers of events rise by more than one in streams of a service.
+    pub fn record_gaps(&self, service: &ServiceId) {
+        let mut gapped = self.gapped.lock().expect("no holder of the lock panics");
+        if !gapped.contains(service) {
+            gapped.insert(service.clone());
+        }
+    }
+
+    /// Returns whether identifiers of events are known to rise by more than one in streams of a service.
+    pub fn has_gaps(&self, service: &ServiceId) -> bool {
+        let gapped = self.gapped.lock().expect("no holder of the lock panics");
+        gapped.contains(service)
+    }
+
     /// Records where streams began that another node told of.
     pub fn learn(&self, now: Instant, origins: &[StreamOrigin]) {
         self.lock().learn(now, origins);
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -7,12 +7,20 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Uri, body::Incoming, http::response};
+use hyper::{
+    Request, Uri,
+    body::Incoming,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    http::response,
+};
 use mustardgate::events;
 use mustardgate_core::{
     clock,
     ids::{BackendId, ServiceId},
-    relay::{AdmissionQuery, RefusalCause, RelayRequest, RelayRoute, VersionTag, runner_rank},
+    relay::{
+        AdmissionQuery, AnswerKind, AnswerStage, HeadFacts, HeadVerdict, RefusalCause, RelayRequest, RelayRoute,
+        StreamProgress, VersionTag, runner_rank,
+    },
     verdict::RunVerdict,
 };
 use slog::o;
@@ -21,7 +29,7 @@
 use super::{
     digests::RequestDigests,
     failure::AttemptError,
-    headers::remove_hop_by_hop_headers,
+    headers::{is_event_stream, remove_hop_by_hop_headers},
     path::{OpenPath, ResumePoint},
 };
 use crate::{
@@ -30,7 +38,7 @@
     fleet::{AttemptOutcome, RunnerPick, RunnerTicket, SelectionError, SelectionQuery},
     leader::request_adapter,
     link::HelperUse,
-    ports::{AnswerKind, AnswerMetadata, AttemptMetadata},
+    ports::{AnswerMetadata, AttemptMetadata},
 };
 
 /// Interval between admission checks of a waiting request.
@@ -75,6 +83,8 @@
     pub(super) pool: Arc<ConnectionPool>,
     /// The other node that passes the request on, if one does.
     pub(super) helper: Option<HelperUse>,
+    /// What follows from its head.
+    pub(super) verdict: HeadVerdict,
     pub(super) head: response::Parts,
     pub(super) body: Incoming,
     pub(super) metadata: AnswerMetadata,
@@ -83,7 +93,21 @@
     pub(super) _adapter_use: Option<AdapterUseGuard>,
 }
 
+impl OpenAnswer {
+    /// Returns whether the body has a length or chunks, so that its end is known to be one.
+    pub(super) fn is_framed(&self) -> bool {
+        let headers = &self.head.headers;
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+    }
+}
+
 impl ReceivedRequest {
+    /// Returns the progress of the stream before the answer to this request.
+    pub(super) fn begin_progress(&self) -> StreamProgress {
+        let has_gaps = self.context.streams.has_gaps(&self.service);
+        StreamProgress::new(self.request.last_event.clone(), has_gaps)
+    }
+
     /// Chooses a runner that was not tried yet and holds the requested adapter, or has the adapter loaded on one.
     pub(super) async fn choose(&self, tried: &[BackendId]) -> Result<RunnerPick, AttemptError> {
         if let Some(cause) = self.quarantine() {
@@ -184,7 +208,7 @@
         if metadata.is_from(&listed.id) {
             self.context.record_statements(&listed, &metadata, sent_at);
         }
-        self.check_head(&mut ticket, &head, &metadata)?;
+        let verdict = self.check_head(&mut ticket, &head, &metadata, resume.stage)?;
         ticket.record_first_token();
         let elapsed = clock::now().saturating_duration_since(sent_at);
         self.log_head(pick, elapsed, &metadata);
@@ -196,6 +220,7 @@
             connection,
             pool,
             helper,
+            verdict,
             head,
             body,
             metadata,
@@ -244,49 +269,57 @@
         }
     }
 
-    /// Rejects the head of an answer that does not belong to this request, reports that the request did not run, or is
-    /// successful but lacks the runner's seal or has an encoded body.
+    /// Decides what follows from the head of an answer, and records what it says of the runner.
+    ///
+    /// # Errors
+    /// [`AttemptError`] when nothing of the answer is passed on.
     fn check_head(
         &self,
         ticket: &mut RunnerTicket,
         head: &response::Parts,
         metadata: &AnswerMetadata,
-    ) -> Result<(), AttemptError> {
+        stage: AnswerStage,
+    ) -> Result<HeadVerdict, AttemptError> {
         let backend = ticket.cell().listed().id.clone();
-        match metadata.kind {
-            AnswerKind::Outcome => {}
-            AnswerKind::OtherRequest => {
-                ticket.set_outcome(AttemptOutcome::Failed);
-                self.context
-                    .record_dropped_answer(&backend, &self.request.id, head.status, metadata.name);
-                return Err(AttemptError::at_runner(
-                    &backend,
-                    RunVerdict::MayHaveRun,
-                    "other_request",
-                ));
+        let facts = HeadFacts {
+            kind: metadata.kind,
+            status: head.status.as_u16(),
+            is_sealed: metadata.is_sealed,
+            is_encoded: metadata.is_encoded,
+            is_event_stream: is_event_stream(&head.headers),
+        };
+        match facts.verdict(stage) {
+            verdict @ (HeadVerdict::Stream | HeadVerdict::Whole) => Ok(verdict),
+            HeadVerdict::NotRun => {
+                self.record_refusal(ticket, metadata);
+                let reason = format!("not_run_{}", head.status.as_u16());
+                Err(AttemptError::at_runner(&backend, RunVerdict::NotRun, &reason))
             }
-            AnswerKind::Misdirected | AnswerKind::NotRun => {
-                ticket.discard_wait();
-                if let Some(delay) = metadata.retry_after {
-                    ticket.cell().hold(clock::now() + delay);
-                }
-                if metadata.kind == AnswerKind::NotRun {
-                    self.context.record_rejection(ticket.cell());
-                }
-                let is_full = metadata.load.is_none_or(|load| load.running >= load.slots);
-                if metadata.kind == AnswerKind::Misdirected || !is_full {
-                    // A runner that refuses despite free slots is about to evict the model or is still loading it.
-                    self.record_misdirected(ticket, metadata);
+            HeadVerdict::Uncertain(reason) => {
+                ticket.set_outcome(AttemptOutcome::Failed);
+                if metadata.kind == AnswerKind::OtherRequest {
+                    self.context
+                        .record_dropped_answer(&backend, &self.request.id, head.status, metadata.name);
                 }
-                let reason = format!("not_run_{}", head.status.as_u16());
-                return Err(AttemptError::at_runner(&backend, RunVerdict::NotRun, &reason));
+                Err(AttemptError::at_runner(&backend, RunVerdict::MayHaveRun, reason))
             }
         }
-        if head.status.is_success() && (!metadata.is_sealed || metadata.is_encoded) {
-            ticket.set_outcome(AttemptOutcome::Failed);
-            return Err(AttemptError::at_runner(&backend, RunVerdict::MayHaveRun, "unsealed"));
+    }
+
+    /// Records that a runner refused the request without running it.
+    fn record_refusal(&self, ticket: &mut RunnerTicket, metadata: &AnswerMetadata) {
+        ticket.discard_wait();
+        if let Some(delay) = metadata.retry_after {
+            ticket.cell().hold(clock::now() + delay);
+        }
+        if metadata.kind == AnswerKind::NotRun {
+            self.context.record_rejection(ticket.cell());
+        }
+        let is_full = metadata.load.is_none_or(|load| load.running >= load.slots);
+        if metadata.kind == AnswerKind::Misdirected || !is_full {
+            // A runner that refuses despite free slots is about to evict the model or is still loading it.
+            self.record_misdirected(ticket, metadata);
         }
-        Ok(())
     }
 
     /// Records that the runner lacks the model, or that its address now belongs to another runner.
--- a/crates/mustardgate-relay/src/gateway/buffered.rs
+++ b/crates/mustardgate-relay/src/gateway/buffered.rs
@@ -10,7 +10,7 @@
     header::{CONNECTION, CONTENT_LENGTH},
     http::response,
 };
-use mustardgate_core::{clock, ids::BackendId, retry::AttemptPlan, verdict::RunVerdict};
+use mustardgate_core::{clock, ids::BackendId, relay::HeadVerdict, retry::AttemptPlan, verdict::RunVerdict};
 
 use super::{
     answer::{RelayBody, full_body},
@@ -38,7 +38,7 @@
 }
 
 pub(super) async fn forward_answer(received: ReceivedRequest, plan: AttemptPlan, open: OpenAnswer) -> ForwardOutcome {
-    if received.route.is_stream && open.head.status.is_success() {
+    if open.verdict == HeadVerdict::Stream {
         return ForwardOutcome::Answered(StreamRelay::start(received, plan, open));
     }
     let OpenAnswer {
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -14,7 +14,7 @@
 use mustardgate_core::{
     clock,
     ids::RequestId,
-    relay::{CallerLimits, RefusalCause, RelayRequest},
+    relay::{AnswerStage, CallerLimits, RefusalCause, RelayRequest},
     retry::{AttemptFailure, AttemptPlan, NextStep, NoRetries, PlanSettings, RetryAllowance},
 };
 use rand::Rng;
@@ -208,6 +208,11 @@
         });
     }
     let resume = ResumePoint {
+        stage: match (received.route.is_stream, received.request.takes_up_stream()) {
+            (false, _) => AnswerStage::Plain,
+            (true, false) => AnswerStage::Stream,
+            (true, true) => AnswerStage::Return,
+        },
         after: None,
         may_follow: plan.allows_another(clock::now(), MIN_ATTEMPT_TIME),
     };
--- a/crates/mustardgate-relay/src/gateway/headers.rs
+++ b/crates/mustardgate-relay/src/gateway/headers.rs
@@ -1,8 +1,8 @@
-//! Removal of hop-by-hop header fields.
+//! Header fields that concern one connection only, and the type of a body.
 
 use hyper::{
     HeaderMap,
-    header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE},
+    header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE},
 };
 
 /// Fields that are never forwarded, in addition to those that `Connection` lists.
@@ -34,3 +34,10 @@
         headers.remove(name);
     }
 }
+
+/// Returns whether a body is an event stream, according to its `Content-Type` field.
+pub(super) fn is_event_stream(headers: &HeaderMap) -> bool {
+    let value = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    let media_type = value.and_then(|value| value.split(';').next()).map(str::trim);
+    media_type.is_some_and(|media_type| media_type.eq_ignore_ascii_case("text/event-stream"))
+}
--- a/crates/mustardgate-relay/src/gateway/path.rs
+++ b/crates/mustardgate-relay/src/gateway/path.rs
@@ -4,7 +4,10 @@
 
 use hyper::{Response, body::Incoming};
 use metrics::counter;
-use mustardgate_core::{clock, relay::RepeatPolicy};
+use mustardgate_core::{
+    clock,
+    relay::{AnswerStage, RepeatPolicy},
+};
 use smol_str::SmolStr;
 
 use super::attempt::ReceivedRequest;
@@ -38,7 +41,9 @@
 /// Where an attempt takes the answer up, and what may follow it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ResumePoint {
-    /// Last event that the caller has.
+    /// How much of the answer the caller has.
+    pub(super) stage: AnswerStage,
+    /// Last event that the caller has of this very answer.
     pub(super) after: Option<SmolStr>,
     /// Whether another attempt may follow this one.
     pub(super) may_follow: bool,
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -13,7 +13,7 @@
 use mustardgate::events;
 use mustardgate_core::{
     clock,
-    relay::{EventSplitter, SoftwareVersion, StreamKey},
+    relay::{AnswerStage, EndVerdict, EventSplitter, EventVerdict, SoftwareVersion, StreamKey, StreamProgress},
     retry::{AttemptPlan, NextStep, PrepaidRetry, RetryAllowance},
     verdict::RunVerdict,
 };
@@ -46,8 +46,9 @@
     splitter: EventSplitter,
     /// Whether the answer went on beyond the point at which a runner would have crashed under its prompt.
     is_sound: bool,
-    /// Identifier of the last event that was passed on.
-    last_event: Option<SmolStr>,
+    progress: StreamProgress,
+    /// Whether the current answer held what is not the rest of the stream, behind events that were still to be passed on.
+    has_foreign: bool,
     status: hyper::StatusCode,
 }
 
@@ -59,7 +60,8 @@
         remove_hop_by_hop_headers(&mut headers);
         let relay = Self {
             trace: RequestTrace::begin(Arc::clone(&received.context), &received.request, RequestStep::Answering),
-            last_event: received.request.last_event.clone(),
+            progress: received.begin_progress(),
+            has_foreign: false,
             received,
             plan,
             open: Some(open),
@@ -79,6 +81,9 @@
 
     async fn next_chunk(&mut self) -> Option<Result<Bytes, BrokenAnswer>> {
         loop {
+            if self.has_foreign && !self.resume("foreign_event").await {
+                return Some(Err(BrokenAnswer));
+            }
             let open = self.open.as_mut()?;
             let time_left = self.received.expires_at.saturating_duration_since(clock::now());
             let link = &self.received.context.link;
@@ -117,17 +122,21 @@
                         self.record_sound();
                         return Some(Ok(events));
                     }
-                    if !self.splitter.is_overlong() {
+                    if self.has_foreign || !self.splitter.is_overlong() {
                         continue;
                     }
                     "overlong_event"
                 }
-                Ok(None) if self.splitter.remainder().is_empty() => {
-                    self.finish();
-                    return None;
+                Ok(None) => {
+                    let has_remainder = !self.splitter.remainder().is_empty();
+                    match self.progress.end(has_remainder, open.is_framed()) {
+                        EndVerdict::Complete => {
+                            self.finish();
+                            return None;
+                        }
+                        EndVerdict::Broken(reason) => reason,
+                    }
                 }
-                // Whatever the framing says, a stream that ends inside an event was broken off.
-                Ok(None) => "unfinished_event",
                 Ok(Some(Err(_))) => "broken_answer",
                 Err(_) => "timed_out",
             };
@@ -137,21 +146,26 @@
         }
     }
 
-    /// Returns the complete events received so far, without those that the caller already has.
+    /// Returns the complete events received so far that belong to the stream, without those that the caller already has.
     fn take_events(&mut self) -> Bytes {
         let mut events = Vec::new();
-        while let Some(event) = self.splitter.next_event() {
-            if let Some(id) = event.id {
-                if is_duplicate(self.last_event.as_deref(), &id) {
-                    continue;
-                }
-                self.last_event = Some(id.into());
+        while let Some(event) = self.splitter.next_event().filter(|_| !self.has_foreign) {
+            match self.progress.accept(&event) {
+                EventVerdict::PassOn => events.extend_from_slice(&event.bytes),
+                EventVerdict::Skip => {}
+                EventVerdict::Foreign => self.has_foreign = true,
             }
-            events.extend_from_slice(&event.bytes);
         }
         Bytes::from(events)
     }
 
+    /// Prepares for the answer of another runner.
+    fn begin_answer(&mut self) {
+        self.splitter = EventSplitter::default();
+        self.progress.begin_answer();
+        self.has_foreign = false;
+    }
+
     /// Binds the stream to the version of its runner with the first event that is passed on.
     fn record_origin(&mut self) {
         let Some(open) = self.open.as_ref().filter(|_| self.received.version.is_none()) else {
@@ -171,6 +185,9 @@
                 .give_back(open.connection, keep_alive_timeout(&open.head.headers));
         }
         self.received.context.crashes.record_sound(self.received.inputs());
+        if self.progress.has_gaps() {
+            self.received.context.streams.record_gaps(&self.received.service);
+        }
         self.received
             .context
             .streams
@@ -195,7 +212,7 @@
         // once.
         drop(open);
         let version = cell.listed().version.clone();
-        self.splitter = EventSplitter::default();
+        self.begin_answer();
         if is_direct && is_suspect(started_at, reason) {
             let inputs = self.received.inputs();
             if self.received.record_crash(&cell, &inputs).await.is_crashed() {
@@ -258,7 +275,7 @@
             match self.reopen(&excluded).await {
                 Ok(open) => {
                     self.log_resumed(&open, version);
-                    self.splitter = EventSplitter::default();
+                    self.begin_answer();
                     self.open = Some(open);
                     return true;
                 }
@@ -288,15 +305,11 @@
             });
         }
         let resume = ResumePoint {
-            after: self.last_event.clone(),
+            stage: AnswerStage::Continuation,
+            after: self.progress.last().cloned(),
             may_follow: self.plan.allows_another(clock::now(), MIN_ATTEMPT_TIME),
         };
-        let mut open = self.received.open(&pick, &resume).await?;
-        if open.head.status.is_success() {
-            return Ok(open);
-        }
-        open.ticket.set_outcome(AttemptOutcome::Failed);
-        Err(refused("resume_refused"))
+        self.received.open(&pick, &resume).await
     }
 
     fn log_resumed(&self, open: &OpenAnswer, version_before: &SoftwareVersion) {
@@ -304,7 +317,7 @@
         let values = o!(
             "version" => open.ticket.cell().listed().version.to_string(),
             "version_before" => version_before.to_string(),
-            "last_event" => self.last_event.as_deref().unwrap_or("none").to_owned(),
+            "last_event" => self.progress.last().map_or("none", SmolStr::as_str).to_owned(),
             "backend" => open.ticket.cell().listed().id.to_string(),
         );
         let log = &self.received.context.log;
@@ -316,7 +329,7 @@
         counter!("mustardgate_streams_broken_total").increment(1);
         let values = o!(
             "reason" => reason,
-            "last_event" => self.last_event.as_deref().unwrap_or("none").to_owned(),
+            "last_event" => self.progress.last().map_or("none", SmolStr::as_str).to_owned(),
             "route" => self.received.route.name.to_string(),
         );
         let log = &self.received.context.log;
@@ -329,12 +342,3 @@
     matches!(reason, "broken_answer" | "unfinished_event")
         && clock::now().saturating_duration_since(started_at) < ANSWER_START_TIME
 }
-
-/// Returns whether the event `id` was already passed on; numeric identifiers increase within a stream.
-fn is_duplicate(last: Option<&str>, id: &str) -> bool {
-    let number = |text: &str| text.parse::<u64>().ok();
-    match (last.and_then(number), number(id)) {
-        (Some(last), Some(id)) => id <= last,
-        _ => false,
-    }
-}
--- a/crates/mustardgate-relay/src/ports/mod.rs
+++ b/crates/mustardgate-relay/src/ports/mod.rs
@@ -20,6 +20,8 @@
 use smol_str::SmolStr;
 use snafu::Snafu;
 
+pub use mustardgate_core::relay::AnswerKind;
+
 /// Why a record or a message head could not be decoded.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("{field}: {reason}"))]
@@ -74,20 +76,6 @@
     pub resume_after: Option<SmolStr>,
 }
 
-/// Whether an answer belongs to the request, and what it says about its execution.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum AnswerKind {
-    /// It is the answer to this request.
-    Outcome,
-    /// The runner reports that it did not run this request.
-    NotRun,
-    /// Another runner than the addressed one answered, or the runner lacks the model; the request did not run.
-    Misdirected,
-    /// It names another request, or nothing binds it to this one.
-    #[default]
-    OtherRequest,
-}
-
 /// Whether an answer names the request that it belongs to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum RequestName {
