Answer 421 at the nodes' own address, so that a request sent there by a false entry is known not to have run

Cause: only the node itself refuses such an entry; others sent requests there, and the 404 named no request, so the request might have run.

Before: the test of foreign_addresses fails ('/orders/0: 502'), one run. After: it passes, one run.

--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -85,7 +85,8 @@
         ORIGIN_PATH => answer_origin_query(&context, &body),
         LOG_PATH => answer_log(&context, &body).await,
         RECORDS_PATH => Some(answer_records(&context).await),
-        _ => return empty_answer(StatusCode::NOT_FOUND),
+        // Anyone may list this address as a runner's. The answer tells the sending node that its request did not run.
+        _ => return empty_answer(StatusCode::MISDIRECTED_REQUEST),
     };
     match message {
         Some(message) => bytes_answer(StatusCode::OK, None, Bytes::from(message)),
