--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -5,6 +5,7 @@
 
 mod adapters;
 mod admission;
+mod answer_head;
 mod backlog;
 mod brittle;
 mod budget;
@@ -20,18 +21,21 @@
 mod permits;
 mod planner;
 mod prefix;
+mod process_evidence;
 mod processes;
 mod rate_limits;
 mod request;
 mod selector;
 mod stream_batches;
 mod stream_origins;
+mod stream_progress;
 mod stream_versions;
 mod versions;
 
 pub use self::{
     adapters::{AdapterEvictor, AdapterSlot},
     admission::{AdmissionGate, AdmissionQuery, GateSettings, RefusalCause, RetryAdvisor, RetryAdvisorSettings},
+    answer_head::{AnswerKind, AnswerStage, HeadFacts, HeadVerdict},
     backlog::BacklogEstimate,
     brittle::{BrittleLedger, BrittleService, BrittleStatement, deal_places},
     budget::{BudgetSettings, RetryShare},
@@ -50,11 +54,13 @@
     permits::{PermitIssuer, PermitSchedule},
     planner::{OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
     prefix::PrefixIndex,
+    process_evidence::ProcessEvidence,
     rate_limits::{LimitChange, LimitLedger, LimitObservation, LimitStatement},
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
     selector::{Candidate, RunnerSelector, SelectionWeights},
     stream_batches::{choose_recorder, decode_batch, encode_batches, record_interval},
     stream_origins::{NodeMember, OriginFinding, OriginLedger, StreamKey, StreamOrigin, choose_keepers, rank_keepers},
-    stream_versions::{BegunStream, StreamVersions},
+    stream_progress::{EndVerdict, EventVerdict, StreamProgress},
+    stream_versions::{BegunStream, ListRead, NoticeScope, StreamVersions},
     versions::{SeenVersion, SoftwareVersion, VersionDigest, VersionHistory, VersionTag},
 };
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -1,6 +1,7 @@
 //! Decisions about relayed requests, each tested with the load pattern that it handles.
 
 mod admission;
+mod answer_head;
 mod brittle;
 mod budget;
 mod catalogue;
@@ -14,8 +15,10 @@
 mod odd_messages;
 mod permits;
 mod placement;
+mod process_evidence;
 mod rate_limits;
 mod routes;
 mod selector;
 mod stream_batches;
+mod stream_progress;
 mod stream_versions;
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -14,7 +14,7 @@
 use mustardgate_core::{
     clock,
     ids::RequestId,
-    relay::{CallerLimits, RefusalCause, RelayRequest},
+    relay::{AnswerStage, CallerLimits, RefusalCause, RelayRequest},
     retry::{AttemptFailure, AttemptPlan, NextStep, NoRetries, PlanSettings, RetryAllowance},
 };
 use rand::Rng;
@@ -115,9 +115,10 @@
         Err(_) => return Err(refusal(context, RefusalCause::AttemptsUsedUp)),
     };
     let digests = RequestDigests::of(&head, &body);
-    let version = find_version(context, &route, &request, digests.content).await?;
+    let taken_up_at = context.leader.lease_time();
+    let version = find_version(context, &route, &request, digests.content, taken_up_at).await?;
     let service = match version {
-        Some(version) => service_of(context, &route, version)?,
+        Some(version) => service_of(context, &route, version, taken_up_at).await?,
         None => route.service_for(rand::rng().random()).clone(),
     };
     context.budgets.record_request(request.received_at, &service);
@@ -207,6 +208,11 @@
         });
     }
     let resume = ResumePoint {
+        stage: match (received.route.is_stream, received.request.takes_up_stream()) {
+            (false, _) => AnswerStage::Plain,
+            (true, false) => AnswerStage::Stream,
+            (true, true) => AnswerStage::Return,
+        },
         after: None,
         may_follow: plan.allows_another(clock::now(), MIN_ATTEMPT_TIME),
     };
