Complete streams of events without numbers that end with their connection

Found when the change was read again: a first answer whose events bear no number, framed by the close of its connection, ended as broken since the decision on the end was moved into one place. An event without a number counts as one now, a comment does not. A test of it is new; it was not run against the fault.

--- a/crates/mustardgate-core/src/relay/stream_progress.rs
+++ b/crates/mustardgate-core/src/relay/stream_progress.rs
@@ -70,12 +70,7 @@
     /// Returns whether an event belongs to the stream, and takes it over if it is the next one.
     pub fn accept(&mut self, event: &StreamEvent) -> EventVerdict {
         let Some(id) = &event.id else {
-            // Only an answer that began the stream may hold what has no place in it.
-            return match self.is_continued {
-                false => EventVerdict::PassOn,
-                true if event.is_comment() => EventVerdict::Skip,
-                true => EventVerdict::Foreign,
-            };
+            return self.accept_unnumbered(event);
         };
         let number = |text: &str| text.parse::<u64>().ok();
         if let (Some(last), Some(number)) = (self.last.as_deref().and_then(number), number(id)) {
@@ -99,6 +94,19 @@
         EventVerdict::PassOn
     }
 
+    /// Returns whether an event without an identifier belongs to the stream. Only an answer that began the stream may hold what
+    /// has no place in it.
+    fn accept_unnumbered(&mut self, event: &StreamEvent) -> EventVerdict {
+        match (self.is_continued, event.is_comment()) {
+            (true, true) => EventVerdict::Skip,
+            (true, false) => EventVerdict::Foreign,
+            (false, is_comment) => {
+                self.has_event |= !is_comment;
+                EventVerdict::PassOn
+            }
+        }
+    }
+
     /// Returns whether the stream is complete; `has_remainder` says that the answer ended inside an event, `is_framed` that it
     /// had a length or chunks, so that its end is known to be one.
     pub fn end(&self, has_remainder: bool, is_framed: bool) -> EndVerdict {
--- a/crates/mustardgate-core/tests/relay/stream_progress.rs
+++ b/crates/mustardgate-core/tests/relay/stream_progress.rs
@@ -110,6 +110,14 @@
     }
 }
 
+#[test]
+fn a_stream_of_events_without_numbers_is_complete_at_the_close_of_its_connection() {
+    let body = b"data: one\n\ndata: two\n\n";
+    let mut fresh = StreamProgress::new(None, false);
+    let (received, end) = pass(&mut fresh, body, false);
+    assert_eq!((received.as_bytes(), end), (body.as_slice(), EndVerdict::Complete));
+}
+
 // Guards against refusing sound streams of services whose events are not numbered one by one.
 #[test]
 fn streams_whose_identifiers_rise_by_more_than_one_go_on_once_that_is_known() {
