Let a caller that leaves take only its own read of the list or of the origins along

Found when the change was read again: the first of several callers who come back reads the list of runners for all of them. If it left meanwhile, its read ended with it and the others were told that the list could not be read, so their streams were refused. The result is recorded only once a read has ended; the next caller reads anew otherwise. By reading; no test shows it before or after.

--- a/crates/mustardgate-relay/src/follow/refresh.rs
+++ b/crates/mustardgate-relay/src/follow/refresh.rs
@@ -58,10 +58,11 @@
                 return is_read;
             }
             let began_at = context.leader.lease_time();
-            *last_read = Some((began_at, false));
-            let is_read = time::timeout(REFRESH_TIMEOUT, read_changes(context)).await;
-            *last_read = Some((began_at, matches!(is_read, Ok(Ok(())))));
-            matches!(is_read, Ok(Ok(())))
+            let outcome = time::timeout(REFRESH_TIMEOUT, read_changes(context)).await;
+            let is_read = matches!(outcome, Ok(Ok(())));
+            // A caller that leaves takes its read along, which then says nothing to the others.
+            *last_read = Some((began_at, is_read));
+            is_read
         };
         let is_fresh = time::timeout(MAX_WAIT, reading).await.unwrap_or(false);
         counter!("mustardgate_list_refreshes_total", "is_fresh" => is_fresh.to_string()).increment(1);
--- a/crates/mustardgate-relay/src/peers/stream_log.rs
+++ b/crates/mustardgate-relay/src/peers/stream_log.rs
@@ -153,9 +153,10 @@
             let now = clock::now();
             let is_recent = |at: Instant| now.saturating_duration_since(at) < READ_VALIDITY;
             if !state.began_at.is_some_and(is_recent) {
-                state.began_at = Some(now);
                 state.is_complete = false;
                 state.read(context).await;
+                // A caller that leaves takes its read along, which then says nothing to the others.
+                state.began_at = Some(now);
             }
             state.is_complete
         };
