--- a/crates/mustardgate-relay/src/context/streams.rs
+++ b/crates/mustardgate-relay/src/context/streams.rs
@@ -101,6 +101,11 @@
         self.tell_all(due);
     }
 
+    /// Returns the only version of a service as far as this node knows, which other nodes may know better.
+    pub fn sole_version(&self, now: Instant, service: &ServiceId, life: Duration) -> Option<VersionTag> {
+        self.lock().sole_version(now, service, life)
+    }
+
     /// Returns the only version of a service that may have begun a stream which its caller took up at `taken_up_at`, at most
     /// `life` after its begin, if that is certain.
     pub fn certain_version(
--- a/crates/mustardgate-relay/src/gateway/origin.rs
+++ b/crates/mustardgate-relay/src/gateway/origin.rs
@@ -26,6 +26,9 @@
 /// Delay after which a caller may return whose stream may be known to a node that did not answer.
 const SILENT_KEEPER_DELAY: Duration = Duration::from_millis(400);
 
+/// Time for which other nodes are asked where a stream began before the list of runners is read.
+const PEER_HEAD_START: Duration = Duration::from_millis(40);
+
 /// Returns the version that began the stream which a request takes up; `None` if it begins a new one.
 ///
 /// # Errors
@@ -90,7 +93,12 @@
             None => OriginReport::default(),
         }
     };
-    let (report, sole) = first_certain(asking, certain_version(context, route, taken_up_at)).await;
+    let reading = async {
+        // Mostly another node knows, and each read is a call to the log.
+        tokio::time::sleep(PEER_HEAD_START).await;
+        certain_version(context, route, taken_up_at).await
+    };
+    let (report, sole) = first_certain(asking, reading).await;
     if sole.is_some() {
         return found(sole, "sole_version");
     }
@@ -108,7 +116,8 @@
         OriginFinding::Unknown => {
             let is_joined = context.stream_log.join_history(context).await;
             let version = certain_version(context, route, taken_up_at).await;
-            let is_current = context.streams.has_list_of(taken_up_at);
+            // A list that shows several versions leaves nothing to read.
+            let is_current = believed_version(context, route).is_none() || context.streams.has_list_of(taken_up_at);
             VersionLookup {
                 version,
                 source: if version.is_some() {
@@ -169,12 +178,24 @@
     services.into_iter().find(|service| has_version(service)).cloned()
 }
 
+/// Returns the only version of the runners to which a route leads, as far as this node knows.
+fn believed_version(context: &RelayContext, route: &RelayRoute) -> Option<VersionTag> {
+    let [target] = route.targets.as_slice() else {
+        return None;
+    };
+    let life = context.routes.current()?.stream_life(&target.service);
+    let now = context.leader.lease_time();
+    context.streams.sole_version(now, &target.service, life)
+}
+
 /// Returns the version of all runners that may have begun a stream on the route, if there was certainly only one when its
 /// caller took it up.
 ///
 /// Runners of another version may have joined and begun the stream through other nodes since this node read the list, so
 /// the list is read again.
 async fn certain_version(context: &RelayContext, route: &RelayRoute, taken_up_at: Instant) -> Option<VersionTag> {
+    // A newer list can only show more versions.
+    believed_version(context, route)?;
     let is_current = context.list.refresh(context, taken_up_at).await;
     let [target] = route.targets.as_slice() else {
         return None;
