Bound requests by the grace period of a planned stop, and answer those that it ends

Callers whose requests came late in the grace period, on routes of every kind, saw their connections end without an answer, also where a request must not be repeated. Cause: nothing between the close of the listeners and the end of the process decided whether the rest of the grace period was enough for a request, and the end of the process told those at a runner nothing. Class: a bound on a request that the admission does not know.

StopSchedule decides, on the clock that counts suspensions: a request whose deadline fits is passed on, and until the listeners close one whose route took no longer of late, or that may be repeated. The gateway asks before the choice of a runner and before each send, for first tries, further tries, resumed streams and requests through another node. Shortly before the end of the grace period the token that ends requests is cancelled: 503 for what was not sent, 504 or 502 for what may have run, streams end behind a whole event. Requests that a node passes on for another one end with their verdict, and count as in flight, as streams do until their end. Handlers of signals are installed before the listeners open, and what the system has accepted as they close is still read.

The test of a stop beside another node, of further signals and of requests of a usual length are new. The test of a stop that finishes streams asserts the status as well.

--- a/crates/mustardgate-core/src/relay/admission.rs
+++ b/crates/mustardgate-core/src/relay/admission.rs
@@ -40,6 +40,9 @@
     /// Neither this node nor one that it asked reaches the runners.
     #[display("runners_unreachable")]
     RunnersUnreachable,
+    /// The node stops, and the request may take longer than it still runs.
+    #[display("node_stopping")]
+    NodeStopping,
 }
 
 /// Settings of [`AdmissionGate`].
@@ -139,6 +142,8 @@
     pub absence_delay: Duration,
     /// Delay after a refusal because of a quarantined input.
     pub quarantine_delay: Duration,
+    /// Delay after a refusal by a node that stops: other nodes serve the caller at once.
+    pub stop_delay: Duration,
     /// Largest random extension, as a fraction of the delay.
     pub jitter: f64,
 }
@@ -149,6 +154,7 @@
             overload_delay: Duration::from_millis(250),
             absence_delay: Duration::from_millis(500),
             quarantine_delay: Duration::from_secs(60),
+            stop_delay: Duration::from_millis(20),
             jitter: 1.0,
         }
     }
@@ -172,6 +178,7 @@
         let base = match cause {
             RefusalCause::Overloaded | RefusalCause::AttemptsUsedUp => self.settings.overload_delay,
             RefusalCause::PromptQuarantined | RefusalCause::RequestQuarantined => self.settings.quarantine_delay,
+            RefusalCause::NodeStopping => self.settings.stop_delay,
             RefusalCause::ModelAbsent => load_left.unwrap_or(self.settings.absence_delay),
             RefusalCause::NoConfiguration
             | RefusalCause::NoRunner
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod crashes;
 mod events;
 mod feed;
+mod grace;
 mod health;
 mod inputs;
 mod link;
@@ -47,6 +48,7 @@
     crashes::{CrashDigest, CrashLedger, CrashObservation, CrashSettings, QuarantineNotice, shared_parts},
     events::{EventSplitter, StreamEvent},
     feed::{FeedAllowance, FeedLimits},
+    grace::{AnswerTimes, GraceQuery, StopSchedule},
     health::{HealthSettings, OutcomeTracker},
     inputs::{InputId, PartId, RequestContent, RequestDigest},
     link::LinkMonitor,
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod events;
 mod feed;
+mod grace;
 mod inputs;
 mod limited_replicas;
 mod link;
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -9,6 +9,7 @@
 mod observations;
 mod records;
 mod routes;
+mod stop;
 mod streams;
 
 use std::{
@@ -36,6 +37,7 @@
     observations::ObservationBuffer,
     records::RecordCache,
     routes::{ActiveRoutes, RouteHolder},
+    stop::StopGuard,
     streams::{StreamGuard, StreamNotice},
 };
 use crate::{
@@ -119,6 +121,8 @@
     pub advisor: RetryAdvisor,
     /// Requests in flight and the progress of a planned stop.
     pub drain: DrainController,
+    /// Which requests a planned stop still admits.
+    pub stop: StopGuard,
 }
 
 impl RelayContext {
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -1,35 +1,35 @@
 //! One attempt at one runner, up to the head of its answer.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{
-    Request, Uri,
     body::Incoming,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     http::response,
 };
-use mustardgate::events;
+use mustardgate::{drain::InFlightGuard, events};
 use mustardgate_core::{
     clock,
     ids::{BackendId, ServiceId},
     relay::{
         AdmissionQuery, AnswerKind, AnswerStage, HeadFacts, HeadVerdict, RefusalCause, RelayRequest, RelayRoute,
-        StreamProgress, VersionTag, runner_rank,
+        StreamProgress, VersionTag,
     },
     verdict::RunVerdict,
 };
 use slog::o;
-use smol_str::SmolStr;
 
 use super::{
     digests::RequestDigests,
     failure::AttemptError,
-    headers::{is_event_stream, remove_hop_by_hop_headers},
+    headers::is_event_stream,
     path::{OpenPath, ResumePoint},
 };
 use crate::{
@@ -38,13 +38,11 @@
     fleet::{AttemptOutcome, RunnerPick, RunnerTicket, SelectionError, SelectionQuery},
     leader::request_adapter,
     link::HelperUse,
-    ports::{AnswerMetadata, AttemptMetadata},
+    ports::AnswerMetadata,
 };
 
 /// Interval between admission checks of a waiting request.
 const ADMISSION_POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// Time by which the runner's deadline is shortened, for the answer's way back to the caller.
-const RETURN_MARGIN: Duration = Duration::from_millis(5);
 /// Expected number of requests at a runner below which its time to the first token counts as that of an idle one.
 const IDLE_LOAD: f64 = 0.5;
 /// Largest number of runners on which an adapter load is requested for one request.
@@ -69,6 +67,12 @@
     pub(super) stream_life: Duration,
     /// Time by which the caller must have its complete answer.
     pub(super) expires_at: Instant,
+    /// When it was read completely, on the clock that counts suspensions.
+    pub(super) read_at: Instant,
+    /// Whether the attempt under way has reached the step from which on it may run.
+    pub(super) is_sent: AtomicBool,
+    /// Counts the request until its answer has ended.
+    pub(super) _in_flight: InFlightGuard,
     pub(super) is_sampled: bool,
     /// Shortest target latency of the routes to the same service.
     pub(super) urgent_target: Duration,
@@ -113,6 +117,7 @@
         if let Some(cause) = self.quarantine() {
             return Err(AttemptError::unplaced(cause));
         }
+        self.check_grace().map_err(AttemptError::unplaced)?;
         let mut excluded = tried.to_vec();
         let places = self.places();
         for _ in 0..MAX_ADAPTER_LOADS {
@@ -178,6 +183,7 @@
 
     /// Sends the request to the chosen runner and reads the head of its answer.
     pub(super) async fn open(&self, pick: &RunnerPick, resume: &ResumePoint) -> Result<OpenAnswer, AttemptError> {
+        self.is_sent.store(false, Ordering::Relaxed);
         let cell = &pick.cell;
         let listed = cell.listed();
         let mut ticket = cell.begin(&self.request);
@@ -334,29 +340,6 @@
         }
     }
 
-    pub(super) fn runner_request(
-        &self,
-        backend: &BackendId,
-        time_left: Duration,
-        resume_after: Option<SmolStr>,
-    ) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.head.method.clone();
-        let path = self.head.uri.path_and_query().cloned();
-        *request.uri_mut() = path.map(Uri::from).unwrap_or_default();
-        let headers = request.headers_mut();
-        *headers = self.head.headers.clone();
-        remove_hop_by_hop_headers(headers);
-        let metadata = AttemptMetadata {
-            backend: backend.clone(),
-            time_left: time_left.saturating_sub(RETURN_MARGIN).max(Duration::from_millis(1)),
-            rank: runner_rank(&self.route),
-            resume_after,
-        };
-        self.context.ports.dialect.write_attempt(headers, &metadata);
-        request
-    }
-
     fn log_head(&self, pick: &RunnerPick, elapsed: Duration, metadata: &AnswerMetadata) {
         if !self.is_sampled {
             return;
--- a/crates/mustardgate-relay/src/gateway/body.rs
+++ b/crates/mustardgate-relay/src/gateway/body.rs
@@ -5,8 +5,14 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use mustardgate_core::{
+    clock,
+    relay::{CallerLimits, RelayRequest},
+};
 use tokio::time;
 
+use crate::context::RelayContext;
+
 /// Reads the rest of a body and drops it, up to a number of bytes and for a time.
 ///
 /// Closing a connection with unread bytes resets it, and the reset may overtake the answer.
@@ -23,3 +29,16 @@
     // A peer that sends more slowly is answered before its request has arrived.
     let _is_read = time::timeout(timeout, reading).await.is_ok();
 }
+
+/// Reads the rest of a request that is refused, while its caller waits.
+pub(super) async fn discard_refused(body: &mut Incoming, limits: CallerLimits, request: &RelayRequest) {
+    let expires_at = request.expires_at(limits.header_timeout);
+    let time_left = expires_at.saturating_duration_since(clock::now());
+    discard_body(body, limits.max_body_bytes, time_left).await;
+}
+
+/// Returns what the configuration in force allows callers.
+pub(super) fn caller_limits(context: &RelayContext) -> CallerLimits {
+    let active = context.routes.current();
+    active.map(|active| active.config.limits).unwrap_or_default()
+}
--- a/crates/mustardgate-relay/src/gateway/buffered.rs
+++ b/crates/mustardgate-relay/src/gateway/buffered.rs
@@ -17,6 +17,7 @@
     attempt::{OpenAnswer, ReceivedRequest},
     exchange::{MIN_ATTEMPT_TIME, record_runner_answer},
     failure::AttemptError,
+    grace::STOP_REASON,
     headers::remove_hop_by_hop_headers,
     stream::StreamRelay,
 };
@@ -56,6 +57,7 @@
     let collecting = Limited::new(body, MAX_BUFFERED_BYTES).collect();
     let may_move = helper.is_none() && plan.allows_another(clock::now(), MIN_ATTEMPT_TIME);
     let cell = Arc::clone(ticket.cell());
+    let aborting = received.context.drain.aborting();
     let collected = tokio::select! {
         collected = tokio::time::timeout(time_left, collecting) => match collected {
             Ok(Ok(collected)) => Ok(collected.to_bytes()),
@@ -63,6 +65,7 @@
             Err(_) => Err(("timed_out", true)),
         },
         () = lost_answer(&received.context, &cell, &received.request.id), if may_move => Err(("link_cut", false)),
+        () = aborting.cancelled() => Err((STOP_REASON, true)),
     };
     let is_retryable = head.status.is_server_error() && received.route.repeat.is_idempotent();
     let content = match collected {
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -1,6 +1,9 @@
 //! Handling of one request, from its head to its answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -10,11 +13,11 @@
     header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING},
 };
 use metrics::{counter, histogram};
-use mustardgate::events;
+use mustardgate::{drain::InFlightGuard, events};
 use mustardgate_core::{
     clock,
     ids::RequestId,
-    relay::{AnswerStage, CallerLimits, RefusalCause, RelayRequest},
+    relay::{AnswerStage, RefusalCause, RelayRequest},
     retry::{AttemptFailure, AttemptPlan, NextStep, NoRetries, PlanSettings, RetryAllowance},
 };
 use rand::Rng;
@@ -23,10 +26,11 @@
 use super::{
     answer::{LocalAnswer, RelayBody, full_body},
     attempt::{OpenAnswer, ReceivedRequest},
-    body::discard_body,
+    body::{caller_limits, discard_body, discard_refused},
     buffered::{ForwardOutcome, forward_answer},
     digests::RequestDigests,
     failure::AttemptError,
+    grace::{StopCandidate, check_grace},
     origin::{find_version, service_of},
     path::ResumePoint,
     trace::{RequestStep, RequestTrace},
@@ -43,7 +47,7 @@
     if path == context.ports.dialect.readiness_path() {
         return answer_readiness(&context);
     }
-    let _in_flight = context.drain.track_request();
+    let in_flight = context.drain.track_request();
     // A chunked request may smuggle another one past a peer that frames by length, so the connection is closed after
     // it.
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
@@ -60,7 +64,12 @@
     };
     let id = relayed.id.clone();
     let mut trace = RequestTrace::begin(Arc::clone(&context), &relayed, RequestStep::Receiving);
-    let mut response = match receive(&context, head, body, relayed).await {
+    let aborting = context.drain.aborting();
+    let received = tokio::select! {
+        received = receive(&context, head, body, relayed, in_flight) => received,
+        () = aborting.cancelled() => Err(refusal(&context, RefusalCause::NodeStopping)),
+    };
+    let mut response = match received {
         Ok(received) => {
             trace.reach(RequestStep::Waiting);
             serve(received).await
@@ -89,6 +98,7 @@
     head: hyper::http::request::Parts,
     mut body: Incoming,
     request: RelayRequest,
+    in_flight: InFlightGuard,
 ) -> Result<ReceivedRequest, LocalAnswer> {
     let Some(active) = context.routes.current() else {
         discard_refused(&mut body, caller_limits(context), &request).await;
@@ -115,10 +125,17 @@
         Err(_) => return Err(refusal(context, RefusalCause::AttemptsUsedUp)),
     };
     let digests = RequestDigests::of(&head, &body);
-    let taken_up_at = context.leader.lease_time();
-    let version = find_version(context, &route, &request, digests.content, taken_up_at).await?;
+    let read_at = context.leader.lease_time();
+    let candidate = StopCandidate {
+        request: &request.id,
+        route: &route,
+        read_at,
+        expires_at,
+    };
+    check_grace(context, &candidate).map_err(|cause| refusal(context, cause))?;
+    let version = find_version(context, &route, &request, digests.content, read_at).await?;
     let service = match version {
-        Some(version) => service_of(context, &route, version, taken_up_at).await?,
+        Some(version) => service_of(context, &route, version, read_at).await?,
         None => route.service_for(rand::rng().random()).clone(),
     };
     context.budgets.record_request(request.received_at, &service);
@@ -130,6 +147,9 @@
         is_sampled: context.log.is_sampled(&request.id),
         urgent_target: active.urgent_target(&service).unwrap_or(route.target_latency),
         expires_at,
+        read_at,
+        is_sent: AtomicBool::default(),
+        _in_flight: in_flight,
         route,
         request,
         head,
@@ -141,19 +161,6 @@
     })
 }
 
-/// Reads the rest of a request that is refused, while its caller waits.
-async fn discard_refused(body: &mut Incoming, limits: CallerLimits, request: &RelayRequest) {
-    let expires_at = request.expires_at(limits.header_timeout);
-    let time_left = expires_at.saturating_duration_since(clock::now());
-    discard_body(body, limits.max_body_bytes, time_left).await;
-}
-
-/// Returns what the configuration in force allows callers.
-fn caller_limits(context: &RelayContext) -> CallerLimits {
-    let active = context.routes.current();
-    active.map(|active| active.config.limits).unwrap_or_default()
-}
-
 /// Tries runners until one answers or no further attempt is allowed.
 async fn serve(mut received: ReceivedRequest) -> Response<RelayBody> {
     let mut plan = AttemptPlan::new(PlanSettings {
@@ -163,8 +170,13 @@
     });
     let mut tried = Vec::new();
     let mut fallback = None;
+    let aborting = received.context.drain.aborting();
     loop {
-        let error = match attempt(&received, &mut plan, &tried).await {
+        let opened = tokio::select! {
+            opened = attempt(&received, &mut plan, &tried) => opened,
+            () = aborting.cancelled() => Err(received.stop_attempt(&mut plan)),
+        };
+        let error = match opened {
             Ok(open) => match forward_answer(received, plan, open).await {
                 ForwardOutcome::Answered(response) => return response,
                 ForwardOutcome::Failed {
@@ -357,6 +369,11 @@
     counter!("mustardgate_relay_answers_total", "outcome" => outcome).increment(1);
     histogram!("mustardgate_relay_answer_seconds", "route" => received.route.name.to_string())
         .record(elapsed.as_secs_f64());
+    let now = received.context.leader.lease_time();
+    received
+        .context
+        .stop
+        .record_answer(now, &received.route.name, received.read_at);
     if !received.is_sampled && status.is_success() {
         return;
     }
--- a/crates/mustardgate-relay/src/gateway/listener.rs
+++ b/crates/mustardgate-relay/src/gateway/listener.rs
@@ -20,6 +20,8 @@
 
 /// Delay after a failed accept, most often caused by a lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+/// Time between closing the listener and closing the connections without a request.
+const LAST_READ_TIME: Duration = Duration::from_millis(50);
 /// Callers' connections may use the process's file descriptors divided by this number.
 const CALLER_DESCRIPTOR_DIVISOR: u64 = 2;
 /// Smallest read buffer that the HTTP library accepts.
@@ -58,8 +60,9 @@
             .await
             .expect("the semaphore is never closed");
         let accepted = tokio::select! {
-            () = closing.cancelled() => break,
+            biased;
             accepted = listener.accept() => accepted,
+            () = closing.cancelled() => break,
         };
         match accepted {
             Ok((stream, address)) => {
@@ -77,6 +80,8 @@
         }
     }
     drop(listener);
+    // Requests that have arrived on connections accepted last are still read; closing those connections would reset them.
+    time::sleep(LAST_READ_TIME).await;
     graceful.shutdown().await;
 }
 
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod digests;
 mod exchange;
 mod failure;
+mod grace;
 mod headers;
 mod listener;
 mod origin;
--- a/crates/mustardgate-relay/src/gateway/path.rs
+++ b/crates/mustardgate-relay/src/gateway/path.rs
@@ -1,16 +1,22 @@
 //! Sends a request to the chosen runner: over an own connection, or through another node while the link is cut.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
-use hyper::{Response, body::Incoming};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, Uri, body::Incoming};
 use metrics::counter;
 use mustardgate_core::{
     clock,
-    relay::{AnswerStage, RepeatPolicy},
+    ids::BackendId,
+    relay::{AnswerStage, RepeatPolicy, runner_rank},
 };
 use smol_str::SmolStr;
 
-use super::attempt::ReceivedRequest;
+use super::{attempt::ReceivedRequest, headers::remove_hop_by_hop_headers};
 use crate::{
     client::{ConnectionPool, RunnerConnection, SendFailure},
     fleet::RunnerCell,
@@ -18,6 +24,7 @@
     link::{
         ForwardRefusal, ForwardRequest, ForwardVerdict, HelperUse, RunnerTarget, connect_runner_process, lost_answer,
     },
+    ports::AttemptMetadata,
 };
 
 /// Largest number of other nodes that are asked to pass one request on.
@@ -38,6 +45,9 @@
     pub(super) helper: Option<HelperUse>,
 }
 
+/// Time by which the runner's deadline is shortened, for the answer's way back to the caller.
+const RETURN_MARGIN: Duration = Duration::from_millis(5);
+
 /// Where an attempt takes the answer up, and what may follow it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ResumePoint {
@@ -78,12 +88,13 @@
             cell.hold(clock::now() + delay);
             return Err(SendFailure::Limited);
         }
-        if !cell.is_in_service() {
+        if !cell.is_in_service() || self.check_grace().is_err() {
             return Err(SendFailure::Withheld);
         }
         let request = self.runner_request(&cell.listed().id, self.time_left(), resume.after.clone());
         let link = &self.context.link;
         let awaited = link.await_answer();
+        self.is_sent.store(true, Ordering::Relaxed);
         let answer = tokio::select! {
             answer = taken.connection.send(request, self.time_left()) => answer,
             // What cannot be sent again is awaited as long as there is time.
@@ -134,6 +145,7 @@
         helper: HelperUse,
         resume_after: Option<SmolStr>,
     ) -> Result<OpenPath, SendFailure> {
+        self.is_sent.store(false, Ordering::Relaxed);
         let node = helper.helper();
         let Ok(mut taken) = node.pool.take(self.time_left()).await else {
             node.rest();
@@ -150,6 +162,10 @@
             needs_process: self.route.repeat == RepeatPolicy::Resumable,
         };
         forwarded.write(request.headers_mut());
+        if self.check_grace().is_err() {
+            return Err(SendFailure::Withheld);
+        }
+        self.is_sent.store(true, Ordering::Relaxed);
         let mut answer = match taken.connection.send(request, self.time_left()).await {
             Ok(answer) => answer,
             Err(SendFailure::NotSent) => return Err(SendFailure::NoPath),
@@ -188,8 +204,33 @@
         }
     }
 
-    /// Returns the time until the caller must have its complete answer.
+    /// Returns the request as the runner gets it.
+    fn runner_request(
+        &self,
+        backend: &BackendId,
+        time_left: Duration,
+        resume_after: Option<SmolStr>,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        let path = self.head.uri.path_and_query().cloned();
+        *request.uri_mut() = path.map(Uri::from).unwrap_or_default();
+        let headers = request.headers_mut();
+        *headers = self.head.headers.clone();
+        remove_hop_by_hop_headers(headers);
+        let metadata = AttemptMetadata {
+            backend: backend.clone(),
+            time_left: time_left.saturating_sub(RETURN_MARGIN).max(Duration::from_millis(1)),
+            rank: runner_rank(&self.route),
+            resume_after,
+        };
+        self.context.ports.dialect.write_attempt(headers, &metadata);
+        request
+    }
+
+    /// Returns the time until the caller must have its complete answer, or until a planned stop ends the request.
     pub(super) fn time_left(&self) -> Duration {
-        self.expires_at.saturating_duration_since(clock::now())
+        let time_left = self.expires_at.saturating_duration_since(clock::now());
+        self.context.within_stop(time_left)
     }
 }
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -27,6 +27,7 @@
     buffered::{closes_connection, keep_alive_timeout},
     exchange::{MIN_ATTEMPT_TIME, log_failure, next_step, next_step_within, record_runner_answer},
     failure::AttemptError,
+    grace::STOP_REASON,
     headers::remove_hop_by_hop_headers,
     path::ResumePoint,
     trace::{RequestStep, RequestTrace},
@@ -70,7 +71,7 @@
             status,
         };
         let frames = stream::unfold(relay, |mut relay| async move {
-            let chunk = relay.next_chunk().await?;
+            let chunk = relay.next_chunk_before_stop().await?;
             Some((chunk.map(Frame::data), relay))
         });
         let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
@@ -79,6 +80,18 @@
         response
     }
 
+    /// Returns the next events; the end of the grace period of a planned stop breaks the stream off behind a whole event.
+    async fn next_chunk_before_stop(&mut self) -> Option<Result<Bytes, BrokenAnswer>> {
+        let aborting = self.received.context.drain.aborting();
+        tokio::select! {
+            chunk = self.next_chunk() => chunk,
+            () = aborting.cancelled() => {
+                self.log_broken(STOP_REASON);
+                Some(Err(BrokenAnswer))
+            }
+        }
+    }
+
     async fn next_chunk(&mut self) -> Option<Result<Bytes, BrokenAnswer>> {
         loop {
             if self.has_foreign && !self.resume("foreign_event").await {
--- a/crates/mustardgate-relay/src/link/forward.rs
+++ b/crates/mustardgate-relay/src/link/forward.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -16,6 +16,7 @@
     body::{Frame, Incoming},
 };
 use metrics::counter;
+use mustardgate::drain::InFlightGuard;
 use mustardgate_core::{clock, relay::ListedRunner};
 use tokio::time;
 
@@ -48,19 +49,34 @@
 
 /// Counts a request that is passed on, until it is dropped.
 #[derive(Debug)]
-struct ForwardSlot(Arc<AtomicUsize>);
+struct ForwardSlot {
+    forwarded: Arc<AtomicUsize>,
+    _in_flight: InFlightGuard,
+}
 
 impl Drop for ForwardSlot {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.forwarded.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
 /// Sends a request to the runner that another node chose, and returns the runner's answer.
 pub async fn answer_forwarded(context: Arc<RelayContext>, request: Request<Incoming>) -> Response<RelayBody> {
-    let slot = ForwardSlot(Arc::clone(&context.forwarded));
+    let slot = ForwardSlot {
+        forwarded: Arc::clone(&context.forwarded),
+        _in_flight: context.drain.track_request(),
+    };
     let load = context.forwarded.fetch_add(1, Ordering::Relaxed) + 1;
-    let outcome = send(&context, request, load, slot).await;
+    let is_sent = AtomicBool::new(false);
+    let aborting = context.drain.aborting();
+    let outcome = tokio::select! {
+        outcome = send(&context, request, load, slot, &is_sent) => outcome,
+        () = aborting.cancelled() => Err(if is_sent.load(Ordering::Relaxed) {
+            ForwardVerdict::Broken { is_timeout: true }
+        } else {
+            ForwardVerdict::Refused(ForwardRefusal::Unavailable)
+        }),
+    };
     let label = match &outcome {
         Ok(_) => "answered",
         Err(ForwardVerdict::Refused(_)) => "refused",
@@ -80,6 +96,7 @@
     request: Request<Incoming>,
     load: usize,
     slot: ForwardSlot,
+    is_sent: &AtomicBool,
 ) -> Result<Response<RelayBody>, ForwardVerdict> {
     let refused = ForwardVerdict::Refused;
     let (mut head, mut body) = request.into_parts();
@@ -106,13 +123,14 @@
     }
     let mut connection = connect(context, &cell, &forwarded).await?;
     let sent_at = clock::now();
-    let time_left = ends_at.saturating_duration_since(time::Instant::now());
+    let time_left = context.within_stop(ends_at.saturating_duration_since(time::Instant::now()));
     let mut runner_request = Request::new(Full::new(body.to_bytes()));
     *runner_request.method_mut() = head.method;
     *runner_request.uri_mut() = head.uri;
     *runner_request.headers_mut() = head.headers;
     remove_hop_by_hop_headers(runner_request.headers_mut());
     let awaited = context.link.await_answer();
+    is_sent.store(true, Ordering::Relaxed);
     let answer = connection.send(runner_request, time_left).await;
     drop(awaited);
     let answer = match answer {
@@ -196,7 +214,8 @@
         cell.hold(clock::now() + delay);
         Some(ForwardRefusal::Held(delay))
     } else {
-        None
+        // A stop that began meanwhile would end the answer with this node.
+        context.drain.is_draining().then_some(ForwardRefusal::Unavailable)
     };
     let Some(refusal) = is_refused else {
         return Ok(taken.connection);
@@ -246,7 +265,11 @@
 
     async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, BrokenAnswer>> {
         let awaited = self.context.link.await_answer();
-        let frame = self.body.frame().await;
+        let aborting = self.context.drain.aborting();
+        let frame = tokio::select! {
+            frame = self.body.frame() => frame,
+            () = aborting.cancelled() => return Some(Err(BrokenAnswer)),
+        };
         drop(awaited);
         match frame {
             Some(Ok(frame)) => {
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -14,7 +14,7 @@
     client::PoolSettings,
     context::{
         BrittleGuard, CrashGuard, DemandCounter, LimitGuard, ObservationBuffer, PlatformPorts, RecordCache,
-        RelayContext, RouteHolder, RunnerLink, ServiceBudgets, StreamGuard,
+        RelayContext, RouteHolder, RunnerLink, ServiceBudgets, StopGuard, StreamGuard,
     },
     fleet::RunnerFleet,
     follow::ListRefresher,
@@ -94,6 +94,7 @@
         gate: AdmissionGate::default(),
         advisor: RetryAdvisor::default(),
         drain: DrainController::default(),
+        stop: StopGuard::default(),
         ports,
         settings,
     })
--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -19,7 +19,11 @@
 use tokio::net::{TcpListener, UdpSocket};
 
 pub use self::{build::build_context, supervision::keep_running};
-use self::{reload::ReloadTask, seeds::load_neighbour_records, stop::stop_node};
+use self::{
+    reload::ReloadTask,
+    seeds::load_neighbour_records,
+    stop::{StopSignals, stop_node},
+};
 use crate::{
     context::{PlatformPorts, RelayContext},
     follow::TopicFollower,
@@ -43,9 +47,10 @@
     let context = build_context(settings, ports);
     let logger = context.log.logger().clone();
     events::STARTING.write(&logger, o!("version" => env!("CARGO_PKG_VERSION")));
+    let signals = StopSignals::install()?;
     let tasks = start(&context, path, metrics).await?;
     events::LISTENING.write(&logger, o!("callers" => context.settings.listen.callers.to_string()));
-    let outcome = stop_node(&context, tasks.callers).await?;
+    let outcome = stop_node(&context, signals, tasks.callers).await;
     events::STOPPED.write(&logger, o!("outcome" => format!("{outcome:?}")));
     Ok(outcome)
 }
--- a/crates/mustardgate-relay/src/node/stop.rs
+++ b/crates/mustardgate-relay/src/node/stop.rs
@@ -1,64 +1,107 @@
 //! A planned stop: the node reports not ready at once, accepts connections until the load balancer has detected this,
-//! and then finishes the requests in flight.
+//! finishes the requests in flight, and tells the callers of those that are left what is known of them.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use mustardgate::{
     events,
     node::{StartError, StopOutcome},
 };
+use mustardgate_core::relay::StopSchedule;
 use slog::o;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
     task::JoinHandle,
-    time::{self, Instant},
+    time,
 };
 
 use crate::context::RelayContext;
 
-/// Time for which connections are still accepted: the load balancer checks every second and needs two answers.
-const CLOSE_DELAY: Duration = Duration::from_millis(2_600);
-/// Largest fraction of the grace period that [`CLOSE_DELAY`] may take.
-const CLOSE_DELAY_SHARE: f64 = 0.4;
-/// Time before the end of the grace period at which the process ends by itself.
-const END_MARGIN: Duration = Duration::from_millis(300);
+/// Longest sleep between two looks at the clock that counts suspensions, which the runtime's clock does not.
+const CLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The signals that stop a node. Those that follow the first one change nothing.
+#[derive(Debug)]
+pub(super) struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Installs the handlers, without which a signal ends the process at once.
+    pub(super) fn install() -> Result<Self, StartError> {
+        let install = |kind| {
+            signal(kind).map_err(|error| StartError::Environment {
+                reason: error.to_string(),
+            })
+        };
+        Ok(Self {
+            terminate: install(SignalKind::terminate())?,
+            interrupt: install(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
 
 /// Waits for a stop signal and stops the node within its grace period.
 pub(super) async fn stop_node(
     context: &Arc<RelayContext>,
+    mut signals: StopSignals,
     callers: Vec<JoinHandle<()>>,
-) -> Result<StopOutcome, StartError> {
-    let mut signals = install_handler(SignalKind::terminate())?;
-    let mut interrupts = install_handler(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = signals.recv() => {}
-        _ = interrupts.recv() => {}
-    }
+) -> StopOutcome {
+    signals.next().await;
     let grace = context.settings.bounds.grace();
-    let ends_at = Instant::now() + grace.saturating_sub(END_MARGIN);
+    let schedule = StopSchedule::new(context.leader.lease_time(), grace);
+    context.stop.begin(schedule);
     context.drain.begin();
     context.leader.drain();
     events::DRAINING.write(
         context.log.logger(),
         o!("in_flight" => context.drain.in_flight(), "grace_ms" => grace.as_millis() as u64),
     );
-    time::sleep(CLOSE_DELAY.min(grace.mul_f64(CLOSE_DELAY_SHARE))).await;
+    sleep_until(context, schedule.closes_at).await;
     context.drain.closing().cancel();
-    let closing = async {
+    let mut closing = std::pin::pin!(async {
         for listener in callers {
             // A listener's task either finishes or is cancelled with the runtime; in both cases nothing is left to do.
             drop(listener.await);
         }
-    };
-    if time::timeout_at(ends_at, closing).await.is_ok() {
-        return Ok(StopOutcome::Drained);
+    });
+    tokio::select! {
+        () = &mut closing => return StopOutcome::Drained,
+        () = sleep_until(context, schedule.cuts_at) => {}
+    }
+    let in_flight = context.drain.in_flight();
+    if in_flight > 0 {
+        events::DRAIN_CUT.write(context.log.logger(), o!("in_flight" => in_flight));
+    }
+    context.drain.aborting().cancel();
+    tokio::select! {
+        () = &mut closing => {}
+        () = sleep_until(context, schedule.ends_at) => {}
+    }
+    match in_flight {
+        0 => StopOutcome::Drained,
+        _ => StopOutcome::Cut,
     }
-    events::DRAIN_CUT.write(context.log.logger(), o!("in_flight" => context.drain.in_flight()));
-    Ok(StopOutcome::Cut)
 }
 
-fn install_handler(kind: SignalKind) -> Result<Signal, StartError> {
-    signal(kind).map_err(|error| StartError::Environment {
-        reason: error.to_string(),
-    })
+/// Sleeps until an instant of the clock that counts suspensions.
+async fn sleep_until(context: &RelayContext, at: Instant) {
+    loop {
+        let left = at.saturating_duration_since(context.leader.lease_time());
+        if left.is_zero() {
+            return;
+        }
+        time::sleep(left.min(CLOCK_CHECK_INTERVAL)).await;
+    }
 }
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -133,6 +133,8 @@
 pub const RELAY_REQUEST_ABANDONED: EventKind = event(635, Level::Info, "request abandoned");
 /// An answer over a cut link is not awaited any longer, because another node reaches its runner.
 pub const RELAY_ANSWER_GIVEN_UP: EventKind = event(636, Level::Info, "answer over cut link given up");
+/// A request was not passed on, because a planned stop leaves too little time for it; with the times compared.
+pub const RELAY_STOP_REFUSED: EventKind = event(637, Level::Info, "request does not fit grace period");
 /// An answer of a runner was dropped and its connection closed, because nothing binds it to the request before it.
 pub const RELAY_ANSWER_DROPPED: EventKind = event(660, Level::Warning, "stray runner answer dropped");
 /// Origins of streams could not be written to the log; they are written when it answers again.
@@ -218,6 +220,7 @@
     RELAY_SERVICE_BRITTLE,
     RELAY_REQUEST_ABANDONED,
     RELAY_ANSWER_GIVEN_UP,
+    RELAY_STOP_REFUSED,
     RELAY_ORIGINS_UNRECORDED,
     RELAY_ORIGINS_RECORDED,
     RELAY_TASK_PANICKED,
--- a/crates/standins/src/harness/child.rs
+++ b/crates/standins/src/harness/child.rs
@@ -166,6 +166,22 @@
         self.signal(Signal::SIGTERM)
     }
 
+    /// Interrupts the process (SIGINT).
+    ///
+    /// # Errors
+    /// [`HarnessError::Process`] when that fails.
+    pub fn interrupt(&mut self) -> Result<(), HarnessError> {
+        self.signal(Signal::SIGINT)
+    }
+
+    /// Tells the process that its settings changed (SIGHUP).
+    ///
+    /// # Errors
+    /// [`HarnessError::Process`] when that fails.
+    pub fn hang_up(&mut self) -> Result<(), HarnessError> {
+        self.signal(Signal::SIGHUP)
+    }
+
     /// Waits until the process has ended.
     ///
     /// # Errors
