Give callers the answers of ended requests also after a suspension

A machine that is suspended in its grace period may wake after the planned end of the process, which then ended before its callers were answered. Read, not seen in a run: the tests cannot suspend a machine. The process now waits 50 ms at least after it has ended the requests in flight.

--- a/crates/mustardgate-relay/src/node/stop.rs
+++ b/crates/mustardgate-relay/src/node/stop.rs
@@ -23,6 +23,9 @@
 /// Longest sleep between two looks at the clock that counts suspensions, which the runtime's clock does not.
 const CLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time that callers are given at least to get the answers with which their requests are ended.
+const ANSWER_TIME: Duration = Duration::from_millis(50);
+
 /// The signals that stop a node. Those that follow the first one change nothing.
 #[derive(Debug)]
 pub(super) struct StopSignals {
@@ -85,9 +88,11 @@
         events::DRAIN_CUT.write(context.log.logger(), o!("in_flight" => in_flight));
     }
     context.drain.aborting().cancel();
+    // A machine that was suspended may be late already.
+    let ends_at = schedule.ends_at.max(context.leader.lease_time() + ANSWER_TIME);
     tokio::select! {
         () = &mut closing => {}
-        () = sleep_until(context, schedule.ends_at) => {}
+        () = sleep_until(context, ends_at) => {}
     }
     match in_flight {
         0 => StopOutcome::Drained,
