Say at a node's own address that no runner is there

Cause: a gateway took whatever arrived for a caller's request. It passed it on to runners of its own choice or refused it, and its refusals bear no mark of a runner, so the first node had to assume that the request may have run. Two nodes listed as runners could also pass a request to each other.

Change: requests to a runner name the address that they are sent to, in a field that the connection sets, whatever the caller has set. A node that finds the address of its own end of the connection in it answers 421 and names the address, before it reads anything else, at all three listeners (event 661). The sender takes that for NoRunner: not run, another runner. The address keeps a request apart whose fields a runner has copied into one of its own. The field of the expected runner is no such mark: callers set it and are served (test of reserved headers). At the address for other nodes the path and the fields are the caller's, so such a request could have been read as a message of a node; it is refused first now.

While one of two nodes is of an earlier build, both behave as before. Costs about 40 bytes a request to a runner, by reckoning.

--- a/crates/mustardgate-relay/src/client/connection.rs
+++ b/crates/mustardgate-relay/src/client/connection.rs
@@ -23,7 +23,10 @@
 };
 use tokio_util::task::AbortOnDropHandle;
 
-use super::socket::{SocketWatch, WatchedSocket};
+use super::{
+    socket::{SocketWatch, WatchedSocket},
+    target::{PeerKind, TargetField, is_no_runner_answer},
+};
 
 /// Time for which a sound peer may be silent and then go on.
 const LONGEST_SILENCE: Duration = Duration::from_secs(2);
@@ -58,6 +61,9 @@
     /// No answer was received in time.
     #[snafu(display("timed_out"))]
     TimedOut,
+    /// Another node answers at the address and said that no runner does; nothing ran.
+    #[snafu(display("no_runner"))]
+    NoRunner,
     /// The link to the runners is cut, and no other node can pass the request on.
     #[snafu(display("no_path"))]
     NoPath,
@@ -73,7 +79,9 @@
     /// Returns whether the request may have run.
     pub fn verdict(self) -> RunVerdict {
         match self {
-            Self::NotConnected | Self::Withheld | Self::Limited | Self::NotSent | Self::NoPath => RunVerdict::NotRun,
+            Self::NotConnected | Self::Withheld | Self::Limited | Self::NotSent | Self::NoRunner | Self::NoPath => {
+                RunVerdict::NotRun
+            }
             Self::Broken | Self::TimedOut | Self::BrokenBeyondNode | Self::CrashedBeyondNode => RunVerdict::MayHaveRun,
         }
     }
@@ -99,6 +107,8 @@
     sender: http1::SendRequest<Full<Bytes>>,
     /// Answers whose heads were received.
     answer_count: u64,
+    /// Address that requests name as a runner's; none if the connection leads to another node as such.
+    target: Option<TargetField>,
     watch: SocketWatch,
     life: Arc<ConnectionLife>,
     /// Whether it certainly leads to the listed process, which holds as long as the connection lasts.
@@ -149,10 +159,12 @@
     /// [`SendFailure`] when no head of an answer is received.
     pub async fn ask(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Incoming>, SendFailure> {
+        TargetField::write(self.target.as_ref(), request.headers_mut());
         match time::timeout(timeout, self.sender.try_send_request(request)).await {
+            Ok(Ok(answer)) if is_no_runner_answer(&answer, self.target.as_ref()) => Err(SendFailure::NoRunner),
             Ok(Ok(answer)) => Ok(answer),
             // The library returns the request only if none of its bytes was written.
             Ok(Err(mut error)) => Err(match error.take_message() {
@@ -171,6 +183,8 @@
     pub address: SocketAddr,
     /// Address of this machine; the operating system's choice without one.
     pub source: Option<IpAddr>,
+    /// What listens at the address.
+    pub peer: PeerKind,
 }
 
 impl ConnectionRoute {
@@ -232,6 +246,7 @@
     Ok(RunnerConnection {
         sender,
         answer_count: 0,
+        target: (route.peer == PeerKind::Runner).then(|| TargetField::new(route.address)),
         watch,
         life,
         is_confirmed: false,
--- a/crates/mustardgate-relay/src/client/mod.rs
+++ b/crates/mustardgate-relay/src/client/mod.rs
@@ -3,8 +3,10 @@
 mod connection;
 mod pool;
 mod socket;
+mod target;
 
 pub use self::{
     connection::{RunnerConnection, SendFailure, connect_runner, tune_socket},
     pool::{ConnectionPool, PoolSettings, TakenConnection},
+    target::{PeerKind, names_target, no_runner_answer},
 };
--- a/crates/mustardgate-relay/src/client/pool.rs
+++ b/crates/mustardgate-relay/src/client/pool.rs
@@ -15,6 +15,7 @@
 use super::{
     RunnerConnection, SendFailure, connect_runner,
     connection::{ConnectionLife, ConnectionRoute, ProbeFailure, probe_runner},
+    target::PeerKind,
 };
 
 /// Settings of [`ConnectionPool`].
@@ -28,6 +29,8 @@
     pub connect_timeout: Duration,
     /// Address of this machine from which connections are established; the operating system's choice without one.
     pub source: Option<IpAddr>,
+    /// What listens at the address.
+    pub peer: PeerKind,
 }
 
 impl Default for PoolSettings {
@@ -37,6 +40,7 @@
             idle_limit: Duration::from_secs(4),
             connect_timeout: Duration::from_millis(400),
             source: None,
+            peer: PeerKind::Runner,
         }
     }
 }
@@ -184,6 +188,7 @@
         ConnectionRoute {
             address: self.address,
             source: self.settings.source,
+            peer: self.settings.peer,
         }
     }
 
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -239,7 +239,7 @@
             ticket.discard_wait();
         }
         ticket.set_outcome(match failure {
-            SendFailure::NotConnected => AttemptOutcome::Unreachable,
+            SendFailure::NotConnected | SendFailure::NoRunner => AttemptOutcome::Unreachable,
             SendFailure::Withheld | SendFailure::Limited | SendFailure::NotSent | SendFailure::NoPath => {
                 AttemptOutcome::Neutral
             }
--- a/crates/mustardgate-relay/src/gateway/listener.rs
+++ b/crates/mustardgate-relay/src/gateway/listener.rs
@@ -15,8 +15,11 @@
     time,
 };
 
-use super::RelayBody;
-use crate::{client::tune_socket, context::RelayContext};
+use super::{RelayBody, misdirected::refuse_misdirected};
+use crate::{
+    client::{names_target, tune_socket},
+    context::RelayContext,
+};
 
 /// Delay after a failed accept, most often caused by a lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -92,6 +95,7 @@
     F: Future<Output = Response<RelayBody>> + Send + 'static,
 {
     tune_socket(&stream);
+    let own_address = stream.local_addr().ok();
     let limits = context
         .routes
         .current()
@@ -99,8 +103,14 @@
         .unwrap_or_default();
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(address);
-        let answering = handler(Arc::clone(&context), request);
-        async move { Ok::<_, Infallible>(answering.await) }
+        let context = Arc::clone(&context);
+        async move {
+            let misdirected_to = own_address.filter(|own| names_target(request.headers(), *own));
+            Ok::<_, Infallible>(match misdirected_to {
+                Some(address) => refuse_misdirected(&context, request, address).await,
+                None => handler(context, request).await,
+            })
+        }
     });
     let mut builder = http1::Builder::new();
     builder
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod failure;
 mod headers;
 mod listener;
+mod misdirected;
 mod origin;
 mod path;
 mod places;
--- a/crates/mustardgate-relay/src/link/forward.rs
+++ b/crates/mustardgate-relay/src/link/forward.rs
@@ -117,7 +117,7 @@
     drop(awaited);
     let answer = match answer {
         Ok(answer) => answer,
-        Err(SendFailure::NotSent) => return Err(refused(ForwardRefusal::NotConnected)),
+        Err(SendFailure::NotSent | SendFailure::NoRunner) => return Err(refused(ForwardRefusal::NotConnected)),
         Err(SendFailure::TimedOut) => return Err(ForwardVerdict::Broken { is_timeout: true }),
         Err(_) => {
             cell.pool.record_loss();
--- a/crates/mustardgate-relay/src/link/helpers.rs
+++ b/crates/mustardgate-relay/src/link/helpers.rs
@@ -13,7 +13,7 @@
 use mustardgate_core::{clock, relay::NodeMember};
 use rand::{Rng, seq::IteratorRandom};
 
-use crate::client::{ConnectionPool, PoolSettings};
+use crate::client::{ConnectionPool, PeerKind, PoolSettings};
 
 /// Time for which a node is not asked again that could not help.
 const REST_TIME: Duration = Duration::from_secs(1);
@@ -62,6 +62,7 @@
     fn new(address: SocketAddr) -> Self {
         let settings = PoolSettings {
             connect_timeout: CONNECT_TIMEOUT,
+            peer: PeerKind::Node,
             ..PoolSettings::default()
         };
         Self {
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode, body::Incoming};
+use metrics::counter;
 use metrics_exporter_prometheus::PrometheusHandle;
 use mustardgate::http::{
     AnswerBody, ConnectionLimits, bytes_answer, collect_body, empty_answer, serve_connections, text_answer,
@@ -26,7 +27,9 @@
     part_crashes::PartCrashDigest,
 };
 use crate::{
+    client::{names_target, no_runner_answer},
     context::RelayContext,
+    gateway::{discard_body, full_body},
     leader::{issue_permit, load_adapter},
     link::{answer_forwarded, is_forwarded},
 };
@@ -48,9 +51,17 @@
 pub async fn serve_peers(context: Arc<RelayContext>, listener: TcpListener, metrics: PrometheusHandle) {
     let closing = context.drain.closing();
     let logger = context.log.logger().clone();
-    let handler = move |request| {
+    let handler = move |mut request: Request<Incoming>| {
         let (context, metrics) = (Arc::clone(&context), metrics.clone());
         async move {
+            // Whatever it asks for, a caller has written it.
+            if let Some(own) = context.settings.listen.peers
+                && names_target(request.headers(), own)
+            {
+                counter!("mustardgate_misdirected_requests_total").increment(1);
+                discard_body(request.body_mut(), MAX_MESSAGE_BYTES, MESSAGE_TIMEOUT).await;
+                return no_runner_answer(own, full_body(Bytes::new()));
+            }
             if is_forwarded(&request) {
                 return answer_forwarded(context, request).await;
             }
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -135,6 +135,8 @@
 pub const RELAY_ANSWER_GIVEN_UP: EventKind = event(636, Level::Info, "answer over cut link given up");
 /// An answer of a runner was dropped and its connection closed, because nothing binds it to the request before it.
 pub const RELAY_ANSWER_DROPPED: EventKind = event(660, Level::Warning, "stray runner answer dropped");
+/// A request came as one to a runner, because the list of runners names an address of this node.
+pub const RELAY_REQUEST_MISDIRECTED: EventKind = event(661, Level::Warning, "request for a runner refused");
 /// Origins of streams could not be written to the log; they are written when it answers again.
 pub const RELAY_ORIGINS_UNRECORDED: EventKind = event(640, Level::Warning, "stream origins not recorded");
 /// Origins of streams are written to the log again; with their number.
@@ -222,6 +224,7 @@
     RELAY_ORIGINS_RECORDED,
     RELAY_TASK_PANICKED,
     RELAY_ANSWER_DROPPED,
+    RELAY_REQUEST_MISDIRECTED,
 ];
 
 impl EventKind {
