--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod grace;
 mod headers;
 mod listener;
+mod misdirected;
 mod origin;
 mod path;
 mod places;
