Refuse callers who come back within their time while the log is silent

What callers saw: a caller who takes up a stream of which no node knows, while the log is silent towards its node, is refused 1.2 s later, also if it grants less time. A caller that waits for its own time only has neither an answer nor a refusal.

Cause: the version of a stream is looked for before the first attempt, and none of the waits for it knew the time of the request: 40 ms before the list of runners is read, 0.5 s for a shared read of it, 0.6 s for a shared read of the records, the same read once more. Class: a wait for shared work that is bounded by the work and not by who waits.

Evidence: whole_path shared_reads, 8 callers 12 ms apart who grant 0.9 s, one node, log silent for 0.1 s or for good, while nobody, the first, the last, all but the last, or all but the first leave.

Change: the look-up and the second read for the service end 20 ms before the caller's time, with the refusal and the time to return that an unfinished look-up has.

--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -118,7 +118,7 @@
     let taken_up_at = context.leader.lease_time();
     let version = find_version(context, &route, &request, digests.content, taken_up_at).await?;
     let service = match version {
-        Some(version) => service_of(context, &route, version, taken_up_at).await?,
+        Some(version) => service_of(context, &route, &request, version, taken_up_at).await?,
         None => route.service_for(rand::rng().random()).clone(),
     };
     context.budgets.record_request(request.received_at, &service);
--- a/crates/mustardgate-relay/src/gateway/origin.rs
+++ b/crates/mustardgate-relay/src/gateway/origin.rs
@@ -9,6 +9,7 @@
 use metrics::counter;
 use mustardgate::events;
 use mustardgate_core::{
+    clock,
     ids::ServiceId,
     relay::{
         BegunStream, OriginFinding, RefusalCause, RelayRequest, RelayRoute, RepeatPolicy, RequestDigest, StreamKey,
@@ -16,8 +17,9 @@
     },
 };
 use slog::o;
+use tokio::time;
 
-use super::{answer::LocalAnswer, attempt::ReceivedRequest};
+use super::{answer::LocalAnswer, attempt::ReceivedRequest, exchange::MIN_ATTEMPT_TIME};
 use crate::{
     context::RelayContext,
     peers::{OriginReport, ask_origin},
@@ -43,7 +45,9 @@
     if !route.is_stream || !request.takes_up_stream() {
         return Ok(None);
     }
-    let lookup = look_up(context, route, request, digest, taken_up_at).await;
+    let looking_up = look_up(context, route, request, digest, taken_up_at);
+    let lookup = time::timeout(lookup_time(route, request), looking_up).await;
+    let lookup = lookup.unwrap_or(VersionLookup::TIMED_OUT);
     let values = o!(
         "source" => lookup.source,
         "version" => lookup.version.map_or_else(|| "unknown".to_owned(), |version| version.to_string()),
@@ -70,6 +74,23 @@
     is_incomplete: bool,
 }
 
+impl VersionLookup {
+    /// The log or other nodes did not answer within the caller's time.
+    const TIMED_OUT: Self = Self {
+        version: None,
+        source: "timed_out",
+        is_incomplete: true,
+    };
+}
+
+/// Returns the time in which the version has to be found: later, the caller could only be answered too late.
+fn lookup_time(route: &RelayRoute, request: &RelayRequest) -> Duration {
+    let time_left = request
+        .expires_at(route.timeout)
+        .saturating_duration_since(clock::now());
+    time_left.saturating_sub(MIN_ATTEMPT_TIME)
+}
+
 async fn look_up(
     context: &RelayContext,
     route: &RelayRoute,
@@ -95,7 +116,7 @@
     };
     let reading = async {
         // Mostly another node knows, and each read is a call to the log.
-        tokio::time::sleep(PEER_HEAD_START).await;
+        time::sleep(PEER_HEAD_START).await;
         certain_version(context, route, taken_up_at).await
     };
     let (report, sole) = first_certain(asking, reading).await;
@@ -154,13 +175,15 @@
 pub(super) async fn service_of(
     context: &RelayContext,
     route: &RelayRoute,
+    request: &RelayRequest,
     version: VersionTag,
     taken_up_at: Instant,
 ) -> Result<ServiceId, LocalAnswer> {
     let mut service = find_service(context, route, version);
     if service.is_none() {
         // Other nodes may have told of a version whose runners this node has not read of.
-        context.list.refresh(context, taken_up_at).await;
+        let reading = context.list.refresh(context, taken_up_at);
+        let _is_read = time::timeout(lookup_time(route, request), reading).await;
         service = find_service(context, route, version);
     }
     service.ok_or(LocalAnswer::Refused {
