Keep the times of former configurations when the version of a stream is to be certain

What callers saw: after a change that shortens the timeout of a resumable route, takes resumption off it or drops it, a caller who comes back to a stream that began before the change, and of which no node knows, goes on at another version: its stream holds events of two versions (ORDER).

Cause: how far back only one version may have served is twice the route's timeout, and it was taken from the configuration in force as the caller returns, not from the one under which its stream began. With a route that is gone it was zero.

Evidence: whole_path stream_lives, one node, deployment started for the first time: two runners of the first version leave as one of a second version joins, the configuration changes, and 4.5 s later a return to an unknown stream, whose timeout was 20 s. Before: status 200 and events from 6 on of the second version in three cases of three (shorter timeout, not resumable, routes dropped and back with the shorter timeout), the same again with only the line in origin.rs turned back.

Change: `StreamLives` keeps the times of replaced configurations for as long as their streams may come back, and for the time in which other nodes take the change up. A node that starts after the change reads the newest configuration only and does not know them: open.

--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -27,6 +27,7 @@
 mod request;
 mod selector;
 mod stream_batches;
+mod stream_lives;
 mod stream_origins;
 mod stream_progress;
 mod stream_versions;
@@ -59,6 +60,7 @@
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
     selector::{Candidate, RunnerSelector, SelectionWeights},
     stream_batches::{choose_recorder, decode_batch, encode_batches, record_interval},
+    stream_lives::StreamLives,
     stream_origins::{NodeMember, OriginFinding, OriginLedger, StreamKey, StreamOrigin, choose_keepers, rank_keepers},
     stream_progress::{EndVerdict, EventVerdict, StreamProgress},
     stream_versions::{BegunStream, ListRead, NoticeScope, StreamVersions},
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -20,5 +20,6 @@
 mod routes;
 mod selector;
 mod stream_batches;
+mod stream_lives;
 mod stream_progress;
 mod stream_versions;
--- a/crates/mustardgate-relay/src/context/routes.rs
+++ b/crates/mustardgate-relay/src/context/routes.rs
@@ -3,12 +3,13 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, RwLock},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use mustardgate_core::{
+    clock,
     ids::ServiceId,
-    relay::{RelayConfig, RepeatPolicy, RouteTable},
+    relay::{RelayConfig, RepeatPolicy, RouteTable, StreamLives},
 };
 
 /// One version of the configuration with the index of its routes.
@@ -19,14 +20,14 @@
     /// Index of its routes.
     pub table: RouteTable,
     urgent_targets: BTreeMap<ServiceId, Duration>,
-    stream_lives: BTreeMap<ServiceId, Duration>,
+    stream_lives: StreamLives,
 }
 
 /// Attempts for which a caller may have waited when it takes a stream up, each for the route's timeout.
 const ATTEMPTS_PER_STREAM: u32 = 2;
 
 impl ActiveRoutes {
-    fn new(config: RelayConfig) -> Self {
+    fn new(config: RelayConfig, former_lives: &StreamLives) -> Self {
         let mut urgent_targets: BTreeMap<ServiceId, Duration> = BTreeMap::new();
         let mut stream_lives: BTreeMap<ServiceId, Duration> = BTreeMap::new();
         for route in &config.routes {
@@ -42,7 +43,7 @@
         Self {
             table: RouteTable::new(&config.routes),
             urgent_targets,
-            stream_lives,
+            stream_lives: former_lives.replaced(clock::now(), stream_lives),
             config,
         }
     }
@@ -52,9 +53,15 @@
         self.urgent_targets.get(service).copied()
     }
 
-    /// Returns the longest time from the begin of a stream of a service until its caller may take it up.
+    /// Returns the longest time from the begin of a stream of a service until its caller may take it up, if it begins under
+    /// this configuration.
     pub fn stream_life(&self, service: &ServiceId) -> Duration {
-        self.stream_lives.get(service).copied().unwrap_or_default()
+        self.stream_lives.current(service)
+    }
+
+    /// Returns the same for any stream to which a caller may come back now, those of configurations before this one included.
+    pub fn longest_stream_life(&self, now: Instant, service: &ServiceId) -> Duration {
+        self.stream_lives.longest(now, service)
     }
 }
 
@@ -62,9 +69,19 @@
 #[derive(Debug, Default)]
 pub struct RouteHolder {
     active: RwLock<Option<Arc<ActiveRoutes>>>,
+    /// Lives of streams before the first configuration.
+    first_lives: StreamLives,
 }
 
 impl RouteHolder {
+    /// Creates a holder without a configuration; every node takes up one within `apply_time`.
+    pub fn new(apply_time: Duration) -> Self {
+        Self {
+            active: RwLock::default(),
+            first_lives: StreamLives::new(apply_time),
+        }
+    }
+
     /// Returns the configuration in force, or `None` before the first one was read.
     pub fn current(&self) -> Option<Arc<ActiveRoutes>> {
         self.active.read().expect("no holder of the lock panics").clone()
@@ -79,7 +96,10 @@
         {
             return false;
         }
-        *active = Some(Arc::new(ActiveRoutes::new(config)));
+        let former = active
+            .as_ref()
+            .map_or(&self.first_lives, |current| &current.stream_lives);
+        *active = Some(Arc::new(ActiveRoutes::new(config, former)));
         true
     }
 }
--- a/crates/mustardgate-relay/src/gateway/origin.rs
+++ b/crates/mustardgate-relay/src/gateway/origin.rs
@@ -206,7 +206,8 @@
     let [target] = route.targets.as_slice() else {
         return None;
     };
-    let life = context.routes.current()?.stream_life(&target.service);
+    let active = context.routes.current()?;
+    let life = active.longest_stream_life(clock::now(), &target.service);
     let now = context.leader.lease_time();
     context.streams.sole_version(now, &target.service, life)
 }
@@ -223,7 +224,8 @@
     let [target] = route.targets.as_slice() else {
         return None;
     };
-    let life = context.routes.current()?.stream_life(&target.service);
+    let active = context.routes.current()?;
+    let life = active.longest_stream_life(clock::now(), &target.service);
     let now = context.leader.lease_time();
     let sole = context.streams.certain_version(now, &target.service, life, taken_up_at);
     sole.filter(|_| is_current)
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -77,7 +77,7 @@
         limits: LimitGuard::new(logger.clone()),
         crashes: CrashGuard::new(CrashSettings::default(), logger.clone()),
         log: RequestLog::new(logger.clone(), settings.logging.clone()),
-        routes: RouteHolder::default(),
+        routes: RouteHolder::new(settings.bounds.config_apply()),
         fleet: RunnerFleet::new(settings.node.domain.clone(), pool, logger),
         records: RecordCache::default(),
         refusals: RefusalLog::default(),
--- a/crates/mustardgate-relay/src/settings/mod.rs
+++ b/crates/mustardgate-relay/src/settings/mod.rs
@@ -122,6 +122,11 @@
         Duration::from_millis(self.config_apply_ms.min(self.drain_ms))
     }
 
+    /// Returns the time within which every node takes up a configuration.
+    pub fn config_apply(&self) -> Duration {
+        Duration::from_millis(self.config_apply_ms)
+    }
+
     /// Returns the duration of a lease.
     pub fn lease_term(&self) -> Duration {
         Duration::from_millis(self.lease_ms)
