--- a/crates/standins/src/harness/child.rs
+++ b/crates/standins/src/harness/child.rs
@@ -158,6 +158,14 @@
         self.signal(Signal::SIGCONT)
     }
 
+    /// Tells the process that its settings may have changed (SIGHUP).
+    ///
+    /// # Errors
+    /// [`HarnessError::Process`] when that fails.
+    pub fn hang_up(&mut self) -> Result<(), HarnessError> {
+        self.signal(Signal::SIGHUP)
+    }
+
     /// Requests an orderly stop of the process (SIGTERM).
     ///
     /// # Errors
