--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -135,7 +135,7 @@
     check_grace(context, &candidate).map_err(|cause| refusal(context, cause))?;
     let version = find_version(context, &route, &request, digests.content, read_at).await?;
     let service = match version {
-        Some(version) => service_of(context, &route, version, read_at).await?,
+        Some(version) => service_of(context, &route, &request, version, read_at).await?,
         None => route.service_for(rand::rng().random()).clone(),
     };
     context.budgets.record_request(request.received_at, &service);
