Ask before each step whether enough of a planned stop is left for the request

What callers saw: in a planned stop in calm, a connection with half a head as the listener closed. The rest came a second later, the call was passed on to a service that took longer than the drain, and the process ended with a bare close: no answer, though the call must not be repeated and had been sent. With other requests in flight the same call was told `may_have_run` where it could have been refused unsent, and even requests read after the end of the drain were sent to a back end.

Cause: nothing between the signal and the end asked how much of the drain was left. `drain_node` waited until nothing was in flight, and a request whose head was not read is not in flight; `close_callers` then waited a second `limit_ms` for the connections and returned `Cut` without ending the requests, at a second signal too. After the end a request raced against the cancelled token, so it was often sent.

Change: one decision, `mustardgate_core::drain::DrainWindow`, holds when the drain ends and whether a request that needs a given answer time may still be passed on. It is asked while a body arrives, before a key is claimed, while a request waits for a slot and before each attempt; who is refused gets `stopping` with `Retry-After`. One end bounds all: connections, calls whose callers left, and answers. A second signal moves that end to now. Answers in a drain bear `Connection: close`.

A stop now ends `grace_ms + limit_ms` after the signal, plus at most twice 2 s for answers; before, `limit_ms` could pass twice.

No existing test or check was changed. The harness gets SIGINT and a deployment with settings of its own.

--- a/crates/mustardgate-core/src/lib.rs
+++ b/crates/mustardgate-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod clock;
 pub mod config;
+pub mod drain;
 pub mod idempotency;
 pub mod ids;
 pub mod leader;
--- a/crates/mustardgate/src/dispatch/call.rs
+++ b/crates/mustardgate/src/dispatch/call.rs
@@ -65,6 +65,12 @@
     }
 }
 
+/// Returns the expected time from the dispatch of a call to its answer.
+pub fn call_time(context: &NodeContext, job: &CallJob) -> Duration {
+    let artifact = service_artifact(&job.service);
+    context.selector.pool_load(clock::now(), &artifact).answer_time
+}
+
 #[derive(Debug)]
 struct CallRun<'a> {
     context: &'a NodeContext,
@@ -78,6 +84,7 @@
     async fn run_attempts(&mut self) -> Result<HttpReply, CallerError> {
         let mut ticket = self.acquire_slot().await?;
         loop {
+            self.check_time_left()?;
             let backend = ticket.backend().clone();
             let begun = clock::now();
             match self.send_attempt(&backend).await {
@@ -104,8 +111,26 @@
             artifact: self.artifact.clone(),
             prefix: None,
         };
-        let result = self.context.admission.acquire(request).await;
-        result.map_err(CallerError::refused)
+        let answer_time = call_time(self.context, self.job);
+        tokio::select! {
+            biased;
+            result = self.context.admission.acquire(request) => result.map_err(CallerError::refused),
+            retry_after = self.context.drain.too_late(answer_time) => Err(self.stopping(retry_after)),
+        }
+    }
+
+    /// Refuses the next attempt when a planned stop would end before its answer.
+    fn check_time_left(&self) -> Result<(), CallerError> {
+        let answer_time = call_time(self.context, self.job);
+        let time_left = self.context.drain.check_time_left(answer_time);
+        time_left.map_err(|retry_after| self.stopping(retry_after))
+    }
+
+    fn stopping(&self, retry_after: Duration) -> CallerError {
+        CallerError::Stopping {
+            verdict: self.plan.verdict(),
+            retry_after,
+        }
     }
 
     async fn send_attempt(&mut self, backend: &BackendId) -> Result<HttpReply, CallFailure> {
--- a/crates/mustardgate/src/dispatch/generation.rs
+++ b/crates/mustardgate/src/dispatch/generation.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use mustardgate_core::{
+    admission::PoolLoad,
     clock,
     ids::BackendId,
     retry::{AttemptFailure, AttemptPlan, NextStep, PlanSettings},
@@ -84,6 +85,7 @@
     async fn run_attempts(&mut self) -> Result<Option<u32>, CallerError> {
         let mut ticket = self.acquire_slot().await?;
         loop {
+            self.check_time_left()?;
             let backend = ticket.backend().clone();
             let Some(address) = self.context.address_of(&backend) else {
                 ticket = self.retry_elsewhere(&backend, AttemptError::NotResident)?;
@@ -128,8 +130,25 @@
             artifact: artifact.clone(),
             prefix: prefix_digest(artifact, self.job.prompt.as_bytes()),
         };
-        let result = self.context.admission.acquire(request).await;
-        result.map_err(CallerError::refused)
+        tokio::select! {
+            biased;
+            result = self.context.admission.acquire(request) => result.map_err(CallerError::refused),
+            retry_after = self.context.drain.too_late(generation_time(load)) => Err(self.stopping(retry_after)),
+        }
+    }
+
+    /// Refuses the next attempt when a planned stop would end before its answer.
+    fn check_time_left(&self) -> Result<(), CallerError> {
+        let load = self.context.selector.pool_load(clock::now(), &self.job.artifact);
+        let time_left = self.context.drain.check_time_left(generation_time(load));
+        time_left.map_err(|retry_after| self.stopping(retry_after))
+    }
+
+    fn stopping(&self, retry_after: Duration) -> CallerError {
+        CallerError::Stopping {
+            verdict: self.plan.verdict(),
+            retry_after,
+        }
     }
 
     /// Takes a slot at another runner for the next attempt, or returns the error that ends the request.
@@ -224,6 +243,11 @@
     }
 }
 
+/// Returns the expected time from the dispatch of a generation to the end of its answer.
+fn generation_time(load: PoolLoad) -> Duration {
+    load.hold_time.max(load.answer_time)
+}
+
 fn answer_event(event: EngineEvent) -> AnswerEvent {
     match event {
         EngineEvent::Token {
--- a/crates/mustardgate/src/dispatch/mod.rs
+++ b/crates/mustardgate/src/dispatch/mod.rs
@@ -7,7 +7,7 @@
 
 pub use self::{
     admission::{AdmissionController, SlotRequest},
-    call::{CallJob, run_call},
+    call::{CallJob, call_time, run_call},
     generation::run_generation,
     job::{GenerationEvent, GenerationJob, JobOrigin},
 };
--- a/crates/mustardgate/src/gateway/chat.rs
+++ b/crates/mustardgate/src/gateway/chat.rs
@@ -69,7 +69,7 @@
     let (head, body) = request.into_parts();
     let scope = authenticate(context, &head.headers)?;
     let deadline = read_deadline(&head.headers, &context.settings.callers)?;
-    let body = read_body(body, &context.settings.callers).await?;
+    let body = read_body(body, context).await?;
     let chat = parse_chat(&body)?;
     let artifact = resolve_artifact(context, &scope, &chat.model)?;
     let service = scope.service_of_model(&artifact.model)?;
--- a/crates/mustardgate/src/gateway/keyed.rs
+++ b/crates/mustardgate/src/gateway/keyed.rs
@@ -18,13 +18,11 @@
 use super::errors::CallerError;
 use crate::{
     context::NodeContext,
-    dispatch::{CallJob, run_call},
+    dispatch::{CallJob, call_time, run_call},
     http::HttpReply,
     keys::KeyDecision,
 };
 
-/// Time after which a caller may retry when the node stops before the key is decided.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time after which a caller may retry when the record of its key holds no answer.
 const NO_ANSWER_RETRY_AFTER: Duration = Duration::from_secs(60);
 
@@ -44,12 +42,17 @@
         request: job.origin.request.clone(),
         deadline: job.origin.deadline,
     };
-    let aborting = context.drain.aborting();
+    // No claim is written for a call that could not be sent any more.
+    let answer_time = call_time(context, job);
+    let stopping = |retry_after| CallerError::Stopping {
+        verdict: RunVerdict::MayHaveRun,
+        retry_after,
+    };
+    context.drain.check_time_left(answer_time).map_err(stopping)?;
+    // A claim that is read back too late to be sent is still waited for, so that its key is released.
     let decision = tokio::select! {
         decision = context.keys.decide(request) => decision,
-        () = aborting.cancelled() => {
-            return Err(CallerError::Stopping { verdict: RunVerdict::MayHaveRun, retry_after: STOPPING_RETRY_AFTER });
-        }
+        retry_after = context.drain.too_late(Duration::ZERO) => return Err(stopping(retry_after)),
     };
     match decision {
         KeyDecision::Dispatch => dispatch_keyed(context, job, &id).await,
--- a/crates/mustardgate/src/gateway/mod.rs
+++ b/crates/mustardgate/src/gateway/mod.rs
@@ -10,7 +10,11 @@
 
 use std::sync::Arc;
 
-use hyper::{Method, Request, Response, body::Incoming};
+use hyper::{
+    Method, Request, Response, Version,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+};
 use mustardgate_protocol::callers::{CHAT_PATH, MODELS_PATH, SERVICES_PREFIX};
 use slog::o;
 
@@ -18,11 +22,27 @@
     errors::CallerError,
     request::{bearer_digest, key_digest},
 };
-use crate::{context::NodeContext, events, http::AnswerBody};
+use crate::{context::NodeContext, drain::InFlightGuard, events, http::AnswerBody};
 
 /// Answers one request of a caller; every failure is answered with a typed error and its verdict.
 pub async fn answer_caller(context: Arc<NodeContext>, request: Request<Incoming>) -> Response<AnswerBody> {
     let guard = context.drain.track_request();
+    let (drain, version) = (context.drain.clone(), request.version());
+    let mut response = answer_request(context, request, guard).await;
+    // Callers with an open connection change to another node before this one closes it.
+    if drain.is_draining() && version < Version::HTTP_2 {
+        response
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn answer_request(
+    context: Arc<NodeContext>,
+    request: Request<Incoming>,
+    guard: InFlightGuard,
+) -> Response<AnswerBody> {
     let logger = context.logger.clone();
     match route(context, request, guard).await {
         Ok(response) => response,
@@ -39,7 +59,7 @@
 async fn route(
     context: Arc<NodeContext>,
     request: Request<Incoming>,
-    guard: crate::drain::InFlightGuard,
+    guard: InFlightGuard,
 ) -> Result<Response<AnswerBody>, CallerError> {
     request::check_headers(request.headers(), &context.settings.callers)?;
     let path = request.uri().path();
--- a/crates/mustardgate/src/gateway/request.rs
+++ b/crates/mustardgate/src/gateway/request.rs
@@ -11,13 +11,14 @@
 use mustardgate_core::{
     clock,
     ids::{IdempotencyKey, RequestId},
+    verdict::RunVerdict,
 };
 use mustardgate_protocol::callers::{DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER};
 use sha2::{Digest, Sha256};
 use smol_str::SmolStr;
 
 use super::errors::CallerError;
-use crate::{http::collect_body, settings::CallerSettings};
+use crate::{context::NodeContext, http::collect_body, settings::CallerSettings};
 
 /// Maximum length of an idempotency key.
 const MAX_KEY_BYTES: usize = 128;
@@ -88,11 +89,18 @@
     Ok(Some(key.into()))
 }
 
-/// Receives the body within the listener's limits.
-pub(super) async fn read_body(body: Incoming, settings: &CallerSettings) -> Result<Bytes, CallerError> {
-    collect_body(body, settings.max_body_bytes, settings.receive_timeout())
-        .await
-        .map_err(|source| CallerError::Body { source })
+/// Receives the body within the listener's limits, unless a planned stop ends first.
+pub(super) async fn read_body(body: Incoming, context: &NodeContext) -> Result<Bytes, CallerError> {
+    let settings = &context.settings.callers;
+    tokio::select! {
+        biased;
+        body = collect_body(body, settings.max_body_bytes, settings.receive_timeout()) => {
+            body.map_err(|source| CallerError::Body { source })
+        }
+        retry_after = context.drain.too_late(Duration::ZERO) => {
+            Err(CallerError::Stopping { verdict: RunVerdict::NotRun, retry_after })
+        }
+    }
 }
 
 /// Adds the request identifier to the response, so that a caller can quote it to operators.
--- a/crates/mustardgate/src/gateway/services.rs
+++ b/crates/mustardgate/src/gateway/services.rs
@@ -86,7 +86,9 @@
     let rest = path.strip_prefix(SERVICES_PREFIX).unwrap_or_default();
     let (service, path) = rest.find('/').map_or((rest, "/"), |slash| rest.split_at(slash));
     let spec = scope.service(service)?;
-    let body = read_body(body, &context.settings.callers).await?;
+    let body = read_body(body, context)
+        .await
+        .map_err(|error| without_key_verdict(error, key.is_some()))?;
     let origin = JobOrigin {
         request: context.identifiers.next(),
         tenant: scope.tenant.clone(),
@@ -113,6 +115,14 @@
     })
 }
 
+/// Returns the error of a call that was refused before its key was looked up: an earlier delivery may have run.
+fn without_key_verdict(error: CallerError, has_key: bool) -> CallerError {
+    match error {
+        CallerError::Stopping { .. } if has_key => error.with_verdict(RunVerdict::MayHaveRun),
+        error => error,
+    }
+}
+
 /// Returns the response to the caller for the service's answer.
 fn render_reply(reply: HttpReply, call: &PlainCall) -> Response<AnswerBody> {
     let content_type = reply.headers.get(CONTENT_TYPE).cloned();
--- a/crates/mustardgate/src/node/mod.rs
+++ b/crates/mustardgate/src/node/mod.rs
@@ -98,8 +98,7 @@
     tracker.spawn(serve_operators(operator_context, operator_listener, shutdown.clone()));
     events::LISTENING.write(&node.logger, o!("node" => node_name.to_string()));
     signals.next().await;
-    let outcome = stop::drain_node(&node, &mut signals).await;
-    let outcome = stop::close_callers(&node, &mut signals, callers, outcome).await;
+    let outcome = stop::drain_node(&node, &mut signals, callers).await;
     shutdown.cancel();
     tracker.close();
     drop(tokio::time::timeout(stop::CLOSE_LIMIT, tracker.wait()).await);
--- a/crates/mustardgate/src/node/stop.rs
+++ b/crates/mustardgate/src/node/stop.rs
@@ -45,55 +45,37 @@
     }
 }
 
-/// Reports not ready, closes the callers' listener after the grace period and waits for the requests in flight; a
-/// second signal or the drain limit ends them early.
-pub(super) async fn drain_node(node: &NodeContext, signals: &mut StopSignals) -> StopOutcome {
-    node.drain.begin();
-    events::DRAINING.write(&node.logger, o!("in_flight" => node.drain.in_flight()));
-    let settings = &node.settings.drain;
-    tokio::select! {
-        () = time::sleep(settings.grace_period()) => {}
-        () = signals.next() => return cut_requests(node).await,
-    }
-    node.drain.closing().cancel();
-    let is_idle = tokio::select! {
-        is_idle = node.drain.wait_idle(settings.limit()) => is_idle,
-        () = signals.next() => false,
-    };
-    if is_idle {
-        StopOutcome::Drained
-    } else {
-        cut_requests(node).await
-    }
-}
-
-/// Waits until the callers' connections are closed: the answer to a finished request may still be in transit to a slow
-/// caller.
-pub(super) async fn close_callers(
+/// Reports not ready, closes the callers' listener after the grace period and waits until every request is answered; a
+/// second signal or the drain limit ends those that are left, each with its verdict.
+pub(super) async fn drain_node(
     node: &NodeContext,
     signals: &mut StopSignals,
-    callers: JoinHandle<()>,
-    outcome: StopOutcome,
+    mut callers: JoinHandle<()>,
 ) -> StopOutcome {
-    if outcome == StopOutcome::Cut {
-        drop(time::timeout(CLOSE_LIMIT, callers).await);
-        return outcome;
-    }
-    let is_closed = tokio::select! {
-        closed = time::timeout(node.settings.drain.limit(), callers) => closed.is_ok(),
+    node.drain.begin_window(node.settings.drain.timing());
+    events::DRAINING.write(&node.logger, o!("in_flight" => node.drain.in_flight()));
+    let is_finished = tokio::select! {
+        () = finish_requests(node, &mut callers) => true,
+        () = node.drain.wait_end() => false,
         () = signals.next() => false,
     };
-    if is_closed {
-        StopOutcome::Drained
-    } else {
-        StopOutcome::Cut
+    if is_finished {
+        return StopOutcome::Drained;
     }
-}
-
-async fn cut_requests(node: &NodeContext) -> StopOutcome {
     events::DRAIN_CUT.write(&node.logger, o!("in_flight" => node.drain.in_flight()));
-    node.drain.closing().cancel();
-    node.drain.aborting().cancel();
+    node.drain.end_window();
     node.drain.wait_idle(CLOSE_LIMIT).await;
+    if !callers.is_finished() {
+        drop(time::timeout(CLOSE_LIMIT, callers).await);
+    }
     StopOutcome::Cut
 }
+
+/// Waits until the callers' connections are closed, by which time their answers are sent, and until the calls whose
+/// callers have disconnected are finished.
+async fn finish_requests(node: &NodeContext, callers: &mut JoinHandle<()>) {
+    time::sleep(node.settings.drain.grace_period()).await;
+    node.drain.closing().cancel();
+    drop(callers.await);
+    while !node.drain.wait_idle(CLOSE_LIMIT).await {}
+}
--- a/crates/mustardgate/src/settings/drain.rs
+++ b/crates/mustardgate/src/settings/drain.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use mustardgate_core::drain::DrainTiming;
 use serde::Deserialize;
 
 use super::RangeCheck;
@@ -31,9 +32,12 @@
         Duration::from_millis(self.grace_ms)
     }
 
-    /// Returns the time after which requests still in flight are ended early.
-    pub fn limit(&self) -> Duration {
-        Duration::from_millis(self.limit_ms)
+    /// Returns the timing for the decision whether enough of a planned stop is left for a request.
+    pub fn timing(&self) -> DrainTiming {
+        DrainTiming {
+            grace: self.grace_period(),
+            limit: Duration::from_millis(self.limit_ms),
+        }
     }
 
     pub(super) fn check(&self, check: &mut RangeCheck) {
--- a/crates/standins/src/harness/child.rs
+++ b/crates/standins/src/harness/child.rs
@@ -166,6 +166,14 @@
         self.signal(Signal::SIGTERM)
     }
 
+    /// Interrupts the process, as an operator does at a terminal (SIGINT).
+    ///
+    /// # Errors
+    /// [`HarnessError::Process`] when that fails.
+    pub fn interrupt(&mut self) -> Result<(), HarnessError> {
+        self.signal(Signal::SIGINT)
+    }
+
     /// Waits until the process has ended.
     ///
     /// # Errors
--- a/crates/standins/src/performance/deployment.rs
+++ b/crates/standins/src/performance/deployment.rs
@@ -66,7 +66,16 @@
     /// # Errors
     /// [`PerformanceError`] of the first step that fails.
     pub async fn start(plan: DeploymentPlan) -> Result<Self, PerformanceError> {
-        let cluster = TestCluster::start(cluster_options(plan)).await.context(HarnessSnafu)?;
+        Self::start_with_settings(plan, "[drain]\ngrace_ms = 0\n").await
+    }
+
+    /// Starts a deployment like [`MeasuredDeployment::start`] with additional sections of the node's settings file.
+    ///
+    /// # Errors
+    /// [`PerformanceError`] of the first step that fails.
+    pub async fn start_with_settings(plan: DeploymentPlan, settings: &str) -> Result<Self, PerformanceError> {
+        let options = cluster_options(plan, settings);
+        let cluster = TestCluster::start(options).await.context(HarnessSnafu)?;
         let deployment = Self { cluster, plan };
         // A node accepts no changes until it has read the log to its end.
         deployment
@@ -217,7 +226,7 @@
     format!("{tenant}-performance-key")
 }
 
-fn cluster_options(plan: DeploymentPlan) -> ClusterOptions {
+fn cluster_options(plan: DeploymentPlan, settings: &str) -> ClusterOptions {
     let batch = plan.batch.to_string();
     // At steps of 20 ms, a rate of 50 tokens per second for each slot gives every stream one token per step.
     let tokens_per_second = (plan.batch * 50).to_string();
@@ -265,6 +274,6 @@
         backends,
         platform_arguments: Vec::new(),
         platform_settings: String::new(),
-        extra_settings: "[drain]\ngrace_ms = 0\n".to_owned(),
+        extra_settings: settings.to_owned(),
     }
 }
--- /dev/null
+++ b/crates/standins/tests/planned_stop/signals.rs
@@ -0,0 +1,84 @@
+//! Further signals during a planned stop.
+
+use std::time::Duration;
+
+use mustardgate_core::verdict::RunVerdict;
+use mustardgate_standins::performance::MeasuredDeployment;
+use tokio::{
+    task::JoinSet,
+    time::{self, Instant},
+};
+
+use super::{
+    callers::{RequestEnd, RequestKind, RequestRow, SentPart},
+    table::{bearer, delay_orders, start},
+};
+
+const LEAD_TIME: Duration = Duration::from_millis(600);
+const STOP_TIMEOUT: Duration = Duration::from_secs(20);
+
+fn order(deployment: &MeasuredDeployment, sent: SentPart, last_byte_ms: i64) -> RequestRow {
+    RequestRow {
+        kind: RequestKind::Order,
+        sent,
+        last_byte_ms,
+        tokens: 0,
+        number: 0,
+        bearer: bearer(deployment),
+    }
+}
+
+fn spawn_orders(deployment: &MeasuredDeployment, rows: &[(SentPart, i64)]) -> (JoinSet<(String, RequestEnd)>, Instant) {
+    let signal = Instant::now() + LEAD_TIME;
+    let mut callers = JoinSet::new();
+    for (sent, last_byte_ms) in rows {
+        let (row, address) = (order(deployment, *sent, *last_byte_ms), deployment.callers());
+        callers.spawn(async move {
+            (
+                format!("{:?} {}", row.sent, row.last_byte_ms),
+                row.run(address, signal).await,
+            )
+        });
+    }
+    (callers, signal)
+}
+
+/// Sends a second signal at a time after the first and checks that every request read whole is told what is known.
+async fn check_second_signal(second_ms: u64) {
+    let mut deployment = start().await;
+    delay_orders(&deployment, 10_000).await;
+    let after_second = second_ms as i64 + 300;
+    let (callers, signal) = spawn_orders(
+        &deployment,
+        &[
+            (SentPart::HalfBody, -200),
+            (SentPart::HalfHead, after_second),
+            (SentPart::HalfBody, after_second),
+        ],
+    );
+    time::sleep_until(signal).await;
+    deployment.cluster.nodes[0].process.terminate().expect("signalled");
+    time::sleep_until(signal + Duration::from_millis(second_ms)).await;
+    deployment.cluster.nodes[0].process.interrupt().expect("signalled");
+    for (row, end) in callers.join_all().await {
+        let expected = if row.ends_with("-200") {
+            RunVerdict::MayHaveRun
+        } else {
+            RunVerdict::NotRun
+        };
+        let is_told = matches!(&end, RequestEnd::Told { verdict, has_retry_after: true, .. } if *verdict == expected);
+        assert!(is_told, "{row}: {end:?}");
+    }
+    let ended = deployment.cluster.nodes[0].process.wait(STOP_TIMEOUT).await;
+    assert_eq!(ended.expect("the node ends").code(), Some(3));
+}
+
+#[tokio::test]
+async fn a_second_signal_in_the_grace_period_leaves_no_request_without_an_answer() {
+    check_second_signal(100).await;
+}
+
+#[tokio::test]
+async fn a_second_signal_after_the_grace_period_leaves_no_request_without_an_answer() {
+    check_second_signal(1_000).await;
+}
