Begin a planned stop at a hang-up, and take signals before a listener opens

What callers saw: a node whose session ended (SIGHUP) was killed by the system's default action, in a planned stop too: every request in flight got a bare close. Service managers may send SIGHUP together with SIGTERM.

Cause: handlers were installed for SIGTERM and SIGINT only, and after the listeners were open, so that a signal during the start could end the process while callers were already connected.

Change: SIGHUP begins a planned stop and does not cut one short. The handlers are installed before the first listener is opened.

The order at the start is by reading: no test delivers a signal there.

--- a/crates/mustardgate/src/node/mod.rs
+++ b/crates/mustardgate/src/node/mod.rs
@@ -73,6 +73,8 @@
     let metrics = install_recorder().map_err(|reason| StartError::Environment { reason })?;
     let operator_key = read_secret(&settings.operators.key_file)?;
     let peer_key = settings.peers.read_key()?;
+    // Installed before a listener is open, so that no signal ends the process while a caller may be connected.
+    let mut signals = stop::StopSignals::install()?;
     let caller_listener = listen(settings.callers.listen).await?;
     let operator_listener = listen(settings.operators.listen).await?;
     let peer_listener = listen(settings.peers.listen.into()).await?;
@@ -83,7 +85,6 @@
         metrics,
         key_digest: key_digest(&operator_key),
     });
-    let mut signals = stop::StopSignals::install()?;
     let shutdown = CancellationToken::new();
     let tracker = TaskTracker::new();
     tasks::spawn_tasks(&node, &hub, &tracker, &shutdown);
@@ -97,7 +98,7 @@
     let callers = tokio::spawn(serve_callers(Arc::clone(&node), caller_listener));
     tracker.spawn(serve_operators(operator_context, operator_listener, shutdown.clone()));
     events::LISTENING.write(&node.logger, o!("node" => node_name.to_string()));
-    signals.next().await;
+    signals.first().await;
     let outcome = stop::drain_node(&node, &mut signals, callers).await;
     shutdown.cancel();
     tracker.close();
--- a/crates/mustardgate/src/node/stop.rs
+++ b/crates/mustardgate/src/node/stop.rs
@@ -20,6 +20,7 @@
 pub(super) struct StopSignals {
     terminate: Signal,
     interrupt: Signal,
+    hang_up: Signal,
 }
 
 impl StopSignals {
@@ -33,11 +34,22 @@
         Ok(Self {
             terminate: install(SignalKind::terminate())?,
             interrupt: install(SignalKind::interrupt())?,
+            hang_up: install(SignalKind::hangup())?,
         })
     }
 
-    /// Waits for the next signal.
-    pub(super) async fn next(&mut self) {
+    /// Waits for the signal that begins a planned stop.
+    pub(super) async fn first(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+            _ = self.hang_up.recv() => {}
+        }
+    }
+
+    /// Waits for the next signal that ends a planned stop early; a hang-up does not, because service managers send it
+    /// together with the signal that begins the stop.
+    async fn next(&mut self) {
         tokio::select! {
             _ = self.terminate.recv() => {}
             _ = self.interrupt.recv() => {}
--- a/crates/standins/src/harness/child.rs
+++ b/crates/standins/src/harness/child.rs
@@ -174,6 +174,14 @@
         self.signal(Signal::SIGINT)
     }
 
+    /// Tells the process that its terminal or session has ended (SIGHUP).
+    ///
+    /// # Errors
+    /// [`HarnessError::Process`] when that fails.
+    pub fn hang_up(&mut self) -> Result<(), HarnessError> {
+        self.signal(Signal::SIGHUP)
+    }
+
     /// Waits until the process has ended.
     ///
     /// # Errors
--- a/crates/standins/tests/planned_stop/signals.rs
+++ b/crates/standins/tests/planned_stop/signals.rs
@@ -82,3 +82,19 @@
 async fn a_second_signal_after_the_grace_period_leaves_no_request_without_an_answer() {
     check_second_signal(1_000).await;
 }
+
+#[tokio::test]
+async fn a_hang_up_neither_kills_the_node_nor_cuts_its_planned_stop_short() {
+    let mut deployment = start().await;
+    delay_orders(&deployment, 800).await;
+    let (callers, signal) = spawn_orders(&deployment, &[(SentPart::HalfHead, -200), (SentPart::HalfBody, 100)]);
+    time::sleep_until(signal).await;
+    deployment.cluster.nodes[0].process.hang_up().expect("signalled");
+    time::sleep_until(signal + Duration::from_millis(50)).await;
+    deployment.cluster.nodes[0].process.hang_up().expect("signalled");
+    for (row, end) in callers.join_all().await {
+        assert_eq!(end, RequestEnd::Whole, "{row}");
+    }
+    let ended = deployment.cluster.nodes[0].process.wait(STOP_TIMEOUT).await;
+    assert!(ended.expect("the node ends").success());
+}
