Answer requests that have arrived unread when a listener closes

What callers saw: in a planned stop of a node that was silent for a second as its listener closed, callers that had connected in that second got a reset, and callers with an open connection a bare close, though their whole requests had arrived.

Cause: closing a listener resets the connections in its accept queue. The shutdown of an open connection was decided before the connection was polled, so that a request already in its socket was dropped with it.

Change: after the shutdown begins, the accept queue is served before the listener is closed; connections are read for 50 ms more; and each is polled before it is told to shut down.

Left: a connection that the system accepts between the last look at the queue and the close is still reset, before anything of it is read.

--- a/crates/mustardgate/src/http/server.rs
+++ b/crates/mustardgate/src/http/server.rs
@@ -1,8 +1,9 @@
 //! Accepts connections and serves them until the shutdown.
 
-use std::{convert::Infallible, error::Error, sync::Arc, time::Duration};
+use std::{convert::Infallible, error::Error, pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use futures::FutureExt;
 use hyper::{
     Request, Response,
     body::{Body, Incoming},
@@ -10,20 +11,23 @@
 };
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
-    server::{conn::auto::Builder, graceful::GracefulShutdown},
+    server::conn::auto::Builder,
 };
 use slog::{Logger, o};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore},
+    task::unconstrained,
     time,
 };
-use tokio_util::sync::CancellationToken;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::events;
 
 /// Pause after a failed accept, which is usually caused by a lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+/// Time after the listener has closed in which requests that were sent before are still read from idle connections.
+const LAST_READ_TIME: Duration = Duration::from_millis(50);
 /// Maximum number of header fields that the parser accepts; the callers' handler has a lower limit, beyond which it
 /// answers with a typed error.
 const PARSER_MAX_HEADERS: usize = 512;
@@ -37,7 +41,8 @@
     pub head_timeout: Duration,
 }
 
-/// Serves connections until `shutdown` is cancelled, then finishes the requests in flight and returns.
+/// Serves connections until `shutdown` is cancelled, then those that wait in the accept queue; finishes the requests in
+/// flight and returns.
 pub async fn serve_connections<H, F, B>(
     listener: TcpListener,
     handler: H,
@@ -50,7 +55,8 @@
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let graceful = GracefulShutdown::new();
+    let closing = CancellationToken::new();
+    let connections = TaskTracker::new();
     let slots = Arc::new(Semaphore::new(limits.max_connections));
     loop {
         let accepted = tokio::select! {
@@ -58,15 +64,31 @@
             accepted = accept(&listener, &slots) => accepted,
         };
         match accepted {
-            Ok((stream, slot)) => spawn_connection(stream, slot, handler.clone(), limits, &graceful),
+            Ok((stream, slot)) => {
+                let connection = serve_connection(stream, handler.clone(), limits, closing.clone());
+                connections.spawn(async move {
+                    connection.await;
+                    drop(slot);
+                });
+            }
             Err(error) => {
                 events::ACCEPT_FAILED.write(&logger, o!("error" => error.to_string()));
                 time::sleep(ACCEPT_BACKOFF).await;
             }
         }
     }
+    // The system has accepted these connections, and their requests may already have been sent; closing the listener
+    // would reset them. The queue is short, so they need no slots.
+    while let Some(Ok((stream, _))) = unconstrained(listener.accept()).now_or_never() {
+        // Without the option answers are slower, but whole.
+        drop(stream.set_nodelay(true));
+        connections.spawn(serve_connection(stream, handler.clone(), limits, closing.clone()));
+    }
     drop(listener);
-    graceful.shutdown().await;
+    time::sleep(LAST_READ_TIME).await;
+    closing.cancel();
+    connections.close();
+    connections.wait().await;
 }
 
 async fn accept(listener: &TcpListener, slots: &Arc<Semaphore>) -> std::io::Result<(TcpStream, OwnedSemaphorePermit)> {
@@ -79,13 +101,8 @@
     Ok((stream, slot))
 }
 
-fn spawn_connection<H, F, B>(
-    stream: TcpStream,
-    slot: OwnedSemaphorePermit,
-    handler: H,
-    limits: ConnectionLimits,
-    graceful: &GracefulShutdown,
-) where
+async fn serve_connection<H, F, B>(stream: TcpStream, handler: H, limits: ConnectionLimits, closing: CancellationToken)
+where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
@@ -102,12 +119,14 @@
         .header_read_timeout(limits.head_timeout)
         .max_headers(PARSER_MAX_HEADERS);
     builder.http2().timer(TokioTimer::new());
-    let watcher = graceful.watcher();
-    tokio::spawn(async move {
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
-        // The error is ignored: a client that closes the connection is no failure of the node, and the request's own
-        // task notices it.
-        drop(watcher.watch(connection).await);
-        drop(slot);
-    });
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    // The connection is polled first, so that a request that has arrived is read before the connection counts as idle.
+    // Errors are ignored: a client that closes the connection is no failure of the node, and the request's own task
+    // notices it.
+    tokio::select! {
+        biased;
+        _ = connection.as_mut() => return,
+        () = closing.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    drop(connection.await);
 }
--- a/crates/standins/tests/planned_stop/signals.rs
+++ b/crates/standins/tests/planned_stop/signals.rs
@@ -1,4 +1,4 @@
-//! Further signals during a planned stop.
+//! Further signals during a planned stop, and a node that is silent for a second of it.
 
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 
 use super::{
     callers::{RequestEnd, RequestKind, RequestRow, SentPart},
-    table::{bearer, delay_orders, start},
+    table::{bearer, delay_orders, service_stats, start},
 };
 
 const LEAD_TIME: Duration = Duration::from_millis(600);
@@ -98,3 +98,31 @@
     let ended = deployment.cluster.nodes[0].process.wait(STOP_TIMEOUT).await;
     assert!(ended.expect("the node ends").success());
 }
+
+#[tokio::test]
+async fn requests_that_arrive_while_the_node_is_silent_as_its_listener_closes_are_answered() {
+    let mut deployment = start().await;
+    let mut rows = Vec::new();
+    for _ in 0..8 {
+        // Connections open before the signal, and ones that wait in the accept queue when the listener closes.
+        rows.push((SentPart::Nothing, 700));
+        rows.push((SentPart::HalfHead, 700));
+    }
+    let (mut callers, signal) = spawn_orders(&deployment, &rows);
+    time::sleep_until(signal).await;
+    deployment.cluster.nodes[0].process.terminate().expect("signalled");
+    time::sleep_until(signal + Duration::from_millis(100)).await;
+    deployment.cluster.nodes[0].process.freeze().expect("frozen");
+    for _ in 0..8 {
+        let (row, address) = (order(&deployment, SentPart::HalfBody, 0), deployment.callers());
+        callers.spawn(async move { ("accept queue".to_owned(), row.run(address, signal).await) });
+    }
+    time::sleep_until(signal + Duration::from_millis(1_100)).await;
+    deployment.cluster.nodes[0].process.resume().expect("resumed");
+    for (row, end) in callers.join_all().await {
+        assert_eq!(end, RequestEnd::Whole, "{row}");
+    }
+    assert_eq!(service_stats(&deployment).await.runs, 24);
+    let ended = deployment.cluster.nodes[0].process.wait(STOP_TIMEOUT).await;
+    assert!(ended.expect("the node ends").success());
+}
