--- a/crates/standins/src/harness/child.rs
+++ b/crates/standins/src/harness/child.rs
@@ -158,7 +158,7 @@
         self.signal(Signal::SIGCONT)
     }
 
-    /// Tells the process that its settings may have changed (SIGHUP).
+    /// Tells the process that its session has ended, or its settings may have changed (SIGHUP).
     ///
     /// # Errors
     /// [`HarnessError::Process`] when that fails.
