Begin streams where a second runner of the version holds the model

Cause: a stream goes on only at the version that began it, but the selection did not look at versions when it began one. It chose the only ready holder at a version as readily as one beside which a second one could go on.

Change: while the candidates have several versions, the only one of its version costs as much as twelve requests more. A candidate in a cooldown does not count. With one version no cost is added and the draws are the same. Plans of replicas are unchanged: no code of the planner or of placement changed.

Tried on a scratch copy and left out: second replicas at each version.

--- a/crates/mustardgate-core/src/relay/selector.rs
+++ b/crates/mustardgate-core/src/relay/selector.rs
@@ -1,6 +1,8 @@
 //! Selection of a runner among those that can answer a request.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
+
+use super::versions::VersionTag;
 
 /// State of one runner at the time of the selection.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -19,6 +21,8 @@
     pub failure_ratio: f64,
     /// Whether it is in a cooldown, during which it is used only if no other runner can answer.
     pub is_in_cooldown: bool,
+    /// Version of its software. A stream that begins there goes on only at another runner of that version.
+    pub version: VersionTag,
 }
 
 /// Weights of the selection cost, in units of one request at a runner.
@@ -36,6 +40,8 @@
     pub failure: f64,
     /// Cost of a runner in a cooldown.
     pub cooldown: f64,
+    /// Cost of the only candidate of its software version while there are candidates of other versions.
+    pub lone_version: f64,
     /// Width of the random term that keeps nodes with the same reports from all selecting the same runner.
     pub jitter: f64,
 }
@@ -49,6 +55,7 @@
             remote: 0.5,
             failure: 40.0,
             cooldown: 200.0,
+            lone_version: 12.0,
             jitter: 1.0,
         }
     }
@@ -66,7 +73,7 @@
         Self { weights }
     }
 
-    /// Returns the cost of a candidate, without the random term.
+    /// Returns the cost of a candidate by itself, without the random term and the cost of a lone version.
     pub fn cost(&self, candidate: &Candidate) -> f64 {
         let weights = &self.weights;
         let cost_if = |is_set: bool, cost: f64| if is_set { cost } else { 0.0 };
@@ -81,12 +88,41 @@
 
     /// Returns the index of the best candidate; `draws` returns a random number from 0 to 1 for each candidate.
     pub fn select(&self, candidates: &[Candidate], mut draws: impl FnMut() -> f64) -> Option<usize> {
+        let lone_versions = LoneVersions::of(candidates);
         let costs = candidates
             .iter()
-            .map(|candidate| self.cost(candidate) + draws() * self.weights.jitter)
+            .map(|candidate| {
+                let is_lone = lone_versions.contains(candidate);
+                let lone_cost = if is_lone { self.weights.lone_version } else { 0.0 };
+                self.cost(candidate) + lone_cost + draws() * self.weights.jitter
+            })
             .enumerate();
         costs
             .min_by(|left, right| left.1.total_cmp(&right.1))
             .map(|(index, _)| index)
     }
 }
+
+/// Software versions of which only one candidate is fit, so that a stream that begins there goes on nowhere if its runner
+/// fails. See `docs/design/stream-versions.md`.
+struct LoneVersions {
+    /// Candidates outside a cooldown by version, if there are several versions.
+    fit_counts: BTreeMap<VersionTag, usize>,
+}
+
+impl LoneVersions {
+    fn of(candidates: &[Candidate]) -> Self {
+        let mut fit_counts: BTreeMap<VersionTag, usize> = BTreeMap::new();
+        let has_several = candidates.windows(2).any(|pair| pair[0].version != pair[1].version);
+        if has_several {
+            for candidate in candidates.iter().filter(|candidate| !candidate.is_in_cooldown) {
+                *fit_counts.entry(candidate.version).or_default() += 1;
+            }
+        }
+        Self { fit_counts }
+    }
+
+    fn contains(&self, candidate: &Candidate) -> bool {
+        self.fit_counts.get(&candidate.version) == Some(&1)
+    }
+}
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -12,6 +12,7 @@
 mod limited_replicas;
 mod link;
 mod load;
+mod lone_versions;
 mod odd_messages;
 mod permits;
 mod placement;
--- a/crates/mustardgate-core/tests/relay/selector.rs
+++ b/crates/mustardgate-core/tests/relay/selector.rs
@@ -4,7 +4,7 @@
 
 use mustardgate_core::relay::{
     Candidate, HealthSettings, LoadEstimate, ModelName, OutcomeTracker, PrefixIndex, PromptPart, RelayRequest,
-    ReportedLoad, RunnerSelector, TokenUsage,
+    ReportedLoad, RunnerSelector, SoftwareVersion, TokenUsage, VersionTag,
 };
 
 fn candidate() -> Candidate {
@@ -16,9 +16,14 @@
         is_remote: false,
         failure_ratio: 0.0,
         is_in_cooldown: false,
+        version: version("v1"),
     }
 }
 
+fn version(stated: &str) -> VersionTag {
+    SoftwareVersion::Stated(stated.into()).tag(&"assist".into())
+}
+
 fn select(candidates: &[Candidate]) -> Option<usize> {
     RunnerSelector::default().select(candidates, || 0.0)
 }
@@ -59,6 +64,29 @@
     assert_eq!(select(&[]), None);
 }
 
+#[test]
+fn streams_begin_where_another_runner_of_the_version_could_go_on_with_them() {
+    let base = candidate();
+    let other = Candidate {
+        version: version("v2"),
+        ..base
+    };
+    let busier = Candidate { load: 6.0, ..base };
+    assert_eq!(select(&[other, busier, busier]), Some(1));
+    let unfit = Candidate {
+        is_in_cooldown: true,
+        ..base
+    };
+    assert_eq!(select(&[busier, unfit, other, other]), Some(2));
+    // Where all are alone at their versions, or one version serves, the load decides.
+    assert_eq!(select(&[busier, other]), Some(1));
+    assert_eq!(select(&[busier, base]), Some(1));
+    assert_eq!(select(&[busier, busier, base]), Some(2));
+    // A lone runner relieves others that are much busier.
+    let full = Candidate { load: 60.0, ..base };
+    assert_eq!(select(&[full, full, other]), Some(2));
+}
+
 #[test]
 fn a_failing_runner_is_avoided_until_its_failures_decay() {
     let start = Instant::now();
--- a/crates/mustardgate-relay/src/fleet/selection.rs
+++ b/crates/mustardgate-relay/src/fleet/selection.rs
@@ -135,6 +135,7 @@
             is_remote: listed.domain != self.own_domain,
             failure_ratio,
             is_in_cooldown,
+            version: cell.version_tag(),
         })
     }
 }
