--- a/crates/mustardgate-core/src/relay/stream_versions.rs
+++ b/crates/mustardgate-core/src/relay/stream_versions.rs
@@ -105,7 +105,10 @@
         let due = self.untold.extract_if(|_, (_, stream)| {
             !is_recent || history.sole_version(now, &stream.service, stream.life).is_none()
         });
-        due.map(|(_, (_, stream))| stream.origin).collect()
+        let mut due: Vec<StreamOrigin> = due.map(|(_, (_, stream))| stream.origin).collect();
+        // The map's order differs by process.
+        due.sort_unstable_by_key(|origin| origin.key);
+        due
     }
 
     /// Returns the only version of a service that may have begun a stream within `life`, as far as this node knows. Other
--- a/crates/standins/tests/version_proofs.rs
+++ b/crates/standins/tests/version_proofs.rs
@@ -34,3 +34,11 @@
     let violation = scenario().run(1, GuardMode::Removed).expect_err("streams are mixed");
     assert_eq!(violation.guarantee, "a stream goes on at the version that began it");
 }
+
+#[test]
+fn a_seed_that_is_played_again_gives_the_same_figures() {
+    for seed in GUARDED_SEEDS {
+        let [one, two] = [0, 1].map(|_| scenario().run(seed, GuardMode::Enforced));
+        assert_eq!(one, two, "seed {seed}");
+    }
+}
