Have recorders of the proof keep what they cannot write yet, and lose datagrams

The proof dropped an origin for good when its recorder was cut off from the log at the moment of the write. A node does not: RecordTask keeps what a failed write held and tries again after 0.8 s at most, until the process ends. In the other direction the proof was too kind: datagrams to recorders were never lost. They are lost as often as all others now, and a recorder that is killed loses what it keeps. The bound is untouched.

--- a/crates/standins/src/proof/versions/log.rs
+++ b/crates/standins/src/proof/versions/log.rs
@@ -7,11 +7,13 @@
 };
 use rand::Rng;
 
-use super::simulation::{RunningStream, STREAM_LIFE, VersionSimulation};
+use super::simulation::{DATAGRAM_LOSS, RunningStream, STREAM_LIFE, VersionSimulation};
 use crate::proof::GuaranteeViolation;
 
 /// Longest time from a stream's begin until its record is written.
 const MAX_WRITE_TIME_MS: u64 = 150;
+/// Longest pause before a write that failed is tried again.
+const MAX_WRITE_PAUSE_MS: u64 = 800;
 /// Time for which the log keeps records.
 const RETENTION: Duration = Duration::from_secs(20);
 /// Time between two records of versions.
@@ -39,6 +41,11 @@
     pub(super) fn position(&self) -> usize {
         self.listed.len()
     }
+
+    /// Drops what a node that ended had to write.
+    pub(super) fn forget_unwritten(&mut self, node: usize) {
+        self.unwritten.retain(|(_, recorder, _)| *recorder != node);
+    }
 }
 
 impl VersionSimulation {
@@ -46,19 +53,23 @@
     pub(super) fn record(&mut self, from: usize, others: &[NodeMember], origin: StreamOrigin) {
         let recorder = choose_recorder(&self.nodes[from].member, others);
         let recorder = self.number_of(recorder);
-        if from == recorder || self.reaches(from, recorder) {
+        let is_lost = from != recorder && self.rng.random_bool(DATAGRAM_LOSS);
+        if !is_lost && (from == recorder || self.reaches(from, recorder)) {
             let wait = Duration::from_millis(self.rng.random_range(1..MAX_WRITE_TIME_MS));
             self.log.unwritten.push((self.now + wait, recorder, origin));
         }
     }
 
-    /// Writes what is due, and forgets what is old.
+    /// Writes what is due, and forgets what is old. A recorder that is cut off keeps what it has to write.
     pub(super) fn step_log(&mut self) {
         let now = self.now;
         let due: Vec<_> = self.log.unwritten.extract_if(.., |(at, ..)| *at <= now).collect();
         for (_, recorder, origin) in due {
-            let node = &self.nodes[recorder];
-            if node.is_up() && !node.is_cut {
+            if self.nodes[recorder].is_cut {
+                let pause = self.rng.random_range(1..MAX_WRITE_PAUSE_MS);
+                let again_at = now + Duration::from_millis(pause);
+                self.log.unwritten.push((again_at, recorder, origin));
+            } else {
                 self.log.origins.push((now, origin));
                 self.count("records written");
             }
--- a/crates/standins/src/proof/versions/simulation.rs
+++ b/crates/standins/src/proof/versions/simulation.rs
@@ -33,7 +33,7 @@
 /// Longest time of a message.
 const MAX_MESSAGE_TIME: Duration = Duration::from_millis(400);
 /// Share of datagrams that are lost.
-const DATAGRAM_LOSS: f64 = 0.02;
+pub(super) const DATAGRAM_LOSS: f64 = 0.02;
 
 #[derive(Debug)]
 pub(super) struct RunningStream {
@@ -218,6 +218,7 @@
         }
         let down_time = Duration::from_millis(self.rng.random_range(300..2_000));
         self.nodes[node].kill(self.now, down_time);
+        self.log.forget_unwritten(node);
         self.count("nodes killed");
         if self.leader == Some(node) {
             self.leader = None;
