Let only new streams that may be resumed avoid a lone version

By reading of the change before: all requests, those of services without streams too, avoided the only runner of a version. A service with three runners of six places each would leave a third of its places unused while a release replaces one after the other. Now a candidate states its version only for a new stream on a route that may be resumed.

--- a/crates/mustardgate-core/src/relay/selector.rs
+++ b/crates/mustardgate-core/src/relay/selector.rs
@@ -21,8 +21,8 @@
     pub failure_ratio: f64,
     /// Whether it is in a cooldown, during which it is used only if no other runner can answer.
     pub is_in_cooldown: bool,
-    /// Version of its software. A stream that begins there goes on only at another runner of that version.
-    pub version: VersionTag,
+    /// Version of its software, if the request begins a stream that may have to go on at another runner of that version.
+    pub version: Option<VersionTag>,
 }
 
 /// Weights of the selection cost, in units of one request at a runner.
@@ -115,14 +115,16 @@
         let mut fit_counts: BTreeMap<VersionTag, usize> = BTreeMap::new();
         let has_several = candidates.windows(2).any(|pair| pair[0].version != pair[1].version);
         if has_several {
-            for candidate in candidates.iter().filter(|candidate| !candidate.is_in_cooldown) {
-                *fit_counts.entry(candidate.version).or_default() += 1;
+            let fit = candidates.iter().filter(|candidate| !candidate.is_in_cooldown);
+            for version in fit.filter_map(|candidate| candidate.version) {
+                *fit_counts.entry(version).or_default() += 1;
             }
         }
         Self { fit_counts }
     }
 
     fn contains(&self, candidate: &Candidate) -> bool {
-        self.fit_counts.get(&candidate.version) == Some(&1)
+        let version = candidate.version.as_ref();
+        version.and_then(|version| self.fit_counts.get(version)) == Some(&1)
     }
 }
--- a/crates/mustardgate-core/tests/relay/lone_versions.rs
+++ b/crates/mustardgate-core/tests/relay/lone_versions.rs
@@ -309,7 +309,7 @@
                 is_remote: false,
                 failure_ratio: 0.0,
                 is_in_cooldown: false,
-                version: runner.version,
+                version: Some(runner.version),
             })
             .collect();
         let mut rng = self.selection_rng.clone();
--- a/crates/mustardgate-core/tests/relay/selector.rs
+++ b/crates/mustardgate-core/tests/relay/selector.rs
@@ -16,7 +16,7 @@
         is_remote: false,
         failure_ratio: 0.0,
         is_in_cooldown: false,
-        version: version("v1"),
+        version: Some(version("v1")),
     }
 }
 
@@ -68,7 +68,7 @@
 fn streams_begin_where_another_runner_of_the_version_could_go_on_with_them() {
     let base = candidate();
     let other = Candidate {
-        version: version("v2"),
+        version: Some(version("v2")),
         ..base
     };
     let busier = Candidate { load: 6.0, ..base };
@@ -82,6 +82,12 @@
     assert_eq!(select(&[busier, other]), Some(1));
     assert_eq!(select(&[busier, base]), Some(1));
     assert_eq!(select(&[busier, busier, base]), Some(2));
+    // Other requests state no version and need no second runner.
+    let [plain, busier_plain] = [other, busier].map(|candidate| Candidate {
+        version: None,
+        ..candidate
+    });
+    assert_eq!(select(&[busier_plain, busier_plain, plain]), Some(2));
     // A lone runner relieves others that are much busier.
     let full = Candidate { load: 60.0, ..base };
     assert_eq!(select(&[full, full, other]), Some(2));
--- a/crates/mustardgate-relay/src/fleet/selection.rs
+++ b/crates/mustardgate-relay/src/fleet/selection.rs
@@ -26,6 +26,8 @@
     pub excluded: &'a [BackendId],
     /// Software version that began the stream, if the request goes on with one.
     pub version: Option<VersionTag>,
+    /// Whether a stream begins that may have to go on at another runner of its version.
+    pub may_be_resumed: bool,
     /// Requests that this node may have at each runner at once, if the runners are brittle.
     pub places: Option<&'a PlaceMap>,
 }
@@ -86,22 +88,15 @@
         let holders: Vec<(Arc<RunnerCell>, Candidate)> = usable
             .into_iter()
             .filter(|cell| !query.excluded.contains(&cell.listed().id))
-            .filter_map(|cell| {
-                self.candidate(now, &cell, query.request)
-                    .map(|candidate| (cell, candidate))
-            })
+            .filter_map(|cell| self.candidate(now, &cell, query).map(|candidate| (cell, candidate)))
             .collect();
         let candidates: Vec<Candidate> = holders.iter().map(|(_, candidate)| *candidate).collect();
         let mut rng = rand::rng();
         let selected = RunnerSelector::default().select(&candidates, || rng.random());
         let Some((cell, candidate)) = selected.and_then(|index| holders.into_iter().nth(index)) else {
-            let holders = held
-                .iter()
-                .filter(|cell| self.candidate(now, cell, query.request).is_some());
+            let holders = held.iter().filter(|cell| self.candidate(now, cell, query).is_some());
             let retry_after = holders.filter_map(|cell| cell.hold_left(now)).min();
-            let is_full = full
-                .iter()
-                .any(|cell| self.candidate(now, cell, query.request).is_some());
+            let is_full = full.iter().any(|cell| self.candidate(now, cell, query).is_some());
             let cause = match retry_after {
                 Some(_) => RefusalCause::Overloaded,
                 None if is_full => RefusalCause::Overloaded,
@@ -113,7 +108,8 @@
         Ok(RunnerPick { cell, candidate })
     }
 
-    fn candidate(&self, now: Instant, cell: &RunnerCell, request: &RelayRequest) -> Option<Candidate> {
+    fn candidate(&self, now: Instant, cell: &RunnerCell, query: &SelectionQuery<'_>) -> Option<Candidate> {
+        let request = query.request;
         let (has_model, has_adapter) = match &request.model {
             Some(name) => cell.holds(now, name),
             None => (true, true),
@@ -135,7 +131,7 @@
             is_remote: listed.domain != self.own_domain,
             failure_ratio,
             is_in_cooldown,
-            version: cell.version_tag(),
+            version: query.may_be_resumed.then(|| cell.version_tag()),
         })
     }
 }
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -20,7 +20,7 @@
     ids::{BackendId, ServiceId},
     relay::{
         AdmissionQuery, AnswerKind, AnswerStage, HeadFacts, HeadVerdict, RefusalCause, RelayRequest, RelayRoute,
-        StreamProgress, VersionTag,
+        RepeatPolicy, StreamProgress, VersionTag,
     },
     verdict::RunVerdict,
 };
@@ -126,6 +126,7 @@
                 request: &self.request,
                 excluded: &excluded,
                 version: self.version,
+                may_be_resumed: self.route.repeat == RepeatPolicy::Resumable && self.version.is_none(),
                 places: places.as_deref(),
             };
             let pick = match self.select(&query).await {
