Don't take another node's answer to a probe for a runner's

What callers saw: with entries of other nodes' addresses among the runners, a node that had lost its link to all runners went on trying them and did not pass its requests on through other nodes.

Cause: a probe of the link counted any answer as one of a runner, also the 400 with which another node's gateway answered a report without a request. While the link was cut, such answers could restore it.

Evidence: entries_with_the_address_of_another_node_do_not_hide_a_cut_link, four such entries beside two runners that are cut off, failed on: the cut was not noticed in 60 s.

Change: an answer that names the address as one of no runner counts neither as asked nor as answered, and the entry is not probed again. The other entries' probes decide. A connection whose process is to be confirmed there is no reason to suspect the link either.

--- a/crates/mustardgate-relay/src/fleet/cell.rs
+++ b/crates/mustardgate-relay/src/fleet/cell.rs
@@ -37,6 +37,8 @@
     version_tag: VersionTag,
     /// Whether the runner is gone from the list, or was replaced there by another process.
     is_retired: AtomicBool,
+    /// Whether a node answered at the address, and said that no runner does.
+    is_at_node: AtomicBool,
     /// Idle connections.
     pub pool: Arc<ConnectionPool>,
     /// When it was last checked whether the process is gone, and the result; the lock is held during a check.
@@ -86,6 +88,7 @@
             version_tag: listed.version_tag(),
             listed: RwLock::new(listed),
             is_retired: AtomicBool::new(false),
+            is_at_node: AtomicBool::new(false),
             process_check: AsyncMutex::new(None),
             last_witness: AsyncMutex::new(None),
             state: Mutex::new(CellState {
@@ -122,6 +125,16 @@
         self.is_retired.store(true, Ordering::Relaxed);
     }
 
+    /// Records that a node answered at the address, which is not asked whether the link to runners is sound any more.
+    pub fn record_node(&self) {
+        self.is_at_node.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether a node answered at the address.
+    pub fn is_at_node(&self) -> bool {
+        self.is_at_node.load(Ordering::Relaxed)
+    }
+
     /// Returns whether requests may be sent to the runner now.
     pub fn accepts_requests(&self) -> bool {
         self.is_in_service() && self.hold_left(clock::now()).is_none()
--- a/crates/mustardgate-relay/src/link/check.rs
+++ b/crates/mustardgate-relay/src/link/check.rs
@@ -19,6 +19,20 @@
 const PROBES_PER_ROUND: usize = 3;
 const MAX_PROBES: usize = 6;
 
+/// Runners that are asked at most in one probe of a link that is cut.
+const PROBES_TO_RESTORE: usize = 2;
+
+/// What a probe found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbeOutcome {
+    /// A runner answered.
+    Answered,
+    /// Nobody answered in time.
+    Silent,
+    /// Another node answered, which says nothing of the link to the runners.
+    NoRunner,
+}
+
 /// Checks the link to the runners.
 #[derive(Debug)]
 pub struct LinkTask {
@@ -50,10 +64,17 @@
 
     /// Asks one runner whether the link is restored, and a second one right away if so.
     async fn probe(&self) {
-        for cell in choose_runners(&self.context, None).into_iter().take(2) {
-            let is_answered = probe_runner(&self.context, &cell).await;
+        let runners = choose_runners(&self.context, None);
+        let mut left = PROBES_TO_RESTORE;
+        for cell in runners {
+            let outcome = probe(&self.context, &cell).await;
+            if outcome == ProbeOutcome::NoRunner {
+                continue;
+            }
+            let is_answered = outcome == ProbeOutcome::Answered;
             self.context.link.record_probe(is_answered);
-            if !is_answered {
+            left -= 1;
+            if !is_answered || left == 0 {
                 return;
             }
         }
@@ -69,13 +90,10 @@
 async fn check_link(context: &RelayContext, excluded: Option<&RunnerCell>) -> bool {
     let (mut asked, mut answered) = (0, 0);
     for runners in choose_runners(context, excluded).chunks(PROBES_PER_ROUND) {
-        let probes = runners.iter().map(|cell| probe_runner(context, cell));
-        asked += runners.len();
-        answered += join_all(probes)
-            .await
-            .into_iter()
-            .filter(|is_answered| *is_answered)
-            .count();
+        let outcomes = join_all(runners.iter().map(|cell| probe(context, cell))).await;
+        let count = |wanted| outcomes.iter().filter(|outcome| **outcome == wanted).count();
+        answered += count(ProbeOutcome::Answered);
+        asked += runners.len() - count(ProbeOutcome::NoRunner);
         if answered > 0 {
             break;
         }
@@ -95,7 +113,7 @@
     let failed = context.link.failed_runners();
     let excluded = excluded.map(|cell| cell.listed().id.clone());
     let mut cells = context.fleet.all();
-    cells.retain(|cell| cell.is_in_service() && Some(&cell.listed().id) != excluded.as_ref());
+    cells.retain(|cell| cell.is_in_service() && !cell.is_at_node() && Some(&cell.listed().id) != excluded.as_ref());
     // Runners of other services get no requests, and anyone may list some at which nobody listens.
     if let Some(active) = context.routes.current() {
         cells.retain(|cell| active.config.services.contains_key(&cell.listed().service));
@@ -114,8 +132,12 @@
     ranked.into_iter().map(|(_, cell)| cell).collect()
 }
 
-/// Asks a runner over a new connection, which joins its pool.
+/// Asks a runner over a new connection, which joins its pool; returns whether it answered.
 pub(super) async fn probe_runner(context: &RelayContext, cell: &RunnerCell) -> bool {
+    probe(context, cell).await == ProbeOutcome::Answered
+}
+
+async fn probe(context: &RelayContext, cell: &RunnerCell) -> ProbeOutcome {
     counter!("mustardgate_link_probes_total").increment(1);
     let probing = async {
         let mut connection = cell.pool.connect(PROBE_TIMEOUT).await?;
@@ -123,5 +145,12 @@
         cell.pool.give_back(connection, None);
         Ok::<_, SendFailure>(())
     };
-    matches!(time::timeout(PROBE_TIMEOUT, probing).await, Ok(Ok(())))
+    match time::timeout(PROBE_TIMEOUT, probing).await {
+        Ok(Ok(())) => ProbeOutcome::Answered,
+        Ok(Err(SendFailure::NoRunner)) => {
+            cell.record_node();
+            ProbeOutcome::NoRunner
+        }
+        Ok(Err(_)) | Err(_) => ProbeOutcome::Silent,
+    }
 }
--- a/crates/mustardgate-relay/src/link/process.rs
+++ b/crates/mustardgate-relay/src/link/process.rs
@@ -84,7 +84,10 @@
     let control = &context.ports.control;
     let request = control.process_request(&cell.listed().id);
     let answer = connection.ask(request, CONFIRMATION_TIMEOUT).await;
-    let answer = answer.map_err(|_failure| SendFailure::NotConnected)?;
+    let answer = answer.map_err(|failure| match failure {
+        SendFailure::NoRunner => SendFailure::NoRunner,
+        _ => SendFailure::NotConnected,
+    })?;
     let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
     let body = body.map_err(|_error| SendFailure::NotConnected)?;
     Ok(control.read_process(&body.to_bytes()))
