Tell a second recorder where a stream began, because the first may be down or cut off

Callers who came back after the end of all nodes were refused if their stream began while the recorder of its failure domain was down or cut off: 503, version unknown. Cause: the origin went to one node, the lowest address of the domain, in a datagram that nobody confirms. The list of nodes keeps a recorder that ended for seconds, so all streams of the domain are recorded nowhere until then.

Each origin now goes to the recorder of its own domain and to that of another one, chosen by the hash of the attempt; where there is only one domain, to its second node. No message is new, so nodes of older builds take such records and write them.

Costs, reckoned: one more datagram a stream while versions differ (1.1 KB/s a node at 7 nodes, 1.9 KB/s at 77 and 360), twice the bytes in the log, so that 360 nodes read them in 28 s instead of 14 s; no more calls where each domain begins a stream in each interval.

--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -58,7 +58,7 @@
     rate_limits::{LimitChange, LimitLedger, LimitObservation, LimitStatement},
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
     selector::{Candidate, RunnerSelector, SelectionWeights},
-    stream_batches::{choose_recorder, decode_batch, encode_batches, record_interval},
+    stream_batches::{choose_recorders, decode_batch, encode_batches, record_interval},
     stream_origins::{NodeMember, OriginFinding, OriginLedger, StreamKey, StreamOrigin, choose_keepers, rank_keepers},
     stream_progress::{EndVerdict, EventVerdict, StreamProgress},
     stream_versions::{BegunStream, ListRead, NoticeScope, StreamVersions},
--- a/crates/mustardgate-core/src/relay/stream_batches.rs
+++ b/crates/mustardgate-core/src/relay/stream_batches.rs
@@ -8,9 +8,10 @@
 };
 
 use super::{
-    stream_origins::{NodeMember, StreamKey, StreamOrigin},
+    stream_origins::{NodeMember, StreamKey, StreamOrigin, rank},
     versions::VersionTag,
 };
+use crate::ids::DomainId;
 
 /// First byte of a batch in this format; readers skip batches in formats that they do not know.
 const FORMAT: u8 = 1;
@@ -95,13 +96,28 @@
     bytes.iter().fold(0, |number, byte| (number << 8) | u64::from(*byte))
 }
 
-/// Returns the node that writes the origins of all nodes of a failure domain: the one with the lowest address.
+/// Returns the nodes that write the origin of a stream which began at `own`: that with the lowest address in its failure
+/// domain, and that of one other domain, or the next one where there is no other.
 ///
 /// One writer a domain keeps the number of writes independent of the number of nodes, and a domain that is cut off from
-/// others still has one.
-pub fn choose_recorder<'a>(own: &'a NodeMember, others: &'a [NodeMember]) -> &'a NodeMember {
-    let near = others.iter().filter(|member| member.domain == own.domain);
-    near.chain([own]).min_by_key(|member| member.address).unwrap_or(own)
+/// others still has one. Nobody is told whether it wrote, so a second one is told for when the first is down or cut off.
+pub fn choose_recorders<'a>(key: StreamKey, own: &'a NodeMember, others: &'a [NodeMember]) -> Vec<&'a NodeMember> {
+    let mut firsts: BTreeMap<&DomainId, &NodeMember> = BTreeMap::new();
+    for member in others.iter().chain([own]) {
+        let first = firsts.entry(&member.domain).or_insert(member);
+        if member.address < first.address {
+            *first = member;
+        }
+    }
+    let near = firsts.remove(&own.domain).unwrap_or(own);
+    let far = firsts.into_values().min_by_key(|member| rank(key, member.address));
+    let next = || {
+        let members = others.iter().chain([own]);
+        members
+            .filter(|member| *member != near)
+            .min_by_key(|member| member.address)
+    };
+    [near].into_iter().chain(far.or_else(next)).collect()
 }
 
 /// Returns the time between two batches of a recorder, so that all recorders together stay within the platform's limit.
--- a/crates/mustardgate-core/src/relay/stream_origins.rs
+++ b/crates/mustardgate-core/src/relay/stream_origins.rs
@@ -195,7 +195,8 @@
     }
 }
 
-fn rank(key: StreamKey, address: SocketAddr) -> u64 {
+/// Returns the rank of a node for a stream, which all nodes compute alike.
+pub(super) fn rank(key: StreamKey, address: SocketAddr) -> u64 {
     let mut hash = Sha256::new();
     hash.update(key.0.to_be_bytes());
     hash.update(address.to_string().as_bytes());
--- a/crates/mustardgate-core/tests/relay/stream_batches.rs
+++ b/crates/mustardgate-core/tests/relay/stream_batches.rs
@@ -5,7 +5,7 @@
 use mustardgate_core::{
     ids::ServiceId,
     relay::{
-        NodeMember, RequestContent, SoftwareVersion, StreamOrigin, choose_recorder, decode_batch, encode_batches,
+        NodeMember, RequestContent, SoftwareVersion, StreamOrigin, choose_recorders, decode_batch, encode_batches,
         record_interval,
     },
 };
@@ -74,18 +74,28 @@
     assert_eq!(decode_batch(&no_such_version), None);
 }
 
+fn recorders_of(nodes: &[NodeMember], number: usize, origin: &StreamOrigin) -> Vec<NodeMember> {
+    let own = &nodes[number];
+    let others: Vec<NodeMember> = nodes.iter().filter(|node| *node != own).cloned().collect();
+    let recorders = choose_recorders(origin.key, own, &others);
+    recorders.into_iter().cloned().collect()
+}
+
 #[test]
 fn all_nodes_of_a_domain_choose_the_same_recorder_and_stay_within_the_rate_of_the_log() {
     const WRITES_PER_S: f64 = 400.0;
+    let origins = origins(50, 2);
     for (count, domains) in [(1, 1), (7, 3), (77, 3), (360, 23)] {
         let nodes: Vec<NodeMember> = (0..count).map(|number| member(number, domains)).collect();
         let mut recorders = Vec::new();
         let mut interval = Duration::ZERO;
-        for own in &nodes {
+        for (number, own) in nodes.iter().enumerate() {
             let others: Vec<NodeMember> = nodes.iter().filter(|node| *node != own).cloned().collect();
-            let recorder = choose_recorder(own, &others).clone();
-            assert_eq!(recorder.domain, own.domain);
-            recorders.push(recorder);
+            for origin in &origins {
+                let chosen = recorders_of(&nodes, number, origin);
+                assert_eq!(chosen[0].domain, own.domain);
+                recorders.extend(chosen);
+            }
             interval = record_interval(own, &others);
         }
         recorders.sort();
@@ -94,3 +104,18 @@
         assert!(recorders.len() as f64 / interval.as_secs_f64() <= WRITES_PER_S / 2.0);
     }
 }
+
+// Guards against streams that nobody records while the recorder of their domain is down.
+#[test]
+fn a_second_recorder_is_told_that_is_in_another_domain_if_there_is_one() {
+    for (count, domains) in [(2, 1), (7, 3), (77, 3), (360, 23)] {
+        let nodes: Vec<NodeMember> = (0..count).map(|number| member(number, domains)).collect();
+        for origin in origins(50, 2) {
+            let [near, far] = recorders_of(&nodes, count - 1, &origin)
+                .try_into()
+                .expect("two recorders");
+            assert_ne!(near, far);
+            assert_eq!(near.domain == far.domain, domains == 1);
+        }
+    }
+}
--- a/crates/mustardgate-relay/src/peers/origins.rs
+++ b/crates/mustardgate-relay/src/peers/origins.rs
@@ -12,7 +12,7 @@
     clock,
     ids::RunnerProcess,
     relay::{
-        NoticeScope, OriginFinding, RequestDigest, StreamKey, StreamOrigin, choose_keepers, choose_recorder,
+        NoticeScope, OriginFinding, RequestDigest, StreamKey, StreamOrigin, choose_keepers, choose_recorders,
         rank_keepers,
     },
 };
@@ -74,35 +74,44 @@
     fn tell(&mut self, notice: StreamNotice) {
         let members = self.context.directory.members();
         let domain = &self.context.settings.node.domain;
-        let recorder = self.context.directory.own().map(|own| choose_recorder(own, &members));
+        let own = self.context.directory.own();
         let mut batches: BTreeMap<SocketAddr, Vec<StreamOrigin>> = BTreeMap::new();
-        let mut unrecorded = Vec::new();
+        let mut unrecorded: BTreeMap<SocketAddr, Vec<StreamOrigin>> = BTreeMap::new();
         let mut next = Some(notice);
         while let Some((origin, scope)) = next {
             let mut keepers = choose_keepers(origin.key, &members, domain);
             match scope {
                 NoticeScope::OneKeeper => keepers.truncate(1),
-                NoticeScope::All => unrecorded.push(origin),
+                NoticeScope::All => {
+                    for recorder in own.iter().flat_map(|own| choose_recorders(origin.key, own, &members)) {
+                        unrecorded.entry(recorder.address).or_default().push(origin);
+                    }
+                }
             }
             for keeper in keepers {
                 batches.entry(keeper.address).or_default().push(origin);
             }
             next = self.pending.try_recv().ok();
         }
+        self.send_origins(batches, PeerNotice::Streams);
+        if let Some(origins) = own.and_then(|own| unrecorded.remove(&own.address)) {
+            self.context.streams.record_to_log(&origins);
+        }
+        self.send_origins(unrecorded, PeerNotice::Unrecorded);
+    }
+
+    /// Sends origins to the nodes with these addresses, in as many datagrams as they need.
+    fn send_origins(
+        &self,
+        batches: BTreeMap<SocketAddr, Vec<StreamOrigin>>,
+        notice_of: fn(Vec<StreamOrigin>) -> PeerNotice,
+    ) {
         for (address, origins) in batches {
             for records in origins.chunks(MAX_RECORDS) {
-                let outcome = self.send(address, &PeerNotice::Streams(records.to_vec()));
+                let outcome = self.send(address, &notice_of(records.to_vec()));
                 counter!("mustardgate_stream_records_total", "outcome" => outcome).increment(records.len() as u64);
             }
         }
-        let Some(recorder) = recorder else { return };
-        if self.context.directory.own_address() == Some(recorder.address) {
-            return self.context.streams.record_to_log(&unrecorded);
-        }
-        for records in unrecorded.chunks(MAX_RECORDS) {
-            let outcome = self.send(recorder.address, &PeerNotice::Unrecorded(records.to_vec()));
-            counter!("mustardgate_stream_records_total", "outcome" => outcome).increment(records.len() as u64);
-        }
     }
 
     /// Tells all other nodes which brittle runners turned a request away: one more may make them fall over.
--- a/crates/standins/src/proof/versions/log.rs
+++ b/crates/standins/src/proof/versions/log.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use mustardgate_core::relay::{
-    NodeMember, OriginFinding, RequestDigest, StreamKey, StreamOrigin, VersionDigest, VersionTag, choose_recorder,
+    NodeMember, OriginFinding, RequestDigest, StreamKey, StreamOrigin, VersionDigest, VersionTag, choose_recorders,
 };
 use rand::Rng;
 
@@ -49,14 +49,16 @@
 }
 
 impl VersionSimulation {
-    /// Hands an origin to the node that writes those of its domain.
+    /// Hands an origin to the nodes that write it.
     pub(super) fn record(&mut self, from: usize, others: &[NodeMember], origin: StreamOrigin) {
-        let recorder = choose_recorder(&self.nodes[from].member, others);
-        let recorder = self.number_of(recorder);
-        let is_lost = from != recorder && self.rng.random_bool(DATAGRAM_LOSS);
-        if !is_lost && (from == recorder || self.reaches(from, recorder)) {
-            let wait = Duration::from_millis(self.rng.random_range(1..MAX_WRITE_TIME_MS));
-            self.log.unwritten.push((self.now + wait, recorder, origin));
+        let recorders = choose_recorders(origin.key, &self.nodes[from].member, others);
+        let recorders: Vec<usize> = recorders.into_iter().map(|member| self.number_of(member)).collect();
+        for recorder in recorders {
+            let is_lost = from != recorder && self.rng.random_bool(DATAGRAM_LOSS);
+            if !is_lost && (from == recorder || self.reaches(from, recorder)) {
+                let wait = Duration::from_millis(self.rng.random_range(1..MAX_WRITE_TIME_MS));
+                self.log.unwritten.push((self.now + wait, recorder, origin));
+            }
         }
     }
 
