--- a/crates/mustardgate-relay/src/gateway/buffered.rs
+++ b/crates/mustardgate-relay/src/gateway/buffered.rs
@@ -73,12 +73,13 @@
         Err((reason, is_timeout)) => {
             ticket.set_outcome(AttemptOutcome::Failed);
             drop((ticket, connection));
+            let inputs = received.digests.inputs();
             let is_fatal = !is_timeout
                 && helper.is_none()
-                && received
-                    .record_crash(&cell, &received.digests.inputs())
-                    .await
-                    .is_repeated();
+                && tokio::select! {
+                    verdict = received.record_crash(&cell, &inputs) => verdict.is_repeated(),
+                    () = aborting.cancelled() => false,
+                };
             let error = AttemptError {
                 is_fatal,
                 ..uncertain(&backend, reason, is_timeout)
--- a/crates/mustardgate-relay/src/gateway/listener.rs
+++ b/crates/mustardgate-relay/src/gateway/listener.rs
@@ -58,10 +58,10 @@
     ));
     let closing = context.drain.closing();
     loop {
-        let slot = Arc::clone(&slots)
-            .acquire_owned()
-            .await
-            .expect("the semaphore is never closed");
+        let slot = tokio::select! {
+            slot = Arc::clone(&slots).acquire_owned() => slot.expect("the semaphore is never closed"),
+            () = closing.cancelled() => break,
+        };
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
