Read the rest of a request beyond the limit on bodies before it is refused

A caller that sent a whole request whose body is longer than the configuration allows, by a version that came while it was sending too, got a reset instead of the refusal: neither an answer nor a refusal beside a change of the configuration, in the words of the users' report (that it was their case is suspected only; their clients are said to stay within the limits). Cause: 413 was answered as soon as the limit was passed; the close with unread bytes resets the connection, and the reset overtakes the answer.

The rest is read as for other refusals: up to as many bytes again, within the time for heads and the caller's own.

--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -117,10 +117,13 @@
     };
     let expires_at = request.expires_at(route.timeout);
     let time_left = expires_at.saturating_duration_since(clock::now());
-    let collecting = Limited::new(body, limits.max_body_bytes).collect();
+    let collecting = Limited::new(&mut body, limits.max_body_bytes).collect();
     let body = match tokio::time::timeout(time_left, collecting).await {
         Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(LocalAnswer::TooLarge),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            discard_refused(&mut body, limits, &request).await;
+            return Err(LocalAnswer::TooLarge);
+        }
         Ok(Err(_)) => return Err(LocalAnswer::Malformed),
         Err(_) => return Err(refusal(context, RefusalCause::AttemptsUsedUp)),
     };
