--- a/review/1/case.py
+++ b/review/1/case.py
@@ -24,7 +24,7 @@
 STREAM_AFTER_S = 3.6
 LONGEST_STREAM_S = 8.0
 # Time from the unanswered order until clients ask for the seventh adapter.
-NEXT_REQUEST_S = 1.1
+NEXT_REQUEST_S = 1.6
 
 
 class EngineRunner(Runner):
