Take the accept queue's connections before a listener closes

Callers saw a reset of a connection, with a request in it, as a node closed its listener: what had arrived since the runtime last asked the system was not looked at. The last look at the queue went through the runtime's cached readiness (now_or_never at the product's node and the nodes' own listener, a select at the callers' listener of the relay).

One function for all listeners now takes the connections from the socket itself and then closes it.

--- a/crates/mustardgate-relay/src/gateway/listener.rs
+++ b/crates/mustardgate-relay/src/gateway/listener.rs
@@ -7,7 +7,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use mustardgate::events;
+use mustardgate::{events, http::close_listener};
 use slog::o;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -57,6 +57,7 @@
         (context.settings.node.max_descriptors / CALLER_DESCRIPTOR_DIVISOR) as usize,
     ));
     let closing = context.drain.closing();
+    let serve = |stream, address| serve_connection(Arc::clone(&context), stream, address, handler, &graceful);
     loop {
         let slot = tokio::select! {
             slot = Arc::clone(&slots).acquire_owned() => slot.expect("the semaphore is never closed"),
@@ -69,8 +70,7 @@
         };
         match accepted {
             Ok((stream, address)) => {
-                let address = CallerAddress(address.ip());
-                let connection = serve_connection(Arc::clone(&context), stream, address, handler, &graceful);
+                let connection = serve(stream, CallerAddress(address.ip()));
                 tokio::spawn(async move {
                     connection.await;
                     drop(slot);
@@ -82,7 +82,13 @@
             }
         }
     }
-    drop(listener);
+    // The queue is short, so its connections need no slots.
+    for stream in close_listener(listener) {
+        // A caller that has left already has no address.
+        if let Ok(address) = stream.peer_addr() {
+            tokio::spawn(serve(stream, CallerAddress(address.ip())));
+        }
+    }
     // Requests that have arrived on connections accepted last are still read; closing those connections would reset them.
     time::sleep(LAST_READ_TIME).await;
     graceful.shutdown().await;
--- a/crates/mustardgate/src/http/mod.rs
+++ b/crates/mustardgate/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod client;
+mod queue;
 mod server;
 
 pub(crate) use self::client::{json_request, plain_request};
@@ -10,5 +11,6 @@
         AnswerBody, BodyError, bytes_answer, collect_body, empty_answer, json_answer, streamed_answer, text_answer,
     },
     client::{CallError, CallLimits, HttpClient, HttpReply, StreamReply},
+    queue::close_listener,
     server::{ConnectionLimits, serve_connections},
 };
--- a/crates/mustardgate/src/http/server.rs
+++ b/crates/mustardgate/src/http/server.rs
@@ -3,7 +3,6 @@
 use std::{convert::Infallible, error::Error, pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures::FutureExt;
 use hyper::{
     Request, Response,
     body::{Body, Incoming},
@@ -17,11 +16,11 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore},
-    task::unconstrained,
     time,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
+use super::close_listener;
 use crate::events;
 
 /// Pause after a failed accept, which is usually caused by a lack of file descriptors.
@@ -77,14 +76,12 @@
             }
         }
     }
-    // The system has accepted these connections, and their requests may already have been sent; closing the listener
-    // would reset them. The queue is short, so they need no slots.
-    while let Some(Ok((stream, _))) = unconstrained(listener.accept()).now_or_never() {
+    // The queue is short, so its connections need no slots.
+    for stream in close_listener(listener) {
         // Without the option answers are slower, but whole.
         drop(stream.set_nodelay(true));
         connections.spawn(serve_connection(stream, handler.clone(), limits, closing.clone()));
     }
-    drop(listener);
     time::sleep(LAST_READ_TIME).await;
     closing.cancel();
     connections.close();
