Read what has arrived on kept connections before a stopping node closes them

Callers that keep their connections saw them end without a byte, with a request in them, if a stopping node stood still just after its listener had closed. The relay asked a connection to end before it polled it (GracefulShutdown of the HTTP library). That alone was not enough: after a stop and go the runtime's wait for the system ends interrupted, so timers are handled before it has heard of any bytes, and the connection counts as idle. Both kinds of node now drive their connections by one function, which polls the connection first, and lets the runtime poll the system once between the time to close and the close.

--- a/crates/mustardgate-relay/src/gateway/listener.rs
+++ b/crates/mustardgate-relay/src/gateway/listener.rs
@@ -3,17 +3,18 @@
 use std::{convert::Infallible, net::IpAddr, sync::Arc, time::Duration};
 
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
+use hyper_util::rt::{TokioIo, TokioTimer};
+use mustardgate::{
+    events,
+    http::{close_listener, drive_connection},
 };
-use mustardgate::{events, http::close_listener};
 use slog::o;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
     time,
 };
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use super::{RelayBody, misdirected::refuse_misdirected};
 use crate::{
@@ -52,12 +53,13 @@
     F: Future<Output = Response<RelayBody>> + Send + 'static,
 {
     let CallerListener { listener, handler } = listener;
-    let graceful = GracefulShutdown::new();
+    let connections = TaskTracker::new();
+    let last_read = CancellationToken::new();
     let slots = Arc::new(Semaphore::new(
         (context.settings.node.max_descriptors / CALLER_DESCRIPTOR_DIVISOR) as usize,
     ));
     let closing = context.drain.closing();
-    let serve = |stream, address| serve_connection(Arc::clone(&context), stream, address, handler, &graceful);
+    let serve = |stream, address| serve_connection(Arc::clone(&context), stream, address, handler, last_read.clone());
     loop {
         let slot = tokio::select! {
             slot = Arc::clone(&slots).acquire_owned() => slot.expect("the semaphore is never closed"),
@@ -71,7 +73,7 @@
         match accepted {
             Ok((stream, address)) => {
                 let connection = serve(stream, CallerAddress(address.ip()));
-                tokio::spawn(async move {
+                connections.spawn(async move {
                     connection.await;
                     drop(slot);
                 });
@@ -86,12 +88,14 @@
     for stream in close_listener(listener) {
         // A caller that has left already has no address.
         if let Ok(address) = stream.peer_addr() {
-            tokio::spawn(serve(stream, CallerAddress(address.ip())));
+            connections.spawn(serve(stream, CallerAddress(address.ip())));
         }
     }
     // Requests that have arrived on connections accepted last are still read; closing those connections would reset them.
     time::sleep(LAST_READ_TIME).await;
-    graceful.shutdown().await;
+    last_read.cancel();
+    connections.close();
+    connections.wait().await;
 }
 
 fn serve_connection<H, F>(
@@ -99,7 +103,7 @@
     stream: TcpStream,
     address: CallerAddress,
     handler: H,
-    graceful: &GracefulShutdown,
+    closing: CancellationToken,
 ) -> impl Future<Output = ()> + use<H, F>
 where
     H: Fn(Arc<RelayContext>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
@@ -131,9 +135,8 @@
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(MAX_HEADERS);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
-    let watched = graceful.watch(connection);
     async move {
         // A caller that disconnects is not an error of the node; its request was dropped with the connection.
-        drop(watched.await);
+        drop(drive_connection(connection, closing).await);
     }
 }
--- a/crates/mustardgate/src/http/mod.rs
+++ b/crates/mustardgate/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod client;
+mod connection;
 mod queue;
 mod server;
 
@@ -11,6 +12,7 @@
         AnswerBody, BodyError, bytes_answer, collect_body, empty_answer, json_answer, streamed_answer, text_answer,
     },
     client::{CallError, CallLimits, HttpClient, HttpReply, StreamReply},
+    connection::drive_connection,
     queue::close_listener,
     server::{ConnectionLimits, serve_connections},
 };
--- a/crates/mustardgate/src/http/server.rs
+++ b/crates/mustardgate/src/http/server.rs
@@ -1,6 +1,6 @@
 //! Accepts connections and serves them until the shutdown.
 
-use std::{convert::Infallible, error::Error, pin::pin, sync::Arc, time::Duration};
+use std::{convert::Infallible, error::Error, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{
@@ -20,7 +20,7 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::close_listener;
+use super::{close_listener, drive_connection};
 use crate::events;
 
 /// Pause after a failed accept, which is usually caused by a lack of file descriptors.
@@ -116,14 +116,7 @@
         .header_read_timeout(limits.head_timeout)
         .max_headers(PARSER_MAX_HEADERS);
     builder.http2().timer(TokioTimer::new());
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    // The connection is polled first, so that a request that has arrived is read before the connection counts as idle.
-    // Errors are ignored: a client that closes the connection is no failure of the node, and the request's own task
-    // notices it.
-    tokio::select! {
-        biased;
-        _ = connection.as_mut() => return,
-        () = closing.cancelled() => connection.as_mut().graceful_shutdown(),
-    }
-    drop(connection.await);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    // A client that closes the connection is no failure of the node, and the request's own task notices it.
+    drop(drive_connection(connection, closing).await);
 }
