Hear of requests that came before the idle limit of a connection counts as over

Callers whose requests arrived within the idle limit of a kept connection were reset, with the request unread, if the node stood still until the limit was over: its timers were handled before the runtime had polled the system for bytes. The timer of callers' connections, at both kinds of node, now lets the runtime poll the system once before a time counts as over; the HTTP library reads first after that.

--- a/crates/mustardgate-relay/src/gateway/listener.rs
+++ b/crates/mustardgate-relay/src/gateway/listener.rs
@@ -3,10 +3,10 @@
 use std::{convert::Infallible, net::IpAddr, sync::Arc, time::Duration};
 
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use mustardgate::{
     events,
-    http::{close_listener, drive_connection},
+    http::{SilenceTimer, close_listener, drive_connection},
 };
 use slog::o;
 use tokio::{
@@ -129,7 +129,7 @@
     });
     let mut builder = http1::Builder::new();
     builder
-        .timer(TokioTimer::new())
+        .timer(SilenceTimer)
         // The library applies this timeout to the idle time before the next request as well.
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
--- a/crates/mustardgate/src/http/mod.rs
+++ b/crates/mustardgate/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod connection;
 mod queue;
 mod server;
+mod timer;
 
 pub(crate) use self::client::{json_request, plain_request};
 pub use self::{
@@ -15,4 +16,5 @@
     connection::drive_connection,
     queue::close_listener,
     server::{ConnectionLimits, serve_connections},
+    timer::SilenceTimer,
 };
--- a/crates/mustardgate/src/http/server.rs
+++ b/crates/mustardgate/src/http/server.rs
@@ -9,7 +9,7 @@
     service::service_fn,
 };
 use hyper_util::{
-    rt::{TokioExecutor, TokioIo, TokioTimer},
+    rt::{TokioExecutor, TokioIo},
     server::conn::auto::Builder,
 };
 use slog::{Logger, o};
@@ -20,7 +20,7 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::{close_listener, drive_connection};
+use super::{SilenceTimer, close_listener, drive_connection};
 use crate::events;
 
 /// Pause after a failed accept, which is usually caused by a lack of file descriptors.
@@ -112,10 +112,10 @@
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
-        .timer(TokioTimer::new())
+        .timer(SilenceTimer)
         .header_read_timeout(limits.head_timeout)
         .max_headers(PARSER_MAX_HEADERS);
-    builder.http2().timer(TokioTimer::new());
+    builder.http2().timer(SilenceTimer);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     // A client that closes the connection is no failure of the node, and the request's own task notices it.
     drop(drive_connection(connection, closing).await);
