Record the ends of callers' connections that no event of a request tells

A connection that the HTTP library ends by itself (a head that it cannot read, a silent or vanished peer, an error of the socket while an answer is written) left no line and no count, nor did a panic of the code that serves a connection, which its caller sees as a bare close. Event 669 and mustardgate_connections_panicked_total tell a panic, at both kinds of node; the relay's caller is then told 502, since the request may have run.

--- a/crates/mustardgate-relay/src/gateway/listener.rs
+++ b/crates/mustardgate-relay/src/gateway/listener.rs
@@ -1,12 +1,17 @@
 //! Accepts callers' connections.
 
-use std::{convert::Infallible, net::IpAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::IpAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use mustardgate::{
     events,
-    http::{SilenceTimer, close_listener, drive_connection},
+    http::{SilenceTimer, catch_panic, close_listener, drive_connection},
 };
 use slog::o;
 use tokio::{
@@ -16,7 +21,7 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::{RelayBody, misdirected::refuse_misdirected};
+use super::{RelayBody, answer::LocalAnswer, connection::ConnectionEnd, misdirected::refuse_misdirected};
 use crate::{
     client::{names_target, tune_socket},
     context::RelayContext,
@@ -116,15 +121,21 @@
         .current()
         .map(|active| active.config.limits)
         .unwrap_or_default();
+    let end = ConnectionEnd::new(Arc::clone(&context));
+    let served = end.served();
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(address);
         let context = Arc::clone(&context);
+        served.fetch_add(1, Ordering::Relaxed);
         async move {
             let misdirected_to = own_address.filter(|own| names_target(request.headers(), *own));
-            Ok::<_, Infallible>(match misdirected_to {
-                Some(address) => refuse_misdirected(&context, request, address).await,
-                None => handler(context, request).await,
-            })
+            if let Some(address) = misdirected_to {
+                return Ok(refuse_misdirected(&context, request, address).await);
+            }
+            let answering = handler(Arc::clone(&context), request);
+            let answer = catch_panic(answering, "handler", context.log.logger()).await;
+            // The request may have run, whatever failed.
+            Ok::<_, Infallible>(answer.unwrap_or_else(|| LocalAnswer::Uncertain { is_timeout: false }.into_response()))
         }
     });
     let mut builder = http1::Builder::new();
@@ -136,7 +147,9 @@
         .max_headers(MAX_HEADERS);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     async move {
-        // A caller that disconnects is not an error of the node; its request was dropped with the connection.
-        drop(drive_connection(connection, closing).await);
+        let driving = drive_connection(connection, closing);
+        if let Some(ended) = catch_panic(driving, "connection", end.logger()).await {
+            end.record(&ended);
+        }
     }
 }
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod body;
 mod buffered;
+mod connection;
 mod crash;
 mod digests;
 mod exchange;
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -139,6 +139,10 @@
 pub const RELAY_ANSWER_DROPPED: EventKind = event(660, Level::Warning, "stray runner answer dropped");
 /// A request came as one to a runner, because the list of runners names an address of this node.
 pub const RELAY_REQUEST_MISDIRECTED: EventKind = event(661, Level::Warning, "request for a runner refused");
+/// A caller's connection failed; with the reason and the number of requests that it carried.
+pub const RELAY_CONNECTION_FAILED: EventKind = event(668, Level::Info, "caller connection failed");
+/// The code that serves a connection panicked, so that a request may have no answer; with what it was doing.
+pub const CONNECTION_PANICKED: EventKind = event(669, Level::Error, "connection panicked");
 /// Origins of streams could not be written to the log; they are written when it answers again.
 pub const RELAY_ORIGINS_UNRECORDED: EventKind = event(640, Level::Warning, "stream origins not recorded");
 /// Origins of streams are written to the log again; with their number.
@@ -228,6 +232,8 @@
     RELAY_TASK_PANICKED,
     RELAY_ANSWER_DROPPED,
     RELAY_REQUEST_MISDIRECTED,
+    RELAY_CONNECTION_FAILED,
+    CONNECTION_PANICKED,
 ];
 
 impl EventKind {
--- a/crates/mustardgate/src/http/connection.rs
+++ b/crates/mustardgate/src/http/connection.rs
@@ -1,11 +1,16 @@
 //! Serves one connection until its peer or the node closes it.
 
-use std::pin::pin;
+use std::{panic::AssertUnwindSafe, pin::pin};
 
+use futures::FutureExt;
 use hyper_util::server::graceful::GracefulConnection;
+use metrics::counter;
+use slog::{Logger, o};
 use tokio::task::yield_now;
 use tokio_util::sync::CancellationToken;
 
+use crate::events;
+
 /// Serves a connection until it ends, or until `closing` is cancelled and the request in flight, if there is one, is
 /// answered.
 ///
@@ -30,3 +35,14 @@
     }
     connection.await
 }
+
+/// Completes with the output of a part of serving a connection; `None` if it panics, which would otherwise end the
+/// connection without a trace.
+pub async fn catch_panic<F: Future>(part: F, name: &'static str, logger: &Logger) -> Option<F::Output> {
+    let caught = AssertUnwindSafe(part).catch_unwind().await;
+    if caught.is_err() {
+        counter!("mustardgate_connections_panicked_total", "part" => name).increment(1);
+        events::CONNECTION_PANICKED.write(logger, o!("part" => name));
+    }
+    caught.ok()
+}
--- a/crates/mustardgate/src/http/mod.rs
+++ b/crates/mustardgate/src/http/mod.rs
@@ -13,7 +13,7 @@
         AnswerBody, BodyError, bytes_answer, collect_body, empty_answer, json_answer, streamed_answer, text_answer,
     },
     client::{CallError, CallLimits, HttpClient, HttpReply, StreamReply},
-    connection::drive_connection,
+    connection::{catch_panic, drive_connection},
     queue::close_listener,
     server::{ConnectionLimits, serve_connections},
     timer::SilenceTimer,
--- a/crates/mustardgate/src/http/server.rs
+++ b/crates/mustardgate/src/http/server.rs
@@ -20,7 +20,7 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::{SilenceTimer, close_listener, drive_connection};
+use super::{SilenceTimer, catch_panic, close_listener, drive_connection};
 use crate::events;
 
 /// Pause after a failed accept, which is usually caused by a lack of file descriptors.
@@ -64,7 +64,7 @@
         };
         match accepted {
             Ok((stream, slot)) => {
-                let connection = serve_connection(stream, handler.clone(), limits, closing.clone());
+                let connection = serve_connection(stream, handler.clone(), limits, closing.clone(), logger.clone());
                 connections.spawn(async move {
                     connection.await;
                     drop(slot);
@@ -80,7 +80,13 @@
     for stream in close_listener(listener) {
         // Without the option answers are slower, but whole.
         drop(stream.set_nodelay(true));
-        connections.spawn(serve_connection(stream, handler.clone(), limits, closing.clone()));
+        connections.spawn(serve_connection(
+            stream,
+            handler.clone(),
+            limits,
+            closing.clone(),
+            logger.clone(),
+        ));
     }
     time::sleep(LAST_READ_TIME).await;
     closing.cancel();
@@ -98,8 +104,13 @@
     Ok((stream, slot))
 }
 
-async fn serve_connection<H, F, B>(stream: TcpStream, handler: H, limits: ConnectionLimits, closing: CancellationToken)
-where
+async fn serve_connection<H, F, B>(
+    stream: TcpStream,
+    handler: H,
+    limits: ConnectionLimits,
+    closing: CancellationToken,
+    logger: Logger,
+) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
@@ -118,5 +129,5 @@
     builder.http2().timer(SilenceTimer);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     // A client that closes the connection is no failure of the node, and the request's own task notices it.
-    drop(drive_connection(connection, closing).await);
+    drop(catch_panic(drive_connection(connection, closing), "connection", &logger).await);
 }
--- a/crates/mustardgate/tests/listener.rs
+++ b/crates/mustardgate/tests/listener.rs
@@ -7,7 +7,7 @@
 };
 
 use hyper::{Request, StatusCode, body::Incoming};
-use mustardgate::http::{ConnectionLimits, serve_connections, text_answer};
+use mustardgate::http::{ConnectionLimits, catch_panic, serve_connections, text_answer};
 use slog::{Discard, Logger, o};
 use tokio::{net::TcpListener, task::yield_now, time};
 use tokio_util::sync::CancellationToken;
@@ -48,3 +48,11 @@
         assert!(read.is_ok() && answer.ends_with("whole"), "{read:?}: {answer}");
     }
 }
+
+#[tokio::test]
+async fn a_part_of_a_connection_that_panics_has_no_output() {
+    let logger = Logger::root(Discard, o!());
+    let caught = catch_panic(async { panic!("an odd request") }, "handler", &logger).await;
+    assert_eq!(caught, None::<()>);
+    assert_eq!(catch_panic(async { 1 }, "handler", &logger).await, Some(1));
+}
