Keep callers' connections as long as the last configuration says

Callers reuse connections that have been idle for up to four fifths of the last idle limit; a connection that was accepted under a shorter one was closed by that, and a request that crossed the close was lost. The timer of callers' connections now asks for the limit in force before a time counts as over, and the longer one holds. A shorter limit still binds new connections only.

--- a/crates/mustardgate-relay/src/gateway/listener.rs
+++ b/crates/mustardgate-relay/src/gateway/listener.rs
@@ -11,8 +11,9 @@
 use hyper_util::rt::TokioIo;
 use mustardgate::{
     events,
-    http::{SilenceTimer, catch_panic, close_listener, drive_connection},
+    http::{SilenceLimit, SilenceTimer, catch_panic, close_listener, drive_connection},
 };
+use mustardgate_core::relay::CallerLimits;
 use slog::o;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -21,7 +22,9 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::{RelayBody, answer::LocalAnswer, connection::ConnectionEnd, misdirected::refuse_misdirected};
+use super::{
+    RelayBody, answer::LocalAnswer, body::caller_limits, connection::ConnectionEnd, misdirected::refuse_misdirected,
+};
 use crate::{
     client::{names_target, tune_socket},
     context::RelayContext,
@@ -51,6 +54,21 @@
     pub handler: H,
 }
 
+/// Longest silence of a caller between two requests and within a head, by the configuration in force.
+#[derive(Debug)]
+struct IdleLimit(Arc<RelayContext>);
+
+impl SilenceLimit for IdleLimit {
+    fn current(&self) -> Duration {
+        longest_silence(&caller_limits(&self.0))
+    }
+}
+
+/// Returns the longest silence of a caller; the HTTP library has one limit for idle time and heads.
+fn longest_silence(limits: &CallerLimits) -> Duration {
+    limits.idle_timeout.max(limits.header_timeout)
+}
+
 /// Serves connections until the node closes its listeners, then finishes the requests in flight and returns.
 pub async fn serve_callers<H, F>(context: Arc<RelayContext>, listener: CallerListener<H>)
 where
@@ -116,11 +134,8 @@
 {
     tune_socket(&stream);
     let own_address = stream.local_addr().ok();
-    let limits = context
-        .routes
-        .current()
-        .map(|active| active.config.limits)
-        .unwrap_or_default();
+    let limits = caller_limits(&context);
+    let idle_limit = Arc::new(IdleLimit(Arc::clone(&context)));
     let end = ConnectionEnd::new(Arc::clone(&context));
     let served = end.served();
     let service = service_fn(move |mut request: Request<Incoming>| {
@@ -140,9 +155,9 @@
     });
     let mut builder = http1::Builder::new();
     builder
-        .timer(SilenceTimer)
-        // The library applies this timeout to the idle time before the next request as well.
-        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
+        // Callers keep idle connections by the last limit that they know, which may be longer than that of the beginning.
+        .timer(SilenceTimer::with_limit(idle_limit))
+        .header_read_timeout(longest_silence(&limits))
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(MAX_HEADERS);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
--- a/crates/mustardgate/src/http/mod.rs
+++ b/crates/mustardgate/src/http/mod.rs
@@ -16,5 +16,5 @@
     connection::{catch_panic, drive_connection},
     queue::close_listener,
     server::{ConnectionLimits, serve_connections},
-    timer::SilenceTimer,
+    timer::{SilenceLimit, SilenceTimer},
 };
--- a/crates/mustardgate/src/http/server.rs
+++ b/crates/mustardgate/src/http/server.rs
@@ -123,10 +123,10 @@
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
-        .timer(SilenceTimer)
+        .timer(SilenceTimer::default())
         .header_read_timeout(limits.head_timeout)
         .max_headers(PARSER_MAX_HEADERS);
-    builder.http2().timer(SilenceTimer);
+    builder.http2().timer(SilenceTimer::default());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     // A client that closes the connection is no failure of the node, and the request's own task notices it.
     drop(catch_panic(drive_connection(connection, closing), "connection", &logger).await);
--- a/crates/mustardgate/src/http/timer.rs
+++ b/crates/mustardgate/src/http/timer.rs
@@ -3,6 +3,7 @@
 use std::{
     fmt::{self, Debug, Formatter},
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll},
     time::{Duration, Instant},
 };
@@ -10,13 +11,29 @@
 use hyper::rt::{Sleep, Timer};
 use tokio::{task::yield_now, time};
 
+/// A limit on silence that may change while a peer is silent.
+pub trait SilenceLimit: Debug + Send + Sync {
+    /// Returns how long a peer may be silent by now.
+    fn current(&self) -> Duration;
+}
+
 /// Timer of the HTTP library for limits on silence.
 ///
 /// A process that stood still learns that a time is over before it hears of the bytes that came in that time. So the
 /// runtime polls the system once more before a time counts as over. See
 /// `docs/incidents/2026-12-06-lost-pinto-ruam.md`.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct SilenceTimer;
+#[derive(Clone, Debug, Default)]
+pub struct SilenceTimer {
+    /// Lengthens the times that the library asks for, if it is longer.
+    limit: Option<Arc<dyn SilenceLimit>>,
+}
+
+impl SilenceTimer {
+    /// Creates a timer whose times last at least as long as a limit says when they end.
+    pub fn with_limit(limit: Arc<dyn SilenceLimit>) -> Self {
+        Self { limit: Some(limit) }
+    }
+}
 
 impl Timer for SilenceTimer {
     fn sleep(&self, duration: Duration) -> Pin<Box<dyn Sleep>> {
@@ -24,8 +41,22 @@
     }
 
     fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn Sleep>> {
+        let (limit, begun_at) = (self.limit.clone(), self.now());
+        let end = move || {
+            limit
+                .as_ref()
+                .map_or(deadline, |limit| deadline.max(begun_at + limit.current()))
+        };
         let sleeping = async move {
-            time::sleep_until(deadline.into()).await;
+            let mut ends_at = deadline;
+            loop {
+                time::sleep_until(ends_at.into()).await;
+                let current = end();
+                if current <= ends_at {
+                    break;
+                }
+                ends_at = current;
+            }
             yield_now().await;
         };
         Box::pin(SilenceSleep(Box::pin(sleeping)))
