--- a/crates/standins/src/harness/source_proxy.rs
+++ b/crates/standins/src/harness/source_proxy.rs
@@ -53,6 +53,13 @@
         });
     }
 
+    /// Heals the cut of one client.
+    pub fn heal_one(&self, client: IpAddr) {
+        self.cuts.send_modify(|cuts| {
+            cuts.remove(&client);
+        });
+    }
+
     /// Heals all cuts.
     pub fn heal(&self) {
         self.cuts.send_modify(BTreeMap::clear);
