--- a/crates/mustardgate-relay/src/gateway/listener.rs
+++ b/crates/mustardgate-relay/src/gateway/listener.rs
@@ -1,21 +1,30 @@
 //! Accepts callers' connections.
 
-use std::{convert::Infallible, net::IpAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::IpAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
+use hyper_util::rt::TokioIo;
+use mustardgate::{
+    events,
+    http::{SilenceLimit, SilenceTimer, catch_panic, close_listener, drive_connection},
 };
-use mustardgate::events;
+use mustardgate_core::relay::CallerLimits;
 use slog::o;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Semaphore,
     time,
 };
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::{RelayBody, misdirected::refuse_misdirected};
+use super::{
+    RelayBody, answer::LocalAnswer, body::caller_limits, connection::ConnectionEnd, misdirected::refuse_misdirected,
+};
 use crate::{
     client::{names_target, tune_socket},
     context::RelayContext,
@@ -45,6 +54,21 @@
     pub handler: H,
 }
 
+/// Longest silence of a caller between two requests and within a head, by the configuration in force.
+#[derive(Debug)]
+struct IdleLimit(Arc<RelayContext>);
+
+impl SilenceLimit for IdleLimit {
+    fn current(&self) -> Duration {
+        longest_silence(&caller_limits(&self.0))
+    }
+}
+
+/// Returns the longest silence of a caller; the HTTP library has one limit for idle time and heads.
+fn longest_silence(limits: &CallerLimits) -> Duration {
+    limits.idle_timeout.max(limits.header_timeout)
+}
+
 /// Serves connections until the node closes its listeners, then finishes the requests in flight and returns.
 pub async fn serve_callers<H, F>(context: Arc<RelayContext>, listener: CallerListener<H>)
 where
@@ -52,11 +76,13 @@
     F: Future<Output = Response<RelayBody>> + Send + 'static,
 {
     let CallerListener { listener, handler } = listener;
-    let graceful = GracefulShutdown::new();
+    let connections = TaskTracker::new();
+    let last_read = CancellationToken::new();
     let slots = Arc::new(Semaphore::new(
         (context.settings.node.max_descriptors / CALLER_DESCRIPTOR_DIVISOR) as usize,
     ));
     let closing = context.drain.closing();
+    let serve = |stream, address| serve_connection(Arc::clone(&context), stream, address, handler, last_read.clone());
     loop {
         let slot = tokio::select! {
             slot = Arc::clone(&slots).acquire_owned() => slot.expect("the semaphore is never closed"),
@@ -69,9 +95,8 @@
         };
         match accepted {
             Ok((stream, address)) => {
-                let address = CallerAddress(address.ip());
-                let connection = serve_connection(Arc::clone(&context), stream, address, handler, &graceful);
-                tokio::spawn(async move {
+                let connection = serve(stream, CallerAddress(address.ip()));
+                connections.spawn(async move {
                     connection.await;
                     drop(slot);
                 });
@@ -82,10 +107,18 @@
             }
         }
     }
-    drop(listener);
+    // The queue is short, so its connections need no slots.
+    for stream in close_listener(listener) {
+        // A caller that has left already has no address.
+        if let Ok(address) = stream.peer_addr() {
+            connections.spawn(serve(stream, CallerAddress(address.ip())));
+        }
+    }
     // Requests that have arrived on connections accepted last are still read; closing those connections would reset them.
     time::sleep(LAST_READ_TIME).await;
-    graceful.shutdown().await;
+    last_read.cancel();
+    connections.close();
+    connections.wait().await;
 }
 
 fn serve_connection<H, F>(
@@ -93,7 +126,7 @@
     stream: TcpStream,
     address: CallerAddress,
     handler: H,
-    graceful: &GracefulShutdown,
+    closing: CancellationToken,
 ) -> impl Future<Output = ()> + use<H, F>
 where
     H: Fn(Arc<RelayContext>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
@@ -101,33 +134,37 @@
 {
     tune_socket(&stream);
     let own_address = stream.local_addr().ok();
-    let limits = context
-        .routes
-        .current()
-        .map(|active| active.config.limits)
-        .unwrap_or_default();
+    let limits = caller_limits(&context);
+    let idle_limit = Arc::new(IdleLimit(Arc::clone(&context)));
+    let end = ConnectionEnd::new(Arc::clone(&context));
+    let served = end.served();
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(address);
         let context = Arc::clone(&context);
+        served.fetch_add(1, Ordering::Relaxed);
         async move {
             let misdirected_to = own_address.filter(|own| names_target(request.headers(), *own));
-            Ok::<_, Infallible>(match misdirected_to {
-                Some(address) => refuse_misdirected(&context, request, address).await,
-                None => handler(context, request).await,
-            })
+            if let Some(address) = misdirected_to {
+                return Ok(refuse_misdirected(&context, request, address).await);
+            }
+            let answering = handler(Arc::clone(&context), request);
+            let answer = catch_panic(answering, "handler", context.log.logger()).await;
+            // The request may have run, whatever failed.
+            Ok::<_, Infallible>(answer.unwrap_or_else(|| LocalAnswer::Uncertain { is_timeout: false }.into_response()))
         }
     });
     let mut builder = http1::Builder::new();
     builder
-        .timer(TokioTimer::new())
-        // The library applies this timeout to the idle time before the next request as well.
-        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
+        // Callers keep idle connections by the last limit that they know, which may be longer than that of the beginning.
+        .timer(SilenceTimer::with_limit(idle_limit))
+        .header_read_timeout(longest_silence(&limits))
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .max_headers(MAX_HEADERS);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
-    let watched = graceful.watch(connection);
     async move {
-        // A caller that disconnects is not an error of the node; its request was dropped with the connection.
-        drop(watched.await);
+        let driving = drive_connection(connection, closing);
+        if let Some(ended) = catch_panic(driving, "connection", end.logger()).await {
+            end.record(&ended);
+        }
     }
 }
--- a/crates/mustardgate/src/http/mod.rs
+++ b/crates/mustardgate/src/http/mod.rs
@@ -2,7 +2,10 @@
 
 mod answer;
 mod client;
+mod connection;
+mod queue;
 mod server;
+mod timer;
 
 pub(crate) use self::client::{json_request, plain_request};
 pub use self::{
@@ -10,5 +13,8 @@
         AnswerBody, BodyError, bytes_answer, collect_body, empty_answer, json_answer, streamed_answer, text_answer,
     },
     client::{CallError, CallLimits, HttpClient, HttpReply, StreamReply},
+    connection::{catch_panic, drive_connection},
+    queue::close_listener,
     server::{ConnectionLimits, serve_connections},
+    timer::{SilenceLimit, SilenceTimer},
 };
--- a/crates/mustardgate/src/http/server.rs
+++ b/crates/mustardgate/src/http/server.rs
@@ -1,27 +1,26 @@
 //! Accepts connections and serves them until the shutdown.
 
-use std::{convert::Infallible, error::Error, pin::pin, sync::Arc, time::Duration};
+use std::{convert::Infallible, error::Error, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures::FutureExt;
 use hyper::{
     Request, Response,
     body::{Body, Incoming},
     service::service_fn,
 };
 use hyper_util::{
-    rt::{TokioExecutor, TokioIo, TokioTimer},
+    rt::{TokioExecutor, TokioIo},
     server::conn::auto::Builder,
 };
 use slog::{Logger, o};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore},
-    task::unconstrained,
     time,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
+use super::{SilenceTimer, catch_panic, close_listener, drive_connection};
 use crate::events;
 
 /// Pause after a failed accept, which is usually caused by a lack of file descriptors.
@@ -65,7 +64,7 @@
         };
         match accepted {
             Ok((stream, slot)) => {
-                let connection = serve_connection(stream, handler.clone(), limits, closing.clone());
+                let connection = serve_connection(stream, handler.clone(), limits, closing.clone(), logger.clone());
                 connections.spawn(async move {
                     connection.await;
                     drop(slot);
@@ -77,14 +76,18 @@
             }
         }
     }
-    // The system has accepted these connections, and their requests may already have been sent; closing the listener
-    // would reset them. The queue is short, so they need no slots.
-    while let Some(Ok((stream, _))) = unconstrained(listener.accept()).now_or_never() {
+    // The queue is short, so its connections need no slots.
+    for stream in close_listener(listener) {
         // Without the option answers are slower, but whole.
         drop(stream.set_nodelay(true));
-        connections.spawn(serve_connection(stream, handler.clone(), limits, closing.clone()));
+        connections.spawn(serve_connection(
+            stream,
+            handler.clone(),
+            limits,
+            closing.clone(),
+            logger.clone(),
+        ));
     }
-    drop(listener);
     time::sleep(LAST_READ_TIME).await;
     closing.cancel();
     connections.close();
@@ -101,8 +104,13 @@
     Ok((stream, slot))
 }
 
-async fn serve_connection<H, F, B>(stream: TcpStream, handler: H, limits: ConnectionLimits, closing: CancellationToken)
-where
+async fn serve_connection<H, F, B>(
+    stream: TcpStream,
+    handler: H,
+    limits: ConnectionLimits,
+    closing: CancellationToken,
+    logger: Logger,
+) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
@@ -115,18 +123,11 @@
     let mut builder = Builder::new(TokioExecutor::new());
     builder
         .http1()
-        .timer(TokioTimer::new())
+        .timer(SilenceTimer::default())
         .header_read_timeout(limits.head_timeout)
         .max_headers(PARSER_MAX_HEADERS);
-    builder.http2().timer(TokioTimer::new());
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
-    // The connection is polled first, so that a request that has arrived is read before the connection counts as idle.
-    // Errors are ignored: a client that closes the connection is no failure of the node, and the request's own task
-    // notices it.
-    tokio::select! {
-        biased;
-        _ = connection.as_mut() => return,
-        () = closing.cancelled() => connection.as_mut().graceful_shutdown(),
-    }
-    drop(connection.await);
+    builder.http2().timer(SilenceTimer::default());
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    // A client that closes the connection is no failure of the node, and the request's own task notices it.
+    drop(catch_panic(drive_connection(connection, closing), "connection", &logger).await);
 }
