Say why each repeated attempt was made, and what the retry budget rests on

Callers saw nothing of it. After a report that repeats piled up beyond the budget, nothing in the logs told which attempts were repeats, what a node's share had allowed and spent, or on which number of nodes its floor rested.

New counts: mustardgate_relay_repeats_sent_total by sort (a retry or a continued stream), mustardgate_relay_attempts_followed_total by what followed.

--- a/crates/mustardgate-core/src/relay/budget.rs
+++ b/crates/mustardgate-core/src/relay/budget.rs
@@ -18,6 +18,15 @@
     pub window: Duration,
 }
 
+/// What a share allows in the window that ends now, and what of it was spent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ShareUsage {
+    /// Retries that were spent.
+    pub spent: usize,
+    /// Retries that may be spent in all, with the fraction that is left over.
+    pub allowed: f64,
+}
+
 /// Limits the retries for one service by the requests counted over a sliding window.
 ///
 /// The budget applies to the sum over all nodes. A node that spends at most the ratio of its own requests respects it
@@ -51,6 +60,15 @@
         self.requests.push_back(now);
     }
 
+    /// Returns what is allowed and spent in the window that ends now.
+    pub fn usage(&mut self, now: Instant) -> ShareUsage {
+        self.drop_expired(now);
+        ShareUsage {
+            spent: self.retries.len(),
+            allowed: self.settings.ratio * self.requests.len() as f64 + self.settings.floor,
+        }
+    }
+
     fn drop_expired(&mut self, now: Instant) {
         let is_expired = |at: &Instant| now.saturating_duration_since(*at) > self.settings.window;
         while self.requests.front().is_some_and(is_expired) {
@@ -64,9 +82,8 @@
 
 impl RetryAllowance for RetryShare {
     fn spend(&mut self, now: Instant) -> bool {
-        self.drop_expired(now);
-        let allowed = self.settings.ratio * self.requests.len() as f64 + self.settings.floor;
-        if self.retries.len() as f64 + 1.0 > allowed {
+        let usage = self.usage(now);
+        if usage.spent as f64 + 1.0 > usage.allowed {
             return false;
         }
         self.retries.push_back(now);
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -40,7 +40,7 @@
     answer_head::{AnswerKind, AnswerStage, HeadFacts, HeadVerdict},
     backlog::BacklogEstimate,
     brittle::{BrittleLedger, BrittleService, BrittleStatement, deal_places},
-    budget::{BudgetSettings, RetryShare},
+    budget::{BudgetSettings, RetryShare, ShareUsage},
     catalogue::{CatalogueChange, ListedRunner, RunnerCatalogue, RunnerObservation, RunnerState},
     config::{
         CallerLimits, EngineProfile, ModelProfile, RelayConfig, RelayRoute, RelayService, RepeatPolicy, RouteTable,
--- a/crates/mustardgate-core/src/retry/plan.rs
+++ b/crates/mustardgate-core/src/retry/plan.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Returns the number of attempts that were begun and not withdrawn.
+    pub fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
     /// Records an attempt that is about to be sent, or returns `false` when it must not be sent.
     ///
     /// A non-idempotent request has at most one attempt in flight, and none after one that may have run.
--- a/crates/mustardgate-relay/src/context/budgets.rs
+++ b/crates/mustardgate-relay/src/context/budgets.rs
@@ -8,7 +8,7 @@
 
 use mustardgate_core::{
     ids::ServiceId,
-    relay::{BudgetSettings, RetryShare},
+    relay::{BudgetSettings, RetryShare, ShareUsage},
     retry::RetryAllowance,
 };
 
@@ -61,6 +61,11 @@
         ServiceAllowance { budgets: self, service }
     }
 
+    /// Returns what this node's share of a service allows and has spent in the window that ends now.
+    pub fn usage(&self, now: Instant, service: &ServiceId) -> ShareUsage {
+        self.with_share(service, |share| share.usage(now))
+    }
+
     fn with_share<T>(&self, service: &ServiceId, action: impl FnOnce(&mut RetryShare) -> T) -> T {
         let mut shares = self.lock();
         let share = shares
--- a/crates/mustardgate-relay/src/gateway/buffered.rs
+++ b/crates/mustardgate-relay/src/gateway/buffered.rs
@@ -15,10 +15,11 @@
 use super::{
     answer::{RelayBody, full_body},
     attempt::{OpenAnswer, ReceivedRequest},
-    exchange::{MIN_ATTEMPT_TIME, record_runner_answer},
+    exchange::record_runner_answer,
     failure::AttemptError,
     grace::STOP_REASON,
     headers::remove_hop_by_hop_headers,
+    retries::MIN_ATTEMPT_TIME,
     stream::StreamRelay,
 };
 use crate::{fleet::AttemptOutcome, link::lost_answer};
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -1,9 +1,6 @@
 //! Handling of one request, from its head to its answer.
 
-use std::{
-    sync::{Arc, atomic::AtomicBool},
-    time::Duration,
-};
+use std::sync::{Arc, atomic::AtomicBool};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -18,7 +15,7 @@
     clock,
     ids::RequestId,
     relay::{AnswerStage, RefusalCause, RelayRequest},
-    retry::{AttemptFailure, AttemptPlan, NextStep, NoRetries, PlanSettings, RetryAllowance},
+    retry::{AttemptPlan, NextStep, PlanSettings},
 };
 use rand::Rng;
 use slog::o;
@@ -33,13 +30,11 @@
     grace::{StopCandidate, check_grace},
     origin::{find_version, service_of},
     path::ResumePoint,
+    retries::{MIN_ATTEMPT_TIME, count_repeat, log_failure, next_step},
     trace::{RequestStep, RequestTrace},
 };
 use crate::context::RelayContext;
 
-/// Shortest time before the deadline in which another attempt is still made.
-pub(super) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
-
 /// Answers one request of a caller.
 pub async fn answer_caller(context: Arc<RelayContext>, request: Request<Incoming>) -> Response<RelayBody> {
     let received_at = clock::now();
@@ -196,7 +191,7 @@
             Err(error) => error,
         };
         let step = next_step(&received, &mut plan, &error);
-        log_failure(&received, &error, &step);
+        log_failure(&received, &plan, &error, &step);
         match step {
             NextStep::RetryElsewhere { excluded } => tried = excluded,
             NextStep::AwaitOther | NextStep::GiveUp { .. } => {
@@ -231,81 +226,9 @@
         after: None,
         may_follow: plan.allows_another(clock::now(), MIN_ATTEMPT_TIME),
     };
-    received.open(&pick, &resume).await
-}
-
-/// Decides what follows a failed attempt; another one is paid from the budget of the service.
-pub(super) fn next_step(received: &ReceivedRequest, plan: &mut AttemptPlan, error: &AttemptError) -> NextStep {
-    next_step_within(plan, error, &mut received.allowance())
-}
-
-/// Decides what follows a failed attempt; another one is paid from the allowance.
-pub(super) fn next_step_within(
-    plan: &mut AttemptPlan,
-    error: &AttemptError,
-    allowance: &mut dyn RetryAllowance,
-) -> NextStep {
-    let Some(backend) = error.backend.clone() else {
-        return NextStep::GiveUp {
-            verdict: plan.verdict(),
-            retry_after: Duration::ZERO,
-        };
-    };
-    if error.is_withheld {
-        let step = plan.withdraw_attempt();
-        // Neither this node nor another one reaches the runners, so no other runner is tried.
-        return if error.cause == RefusalCause::RunnersUnreachable {
-            NextStep::GiveUp {
-                verdict: plan.verdict(),
-                retry_after: Duration::ZERO,
-            }
-        } else {
-            step
-        };
-    }
-    let failure = AttemptFailure {
-        verdict: error.verdict,
-        backend,
-        retry_after: None,
-        answer_time: MIN_ATTEMPT_TIME,
-    };
-    if error.is_fatal {
-        return plan.fail_attempt(clock::now(), &failure, &mut NoRetries);
-    }
-    plan.fail_attempt(clock::now(), &failure, allowance)
-}
-
-impl ReceivedRequest {
-    /// Returns this node's share of the retry budget of the service.
-    pub(super) fn allowance(&self) -> impl RetryAllowance + use<'_> {
-        let nodes = self.context.directory.largest_node_count();
-        self.context.budgets.allowance(&self.service, nodes)
-    }
-}
-
-pub(super) fn log_failure(received: &ReceivedRequest, error: &AttemptError, step: &NextStep) {
-    counter!("mustardgate_relay_attempts_failed_total", "reason" => error.reason.to_string()).increment(1);
-    let values = o!(
-        "follows" => if matches!(step, NextStep::RetryElsewhere { .. }) { "retry" } else { "give_up" },
-        "verdict" => error.verdict.to_string(),
-        "reason" => error.reason.to_string(),
-        "cause" => error.cause.to_string(),
-        "caller_digest" => received.digests.from_caller.to_string(),
-        "digest" => received.digests.content.to_string(),
-        "backend" => error.backend.as_deref().unwrap_or("none").to_owned(),
-        "model" => model_text(&received.request),
-        "service" => received.service.to_string(),
-    );
-    received
-        .context
-        .log
-        .write(events::RELAY_ATTEMPT_FAILED, &received.request.id, values);
-}
-
-/// Returns the name of the requested model, for logs.
-fn model_text(request: &RelayRequest) -> String {
-    let name = request.model.as_ref();
-    name.map_or_else(|| "none".to_owned(), |name| name.to_text().to_string())
+    let opened = received.open(&pick, &resume).await;
+    count_repeat(plan, &resume, &opened);
+    opened
 }
 
 fn refusal(context: &RelayContext, cause: RefusalCause) -> LocalAnswer {
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod origin;
 mod path;
 mod places;
+mod retries;
 mod stream;
 mod trace;
 
--- a/crates/mustardgate-relay/src/gateway/origin.rs
+++ b/crates/mustardgate-relay/src/gateway/origin.rs
@@ -19,7 +19,7 @@
 use slog::o;
 use tokio::time;
 
-use super::{answer::LocalAnswer, attempt::ReceivedRequest, exchange::MIN_ATTEMPT_TIME};
+use super::{answer::LocalAnswer, attempt::ReceivedRequest, retries::MIN_ATTEMPT_TIME};
 use crate::{
     context::RelayContext,
     peers::{OriginReport, ask_origin},
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -25,11 +25,12 @@
     answer::{BrokenAnswer, RelayBody},
     attempt::{OpenAnswer, ReceivedRequest},
     buffered::{closes_connection, keep_alive_timeout},
-    exchange::{MIN_ATTEMPT_TIME, log_failure, next_step, next_step_within, record_runner_answer},
+    exchange::record_runner_answer,
     failure::AttemptError,
     grace::STOP_REASON,
     headers::remove_hop_by_hop_headers,
     path::ResumePoint,
+    retries::{MIN_ATTEMPT_TIME, count_repeat, log_failure, next_step, next_step_within},
     trace::{RequestStep, RequestTrace},
 };
 use crate::{fleet::AttemptOutcome, link::lost_answer};
@@ -281,7 +282,7 @@
     /// dropped only then.
     async fn go_on(&mut self, mut step: NextStep, mut error: AttemptError, version: &SoftwareVersion) -> bool {
         loop {
-            log_failure(&self.received, &error, &step);
+            log_failure(&self.received, &self.plan, &error, &step);
             let NextStep::RetryElsewhere { excluded } = step else {
                 return false;
             };
@@ -322,7 +323,9 @@
             after: self.progress.last().cloned(),
             may_follow: self.plan.allows_another(clock::now(), MIN_ATTEMPT_TIME),
         };
-        self.received.open(&pick, &resume).await
+        let opened = self.received.open(&pick, &resume).await;
+        count_repeat(&self.plan, &resume, &opened);
+        opened
     }
 
     fn log_resumed(&self, open: &OpenAnswer, version_before: &SoftwareVersion) {
