--- a/crates/mustardgate-core/tests/retry.rs
+++ b/crates/mustardgate-core/tests/retry.rs
@@ -159,4 +159,54 @@
         }
         prop_assert!(may_have_run <= 1);
     }
+    // Guards against BUDGET breaks by attempts that are withdrawn, moved over a cut link, or dropped for the one before them.
+    #[test]
+    fn a_request_reaches_no_more_runners_than_its_route_allows(
+        is_idempotent in any::<bool>(),
+        max_attempts in 1_u32..5,
+        fates in prop::collection::vec(0_u8..6, 1..40),
+    ) {
+        let start = Instant::now();
+        let mut plan = AttemptPlan::new(PlanSettings {
+            is_idempotent,
+            deadline: start + Duration::from_secs(1),
+            max_attempts,
+        });
+        let mut budget = RetryBudget::new(RetryLimits { retries_per_success: 0.0, max_balance: 1e3 });
+        let mut reached = 0_u32;
+        let mut has_open_answer = false;
+        for (number, fate) in fates.into_iter().enumerate() {
+            if has_open_answer {
+                // The next attempt begins while the answer before it stays open over a link that seems to be cut.
+                let step = plan.fail_attempt(start, &failure(RunVerdict::MayHaveRun), &mut budget);
+                has_open_answer = matches!(step, NextStep::RetryElsewhere { .. });
+                if !has_open_answer {
+                    break;
+                }
+            }
+            if !plan.begin_attempt(&format!("runner-{number}").as_str().into()) {
+                break;
+            }
+            let step = match fate {
+                // Not sent: the runner left, states a limit, or no other node can pass the request on.
+                0 | 1 => plan.withdraw_attempt(),
+                2 | 3 => {
+                    reached += 1;
+                    let verdict = if fate == 2 { RunVerdict::NotRun } else { RunVerdict::MayHaveRun };
+                    plan.fail_attempt(start, &failure(verdict), &mut budget)
+                }
+                // Its answer begins; or it is dropped, because the answer before it went on.
+                _ => {
+                    reached += 1;
+                    has_open_answer = true;
+                    continue;
+                }
+            };
+            prop_assert!(reached <= plan.attempts());
+            if !matches!(step, NextStep::RetryElsewhere { .. }) && !has_open_answer {
+                break;
+            }
+        }
+        prop_assert!(reached <= max_attempts, "{reached} of {max_attempts}");
+    }
 }
