Let a node's part of the fixed retries grow over the first window in which it knows the number of nodes

Cause: each process took its part of the fixed retries at once. It did not know what the process before it had spent in the same window; a new leader tells the first nodes that it leads 1, 2, 3 nodes, so each of them divided the fixed retries by that; and without a leader each node took one retry, however many nodes there are.

The part grows from nothing over one window, from the first number of nodes that the process was told.

The tests call known_node_count now instead of largest_node_count; what they check is unchanged.

--- a/crates/mustardgate-core/src/relay/budget.rs
+++ b/crates/mustardgate-core/src/relay/budget.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use super::NodeCount;
 use crate::retry::RetryAllowance;
 
 /// Settings of [`RetryShare`].
@@ -27,6 +28,19 @@
     pub allowed: f64,
 }
 
+/// Returns a node's part of the retries that all nodes together have in each window regardless of their requests.
+///
+/// A process does not know what the one before it spent, and a new leader has heard of few nodes. So the part grows from
+/// nothing over the first window in which the number of nodes is known: however often a node restarts within a window, its
+/// processes together spend at most twice the part.
+pub fn share_floor(fixed_retries: f64, window: Duration, count: NodeCount) -> f64 {
+    if count.nodes == 0 || window.is_zero() {
+        return 0.0;
+    }
+    let grown = count.known_for.as_secs_f64() / window.as_secs_f64();
+    fixed_retries / f64::from(count.nodes) * grown.min(1.0)
+}
+
 /// Limits the retries for one service by the requests counted over a sliding window.
 ///
 /// The budget applies to the sum over all nodes. A node that spends at most the ratio of its own requests respects it
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -19,6 +19,7 @@
 mod inputs;
 mod link;
 mod load;
+mod node_count;
 mod permits;
 mod planner;
 mod prefix;
@@ -40,7 +41,7 @@
     answer_head::{AnswerKind, AnswerStage, HeadFacts, HeadVerdict},
     backlog::BacklogEstimate,
     brittle::{BrittleLedger, BrittleService, BrittleStatement, deal_places},
-    budget::{BudgetSettings, RetryShare, ShareUsage},
+    budget::{BudgetSettings, RetryShare, ShareUsage, share_floor},
     catalogue::{CatalogueChange, ListedRunner, RunnerCatalogue, RunnerObservation, RunnerState},
     config::{
         CallerLimits, EngineProfile, ModelProfile, RelayConfig, RelayRoute, RelayService, RepeatPolicy, RouteTable,
@@ -54,6 +55,7 @@
     inputs::{InputId, PartId, RequestContent, RequestDigest},
     link::LinkMonitor,
     load::{LoadEstimate, ReportedLoad},
+    node_count::{NodeCount, NodeCountHistory},
     permits::{PermitIssuer, PermitSchedule},
     planner::{OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
     prefix::PrefixIndex,
--- a/crates/mustardgate-relay/src/context/budgets.rs
+++ b/crates/mustardgate-relay/src/context/budgets.rs
@@ -8,7 +8,7 @@
 
 use mustardgate_core::{
     ids::ServiceId,
-    relay::{BudgetSettings, RetryShare, ShareUsage},
+    relay::{BudgetSettings, NodeCount, RetryShare, ShareUsage, share_floor},
     retry::RetryAllowance,
 };
 
@@ -17,11 +17,9 @@
 /// Fraction of the configured ratio that is used, because whoever checks the budget counts over windows that are not
 /// aligned with those of this node.
 const RATIO_FACTOR: f64 = 0.6;
-/// Fraction of the fixed retries that is divided among the nodes, because during a network partition the nodes of each
-/// of the two sides divide it among themselves.
+/// Fraction of the fixed retries that is divided among the nodes. During a network partition the nodes of each of the two
+/// sides divide it among themselves; and nodes that restart may spend their parts twice in one window.
 const FIXED_RETRIES_FACTOR: f64 = 0.5;
-/// Retries of a node in one window while the number of nodes is not known.
-const DEFAULT_FLOOR: f64 = 1.0;
 
 /// Retry budget shares by service.
 #[derive(Debug)]
@@ -37,7 +35,7 @@
         Self {
             settings: BudgetSettings {
                 ratio: bounds.retry_budget_ratio * RATIO_FACTOR,
-                floor: DEFAULT_FLOOR,
+                floor: 0.0,
                 window: Duration::from_secs_f64(bounds.budget_window_s),
             },
             fixed_retries: bounds.retry_budget_extra * FIXED_RETRIES_FACTOR,
@@ -50,13 +48,9 @@
         self.with_share(service, |share| share.record_request(now));
     }
 
-    /// Returns the retry allowance of a service for an attempt plan. `nodes` is the number of nodes that divide the
-    /// fixed retries, or 0 if it is not known.
-    pub fn allowance<'a>(&'a self, service: &'a ServiceId, nodes: u32) -> impl RetryAllowance + 'a {
-        let floor = match nodes {
-            0 => DEFAULT_FLOOR,
-            nodes => self.fixed_retries / f64::from(nodes),
-        };
+    /// Returns the retry allowance of a service for an attempt plan, if `count` nodes divide the fixed retries.
+    pub fn allowance<'a>(&'a self, service: &'a ServiceId, count: NodeCount) -> impl RetryAllowance + 'a {
+        let floor = share_floor(self.fixed_retries, self.settings.window, count);
         self.with_share(service, |share| share.set_floor(floor));
         ServiceAllowance { budgets: self, service }
     }
--- a/crates/mustardgate-relay/src/gateway/retries.rs
+++ b/crates/mustardgate-relay/src/gateway/retries.rs
@@ -64,8 +64,8 @@
 impl ReceivedRequest {
     /// Returns this node's share of the retry budget of the service.
     pub(super) fn allowance(&self) -> impl RetryAllowance + use<'_> {
-        let nodes = self.context.directory.largest_node_count();
-        self.context.budgets.allowance(&self.service, nodes)
+        let count = self.context.directory.known_node_count();
+        self.context.budgets.allowance(&self.service, count)
     }
 }
 
@@ -92,8 +92,10 @@
         NextStep::GiveUp { .. } | NextStep::AwaitOther => "give_up",
     };
     counter!("mustardgate_relay_attempts_followed_total", "by" => follows).increment(1);
+    let count = received.context.directory.known_node_count();
     let values = o!(
-        "nodes" => received.context.directory.largest_node_count(),
+        "nodes_known_ms" => count.known_for.as_millis() as u64,
+        "nodes" => count.nodes,
         "budget_allowed" => usage.allowed,
         "budget_spent" => usage.spent,
         "is_link_cut" => received.context.link.is_cut(),
--- a/crates/mustardgate-relay/src/peers/directory.rs
+++ b/crates/mustardgate-relay/src/peers/directory.rs
@@ -10,7 +10,11 @@
     time::{Duration, Instant},
 };
 
-use mustardgate_core::{clock, ids::DomainId, relay::NodeMember};
+use mustardgate_core::{
+    clock,
+    ids::DomainId,
+    relay::{NodeCount, NodeCountHistory, NodeMember},
+};
 use rand::seq::IteratorRandom;
 
 use super::members::{MemberList, digest};
@@ -20,9 +24,6 @@
 /// Time for which changes are read from the log after the feeder has refused to pass them on.
 const FEEDER_SUSPENSION: Duration = Duration::from_secs(2);
 
-/// Time for which a larger number of nodes is remembered: at least this, and at most twice as long.
-const COUNT_MEMORY: Duration = Duration::from_secs(30);
-
 /// Addresses of other nodes.
 #[derive(Debug, Default)]
 pub struct PeerDirectory {
@@ -31,7 +32,7 @@
     last_contacts: Mutex<BTreeMap<SocketAddr, NodeContact>>,
     members: Mutex<MemberList>,
     node_count: AtomicU32,
-    count_history: Mutex<CountHistory>,
+    count_history: Mutex<NodeCountHistory>,
     /// Nodes that leaders told of, the latest last.
     told: Mutex<VecDeque<SocketAddr>>,
     feeder: Mutex<FeederChoice>,
@@ -48,14 +49,6 @@
 /// Largest number of nodes that are remembered from what leaders told.
 const MAX_TOLD: usize = 16;
 
-/// Largest numbers of nodes in the current period of [`COUNT_MEMORY`] and in the one before.
-#[derive(Debug, Default)]
-struct CountHistory {
-    period_since: Option<Instant>,
-    current: u32,
-    previous: u32,
-}
-
 #[derive(Debug, Default)]
 struct FeederChoice {
     address: Option<SocketAddr>,
@@ -199,23 +192,19 @@
     /// Sets the number of nodes according to the leader.
     pub fn set_node_count(&self, nodes: u32) {
         self.node_count.store(nodes, Ordering::Relaxed);
-        let now = clock::now();
         let mut history = self.count_history.lock().expect("no holder of the lock panics");
-        let is_over = |since: Instant| now.saturating_duration_since(since) >= COUNT_MEMORY;
-        if history.period_since.is_none_or(is_over) {
-            history.previous = history.current;
-            history.current = 0;
-            history.period_since = Some(now);
-        }
-        history.current = history.current.max(nodes);
+        history.record(clock::now(), nodes);
+    }
+
+    /// Returns the largest number of nodes according to the leaders of the last while, and for how long one is known.
+    pub fn known_node_count(&self) -> NodeCount {
+        let history = self.count_history.lock().expect("no holder of the lock panics");
+        history.largest(clock::now())
     }
 
     /// Returns the largest number of nodes according to the leaders of the last while, or 0 if unknown.
-    ///
-    /// A new leader knows only the nodes that have called it, and a leader that is cut off only those on its side.
     pub fn largest_node_count(&self) -> u32 {
-        let history = self.count_history.lock().expect("no holder of the lock panics");
-        history.current.max(history.previous)
+        self.known_node_count().nodes
     }
 
     /// Returns the number of nodes according to the leader, or 0 if unknown.
--- a/crates/mustardgate-relay/tests/budgets.rs
+++ b/crates/mustardgate-relay/tests/budgets.rs
@@ -136,8 +136,8 @@
     fn retry(&mut self) {
         let now = clock::now();
         for node in self.nodes.iter().flatten() {
-            let nodes = node.directory.largest_node_count();
-            while node.budgets.allowance(&self.service, nodes).spend(now) {
+            let count = node.directory.known_node_count();
+            while node.budgets.allowance(&self.service, count).spend(now) {
                 self.retries.push(now);
             }
         }
