Count a retry until a later one cannot arrive in the same window

Callers saw "repeats piled up beyond what is allowed" around moments at which all runners of a service were silent for a second.

Cause: a share counts a retry when it is decided on, runners when it arrives. A runner that says nothing for up to two seconds reads at their end what was sent meanwhile, so retries of two windows of a share, ten seconds apart, arrive in one. The class: a limit on a rate that is kept at one end of a queue and checked at the other.

A retry now counts for the window and the longest silence of a sound peer (LONGEST_SILENCE, by which connections are kept as well); requests count for the window as before.

BudgetSettings has a field more; the existing tests of the share set it to zero, and check what they did.

--- a/crates/mustardgate-core/src/relay/budget.rs
+++ b/crates/mustardgate-core/src/relay/budget.rs
@@ -17,6 +17,8 @@
     pub floor: f64,
     /// Length of the sliding window.
     pub window: Duration,
+    /// Longest time between the decision on a retry and its arrival at a runner.
+    pub arrival_spread: Duration,
 }
 
 /// What a share allows in the window that ends now, and what of it was spent.
@@ -84,13 +86,10 @@
     }
 
     fn drop_expired(&mut self, now: Instant) {
-        let is_expired = |at: &Instant| now.saturating_duration_since(*at) > self.settings.window;
-        while self.requests.front().is_some_and(is_expired) {
-            self.requests.pop_front();
-        }
-        while self.retries.front().is_some_and(is_expired) {
-            self.retries.pop_front();
-        }
+        let window = self.settings.window;
+        drop_older(&mut self.requests, now, window);
+        // Of two retries that arrive in one window, the first may have been decided on earlier by the spread.
+        drop_older(&mut self.retries, now, window + self.settings.arrival_spread);
     }
 }
 
@@ -104,3 +103,9 @@
         true
     }
 }
+
+fn drop_older(times: &mut VecDeque<Instant>, now: Instant, age: Duration) {
+    while times.front().is_some_and(|at| now.saturating_duration_since(*at) > age) {
+        times.pop_front();
+    }
+}
--- a/crates/mustardgate-core/tests/relay/budget.rs
+++ b/crates/mustardgate-core/tests/relay/budget.rs
@@ -12,6 +12,7 @@
         ratio: 0.2,
         floor: 1.0,
         window: Duration::from_secs(10),
+        arrival_spread: Duration::ZERO,
     })
 }
 
@@ -42,3 +43,17 @@
         .sum();
     assert_eq!(granted, 50);
 }
+
+#[test]
+fn a_retry_counts_until_a_later_one_cannot_arrive_in_the_same_window() {
+    let start = Instant::now();
+    let mut share = RetryShare::new(BudgetSettings {
+        ratio: 0.2,
+        floor: 1.0,
+        window: Duration::from_secs(10),
+        arrival_spread: Duration::from_secs(2),
+    });
+    assert!(share.spend(start));
+    assert!(!share.spend(start + Duration::from_millis(11_900)));
+    assert!(share.spend(start + Duration::from_millis(12_100)));
+}
--- a/crates/mustardgate-relay/src/client/connection.rs
+++ b/crates/mustardgate-relay/src/client/connection.rs
@@ -29,7 +29,7 @@
 };
 
 /// Time for which a sound peer may be silent and then go on.
-const LONGEST_SILENCE: Duration = Duration::from_secs(2);
+pub const LONGEST_SILENCE: Duration = Duration::from_secs(2);
 /// Idle time before the first keep-alive probe, and between probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which unacknowledged data or keep-alive probes close a connection, because no reset arrives during a network
--- a/crates/mustardgate-relay/src/client/mod.rs
+++ b/crates/mustardgate-relay/src/client/mod.rs
@@ -6,7 +6,7 @@
 mod target;
 
 pub use self::{
-    connection::{RunnerConnection, SendFailure, connect_runner, tune_socket},
+    connection::{LONGEST_SILENCE, RunnerConnection, SendFailure, connect_runner, tune_socket},
     pool::{ConnectionPool, PoolSettings, TakenConnection},
     target::{PeerKind, names_target, no_runner_answer},
 };
--- a/crates/mustardgate-relay/src/context/budgets.rs
+++ b/crates/mustardgate-relay/src/context/budgets.rs
@@ -12,7 +12,7 @@
     retry::RetryAllowance,
 };
 
-use crate::settings::BoundSettings;
+use crate::{client::LONGEST_SILENCE, settings::BoundSettings};
 
 /// Fraction of the configured ratio that is used, because whoever checks the budget counts over windows that are not
 /// aligned with those of this node.
@@ -37,6 +37,7 @@
                 ratio: bounds.retry_budget_ratio * RATIO_FACTOR,
                 floor: 0.0,
                 window: Duration::from_secs_f64(bounds.budget_window_s),
+                arrival_spread: LONGEST_SILENCE,
             },
             fixed_retries: bounds.retry_budget_extra * FIXED_RETRIES_FACTOR,
             shares: Mutex::default(),
