Share rate limits by a number of nodes only once it is settled

Callers saw nothing yet; runners with a rate limit would turn requests away. Found while looking for the cause of the retry budget elsewhere.

Cause: while no leader answers, nodes divide a runner's limit by the largest number of nodes that they were told. Nodes that have just restarted know only the 1, 2, 3 nodes of which a new leader had heard.

A number that is known for less than the time for which contact counts is now as good as none, so the node divides by the number that the system is designed for. The older of the two accessors goes, since nothing else used it.

--- a/crates/mustardgate-core/src/relay/node_count.rs
+++ b/crates/mustardgate-core/src/relay/node_count.rs
@@ -14,6 +14,13 @@
     pub known_for: Duration,
 }
 
+impl NodeCount {
+    /// Returns the number if one is known for at least this time, so that a new leader has heard of all nodes; else 0.
+    pub fn settled(self, time: Duration) -> u32 {
+        if self.known_for < time { 0 } else { self.nodes }
+    }
+}
+
 /// Remembers the numbers of nodes that leaders tell.
 ///
 /// A new leader knows only the nodes that have called it, and a leader that is cut off only those on its side, so the
--- a/crates/mustardgate-relay/src/leader/permits.rs
+++ b/crates/mustardgate-relay/src/leader/permits.rs
@@ -38,7 +38,7 @@
         PermitAnswer::Issued => Ok(()),
         PermitAnswer::Refused(delay) => Err(delay),
         PermitAnswer::NotLeading => {
-            let nodes = context.directory.largest_node_count();
+            let nodes = context.directory.settled_node_count();
             context.limits.use_slot(&request.limit, nodes)
         }
     };
--- a/crates/mustardgate-relay/src/peers/directory.rs
+++ b/crates/mustardgate-relay/src/peers/directory.rs
@@ -202,9 +202,10 @@
         history.largest(clock::now())
     }
 
-    /// Returns the largest number of nodes according to the leaders of the last while, or 0 if unknown.
-    pub fn largest_node_count(&self) -> u32 {
-        self.known_node_count().nodes
+    /// Returns the largest number of nodes of the last while, or 0 unless one is known for long enough that a leader which
+    /// had just begun has heard of all nodes.
+    pub fn settled_node_count(&self) -> u32 {
+        self.known_node_count().settled(CONTACT_TIMEOUT)
     }
 
     /// Returns the number of nodes according to the leader, or 0 if unknown.
--- a/crates/mustardgate-relay/tests/permits.rs
+++ b/crates/mustardgate-relay/tests/permits.rs
@@ -27,7 +27,7 @@
         let mut used = 0;
         while clock::now() < ends_at {
             for (number, (directory, schedule)) in nodes.iter_mut().enumerate() {
-                let count = match directory.largest_node_count() {
+                let count = match directory.settled_node_count() {
                     0 => DESIGN_NODE_COUNT,
                     count => count,
                 };
