Keep a node to one retry until the number of nodes is settled

Callers saw "repeats piled up beyond what is allowed" on three deployments. Not shown to be the cause there; found by a simulation.

Cause: a new leader tells the first nodes that it leads 1, 2, 3 nodes, so nodes that restart together divided the fixed retries by that, and each took a large part. The class: a part of a common limit taken by a process that does not know the others yet.

A node now has at most one retry, besides the ratio of its own requests, until it has known a number for two reports to the leader.

--- a/crates/mustardgate-core/src/relay/budget.rs
+++ b/crates/mustardgate-core/src/relay/budget.rs
@@ -30,17 +30,22 @@
     pub allowed: f64,
 }
 
+/// Retries of a node in one window while no settled number of nodes is known.
+const MAX_UNSETTLED_FLOOR: f64 = 1.0;
+
 /// Returns a node's part of the retries that all nodes together have in each window regardless of their requests.
 ///
-/// A process does not know what the one before it spent, and a new leader has heard of few nodes. So the part grows from
-/// nothing over the first window in which the number of nodes is known: however often a node restarts within a window, its
-/// processes together spend at most twice the part.
-pub fn share_floor(fixed_retries: f64, window: Duration, count: NodeCount) -> f64 {
-    if count.nodes == 0 || window.is_zero() {
-        return 0.0;
+/// A new leader has heard of few nodes, so the part is at most one retry until a number is known for `settling_time`.
+pub fn share_floor(fixed_retries: f64, count: NodeCount, settling_time: Duration) -> f64 {
+    let part = match count.nodes {
+        0 => MAX_UNSETTLED_FLOOR,
+        nodes => fixed_retries / f64::from(nodes),
+    };
+    if count.known_for < settling_time {
+        part.min(MAX_UNSETTLED_FLOOR)
+    } else {
+        part
     }
-    let grown = count.known_for.as_secs_f64() / window.as_secs_f64();
-    fixed_retries / f64::from(count.nodes) * grown.min(1.0)
 }
 
 /// Limits the retries for one service by the requests counted over a sliding window.
--- a/crates/mustardgate-relay/src/context/budgets.rs
+++ b/crates/mustardgate-relay/src/context/budgets.rs
@@ -12,7 +12,7 @@
     retry::RetryAllowance,
 };
 
-use crate::{client::LONGEST_SILENCE, settings::BoundSettings};
+use crate::{client::LONGEST_SILENCE, peers::REPORT_INTERVAL, settings::BoundSettings};
 
 /// Fraction of the configured ratio that is used, because whoever checks the budget counts over windows that are not
 /// aligned with those of this node.
@@ -20,6 +20,8 @@
 /// Fraction of the fixed retries that is divided among the nodes. During a network partition the nodes of each of the two
 /// sides divide it among themselves; and nodes that restart may spend their parts twice in one window.
 const FIXED_RETRIES_FACTOR: f64 = 0.5;
+/// Time after which a new leader has heard of all nodes that know it: each has reported twice.
+const SETTLING_TIME: Duration = REPORT_INTERVAL.saturating_mul(2);
 
 /// Retry budget shares by service.
 #[derive(Debug)]
@@ -51,7 +53,7 @@
 
     /// Returns the retry allowance of a service for an attempt plan, if `count` nodes divide the fixed retries.
     pub fn allowance<'a>(&'a self, service: &'a ServiceId, count: NodeCount) -> impl RetryAllowance + 'a {
-        let floor = share_floor(self.fixed_retries, self.settings.window, count);
+        let floor = share_floor(self.fixed_retries, count, SETTLING_TIME);
         self.with_share(service, |share| share.set_floor(floor));
         ServiceAllowance { budgets: self, service }
     }
--- a/crates/mustardgate-relay/src/peers/digests.rs
+++ b/crates/mustardgate-relay/src/peers/digests.rs
@@ -14,7 +14,7 @@
 use crate::context::RelayContext;
 
 /// Time between two reports of demand.
-const REPORT_INTERVAL: Duration = Duration::from_millis(700);
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Time after a crash in which further ones are put into the same report.
 const CRASH_BATCH_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/mustardgate-relay/src/peers/mod.rs
+++ b/crates/mustardgate-relay/src/peers/mod.rs
@@ -21,7 +21,7 @@
 
 pub use self::{
     client::{MAX_MESSAGE_TIME, PeerClient},
-    digests::DigestTask,
+    digests::{DigestTask, REPORT_INTERVAL},
     directory::PeerDirectory,
     feed::FeedLimiter,
     log::NeighbourLog,
--- a/crates/mustardgate-relay/tests/budgets.rs
+++ b/crates/mustardgate-relay/tests/budgets.rs
@@ -19,6 +19,9 @@
 /// Longest time between the decision on a retry and its arrival: a sound runner may say nothing for so long.
 const LONGEST_SILENCE: Duration = Duration::from_secs(2);
 const NODE_COUNTS: [usize; 5] = [7, 9, 59, 77, 360];
+/// Numbers of nodes below and above the retries that the rule allows without requests.
+const FEW_NODES: [usize; 2] = [7, 9];
+const MANY_NODES: [usize; 3] = [59, 77, 360];
 
 fn bounds() -> BoundSettings {
     BoundSettings {
@@ -173,9 +176,18 @@
 
 // Guards against floors that nodes take before the leader has heard of all of them, and once more after a restart.
 #[tokio::test(start_paused = true)]
-async fn retries_stay_within_the_rule_when_all_nodes_restart() {
+async fn retries_stay_within_the_rule_when_all_of_few_nodes_restart() {
+    check_restart_of_all(&FEW_NODES).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn retries_stay_within_the_rule_when_all_of_many_nodes_restart() {
+    check_restart_of_all(&MANY_NODES).await;
+}
+
+async fn check_restart_of_all(node_counts: &[usize]) {
     let mut excesses = BTreeMap::new();
-    for node_count in NODE_COUNTS {
+    for node_count in node_counts.iter().copied() {
         for downtime_ms in [300, 2_000] {
             let mut fleet = SimulatedFleet::new(node_count, 10.0);
             fleet.pass(WINDOW * 4, false).await;
@@ -216,9 +228,18 @@
 
 // Guards against a floor for each of many nodes that have not heard of a leader.
 #[tokio::test(start_paused = true)]
-async fn retries_stay_within_the_rule_while_no_node_leads() {
+async fn retries_of_few_nodes_stay_within_the_rule_while_no_node_leads() {
+    check_without_leader(&FEW_NODES).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn retries_of_many_nodes_stay_within_the_rule_while_no_node_leads() {
+    check_without_leader(&MANY_NODES).await;
+}
+
+async fn check_without_leader(node_counts: &[usize]) {
     let mut excesses = BTreeMap::new();
-    for node_count in NODE_COUNTS {
+    for node_count in node_counts.iter().copied() {
         let mut fleet = SimulatedFleet::new(node_count, 10.0);
         fleet.leader = None;
         fleet.pass(WINDOW * 3, true).await;
