--- a/crates/mustardgate-core/src/relay/budget.rs
+++ b/crates/mustardgate-core/src/relay/budget.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use super::NodeCount;
 use crate::retry::RetryAllowance;
 
 /// Settings of [`RetryShare`].
@@ -16,6 +17,35 @@
     pub floor: f64,
     /// Length of the sliding window.
     pub window: Duration,
+    /// Longest time between the decision on a retry and its arrival at a runner.
+    pub arrival_spread: Duration,
+}
+
+/// What a share allows in the window that ends now, and what of it was spent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ShareUsage {
+    /// Retries that were spent.
+    pub spent: usize,
+    /// Retries that may be spent in all, with the fraction that is left over.
+    pub allowed: f64,
+}
+
+/// Retries of a node in one window while no settled number of nodes is known.
+const MAX_UNSETTLED_FLOOR: f64 = 1.0;
+
+/// Returns a node's part of the retries that all nodes together have in each window regardless of their requests.
+///
+/// A new leader has heard of few nodes, so the part is at most one retry until a number is known for `settling_time`.
+pub fn share_floor(fixed_retries: f64, count: NodeCount, settling_time: Duration) -> f64 {
+    let part = match count.nodes {
+        0 => MAX_UNSETTLED_FLOOR,
+        nodes => fixed_retries / f64::from(nodes),
+    };
+    if count.known_for < settling_time {
+        part.min(MAX_UNSETTLED_FLOOR)
+    } else {
+        part
+    }
 }
 
 /// Limits the retries for one service by the requests counted over a sliding window.
@@ -51,25 +81,36 @@
         self.requests.push_back(now);
     }
 
-    fn drop_expired(&mut self, now: Instant) {
-        let is_expired = |at: &Instant| now.saturating_duration_since(*at) > self.settings.window;
-        while self.requests.front().is_some_and(is_expired) {
-            self.requests.pop_front();
-        }
-        while self.retries.front().is_some_and(is_expired) {
-            self.retries.pop_front();
+    /// Returns what is allowed and spent in the window that ends now.
+    pub fn usage(&mut self, now: Instant) -> ShareUsage {
+        self.drop_expired(now);
+        ShareUsage {
+            spent: self.retries.len(),
+            allowed: self.settings.ratio * self.requests.len() as f64 + self.settings.floor,
         }
     }
+
+    fn drop_expired(&mut self, now: Instant) {
+        let window = self.settings.window;
+        drop_older(&mut self.requests, now, window);
+        // Of two retries that arrive in one window, the first may have been decided on earlier by the spread.
+        drop_older(&mut self.retries, now, window + self.settings.arrival_spread);
+    }
 }
 
 impl RetryAllowance for RetryShare {
     fn spend(&mut self, now: Instant) -> bool {
-        self.drop_expired(now);
-        let allowed = self.settings.ratio * self.requests.len() as f64 + self.settings.floor;
-        if self.retries.len() as f64 + 1.0 > allowed {
+        let usage = self.usage(now);
+        if usage.spent as f64 + 1.0 > usage.allowed {
             return false;
         }
         self.retries.push_back(now);
         true
     }
 }
+
+fn drop_older(times: &mut VecDeque<Instant>, now: Instant, age: Duration) {
+    while times.front().is_some_and(|at| now.saturating_duration_since(*at) > age) {
+        times.pop_front();
+    }
+}
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod origin;
 mod path;
 mod places;
+mod retries;
 mod stream;
 mod trace;
 
