End a stream's move once its former runner is reached again

What callers see: nothing new. A stream that moves away from a link taken for cut keeps its former answer until the new one brings an event.

Cause: after the head of the new answer nothing looked at the former runner again. The class is an irreversible step in reverse: two holders without an end to the doubt.

While a move waits for its first event, the former runner is asked each 100 ms over a new connection; once it answers, the move is abandoned and the former answer awaited. An abandoned move keeps its true reason (broken, foreign or overlong events may be tried at a third runner, a crash is noted), only an end without events says that nobody has more, and that holds until the answer is heard of again. Event 603 names abandoned moves as followed by the former answer, not as a spent budget.

--- a/crates/mustardgate-relay/src/gateway/retries.rs
+++ b/crates/mustardgate-relay/src/gateway/retries.rs
@@ -80,10 +80,9 @@
     counter!("mustardgate_relay_repeats_sent_total", "sort" => sort).increment(1);
 }
 
+/// Counts and logs a failed attempt, and what follows it.
 pub(super) fn log_failure(received: &ReceivedRequest, plan: &AttemptPlan, error: &AttemptError, step: &NextStep) {
-    counter!("mustardgate_relay_attempts_failed_total", "reason" => error.reason.to_string()).increment(1);
     let now = clock::now();
-    let usage = received.context.budgets.usage(now, &received.service);
     let is_paid = !error.is_withheld && !error.is_fatal && error.backend.is_some();
     let follows = match step {
         NextStep::RetryElsewhere { .. } => "retry",
@@ -91,7 +90,18 @@
         NextStep::GiveUp { .. } if is_paid && plan.allows_another(now, MIN_ATTEMPT_TIME) => "budget_spent",
         NextStep::GiveUp { .. } | NextStep::AwaitOther => "give_up",
     };
+    log_attempt(received, plan, error, follows);
+}
+
+/// Counts and logs an attempt that was abandoned for the answer before it, which is awaited further.
+pub(super) fn log_abandoned(received: &ReceivedRequest, plan: &AttemptPlan, error: &AttemptError) {
+    log_attempt(received, plan, error, "former_answer");
+}
+
+fn log_attempt(received: &ReceivedRequest, plan: &AttemptPlan, error: &AttemptError, follows: &'static str) {
+    counter!("mustardgate_relay_attempts_failed_total", "reason" => error.reason.to_string()).increment(1);
     counter!("mustardgate_relay_attempts_followed_total", "by" => follows).increment(1);
+    let usage = received.context.budgets.usage(clock::now(), &received.service);
     let count = received.context.directory.known_node_count();
     let values = o!(
         "nodes_known_ms" => count.known_for.as_millis() as u64,
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream/mod.rs
@@ -1,5 +1,7 @@
 //! Answers that are event streams, passed on event by event and resumed at another runner where the route allows it.
 
+mod moves;
+
 use std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -14,7 +16,7 @@
 use mustardgate_core::{
     clock,
     relay::{AnswerStage, EndVerdict, EventSplitter, EventVerdict, SoftwareVersion, StreamKey, StreamProgress},
-    retry::{AttemptPlan, NextStep, NoRetries, PrepaidRetry, RetryAllowance},
+    retry::{AttemptPlan, NextStep},
     verdict::RunVerdict,
 };
 use slog::o;
@@ -30,7 +32,7 @@
     grace::STOP_REASON,
     headers::remove_hop_by_hop_headers,
     path::ResumePoint,
-    retries::{MIN_ATTEMPT_TIME, count_repeat, log_failure, next_step, next_step_within},
+    retries::{MIN_ATTEMPT_TIME, count_repeat, log_failure, next_step},
     trace::{RequestStep, RequestTrace},
 };
 use crate::{fleet::AttemptOutcome, link::lost_answer};
@@ -51,8 +53,8 @@
     progress: StreamProgress,
     /// Whether the current answer held what is not the rest of the stream, behind events that were still to be passed on.
     has_foreign: bool,
-    /// Whether another runner had no event to go on with while this one was not heard of.
-    is_moved_in_vain: bool,
+    /// Whether another runner had no event left to go on with since the current one was last heard of.
+    has_no_successor: bool,
     status: hyper::StatusCode,
 }
 
@@ -71,7 +73,7 @@
             open: Some(open),
             splitter: EventSplitter::default(),
             is_sound: false,
-            is_moved_in_vain: false,
+            has_no_successor: false,
             status,
         };
         let frames = stream::unfold(relay, |mut relay| async move {
@@ -106,7 +108,7 @@
             let link = &self.received.context.link;
             let is_direct = open.helper.is_none();
             let may_move =
-                is_direct && !self.is_moved_in_vain && self.plan.allows_another(clock::now(), MIN_ATTEMPT_TIME);
+                is_direct && !self.has_no_successor && self.plan.allows_another(clock::now(), MIN_ATTEMPT_TIME);
             let request = &self.received.request.id;
             let awaited = is_direct.then(|| link.await_answer());
             let frame = tokio::select! {
@@ -130,6 +132,7 @@
                     if is_direct {
                         link.record_contact(false);
                     }
+                    self.has_no_successor = false;
                     if let Ok(data) = frame.into_data() {
                         self.splitter.push(&data);
                     }
@@ -178,6 +181,7 @@
 
     /// Prepares for the answer of another runner.
     fn begin_answer(&mut self) {
+        self.has_no_successor = false;
         self.splitter = EventSplitter::default();
         self.progress.begin_answer();
         self.has_foreign = false;
@@ -246,80 +250,6 @@
         false
     }
 
-    /// Goes on at another runner while the answer of the current one does not come over a cut link. The current one is
-    /// awaited further if nobody else has an event to go on with, or if it is heard of first. Returns the next events, as far
-    /// as there are any; `None` if both fail.
-    async fn move_elsewhere(&mut self) -> Option<Bytes> {
-        if !self.received.allowance().spend(clock::now()) {
-            return Some(Bytes::new());
-        }
-        let mut current = self.open.take()?;
-        let listed = current.ticket.cell().listed();
-        let error = AttemptError::at_runner(&listed.id, RunVerdict::MayHaveRun, "link_cut");
-        let mut paid = PrepaidRetry::default();
-        let step = next_step_within(&mut self.plan, &error, &mut paid);
-        let (splitter, progress) = (self.splitter.clone(), self.progress.clone());
-        let (mut has_moved, mut heard) = (false, None);
-        {
-            let mut moving = std::pin::pin!(self.go_on(step, error, &listed.version));
-            tokio::select! {
-                moved = &mut moving => has_moved = moved,
-                frame = current.body.frame() => match frame {
-                    Some(Err(_)) => return moving.await.then(Bytes::new),
-                    frame => heard = frame.and_then(Result::ok),
-                },
-            }
-        }
-        if has_moved {
-            // All events may have come before the silence, and another runner then has none to go on with.
-            tokio::select! {
-                events = self.first_events() => match events {
-                    Some(events) => return Some(events),
-                    None => self.is_moved_in_vain = true,
-                },
-                frame = current.body.frame() => match frame {
-                    Some(Err(_)) => return Some(Bytes::new()),
-                    frame => heard = frame.and_then(Result::ok),
-                },
-            }
-            self.abandon_move();
-        }
-        (self.splitter, self.progress, self.has_foreign) = (splitter, progress, false);
-        if let Some(data) = heard.and_then(|frame| frame.into_data().ok()) {
-            self.splitter.push(&data);
-        }
-        self.open = Some(current);
-        Some(self.take_events())
-    }
-
-    /// Returns the first events of an answer; `None` if it ends without any, or cannot be the rest of the stream.
-    async fn first_events(&mut self) -> Option<Bytes> {
-        loop {
-            let time_left = self.received.time_left();
-            let open = self.open.as_mut()?;
-            let frame = time::timeout(time_left, open.body.frame()).await.ok()??.ok()?;
-            if let Ok(data) = frame.into_data() {
-                self.splitter.push(&data);
-            }
-            let events = self.take_events();
-            if !events.is_empty() {
-                return Some(events);
-            }
-            if self.has_foreign || self.splitter.is_overlong() {
-                return None;
-            }
-        }
-    }
-
-    /// Ends the attempt of a move whose answer is not needed, or is of no use.
-    fn abandon_move(&mut self) {
-        let Some(open) = self.open.take() else { return };
-        let backend = &open.ticket.cell().listed().id;
-        let error = AttemptError::at_runner(backend, RunVerdict::MayHaveRun, "move_abandoned");
-        let step = next_step_within(&mut self.plan, &error, &mut NoRetries);
-        log_failure(&self.received, &error, &step);
-    }
-
     /// Opens the rest of the stream at another runner if the next step allows it; the answer before it, if still open, is
     /// dropped only then.
     async fn go_on(&mut self, mut step: NextStep, mut error: AttemptError, version: &SoftwareVersion) -> bool {
--- a/crates/mustardgate-relay/src/link/lost.rs
+++ b/crates/mustardgate-relay/src/link/lost.rs
@@ -21,6 +21,8 @@
 
 /// Time without a byte over a cut link after which other nodes are asked, and time between two rounds.
 const STALL_LIMIT: Duration = Duration::from_millis(300);
+/// Time between two checks of a runner whose stream another one is about to continue. Both work on it meanwhile.
+const REACH_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of the question, which leads through one other node to the runner and back.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest number of other nodes that are asked in a round.
@@ -47,6 +49,16 @@
     }
 }
 
+/// Completes when this node reaches a runner over a new connection.
+pub async fn runner_reached(context: &RelayContext, cell: &RunnerCell) {
+    loop {
+        time::sleep(REACH_CHECK_INTERVAL).await;
+        if probe_runner(context, cell).await {
+            return;
+        }
+    }
+}
+
 /// Returns another node that reaches the runner while this one does not.
 ///
 /// The answers in flight at the same runner share the question.
--- a/crates/mustardgate-relay/src/link/mod.rs
+++ b/crates/mustardgate-relay/src/link/mod.rs
@@ -15,6 +15,6 @@
     forward::{answer_forwarded, is_forwarded},
     headers::{ForwardRefusal, ForwardRequest, ForwardVerdict},
     helpers::{HelperBook, HelperCell, HelperUse},
-    lost::lost_answer,
+    lost::{lost_answer, runner_reached},
     process::{RunnerTarget, connect_runner_process},
 };
