Refusals tell the configuration in force, its age and the log's

A caller that was refused for a route that had just been added left a line that did not say which version the node had, nor whether it had read the log since. So a late version, a route that never existed and a node out of touch looked alike.

The line "request not served" now has the version in force, the time since it came into force, and the time since the log was read for a newer one. "routes in force" says whether the version came from the log, the feeder or a neighbour, and how long its read took. A page knows its origin and age, so the cached time of the last read of the log no longer counts a feeder's page as read now. Metrics: mustardgate_config_version and mustardgate_config_age_seconds.

--- a/crates/mustardgate-core/src/ports/keyed_log.rs
+++ b/crates/mustardgate-core/src/ports/keyed_log.rs
@@ -3,6 +3,7 @@
 use std::{fmt::Debug, time::Duration};
 
 use async_trait::async_trait;
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, format_smolstr};
 use snafu::Snafu;
@@ -54,6 +55,30 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// How a page reached this node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
+pub enum PageSource {
+    /// The log answered this node.
+    #[default]
+    #[display("log")]
+    Log,
+    /// The node that reads the log for others passed on what it knew.
+    #[display("feeder")]
+    Feeder,
+    /// Another node called the log for this one.
+    #[display("neighbour")]
+    Neighbour,
+}
+
+/// Where a page comes from and how old it is, which only the node that received it knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PageOrigin {
+    /// How the page reached this node.
+    pub source: PageSource,
+    /// Time since the log held nothing newer than the page.
+    pub age: Duration,
+}
+
 /// A page of records.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TopicPage {
@@ -64,6 +89,9 @@
     /// Era of the log when it returned the page.
     #[serde(default)]
     pub era: LogEra,
+    /// Where the page comes from.
+    #[serde(skip)]
+    pub origin: PageOrigin,
 }
 
 impl TopicPage {
--- a/crates/mustardgate-core/src/ports/mod.rs
+++ b/crates/mustardgate-core/src/ports/mod.rs
@@ -7,7 +7,8 @@
 pub use self::{
     backends::{EngineControl, EngineOrder, EngineReport, OrderError, ResidentArtifact},
     keyed_log::{
-        ConditionalAppendError, LogEra, LogTopic, TopicError, TopicLog, TopicPage, TopicPosition, TopicRecord,
+        ConditionalAppendError, LogEra, LogTopic, PageOrigin, PageSource, TopicError, TopicLog, TopicPage,
+        TopicPosition, TopicRecord,
     },
     platform::{AppendError, LogEntry, LogPage, PlatformLog, ReadError, VmEntry, VmList, VmListError, VmRole, VmState},
 };
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -9,6 +9,7 @@
 mod observations;
 mod records;
 mod routes;
+mod stamp;
 mod stop;
 mod streams;
 
@@ -37,6 +38,7 @@
     observations::ObservationBuffer,
     records::RecordCache,
     routes::{ActiveRoutes, RouteHolder},
+    stamp::ConfigStamp,
     stop::StopGuard,
     streams::{StreamGuard, StreamNotice},
 };
--- a/crates/mustardgate-relay/src/context/records.rs
+++ b/crates/mustardgate-relay/src/context/records.rs
@@ -8,7 +8,7 @@
 
 use mustardgate_core::{
     ids::Offset,
-    ports::{LogEra, LogTopic, TopicError, TopicPage, TopicPosition, TopicRecord},
+    ports::{LogEra, LogTopic, PageOrigin, TopicError, TopicPage, TopicPosition, TopicRecord},
 };
 use smol_str::SmolStr;
 use tokio::sync::{Notify, futures::Notified};
@@ -37,7 +37,7 @@
 }
 
 impl RecordCache {
-    /// Stores a page that was read at `now`; `is_snapshot` says that it holds the newest record of every key. Returns the
+    /// Stores a page that was received at `now`; `is_snapshot` says that it holds the newest record of every key. Returns the
     /// records that are not older than those known: changes that a snapshot showed already are read again after it.
     pub fn store<'a>(
         &self,
@@ -64,7 +64,8 @@
             cache.records.insert(record.key.clone(), TopicRecord::clone(record));
         }
         cache.next = cache.next.max(page.next);
-        cache.read_at = Some(now);
+        let read_at = now.checked_sub(page.origin.age).unwrap_or(now);
+        cache.read_at = cache.read_at.max(Some(read_at));
         cache.prune_tombstones();
         drop(cache);
         if !page.records.is_empty() {
@@ -89,6 +90,11 @@
         })
     }
 
+    /// Returns the time at which the log was last read for a topic, by this node or for it.
+    pub fn read_at(&self, topic: LogTopic) -> Option<Instant> {
+        self.lock(topic)?.read_at
+    }
+
     /// Returns the changes from a position on, and the time at which the log was last read.
     ///
     /// # Errors
@@ -105,6 +111,7 @@
                 next: cache.next.max(from),
                 records,
                 era: cache.era,
+                origin: PageOrigin::default(),
             };
             (is_same_era && from >= cache.complete_from).then_some((page, read_at))
         });
--- a/crates/mustardgate-relay/src/context/routes.rs
+++ b/crates/mustardgate-relay/src/context/routes.rs
@@ -19,6 +19,8 @@
     pub config: RelayConfig,
     /// Index of its routes.
     pub table: RouteTable,
+    /// Time since which this node has used it.
+    pub in_force_since: Instant,
     urgent_targets: BTreeMap<ServiceId, Duration>,
     stream_lives: StreamLives,
 }
@@ -42,6 +44,7 @@
         }
         Self {
             table: RouteTable::new(&config.routes),
+            in_force_since: clock::now(),
             urgent_targets,
             stream_lives: former_lives.replaced(clock::now(), stream_lives),
             config,
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -10,11 +10,11 @@
     time::{Duration, Instant},
 };
 
-use metrics::counter;
+use metrics::{counter, gauge};
 use mustardgate::events;
 use mustardgate_core::{
     clock,
-    ports::{LogEra, LogTopic, TopicError, TopicPage, TopicPosition, TopicRecord},
+    ports::{LogEra, LogTopic, PageSource, TopicError, TopicPage, TopicPosition, TopicRecord},
     relay::{ListRead, ListedRunner},
 };
 use rand::Rng;
@@ -45,6 +45,15 @@
     Restored,
 }
 
+/// The read that brought a configuration.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConfigRead {
+    /// How the page reached this node.
+    pub source: PageSource,
+    /// Time since the read began.
+    pub elapsed: Duration,
+}
+
 /// Follows one topic.
 #[derive(Debug)]
 pub struct TopicFollower {
@@ -125,8 +134,12 @@
             LogTopic::Configuration => {
                 let is_complete = extent != PageExtent::Changes;
                 let now = self.context.leader.lease_time();
+                let read = ConfigRead {
+                    source: page.origin.source,
+                    elapsed: now.saturating_duration_since(began_at),
+                };
                 for record in self.context.records.store(self.topic, page, is_complete, now) {
-                    apply_configuration(&self.context, record);
+                    apply_configuration(&self.context, record, read);
                 }
             }
             LogTopic::Runners => {
@@ -210,7 +223,7 @@
 }
 
 /// Applies a record of the configuration topic; records under other keys are ignored.
-pub(crate) fn apply_configuration(context: &RelayContext, record: &TopicRecord) {
+pub(crate) fn apply_configuration(context: &RelayContext, record: &TopicRecord, read: ConfigRead) {
     let decoder = &context.ports.decoder;
     let Some(value) = record
         .value
@@ -223,9 +236,16 @@
         Ok(config) => {
             let (version, routes) = (config.version, config.routes.len());
             if context.routes.apply(config) {
+                gauge!("mustardgate_config_version").set(version as f64);
                 events::RELAY_CONFIG_IN_FORCE.write(
                     context.log.logger(),
-                    o!("routes" => routes, "offset" => record.offset, "version" => version),
+                    o!(
+                        "elapsed_ms" => read.elapsed.as_millis() as u64,
+                        "source" => read.source.to_string(),
+                        "routes" => routes,
+                        "offset" => record.offset,
+                        "version" => version,
+                    ),
                 );
             }
         }
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -352,7 +352,11 @@
         LocalAnswer::Refused { retry_after, .. } => retry_after.unwrap_or_default().as_millis() as u64,
         _ => 0,
     };
+    let stamp = context.config_stamp();
     let values = o!(
+        "log_read_ms" => stamp.log_read_ms,
+        "in_force_ms" => stamp.in_force_ms,
+        "version" => stamp.version,
         "retry_after_ms" => retry_after_ms,
         "elapsed_ms" => elapsed.as_millis() as u64,
         "status" => answer.status().as_u16(),
--- a/crates/mustardgate-relay/src/node/seeds.rs
+++ b/crates/mustardgate-relay/src/node/seeds.rs
@@ -3,12 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use mustardgate::events;
+use mustardgate_core::{clock, ports::PageSource};
 use slog::o;
 use tokio::time;
 
 use crate::{
     context::RelayContext,
-    follow::{apply_configuration, replace_runners},
+    follow::{ConfigRead, apply_configuration, replace_runners},
     peers::CachedRecord,
 };
 
@@ -26,6 +27,7 @@
             if context.settings.listen.peers == Some(*seed) {
                 continue;
             }
+            let asked_at = clock::now();
             let Some(cached) = context.peers.records(*seed).await else {
                 continue;
             };
@@ -40,8 +42,12 @@
             if !context.fleet.has_runner() {
                 replace_runners(&context, &runners);
             }
+            let read = ConfigRead {
+                source: PageSource::Neighbour,
+                elapsed: clock::now().saturating_duration_since(asked_at),
+            };
             for record in cached.configuration.into_iter().map(CachedRecord::into_record) {
-                apply_configuration(&context, &record);
+                apply_configuration(&context, &record, read);
             }
         }
     }
--- a/crates/mustardgate-relay/src/peers/log.rs
+++ b/crates/mustardgate-relay/src/peers/log.rs
@@ -12,7 +12,7 @@
 use mustardgate_core::{
     clock,
     ids::Offset,
-    ports::{ConditionalAppendError, LogTopic, TopicError, TopicLog, TopicPage, TopicPosition},
+    ports::{ConditionalAppendError, LogTopic, PageOrigin, PageSource, TopicError, TopicLog, TopicPage, TopicPosition},
 };
 use rand::seq::IndexedRandom;
 use serde_bytes::ByteBuf;
@@ -83,7 +83,11 @@
         let timeout = wait + self.bound.mul_f64(FEEDER_SLACK_SHARE);
         let sent_at = clock::now();
         let reason = match self.peers.read_changes(feeder, &call, timeout).await {
-            Some(Ok((page, age))) if age <= self.bound.mul_f64(FEEDER_AGE_SHARE) => return Some(page),
+            Some(Ok((page, age))) if age <= self.bound.mul_f64(FEEDER_AGE_SHARE) => {
+                let source = PageSource::Feeder;
+                let origin = PageOrigin { source, age };
+                return Some(TopicPage { origin, ..page });
+            }
             Some(Ok(_)) => "stale",
             Some(Err(_)) => "refused",
             None => "no_answer",
@@ -133,8 +137,14 @@
     }
 
     async fn read_through_neighbour(&self, call: &LogCall, error: TopicError) -> Result<TopicPage, TopicError> {
+        let asked_at = clock::now();
         match self.call_neighbour(call).await {
-            Some(LogReply::Page(page)) => page,
+            Some(LogReply::Page(page)) => {
+                let source = PageSource::Neighbour;
+                let age = clock::now().saturating_duration_since(asked_at);
+                let origin = PageOrigin { source, age };
+                page.map(|page| TopicPage { origin, ..page })
+            }
             _ => Err(error),
         }
     }
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -83,6 +83,7 @@
 ) -> Response<AnswerBody> {
     let path = request.uri().path().to_owned();
     if path == METRICS_PATH {
+        context.record_config_age();
         return text_answer(StatusCode::OK, metrics.render());
     }
     let Ok(body) = collect_body(request.into_body(), MAX_MESSAGE_BYTES, MESSAGE_TIMEOUT).await else {
