--- a/crates/standins/src/harness/mod.rs
+++ b/crates/standins/src/harness/mod.rs
@@ -9,6 +9,7 @@
 mod proxy;
 mod scratch;
 mod source_proxy;
+mod thin_link;
 mod usage;
 
 pub use self::{
@@ -19,5 +20,6 @@
     proxy::{FaultProxy, ProxyMode},
     scratch::{ScratchDirectory, free_address},
     source_proxy::{CutLook, LinkCuts, SourceProxy},
+    thin_link::ThinLink,
     usage::ProcessUsage,
 };
