--- a/crates/mustardgate-relay/src/peers/client.rs
+++ b/crates/mustardgate-relay/src/peers/client.rs
@@ -144,6 +144,7 @@
         let limits = CallLimits {
             timeout,
             max_bytes: MAX_ANSWER_BYTES,
+            pace: None,
         };
         match self.client.call_counted(kind, address, request, limits).await {
             Ok(reply) if reply.status.is_success() => decode(&reply.body),
--- a/crates/mustardgate/src/backends/control.rs
+++ b/crates/mustardgate/src/backends/control.rs
@@ -54,6 +54,7 @@
         let limits = CallLimits {
             timeout: self.timeout,
             max_bytes: MAX_REPORT_BYTES,
+            pace: None,
         };
         self.client
             .call_counted(kind, address, request, limits)
--- a/crates/mustardgate/src/gateway/keyed.rs
+++ b/crates/mustardgate/src/gateway/keyed.rs
@@ -8,6 +8,7 @@
     header::{CONTENT_TYPE, HeaderValue},
 };
 use mustardgate_core::{
+    clock,
     idempotency::{KeyId, KeyRefusal, KeyRequest},
     ids::IdempotencyKey,
     log::StoredAnswer,
@@ -135,5 +136,6 @@
         status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
         headers,
         body: Bytes::from(answer.body),
+        head_at: clock::now(),
     }
 }
--- a/crates/mustardgate/src/http/answer.rs
+++ b/crates/mustardgate/src/http/answer.rs
@@ -2,7 +2,7 @@
 
 use std::{convert::Infallible, fmt::Debug, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::{Stream, StreamExt};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
@@ -87,6 +87,50 @@
     answer
 }
 
+/// Time that a body may take beyond the timeout of its call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyPace {
+    /// Longest time without a byte after the timeout.
+    pub stall: Duration,
+    /// Longest time for the whole body.
+    pub total: Duration,
+}
+
+/// Receives a whole body of at most `limit` bytes, after `timeout_at` for as long as bytes keep arriving: the time that a
+/// large body takes says nothing about the sender's health.
+///
+/// # Errors
+/// [`BodyError`] when the body is too long or too slow, or the connection breaks.
+pub async fn collect_steady_body<B>(
+    mut body: B,
+    limit: usize,
+    timeout_at: time::Instant,
+    pace: BodyPace,
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes> + Debug + Unpin,
+{
+    let mut content = BytesMut::new();
+    let ends_at = timeout_at.max(time::Instant::now() + pace.total);
+    loop {
+        let stalls_at = timeout_at.max(time::Instant::now() + pace.stall).min(ends_at);
+        let Ok(frame) = time::timeout_at(stalls_at, body.frame()).await else {
+            return Err(BodyError::TooSlow { timeout: pace.total });
+        };
+        let Some(frame) = frame else {
+            return Ok(content.freeze());
+        };
+        let chunk = frame
+            .map_err(|_error| BodyError::Broken)?
+            .into_data()
+            .unwrap_or_default();
+        if content.len() + chunk.len() > limit {
+            return Err(BodyError::TooLong { limit });
+        }
+        content.extend_from_slice(&chunk);
+    }
+}
+
 /// Receives a whole body of at most `limit` bytes within `timeout`.
 ///
 /// # Errors
--- a/crates/mustardgate/src/http/client.rs
+++ b/crates/mustardgate/src/http/client.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::{IpAddr, SocketAddr},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -16,11 +16,11 @@
     client::legacy::{Client, Error as ClientError, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
-use mustardgate_core::verdict::RunVerdict;
+use mustardgate_core::{clock, verdict::RunVerdict};
 use snafu::Snafu;
 use tokio::time;
 
-use super::answer::{BodyError, collect_body};
+use super::answer::{BodyError, BodyPace, collect_body, collect_steady_body};
 use crate::telemetry::record_control_bytes;
 
 /// Time after which an idle connection is closed, short enough that the server is unlikely to close it first.
@@ -74,6 +74,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Time at which the head had arrived: what the answer says may be that old.
+    pub head_at: Instant,
 }
 
 /// An answer whose body has not been received yet.
@@ -82,10 +84,12 @@
 /// Limits of one call of control traffic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallLimits {
-    /// Timeout for the whole answer.
+    /// Timeout for the whole answer, unless its body has a pace.
     pub timeout: Duration,
     /// Maximum size of the answer's body, in bytes.
     pub max_bytes: usize,
+    /// Time that the body may take beyond the timeout, for answers whose size grows while the link does not.
+    pub pace: Option<BodyPace>,
 }
 
 impl HttpClient {
@@ -151,21 +155,41 @@
         timeout: Duration,
         max_bytes: usize,
     ) -> Result<HttpReply, CallError> {
-        let ends_at = time::Instant::now() + timeout;
-        let reply = self.open(address, request, timeout).await?;
+        let limits = CallLimits {
+            timeout,
+            max_bytes,
+            pace: None,
+        };
+        self.call_limited(address, request, limits).await
+    }
+
+    async fn call_limited(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limits: CallLimits,
+    ) -> Result<HttpReply, CallError> {
+        let ends_at = time::Instant::now() + limits.timeout;
+        let reply = self.open(address, request, limits.timeout).await?;
+        let head_at = clock::now();
         let (head, body) = reply.into_parts();
-        let time_left = ends_at.saturating_duration_since(time::Instant::now());
-        let body = collect_body(body, max_bytes, time_left)
-            .await
-            .map_err(|error| match error {
-                BodyError::TooLong { .. } | BodyError::TooSlow { .. } | BodyError::Broken => {
-                    CallError::BrokenAnswer { address }
-                }
-            })?;
+        let received = match limits.pace {
+            Some(pace) => collect_steady_body(body, limits.max_bytes, ends_at, pace).await,
+            None => {
+                let time_left = ends_at.saturating_duration_since(time::Instant::now());
+                collect_body(body, limits.max_bytes, time_left).await
+            }
+        };
+        let body = received.map_err(|error| match error {
+            BodyError::TooLong { .. } | BodyError::TooSlow { .. } | BodyError::Broken => {
+                CallError::BrokenAnswer { address }
+            }
+        })?;
         Ok(HttpReply {
             status: head.status,
             headers: head.headers,
             body,
+            head_at,
         })
     }
 
@@ -182,7 +206,7 @@
     ) -> Result<HttpReply, CallError> {
         let sent_bytes = request.body().size_hint().exact().unwrap_or_default();
         record_control_bytes(kind, "sent", sent_bytes);
-        let reply = self.call(address, request, limits.timeout, limits.max_bytes).await?;
+        let reply = self.call_limited(address, request, limits).await?;
         record_control_bytes(kind, "received", reply.body.len() as u64);
         Ok(reply)
     }
--- a/crates/mustardgate/src/http/mod.rs
+++ b/crates/mustardgate/src/http/mod.rs
@@ -7,7 +7,8 @@
 pub(crate) use self::client::{json_request, plain_request};
 pub use self::{
     answer::{
-        AnswerBody, BodyError, bytes_answer, collect_body, empty_answer, json_answer, streamed_answer, text_answer,
+        AnswerBody, BodyError, BodyPace, bytes_answer, collect_body, collect_steady_body, empty_answer, json_answer,
+        streamed_answer, text_answer,
     },
     client::{CallError, CallLimits, HttpClient, HttpReply, StreamReply},
     server::{ConnectionLimits, serve_connections},
--- a/crates/mustardgate/src/platform/list.rs
+++ b/crates/mustardgate/src/platform/list.rs
@@ -38,6 +38,7 @@
         let limits = CallLimits {
             timeout: self.timeout,
             max_bytes: MAX_LIST_BYTES,
+            pace: None,
         };
         let reply = self
             .client
--- a/crates/mustardgate/src/platform/log.rs
+++ b/crates/mustardgate/src/platform/log.rs
@@ -39,6 +39,7 @@
         CallLimits {
             timeout: self.timeout,
             max_bytes: MAX_ANSWER_BYTES,
+            pace: None,
         }
     }
 }
