A node that is behind reads the newest configuration next

What callers saw: 404 for routes that a version had added more than 3 s before, on links that a storm of large configurations fills.

Cause: a follower read all versions in a row, although each replaces those before it. Versions that come faster than the link carries them add up, and the newest one comes last.

If the log's answer says that it holds more, the follower reads the newest record of each key next, without a pause. The cache for other nodes goes on from what it knows then: keys that are gone get a tombstone, so that followers at an earlier offset are not refused. Event 662 and mustardgate_config_skips_total tell of it. In calm a version is still one call.

--- a/crates/mustardgate-core/src/ports/keyed_log.rs
+++ b/crates/mustardgate-core/src/ports/keyed_log.rs
@@ -89,6 +89,9 @@
     /// Era of the log when it returned the page.
     #[serde(default)]
     pub era: LogEra,
+    /// Whether the topic held more records than the page when it was read.
+    #[serde(default)]
+    pub is_partial: bool,
     /// Where the page comes from.
     #[serde(skip)]
     pub origin: PageOrigin,
--- a/crates/mustardgate-relay/src/context/records.rs
+++ b/crates/mustardgate-relay/src/context/records.rs
@@ -1,14 +1,14 @@
 //! Cache of the newest record of each key, as read from the log, for other nodes.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Mutex, MutexGuard},
     time::Instant,
 };
 
 use mustardgate_core::{
     ids::Offset,
-    ports::{LogEra, LogTopic, PageOrigin, TopicError, TopicPage, TopicPosition, TopicRecord},
+    ports::{LogEra, LogTopic, TopicError, TopicPage, TopicPosition, TopicRecord},
 };
 use smol_str::SmolStr;
 use tokio::sync::{Notify, futures::Notified};
@@ -50,10 +50,7 @@
             return Vec::new();
         };
         if is_snapshot {
-            cache.records.clear();
-            cache.complete_from = page.next;
-            cache.next = page.next;
-            cache.era = page.era;
+            cache.begin_snapshot(page);
         }
         let is_current = |record: &&TopicRecord| {
             let known = cache.records.get(&record.key);
@@ -111,7 +108,7 @@
                 next: cache.next.max(from),
                 records,
                 era: cache.era,
-                origin: PageOrigin::default(),
+                ..TopicPage::default()
             };
             (is_same_era && from >= cache.complete_from).then_some((page, read_at))
         });
@@ -135,6 +132,28 @@
 }
 
 impl TopicCache {
+    /// Prepares for a page with the newest record of every key. If it goes on from what is known, readers here need not
+    /// read the topic anew: they are told of the keys that it no longer has.
+    fn begin_snapshot(&mut self, page: &TopicPage) {
+        let is_later = self.read_at.is_some() && self.era == page.era && self.next < page.next;
+        if !is_later {
+            *self = Self {
+                complete_from: page.next,
+                next: page.next,
+                era: page.era,
+                ..Self::default()
+            };
+            return;
+        }
+        let listed: BTreeSet<&SmolStr> = page.records.iter().map(|record| &record.key).collect();
+        for (key, record) in &mut self.records {
+            if !listed.contains(key) && record.value.is_some() {
+                record.value = None;
+                record.offset = page.next - 1;
+            }
+        }
+    }
+
     /// Removes the older half of the tombstones once they exceed the limit; readers from an earlier offset then have to
     /// read all records again.
     fn prune_tombstones(&mut self) {
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -27,7 +27,7 @@
 /// Fraction of the shortest bound on taking up a change for which a read waits for records. The log may not wake a read
 /// that arrives while a change is being written, so the read after it must still be in time.
 const WAIT_SHARE: f64 = 0.3;
-/// After records, a follower pauses for the shortest bound on taking up a change divided by this, so that further
+/// After entries of runners, a follower pauses for the shortest bound on taking up a change divided by this, so that further
 /// records are batched into the next answer.
 const BATCH_PAUSE_DIVISOR: u32 = 8;
 /// Pause after the first failed read and longest pause; the pause doubles with each further failure.
@@ -108,9 +108,18 @@
                 };
                 self.next = Some(page.end());
                 self.era = Some(page.era);
-                let is_empty = page.records.is_empty();
                 self.apply_page(&page, extent, began_at);
-                if is_empty { Duration::ZERO } else { self.batch_pause() }
+                if self.topic == LogTopic::Configuration {
+                    if page.is_partial {
+                        self.skip_to_newest(&page);
+                    }
+                    return Duration::ZERO;
+                }
+                if page.records.is_empty() {
+                    Duration::ZERO
+                } else {
+                    self.batch_pause()
+                }
             }
             Err(TopicError::Trimmed { .. } | TopicError::Restored) => {
                 self.next = None;
@@ -120,6 +129,13 @@
         }
     }
 
+    /// Reads the newest records next, instead of those in between, which they replace.
+    fn skip_to_newest(&mut self, page: &TopicPage) {
+        self.next = None;
+        counter!("mustardgate_config_skips_total").increment(1);
+        events::RELAY_CONFIG_BEHIND.write(self.context.log.logger(), o!("next" => page.next));
+    }
+
     /// Returns how long a read waits for records.
     fn wait(&self) -> Duration {
         self.context.settings.bounds.shortest_bound().mul_f64(WAIT_SHARE)
