A read from another node leaves time for a read of the log

What callers saw: 404 for routes added more than the bound ago, at nodes that the leader feeds.

Cause: accepted age (0.45 of the bound), pause (0.125) and a failed read from the feeder (0.45) are bounded one by one and come to more than the bound before the log is read. A feeder whose own read takes long was waited for in full, to be told then that its answer is too old.

Change: the time of a read from the feeder follows from the age of what the node knows, and leaves a quarter of the bound for the log after it (FeedTimes). The feeder answers as soon as what it knows is too old to be accepted.

--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod crashes;
 mod events;
 mod feed;
+mod feed_times;
 mod grace;
 mod health;
 mod inputs;
@@ -49,6 +50,7 @@
     crashes::{CrashDigest, CrashLedger, CrashObservation, CrashSettings, QuarantineNotice, shared_parts},
     events::{EventSplitter, StreamEvent},
     feed::{FeedAllowance, FeedLimits},
+    feed_times::FeedTimes,
     grace::{AnswerTimes, GraceQuery, StopSchedule},
     health::{HealthSettings, OutcomeTracker},
     inputs::{InputId, PartId, RequestContent, RequestDigest},
--- /dev/null
+++ b/crates/mustardgate-core/tests/relay/feed_times.rs
@@ -0,0 +1,45 @@
+//! Tests of the time that a read from another node may take.
+
+use std::time::Duration;
+
+use mustardgate_core::relay::FeedTimes;
+
+const BOUND: Duration = Duration::from_secs(4);
+/// Time that is left for a read of the log.
+const LOG_READ_TIME: Duration = Duration::from_secs(1);
+
+// Guards against waits that add up to more than the bound, each of them within its own share.
+#[test]
+fn a_read_of_the_log_fits_within_the_bound_after_any_read_from_another_node() {
+    for known_ms in 0..4_000 {
+        let known_age = Duration::from_millis(known_ms);
+        let Some(times) = FeedTimes::within(BOUND, known_age) else {
+            continue;
+        };
+        assert!(times.wait <= times.timeout, "{times:?}");
+        assert!(
+            known_age + times.timeout + LOG_READ_TIME <= BOUND,
+            "{known_age:?} {times:?}"
+        );
+    }
+}
+
+#[test]
+fn the_log_is_read_at_once_when_no_time_is_left_for_another_node() {
+    assert_eq!(FeedTimes::within(BOUND, BOUND - LOG_READ_TIME), None);
+}
+
+// Guards against a node that is cut off from the log and asks nobody else.
+#[test]
+fn a_node_that_the_log_has_not_answered_asks_other_nodes() {
+    assert_eq!(
+        FeedTimes::within(BOUND, BOUND),
+        FeedTimes::within(BOUND, Duration::ZERO)
+    );
+}
+
+#[test]
+fn an_answer_of_the_greatest_accepted_age_leaves_time_for_another_read() {
+    let times = FeedTimes::within(BOUND, FeedTimes::max_age(BOUND)).expect("there is time");
+    assert!(!times.wait.is_zero(), "{times:?}");
+}
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod events;
 mod feed;
+mod feed_times;
 mod grace;
 mod inputs;
 mod limited_replicas;
--- a/crates/mustardgate-relay/src/peers/log.rs
+++ b/crates/mustardgate-relay/src/peers/log.rs
@@ -1,6 +1,7 @@
 //! Access to the log through a neighbour, for a node that cannot reach the log itself.
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
@@ -13,6 +14,7 @@
     clock,
     ids::Offset,
     ports::{ConditionalAppendError, LogTopic, PageOrigin, PageSource, TopicError, TopicLog, TopicPage, TopicPosition},
+    relay::FeedTimes,
 };
 use rand::seq::IndexedRandom;
 use serde_bytes::ByteBuf;
@@ -22,11 +24,6 @@
 
 /// Time after a failed call to the log before the node calls it directly again.
 const DIRECT_RETRY_INTERVAL: Duration = Duration::from_millis(900);
-/// Fractions of the time within which a change must be taken up: how long a read from the feeder waits for records, the
-/// extra time until it times out, and the greatest accepted age of its result.
-const FEEDER_WAIT_SHARE: f64 = 0.25;
-const FEEDER_SLACK_SHARE: f64 = 0.2;
-const FEEDER_AGE_SHARE: f64 = 0.45;
 /// Longest time for which a neighbour is asked to wait for records.
 const MAX_NEIGHBOUR_WAIT: Duration = Duration::from_millis(300);
 
@@ -41,6 +38,8 @@
     directory: Arc<PeerDirectory>,
     seeds: Vec<SocketAddr>,
     failed_at: Mutex<Option<Instant>>,
+    /// Time at which the log held nothing newer than what was read of a topic.
+    known_at: Mutex<HashMap<LogTopic, Instant>>,
     /// Shortest time within which a change must be taken up.
     bound: Duration,
     logger: Logger,
@@ -62,6 +61,7 @@
             directory,
             seeds,
             failed_at: Mutex::new(None),
+            known_at: Mutex::default(),
             bound,
             logger,
         }
@@ -69,21 +69,20 @@
 
     /// Reads changes from the feeder, which is the leader, so that not every node calls the log for every change.
     ///
-    /// Wait, timeout and accepted age together stay within the bound on taking up a change, so that no node exceeds the
-    /// bound when the leader or the leader's connection to the log stops responding.
+    /// What was known of the log before, the time of this read and a read of the log after it stay within the bound on
+    /// taking up a change together, when the leader or its connection to the log stops responding.
     async fn read_from_feeder(&self, topic: LogTopic, from: TopicPosition) -> Option<TopicPage> {
         let feeder = self.directory.feeder().filter(|_| topic.is_keyed())?;
-        let wait = self.bound.mul_f64(FEEDER_WAIT_SHARE);
+        let times = FeedTimes::within(self.bound, self.known_age(topic))?;
         let call = LogCall::Changes {
             topic,
             from: from.offset,
-            wait,
+            wait: times.wait,
             era: from.era,
         };
-        let timeout = wait + self.bound.mul_f64(FEEDER_SLACK_SHARE);
         let sent_at = clock::now();
-        let reason = match self.peers.read_changes(feeder, &call, timeout).await {
-            Some(Ok((page, age))) if age <= self.bound.mul_f64(FEEDER_AGE_SHARE) => {
+        let reason = match self.peers.read_changes(feeder, &call, times.timeout).await {
+            Some(Ok((page, age))) if age <= FeedTimes::max_age(self.bound) => {
                 let source = PageSource::Feeder;
                 let origin = PageOrigin { source, age };
                 return Some(TopicPage { origin, ..page });
@@ -110,6 +109,25 @@
         None
     }
 
+    /// Returns the time since the log held nothing newer than what was read of a topic.
+    fn known_age(&self, topic: LogTopic) -> Duration {
+        let known_at = self.known_at.lock().expect("no holder of the lock panics");
+        let known_at = known_at.get(&topic);
+        known_at.map_or(Duration::ZERO, |at| clock::now().saturating_duration_since(*at))
+    }
+
+    /// Records a read of which `page` is the result. A part of what the log held says nothing about the rest.
+    fn record_known(&self, topic: LogTopic, page: &TopicPage) {
+        if page.is_partial {
+            return;
+        }
+        let now = clock::now();
+        let page_at = now.checked_sub(page.origin.age).unwrap_or(now);
+        let mut known_at = self.known_at.lock().expect("no holder of the lock panics");
+        let known_at = known_at.entry(topic).or_insert(page_at);
+        *known_at = page_at.max(*known_at);
+    }
+
     fn is_direct_due(&self) -> bool {
         let failed_at = self.failed_at.lock().expect("no holder of the lock panics");
         failed_at.is_none_or(|at| clock::now().saturating_duration_since(at) >= DIRECT_RETRY_INTERVAL)
@@ -148,15 +166,13 @@
             _ => Err(error),
         }
     }
-}
-
-fn is_answered<T>(outcome: &Result<T, TopicError>) -> bool {
-    !matches!(outcome, Err(TopicError::Unavailable { .. }))
-}
 
-#[async_trait]
-impl TopicLog for NeighbourLog {
-    async fn read(&self, topic: LogTopic, from: TopicPosition, wait: Duration) -> Result<TopicPage, TopicError> {
+    async fn read_from_any(
+        &self,
+        topic: LogTopic,
+        from: TopicPosition,
+        wait: Duration,
+    ) -> Result<TopicPage, TopicError> {
         let has_feeder = self.directory.feeder().is_some() && topic.is_keyed();
         if let Some(page) = self.read_from_feeder(topic, from).await {
             return Ok(page);
@@ -182,7 +198,7 @@
         self.read_through_neighbour(&call, error).await
     }
 
-    async fn newest(&self, topic: LogTopic) -> Result<TopicPage, TopicError> {
+    async fn newest_from_any(&self, topic: LogTopic) -> Result<TopicPage, TopicError> {
         let mut error = TopicError::unavailable("the last call failed");
         if self.is_direct_due() {
             let started_at = clock::now();
@@ -195,6 +211,29 @@
         }
         self.read_through_neighbour(&LogCall::Newest { topic }, error).await
     }
+}
+
+fn is_answered<T>(outcome: &Result<T, TopicError>) -> bool {
+    !matches!(outcome, Err(TopicError::Unavailable { .. }))
+}
+
+#[async_trait]
+impl TopicLog for NeighbourLog {
+    async fn read(&self, topic: LogTopic, from: TopicPosition, wait: Duration) -> Result<TopicPage, TopicError> {
+        let outcome = self.read_from_any(topic, from, wait).await;
+        if let Ok(page) = &outcome {
+            self.record_known(topic, page);
+        }
+        outcome
+    }
+
+    async fn newest(&self, topic: LogTopic) -> Result<TopicPage, TopicError> {
+        let outcome = self.newest_from_any(topic).await;
+        if let Ok(page) = &outcome {
+            self.record_known(topic, page);
+        }
+        outcome
+    }
 
     async fn append_at(
         &self,
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -12,7 +12,7 @@
 };
 use mustardgate_core::{
     ports::{LogTopic, TopicError, TopicPage, TopicPosition},
-    relay::ModelName,
+    relay::{FeedTimes, ModelName},
 };
 use serde_bytes::ByteBuf;
 use tokio::{net::TcpListener, time};
@@ -42,6 +42,8 @@
 const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
 /// Timeout for receiving a message, and longest wait for changes.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time by which a page is older when its age is looked at again.
+const AGE_STEP: Duration = Duration::from_millis(1);
 /// Most connections open at once: one or two for each node of a large deployment.
 const MAX_CONNECTIONS: usize = 1_024;
 /// Time after which an idle connection of another node is closed.
@@ -226,7 +228,8 @@
     encode(&CachedRecords::default())
 }
 
-/// Returns the changes of a topic that this node has read, after waiting up to `wait` for the first one.
+/// Returns the changes of a topic that this node has read, after waiting up to `wait` for the first one, and no longer than
+/// what it knows is recent enough.
 async fn read_changes(
     context: &RelayContext,
     topic: LogTopic,
@@ -234,14 +237,17 @@
     wait: Duration,
 ) -> Result<(TopicPage, Duration), TopicError> {
     let ends_at = time::Instant::now() + wait.min(MESSAGE_TIMEOUT);
+    let max_age = FeedTimes::max_age(context.settings.bounds.shortest_bound());
     loop {
         let changed = context.records.next_change();
         let (page, read_at) = context.records.changes(topic, from)?;
-        if !page.records.is_empty() || time::Instant::now() >= ends_at {
-            let age = context.leader.lease_time().saturating_duration_since(read_at);
+        let age = context.leader.lease_time().saturating_duration_since(read_at);
+        let now = time::Instant::now();
+        if !page.records.is_empty() || now >= ends_at || age > max_age {
             return Ok((page, age));
         }
-        // The next iteration checks by the clock whether the wait is over.
-        let _is_changed = time::timeout_at(ends_at, changed).await.is_ok();
+        // The next iteration checks by the clock whether the wait is over or the page too old by now.
+        let outdated_at = now + (max_age - age) + AGE_STEP;
+        let _is_changed = time::timeout_at(ends_at.min(outdated_at), changed).await.is_ok();
     }
 }
