Answers that a full link refuses are not encoded, and pacing counts as age

Cause: the leader copied and encoded the whole page for each node before it refused it, and took the age of a page before the page waited for its turn, up to a tenth of the bound. So a node could take a page for younger than it was.

Change: the link is asked with the weight of the reply, which is encoded once it is admitted, and the delay is added to the age. The same for the records that a starting node asks for.

--- a/crates/mustardgate-relay/src/peers/messages.rs
+++ b/crates/mustardgate-relay/src/peers/messages.rs
@@ -17,6 +17,9 @@
 use super::part_crashes::PartCrashDigest;
 use crate::context::DemandDigest;
 
+/// Longest encoding of a reply without its records, and of a record without its key and value, in bytes.
+const REPLY_OVERHEAD: usize = 256;
+const RECORD_OVERHEAD: usize = 64;
 /// Path of [`AdapterRequest`].
 pub(super) const ADAPTER_PATH: &str = "/peers/v1/adapters";
 /// Path of [`DemandReport`].
@@ -286,6 +289,33 @@
     }
 }
 
+impl LogReply {
+    /// Returns the size of the encoded reply in bytes or a little more, so that one which is refused is not encoded.
+    pub fn weight(&self) -> usize {
+        match self {
+            Self::Page(Ok(page)) | Self::Changes(Ok((page, _))) => {
+                let records = page.records.iter();
+                let weights = records.map(|record| record_weight(&record.key, record.value.as_deref()));
+                REPLY_OVERHEAD + weights.sum::<usize>()
+            }
+            Self::Page(Err(_)) | Self::Changes(Err(_)) | Self::Appended(_) | Self::Written(_) => REPLY_OVERHEAD,
+        }
+    }
+}
+
+impl CachedRecords {
+    /// Returns the size of the encoded records in bytes or a little more.
+    pub fn weight(&self) -> usize {
+        let records = self.configuration.iter().chain(&self.runners);
+        let weights = records.map(|record| record_weight(&record.key, Some(&record.value)));
+        REPLY_OVERHEAD + weights.sum::<usize>()
+    }
+}
+
+fn record_weight(key: &str, value: Option<&[u8]>) -> usize {
+    RECORD_OVERHEAD + key.len() + value.map_or(0, <[u8]>::len)
+}
+
 pub(super) fn encode<T: Serialize>(message: &T) -> Vec<u8> {
     let mut bytes = Vec::new();
     ciborium::into_writer(message, &mut bytes).expect("messages encode without failure into memory");
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -196,15 +196,16 @@
             LogReply::Written(context.direct_log.append(topic, records).await)
         }
     };
-    let message = encode(&reply);
-    if context.feed.admit(message.len()).await {
-        return Some(message);
-    }
-    let refusal = TopicError::unavailable("the neighbour's link is full");
+    let reserved_at = context.leader.lease_time();
+    let is_admitted = context.feed.admit(reply.weight()).await;
+    let delay = context.leader.lease_time().saturating_duration_since(reserved_at);
+    let refusal = || TopicError::unavailable("the neighbour's link is full");
     Some(encode(&match reply {
-        LogReply::Page(_) => LogReply::Page(Err(refusal)),
-        LogReply::Changes(_) => LogReply::Changes(Err(refusal)),
-        LogReply::Appended(_) | LogReply::Written(_) => reply,
+        LogReply::Page(_) if !is_admitted => LogReply::Page(Err(refusal())),
+        LogReply::Changes(_) if !is_admitted => LogReply::Changes(Err(refusal())),
+        // The page grew older while it waited for its turn on the link.
+        LogReply::Changes(Ok((page, age))) => LogReply::Changes(Ok((page, age + delay))),
+        reply => reply,
     }))
 }
 
@@ -221,9 +222,8 @@
     if !records.configuration.is_empty() {
         records.runners = cached(LogTopic::Runners);
     }
-    let message = encode(&records);
-    if context.feed.admit(message.len()).await {
-        return message;
+    if context.feed.admit(records.weight()).await {
+        return encode(&records);
     }
     encode(&CachedRecords::default())
 }
--- a/crates/mustardgate-relay/tests/messages.rs
+++ b/crates/mustardgate-relay/tests/messages.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use mustardgate_core::{
-    ports::{LogTopic, TopicRecord},
+    ports::{LogTopic, TopicError, TopicPage, TopicRecord},
     relay::{
         CrashDigest, CrashObservation, InputId, LimitObservation, NodeMember, RequestContent, RunnerObservation,
         SoftwareVersion, StreamOrigin,
@@ -11,7 +11,10 @@
 };
 use mustardgate_relay::{
     context::DemandDigest,
-    peers::{CachedRecord, DemandReport, KnowledgeExchange, LeaderAnswer, LogCall, PartCrashDigest, PeerNotice},
+    peers::{
+        CachedRecord, CachedRecords, DemandReport, KnowledgeExchange, LeaderAnswer, LogCall, LogReply, PartCrashDigest,
+        PeerNotice,
+    },
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -273,3 +276,49 @@
     });
     assert!(!is_understood::<EarlierCall>(&read));
 }
+
+// Guards against a link filled by replies that are taken for smaller than they are.
+#[test]
+fn a_reply_is_no_longer_than_its_weight() {
+    let record = |index: u64, value: Option<Vec<u8>>| TopicRecord {
+        offset: u64::MAX - index,
+        key: format!("runner-{index}").into(),
+        value,
+    };
+    let values = [None, Some(Vec::new()), Some(vec![7; 300]), Some(vec![7; 70_000])];
+    let records: Vec<_> = (0..).zip(values).map(|(index, value)| record(index, value)).collect();
+    let cached = CachedRecords {
+        configuration: records.iter().cloned().filter_map(CachedRecord::of).collect(),
+        runners: records.iter().cloned().filter_map(CachedRecord::of).collect(),
+    };
+    assert!(
+        encoded_length(&cached) <= cached.weight(),
+        "{}",
+        encoded_length(&cached)
+    );
+    let page = TopicPage {
+        next: u64::MAX,
+        era: u64::MAX,
+        records,
+        ..TopicPage::default()
+    };
+    let age = Duration::from_nanos(u64::MAX);
+    let refusal = TopicError::unavailable("the neighbour does not have the changes from this offset");
+    let replies = [
+        LogReply::Page(Ok(page.clone())),
+        LogReply::Changes(Ok((page, age))),
+        LogReply::Changes(Ok((TopicPage::default(), age))),
+        LogReply::Page(Err(refusal)),
+        LogReply::Appended(Ok(u64::MAX)),
+    ];
+    for reply in replies {
+        let length = encoded_length(&reply);
+        assert!(length <= reply.weight(), "{length} bytes, weight {}", reply.weight());
+    }
+}
+
+fn encoded_length<T: Serialize>(message: &T) -> usize {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes).expect("the message is encoded");
+    bytes.len()
+}
