After a slow page a node reads the log again instead of its feeder

What callers saw: 404 for routes added more than the bound ago, at nodes with half of a thin link.

Cause: a page that takes long to arrive is old when it is there, and more is likely to have been written since. The node asked the feeder next, which was reading the same over a link as thin, and waited until it was told that the feeder knew no more.

Change: after a page with records that was under way for more than a tenth of the bound, the next read goes to the log. In calm, nodes that are fed read as before.

--- a/crates/mustardgate-core/src/relay/feed_times.rs
+++ b/crates/mustardgate-core/src/relay/feed_times.rs
@@ -8,6 +8,8 @@
 const SLACK_SHARE: f64 = 0.2;
 const AGE_SHARE: f64 = 0.45;
 const LOG_READ_SHARE: f64 = 0.25;
+/// Fraction of it from which on a page of the log counts as slow.
+const SLOW_PAGE_SHARE: f64 = 0.1;
 
 /// Times of one read from another node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,6 +40,11 @@
         })
     }
 
+    /// Returns the time from which on a page of the log was under way for long.
+    pub fn slow_page(bound: Duration) -> Duration {
+        bound.mul_f64(SLOW_PAGE_SHARE)
+    }
+
     /// Returns the greatest age of what another node passes on that is accepted.
     pub fn max_age(bound: Duration) -> Duration {
         bound.mul_f64(AGE_SHARE)
--- a/crates/mustardgate-relay/src/peers/log.rs
+++ b/crates/mustardgate-relay/src/peers/log.rs
@@ -38,13 +38,22 @@
     directory: Arc<PeerDirectory>,
     seeds: Vec<SocketAddr>,
     failed_at: Mutex<Option<Instant>>,
-    /// Time at which the log held nothing newer than what was read of a topic.
-    known_at: Mutex<HashMap<LogTopic, Instant>>,
+    known: Mutex<HashMap<LogTopic, KnownState>>,
     /// Shortest time within which a change must be taken up.
     bound: Duration,
     logger: Logger,
 }
 
+/// What is known of a topic.
+#[derive(Clone, Copy, Debug)]
+struct KnownState {
+    /// Time at which the log held nothing newer.
+    at: Instant,
+    /// Whether it came from the log in a page that was under way for long, so that more is likely to have been written
+    /// since. The feeder may be reading that itself.
+    is_slow_page: bool,
+}
+
 impl NeighbourLog {
     /// Creates the log of a node whose neighbours are those in `directory`, or `seeds` while the directory is empty.
     pub fn new(
@@ -61,7 +70,7 @@
             directory,
             seeds,
             failed_at: Mutex::new(None),
-            known_at: Mutex::default(),
+            known: Mutex::default(),
             bound,
             logger,
         }
@@ -73,7 +82,7 @@
     /// taking up a change together, when the leader or its connection to the log stops responding.
     async fn read_from_feeder(&self, topic: LogTopic, from: TopicPosition) -> Option<TopicPage> {
         let feeder = self.directory.feeder().filter(|_| topic.is_keyed())?;
-        let times = FeedTimes::within(self.bound, self.known_age(topic))?;
+        let times = self.feed_times(topic)?;
         let call = LogCall::Changes {
             topic,
             from: from.offset,
@@ -109,23 +118,31 @@
         None
     }
 
-    /// Returns the time since the log held nothing newer than what was read of a topic.
-    fn known_age(&self, topic: LogTopic) -> Duration {
-        let known_at = self.known_at.lock().expect("no holder of the lock panics");
-        let known_at = known_at.get(&topic);
-        known_at.map_or(Duration::ZERO, |at| clock::now().saturating_duration_since(*at))
+    /// Returns the times of a read from the feeder, or `None` if the log is to be read.
+    fn feed_times(&self, topic: LogTopic) -> Option<FeedTimes> {
+        let known = self.known.lock().expect("no holder of the lock panics");
+        let Some(known) = known.get(&topic) else {
+            return FeedTimes::within(self.bound, Duration::ZERO);
+        };
+        let known_age = clock::now().saturating_duration_since(known.at);
+        FeedTimes::within(self.bound, known_age).filter(|_| !known.is_slow_page)
     }
 
-    /// Records a read of which `page` is the result. A part of what the log held says nothing about the rest.
+    /// Records what is known after a read. A part of what the log held says nothing about the rest.
     fn record_known(&self, topic: LogTopic, page: &TopicPage) {
         if page.is_partial {
             return;
         }
         let now = clock::now();
         let page_at = now.checked_sub(page.origin.age).unwrap_or(now);
-        let mut known_at = self.known_at.lock().expect("no holder of the lock panics");
-        let known_at = known_at.entry(topic).or_insert(page_at);
-        *known_at = page_at.max(*known_at);
+        let is_slow = page.origin.source == PageSource::Log && page.origin.age >= FeedTimes::slow_page(self.bound);
+        let mut known = self.known.lock().expect("no holder of the lock panics");
+        let former_at = known.get(&topic).map_or(page_at, |known| known.at);
+        let state = KnownState {
+            at: page_at.max(former_at),
+            is_slow_page: is_slow && !page.records.is_empty(),
+        };
+        known.insert(topic, state);
     }
 
     fn is_direct_due(&self) -> bool {
