A large page of outdated configurations is left for the newest one

What callers saw: 404 for routes added more than the bound ago, at nodes with half of a thin link, during a storm of large configurations.

Cause: a node that was behind read the oldest of the versions that it lacked, to learn that there were more, and the newest one next. On half of the link the two took 2.3 of the 3 s.

A page of small versions is read as ever, in one call.

--- a/crates/mustardgate-core/src/ports/keyed_log.rs
+++ b/crates/mustardgate-core/src/ports/keyed_log.rs
@@ -160,7 +160,8 @@
 /// A log with topics.
 #[async_trait]
 pub trait TopicLog: Debug + Send + Sync {
-    /// Reads records starting at `from`, waiting up to `wait` for the first.
+    /// Reads records starting at `from`, waiting up to `wait` for the first. Records of the configuration that a later one
+    /// replaces may be left out.
     ///
     /// # Errors
     /// [`TopicError`] when nothing could be read.
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -14,6 +14,7 @@
 use mustardgate::events;
 use mustardgate_core::{
     clock,
+    ids::Offset,
     ports::{LogEra, LogTopic, PageSource, TopicError, TopicPage, TopicPosition, TopicRecord},
     relay::{ListRead, ListedRunner},
 };
@@ -109,13 +110,7 @@
                 self.next = Some(page.end());
                 self.era = Some(page.era);
                 self.apply_page(&page, extent, began_at);
-                if self.topic == LogTopic::Configuration {
-                    if page.is_partial {
-                        self.skip_to_newest(&page);
-                    }
-                    return Duration::ZERO;
-                }
-                if page.records.is_empty() {
+                if page.records.is_empty() || self.topic == LogTopic::Configuration {
                     Duration::ZERO
                 } else {
                     self.batch_pause()
@@ -129,13 +124,6 @@
         }
     }
 
-    /// Reads the newest records next, instead of those in between, which they replace.
-    fn skip_to_newest(&mut self, page: &TopicPage) {
-        self.next = None;
-        counter!("mustardgate_config_skips_total").increment(1);
-        events::RELAY_CONFIG_BEHIND.write(self.context.log.logger(), o!("next" => page.next));
-    }
-
     /// Returns how long a read waits for records.
     fn wait(&self) -> Duration {
         self.context.settings.bounds.shortest_bound().mul_f64(WAIT_SHARE)
@@ -168,11 +156,17 @@
     }
 
     fn log_changes(&self, page: &TopicPage, wait: Duration, started_at: Instant) {
+        let read_count = page.records.len() as Offset;
+        let skipped = self
+            .next
+            .map_or(0, |from| page.next.saturating_sub(from.offset + read_count));
+        counter!("mustardgate_config_records_skipped_total").increment(skipped);
         events::RELAY_CHANGES_READ.write(
             self.context.log.logger(),
             o!(
                 "elapsed_ms" => clock::now().saturating_duration_since(started_at).as_millis() as u64,
                 "wait_ms" => wait.as_millis() as u64,
+                "skipped" => skipped,
                 "records" => page.records.len(),
                 "next" => page.next,
             ),
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -139,8 +139,6 @@
 pub const RELAY_ANSWER_DROPPED: EventKind = event(660, Level::Warning, "stray runner answer dropped");
 /// A request came as one to a runner, because the list of runners names an address of this node.
 pub const RELAY_REQUEST_MISDIRECTED: EventKind = event(661, Level::Warning, "request for a runner refused");
-/// The log holds more versions of the configuration than one read brought, so the newest one is read next.
-pub const RELAY_CONFIG_BEHIND: EventKind = event(662, Level::Info, "newest configuration read next");
 /// Origins of streams could not be written to the log; they are written when it answers again.
 pub const RELAY_ORIGINS_UNRECORDED: EventKind = event(640, Level::Warning, "stream origins not recorded");
 /// Origins of streams are written to the log again; with their number.
@@ -230,7 +228,6 @@
     RELAY_TASK_PANICKED,
     RELAY_ANSWER_DROPPED,
     RELAY_REQUEST_MISDIRECTED,
-    RELAY_CONFIG_BEHIND,
 ];
 
 impl EventKind {
--- a/crates/mustardgate/src/http/answer.rs
+++ b/crates/mustardgate/src/http/answer.rs
@@ -97,7 +97,8 @@
 }
 
 /// Receives a whole body of at most `limit` bytes, after `timeout_at` for as long as bytes keep arriving: the time that a
-/// large body takes says nothing about the sender's health.
+/// large body takes says nothing about the sender's health. Stops early, and returns what has arrived, once `is_wanted`
+/// returns `false` for that.
 ///
 /// # Errors
 /// [`BodyError`] when the body is too long or too slow, or the connection breaks.
@@ -106,6 +107,7 @@
     limit: usize,
     timeout_at: time::Instant,
     pace: BodyPace,
+    is_wanted: impl Fn(&[u8]) -> bool,
 ) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes> + Debug + Unpin,
@@ -128,6 +130,9 @@
             return Err(BodyError::TooLong { limit });
         }
         content.extend_from_slice(&chunk);
+        if !is_wanted(&content) {
+            return Ok(content.freeze());
+        }
     }
 }
 
--- a/crates/mustardgate/src/http/client.rs
+++ b/crates/mustardgate/src/http/client.rs
@@ -160,7 +160,7 @@
             max_bytes,
             pace: None,
         };
-        self.call_limited(address, request, limits).await
+        self.call_limited(address, request, limits, |_body| true).await
     }
 
     async fn call_limited(
@@ -168,13 +168,17 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         limits: CallLimits,
+        is_wanted: impl Fn(&[u8]) -> bool,
     ) -> Result<HttpReply, CallError> {
         let ends_at = time::Instant::now() + limits.timeout;
         let reply = self.open(address, request, limits.timeout).await?;
         let head_at = clock::now();
         let (head, body) = reply.into_parts();
         let received = match limits.pace {
-            Some(pace) => collect_steady_body(body, limits.max_bytes, ends_at, pace).await,
+            Some(pace) => {
+                let is_wanted = |content: &[u8]| !head.status.is_success() || is_wanted(content);
+                collect_steady_body(body, limits.max_bytes, ends_at, pace, is_wanted).await
+            }
             None => {
                 let time_left = ends_at.saturating_duration_since(time::Instant::now());
                 collect_body(body, limits.max_bytes, time_left).await
@@ -203,10 +207,26 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         limits: CallLimits,
+    ) -> Result<HttpReply, CallError> {
+        self.call_while(kind, address, request, limits, |_body| true).await
+    }
+
+    /// Makes a call like [`HttpClient::call_counted`] and receives its body, if that has a pace, for as long as `is_wanted`
+    /// returns `true` for what has arrived: the begin of a body may tell that the rest is not worth its way over the link.
+    ///
+    /// # Errors
+    /// [`CallError`], as [`HttpClient::call`].
+    pub async fn call_while(
+        &self,
+        kind: &'static str,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limits: CallLimits,
+        is_wanted: impl Fn(&[u8]) -> bool,
     ) -> Result<HttpReply, CallError> {
         let sent_bytes = request.body().size_hint().exact().unwrap_or_default();
         record_control_bytes(kind, "sent", sent_bytes);
-        let reply = self.call_limited(address, request, limits).await?;
+        let reply = self.call_limited(address, request, limits, is_wanted).await?;
         record_control_bytes(kind, "received", reply.body.len() as u64);
         Ok(reply)
     }
--- a/crates/mustardgate/tests/http_client.rs
+++ b/crates/mustardgate/tests/http_client.rs
@@ -122,3 +122,22 @@
         started_at.elapsed()
     );
 }
+
+// Guards against a link that is filled with the rest of an answer whose begin says that it is of no use.
+#[tokio::test(start_paused = true)]
+async fn a_body_is_received_for_as_long_as_it_is_wanted() {
+    let address = start_steady_server(PART_COUNT).await;
+    let limits = CallLimits {
+        timeout: CALL_TIMEOUT,
+        max_bytes: MAX_BYTES,
+        pace: Some(BodyPace {
+            stall: STALL_TIMEOUT,
+            total: STEADY_TIME,
+        }),
+    };
+    let request = Request::new(Full::new(Bytes::new()));
+    let client = HttpClient::pooled(CALL_TIMEOUT);
+    let calling = client.call_while("test", address, request, limits, |content| content.len() < 2);
+    let reply = calling.await.expect("the server answers");
+    assert_eq!(reply.body.len(), 2);
+}
