--- a/crates/mustardgate-core/tests/relay/feed_times.rs
+++ b/crates/mustardgate-core/tests/relay/feed_times.rs
@@ -26,7 +26,7 @@
 
 #[test]
 fn the_log_is_read_at_once_when_no_time_is_left_for_another_node() {
-    assert_eq!(FeedTimes::within(BOUND, BOUND - LOG_READ_TIME), None);
+    assert_eq!(FeedTimes::within(BOUND, BOUND.saturating_sub(LOG_READ_TIME)), None);
 }
 
 // Guards against a node that is cut off from the log and asks nobody else.
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -247,7 +247,7 @@
             return Ok((page, age));
         }
         // The next iteration checks by the clock whether the wait is over or the page too old by now.
-        let outdated_at = now + (max_age - age) + AGE_STEP;
+        let outdated_at = now + max_age.saturating_sub(age) + AGE_STEP;
         let _is_changed = time::timeout_at(ends_at.min(outdated_at), changed).await.is_ok();
     }
 }
--- a/crates/mustardgate/src/http/client.rs
+++ b/crates/mustardgate/src/http/client.rs
@@ -174,15 +174,12 @@
         let reply = self.open(address, request, limits.timeout).await?;
         let head_at = clock::now();
         let (head, body) = reply.into_parts();
-        let received = match limits.pace {
-            Some(pace) => {
-                let is_wanted = |content: &[u8]| !head.status.is_success() || is_wanted(content);
-                collect_steady_body(body, limits.max_bytes, ends_at, pace, is_wanted).await
-            }
-            None => {
-                let time_left = ends_at.saturating_duration_since(time::Instant::now());
-                collect_body(body, limits.max_bytes, time_left).await
-            }
+        let received = if let Some(pace) = limits.pace {
+            let is_wanted = |content: &[u8]| !head.status.is_success() || is_wanted(content);
+            collect_steady_body(body, limits.max_bytes, ends_at, pace, is_wanted).await
+        } else {
+            let time_left = ends_at.saturating_duration_since(time::Instant::now());
+            collect_body(body, limits.max_bytes, time_left).await
         };
         let body = received.map_err(|error| match error {
             BodyError::TooLong { .. } | BodyError::TooSlow { .. } | BodyError::Broken => {
