Records of other nodes are received as long as they keep arriving

A node that starts while the log is away, or that is cut off from it, asks another node for the configuration.

Change: after the timeout, the answer is received as long as no gap between its bytes is longer than 0.4 s, and no longer than the shortest bound on taking up a change. Other messages between nodes stay as they are, since their size does not grow with the configuration.

--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -35,7 +35,7 @@
 pub fn build_context(settings: RelaySettings, mut ports: PlatformPorts) -> Arc<RelayContext> {
     let logger = build_logger(&settings.logging.logger(), &settings.node.name);
     let directory = Arc::new(PeerDirectory::new(own_member(&settings)));
-    let peers = PeerClient::default();
+    let peers = PeerClient::default().with_page_time(settings.bounds.shortest_bound());
     let direct_log = Arc::clone(&ports.topics);
     let own = settings.listen.peers;
     let seeds = settings.listen.seeds.iter().copied().filter(|seed| Some(*seed) != own);
--- a/crates/mustardgate-relay/src/peers/client.rs
+++ b/crates/mustardgate-relay/src/peers/client.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use hyper::{Method, Request};
 use metrics::counter;
-use mustardgate::http::{CallLimits, HttpClient};
+use mustardgate::http::{BodyPace, CallLimits, HttpClient};
 use mustardgate_core::{
     ids::{BackendId, ServiceId},
     ports::{TopicError, TopicPage},
@@ -24,6 +24,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout for an answer of another node.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest time without a byte of records that take longer than [`CALL_TIMEOUT`].
+const STALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout for a permit, for which a request waits.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Longest time for which a message that is received has been under way.
@@ -35,17 +37,27 @@
 #[derive(Clone, Debug)]
 pub struct PeerClient {
     client: HttpClient,
+    /// Longest time for records of which bytes keep arriving.
+    page_time: Duration,
 }
 
 impl Default for PeerClient {
     fn default() -> Self {
         Self {
             client: HttpClient::pooled(CONNECT_TIMEOUT),
+            page_time: CALL_TIMEOUT,
         }
     }
 }
 
 impl PeerClient {
+    /// Sets the longest time for records of which bytes keep arriving, which grow with the configuration.
+    #[must_use]
+    pub fn with_page_time(mut self, page_time: Duration) -> Self {
+        self.page_time = page_time.max(CALL_TIMEOUT);
+        self
+    }
+
     /// Asks the leader to load an adapter; returns whether the adapter is loaded.
     pub async fn request_adapter(
         &self,
@@ -101,7 +113,8 @@
         call: &LogCall,
         timeout: Duration,
     ) -> Option<Result<(TopicPage, Duration), TopicError>> {
-        let reply = self.call_within(neighbour, "changes", LOG_PATH, call, timeout);
+        let limits = Self::limits(timeout);
+        let reply = self.call_limited(neighbour, "changes", LOG_PATH, call, limits);
         match reply.await {
             Some(LogReply::Changes(changes)) => Some(changes),
             _ => None,
@@ -110,12 +123,33 @@
 
     /// Asks a neighbour to call the log for this node.
     pub async fn call_log(&self, neighbour: SocketAddr, call: &LogCall) -> Option<LogReply> {
-        self.call(neighbour, "log", LOG_PATH, call).await
+        self.call_limited(neighbour, "log", LOG_PATH, call, self.page_limits())
+            .await
     }
 
     /// Asks a neighbour for the records that it has read.
     pub async fn records(&self, neighbour: SocketAddr) -> Option<CachedRecords> {
-        self.call(neighbour, "records", RECORDS_PATH, &()).await
+        self.call_limited(neighbour, "records", RECORDS_PATH, &(), self.page_limits())
+            .await
+    }
+
+    fn limits(timeout: Duration) -> CallLimits {
+        CallLimits {
+            timeout,
+            max_bytes: MAX_ANSWER_BYTES,
+            pace: None,
+        }
+    }
+
+    /// Returns the limits of calls for records: one that is given up while they arrive would have to begin anew.
+    fn page_limits(&self) -> CallLimits {
+        CallLimits {
+            pace: Some(BodyPace {
+                stall: STALL_TIMEOUT,
+                total: self.page_time,
+            }),
+            ..Self::limits(CALL_TIMEOUT)
+        }
     }
 
     async fn call<M, A>(&self, address: SocketAddr, kind: &'static str, path: &'static str, message: &M) -> Option<A>
@@ -134,6 +168,22 @@
         message: &M,
         timeout: Duration,
     ) -> Option<A>
+    where
+        M: Serialize,
+        A: DeserializeOwned,
+    {
+        self.call_limited(address, kind, path, message, Self::limits(timeout))
+            .await
+    }
+
+    async fn call_limited<M, A>(
+        &self,
+        address: SocketAddr,
+        kind: &'static str,
+        path: &'static str,
+        message: &M,
+        limits: CallLimits,
+    ) -> Option<A>
     where
         M: Serialize,
         A: DeserializeOwned,
@@ -141,11 +191,6 @@
         let mut request = Request::new(Full::new(Bytes::from(encode(message))));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = path.parse().expect("paths are constants");
-        let limits = CallLimits {
-            timeout,
-            max_bytes: MAX_ANSWER_BYTES,
-            pace: None,
-        };
         match self.client.call_counted(kind, address, request, limits).await {
             Ok(reply) if reply.status.is_success() => decode(&reply.body),
             Ok(_) | Err(_) => {
