--- a/crates/standins/src/harness/thin_link.rs
+++ b/crates/standins/src/harness/thin_link.rs
@@ -20,6 +20,9 @@
 /// Maximum number of bytes forwarded at once, small enough that connections take turns.
 const CHUNK_BYTES: usize = 4 << 10;
 
+/// Time for which the link makes up when a timer fires late, so that it carries its whole bandwidth.
+const TIMER_SLACK: Duration = Duration::from_millis(20);
+
 /// A TCP proxy between an address of its own and a target, whose connections share one link.
 #[derive(Debug)]
 pub struct ThinLink {
@@ -71,7 +74,9 @@
     async fn carry(&self, bytes: usize) {
         let carried_at = {
             let mut free_at = self.free_at.lock().expect("no holder of the lock panics");
-            *free_at = (*free_at).max(Instant::now()) + Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+            let now = Instant::now();
+            let earliest = now.checked_sub(TIMER_SLACK).unwrap_or(now);
+            *free_at = (*free_at).max(earliest) + Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
             *free_at
         };
         time::sleep_until(carried_at).await;
