--- a/crates/mustardgate-relay/src/context/records.rs
+++ b/crates/mustardgate-relay/src/context/records.rs
@@ -1,7 +1,7 @@
 //! Cache of the newest record of each key, as read from the log, for other nodes.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Mutex, MutexGuard},
     time::Instant,
 };
@@ -37,7 +37,7 @@
 }
 
 impl RecordCache {
-    /// Stores a page that was read at `now`; `is_snapshot` says that it holds the newest record of every key. Returns the
+    /// Stores a page that was received at `now`; `is_snapshot` says that it holds the newest record of every key. Returns the
     /// records that are not older than those known: changes that a snapshot showed already are read again after it.
     pub fn store<'a>(
         &self,
@@ -50,10 +50,7 @@
             return Vec::new();
         };
         if is_snapshot {
-            cache.records.clear();
-            cache.complete_from = page.next;
-            cache.next = page.next;
-            cache.era = page.era;
+            cache.begin_snapshot(page);
         }
         let is_current = |record: &&TopicRecord| {
             let known = cache.records.get(&record.key);
@@ -64,7 +61,8 @@
             cache.records.insert(record.key.clone(), TopicRecord::clone(record));
         }
         cache.next = cache.next.max(page.next);
-        cache.read_at = Some(now);
+        let read_at = now.checked_sub(page.origin.age).unwrap_or(now);
+        cache.read_at = cache.read_at.max(Some(read_at));
         cache.prune_tombstones();
         drop(cache);
         if !page.records.is_empty() {
@@ -89,6 +87,11 @@
         })
     }
 
+    /// Returns the time at which the log was last read for a topic, by this node or for it.
+    pub fn read_at(&self, topic: LogTopic) -> Option<Instant> {
+        self.lock(topic)?.read_at
+    }
+
     /// Returns the changes from a position on, and the time at which the log was last read.
     ///
     /// # Errors
@@ -105,6 +108,7 @@
                 next: cache.next.max(from),
                 records,
                 era: cache.era,
+                ..TopicPage::default()
             };
             (is_same_era && from >= cache.complete_from).then_some((page, read_at))
         });
@@ -128,6 +132,28 @@
 }
 
 impl TopicCache {
+    /// Prepares for a page with the newest record of every key. If it goes on from what is known, readers here need not
+    /// read the topic anew: they are told of the keys that it no longer has.
+    fn begin_snapshot(&mut self, page: &TopicPage) {
+        let is_later = self.read_at.is_some() && self.era == page.era && self.next < page.next;
+        if !is_later {
+            *self = Self {
+                complete_from: page.next,
+                next: page.next,
+                era: page.era,
+                ..Self::default()
+            };
+            return;
+        }
+        let listed: BTreeSet<&SmolStr> = page.records.iter().map(|record| &record.key).collect();
+        for (key, record) in &mut self.records {
+            if !listed.contains(key) && record.value.is_some() {
+                record.value = None;
+                record.offset = page.next - 1;
+            }
+        }
+    }
+
     /// Removes the older half of the tombstones once they exceed the limit; readers from an earlier offset then have to
     /// read all records again.
     fn prune_tombstones(&mut self) {
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -10,11 +10,12 @@
     time::{Duration, Instant},
 };
 
-use metrics::counter;
+use metrics::{counter, gauge};
 use mustardgate::events;
 use mustardgate_core::{
     clock,
-    ports::{LogEra, LogTopic, TopicError, TopicPage, TopicPosition, TopicRecord},
+    ids::Offset,
+    ports::{LogEra, LogTopic, PageSource, TopicError, TopicPage, TopicPosition, TopicRecord},
     relay::{ListRead, ListedRunner},
 };
 use rand::Rng;
@@ -27,7 +28,7 @@
 /// Fraction of the shortest bound on taking up a change for which a read waits for records. The log may not wake a read
 /// that arrives while a change is being written, so the read after it must still be in time.
 const WAIT_SHARE: f64 = 0.3;
-/// After records, a follower pauses for the shortest bound on taking up a change divided by this, so that further
+/// After entries of runners, a follower pauses for the shortest bound on taking up a change divided by this, so that further
 /// records are batched into the next answer.
 const BATCH_PAUSE_DIVISOR: u32 = 8;
 /// Pause after the first failed read and longest pause; the pause doubles with each further failure.
@@ -45,6 +46,15 @@
     Restored,
 }
 
+/// The read that brought a configuration.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConfigRead {
+    /// How the page reached this node.
+    pub source: PageSource,
+    /// Time since the read began.
+    pub elapsed: Duration,
+}
+
 /// Follows one topic.
 #[derive(Debug)]
 pub struct TopicFollower {
@@ -99,9 +109,12 @@
                 };
                 self.next = Some(page.end());
                 self.era = Some(page.era);
-                let is_empty = page.records.is_empty();
                 self.apply_page(&page, extent, began_at);
-                if is_empty { Duration::ZERO } else { self.batch_pause() }
+                if page.records.is_empty() || self.topic == LogTopic::Configuration {
+                    Duration::ZERO
+                } else {
+                    self.batch_pause()
+                }
             }
             Err(TopicError::Trimmed { .. } | TopicError::Restored) => {
                 self.next = None;
@@ -125,8 +138,12 @@
             LogTopic::Configuration => {
                 let is_complete = extent != PageExtent::Changes;
                 let now = self.context.leader.lease_time();
+                let read = ConfigRead {
+                    source: page.origin.source,
+                    elapsed: now.saturating_duration_since(began_at),
+                };
                 for record in self.context.records.store(self.topic, page, is_complete, now) {
-                    apply_configuration(&self.context, record);
+                    apply_configuration(&self.context, record, read);
                 }
             }
             LogTopic::Runners => {
@@ -139,11 +156,17 @@
     }
 
     fn log_changes(&self, page: &TopicPage, wait: Duration, started_at: Instant) {
+        let read_count = page.records.len() as Offset;
+        let skipped = self
+            .next
+            .map_or(0, |from| page.next.saturating_sub(from.offset + read_count));
+        counter!("mustardgate_config_records_skipped_total").increment(skipped);
         events::RELAY_CHANGES_READ.write(
             self.context.log.logger(),
             o!(
                 "elapsed_ms" => clock::now().saturating_duration_since(started_at).as_millis() as u64,
                 "wait_ms" => wait.as_millis() as u64,
+                "skipped" => skipped,
                 "records" => page.records.len(),
                 "next" => page.next,
             ),
@@ -210,7 +233,7 @@
 }
 
 /// Applies a record of the configuration topic; records under other keys are ignored.
-pub(crate) fn apply_configuration(context: &RelayContext, record: &TopicRecord) {
+pub(crate) fn apply_configuration(context: &RelayContext, record: &TopicRecord, read: ConfigRead) {
     let decoder = &context.ports.decoder;
     let Some(value) = record
         .value
@@ -223,9 +246,16 @@
         Ok(config) => {
             let (version, routes) = (config.version, config.routes.len());
             if context.routes.apply(config) {
+                gauge!("mustardgate_config_version").set(version as f64);
                 events::RELAY_CONFIG_IN_FORCE.write(
                     context.log.logger(),
-                    o!("routes" => routes, "offset" => record.offset, "version" => version),
+                    o!(
+                        "elapsed_ms" => read.elapsed.as_millis() as u64,
+                        "source" => read.source.to_string(),
+                        "routes" => routes,
+                        "offset" => record.offset,
+                        "version" => version,
+                    ),
                 );
             }
         }
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -12,7 +12,7 @@
 };
 use mustardgate_core::{
     ports::{LogTopic, TopicError, TopicPage, TopicPosition},
-    relay::ModelName,
+    relay::{FeedTimes, ModelName},
 };
 use serde_bytes::ByteBuf;
 use tokio::{net::TcpListener, time};
@@ -42,6 +42,8 @@
 const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
 /// Timeout for receiving a message, and longest wait for changes.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time by which a page is older when its age is looked at again.
+const AGE_STEP: Duration = Duration::from_millis(1);
 /// Most connections open at once: one or two for each node of a large deployment.
 const MAX_CONNECTIONS: usize = 1_024;
 /// Time after which an idle connection of another node is closed.
@@ -83,6 +85,7 @@
 ) -> Response<AnswerBody> {
     let path = request.uri().path().to_owned();
     if path == METRICS_PATH {
+        context.record_config_age();
         return text_answer(StatusCode::OK, metrics.render());
     }
     let Ok(body) = collect_body(request.into_body(), MAX_MESSAGE_BYTES, MESSAGE_TIMEOUT).await else {
@@ -193,15 +196,16 @@
             LogReply::Written(context.direct_log.append(topic, records).await)
         }
     };
-    let message = encode(&reply);
-    if context.feed.admit(message.len()).await {
-        return Some(message);
-    }
-    let refusal = TopicError::unavailable("the neighbour's link is full");
+    let reserved_at = context.leader.lease_time();
+    let is_admitted = context.feed.admit(reply.weight()).await;
+    let delay = context.leader.lease_time().saturating_duration_since(reserved_at);
+    let refusal = || TopicError::unavailable("the neighbour's link is full");
     Some(encode(&match reply {
-        LogReply::Page(_) => LogReply::Page(Err(refusal)),
-        LogReply::Changes(_) => LogReply::Changes(Err(refusal)),
-        LogReply::Appended(_) | LogReply::Written(_) => reply,
+        LogReply::Page(_) if !is_admitted => LogReply::Page(Err(refusal())),
+        LogReply::Changes(_) if !is_admitted => LogReply::Changes(Err(refusal())),
+        // The page grew older while it waited for its turn on the link.
+        LogReply::Changes(Ok((page, age))) => LogReply::Changes(Ok((page, age + delay))),
+        reply => reply,
     }))
 }
 
@@ -218,14 +222,14 @@
     if !records.configuration.is_empty() {
         records.runners = cached(LogTopic::Runners);
     }
-    let message = encode(&records);
-    if context.feed.admit(message.len()).await {
-        return message;
+    if context.feed.admit(records.weight()).await {
+        return encode(&records);
     }
     encode(&CachedRecords::default())
 }
 
-/// Returns the changes of a topic that this node has read, after waiting up to `wait` for the first one.
+/// Returns the changes of a topic that this node has read, after waiting up to `wait` for the first one, and no longer than
+/// what it knows is recent enough.
 async fn read_changes(
     context: &RelayContext,
     topic: LogTopic,
@@ -233,14 +237,17 @@
     wait: Duration,
 ) -> Result<(TopicPage, Duration), TopicError> {
     let ends_at = time::Instant::now() + wait.min(MESSAGE_TIMEOUT);
+    let max_age = FeedTimes::max_age(context.settings.bounds.shortest_bound());
     loop {
         let changed = context.records.next_change();
         let (page, read_at) = context.records.changes(topic, from)?;
-        if !page.records.is_empty() || time::Instant::now() >= ends_at {
-            let age = context.leader.lease_time().saturating_duration_since(read_at);
+        let age = context.leader.lease_time().saturating_duration_since(read_at);
+        let now = time::Instant::now();
+        if !page.records.is_empty() || now >= ends_at || age > max_age {
             return Ok((page, age));
         }
-        // The next iteration checks by the clock whether the wait is over.
-        let _is_changed = time::timeout_at(ends_at, changed).await.is_ok();
+        // The next iteration checks by the clock whether the wait is over or the page too old by now.
+        let outdated_at = now + max_age.saturating_sub(age) + AGE_STEP;
+        let _is_changed = time::timeout_at(ends_at.min(outdated_at), changed).await.is_ok();
     }
 }
