Bound the buffered bytes of the process, not only of each answer

Cause: limits stood on one answer, one event, one request each; nothing bounded their sum.

Change: one budget for the process, a quarter of node.memory_mb (new setting, filled from the deployment's limits; 512 without it). The ledger in the core decides: an answer that does not fit ends the largest open answer of the runner that holds most, or itself if that is its own runner. Requests have half of the budget, take room from answers, and are never ended; one that does not fit is refused with 503 no_room and a time to return, before anything ran. What was received is counted until its last reference is dropped, also while a caller reads slowly. Bodies gather in one buffer whose capacity is reserved: chunks of a byte took a multiple of their length as separate frames. An ended answer is a failed attempt of its runner, has a line (670) with runner, bytes and cause, and is no evidence of a crash or of a cut link. Gauge mustardgate_buffered_bytes by kind.

--- /dev/null
+++ b/crates/mustardgate-core/src/buffers/ledger.rs
@@ -0,0 +1,179 @@
+//! Reservations of buffered bytes by source, within a limit on all of them together.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use derive_more::Display;
+
+use crate::ids::BackendId;
+
+/// Requests, and answers to control calls, may each hold the total divided by this.
+const SHARE_DIVISOR: usize = 2;
+
+/// Identifier of a holder of bytes, unique in a process.
+pub type HolderId = u64;
+
+/// Who sends bytes that are buffered.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum BufferSource {
+    /// Callers, whose requests are kept until they are answered.
+    #[display("requests")]
+    Callers,
+    /// A server that answers a control call: the log, another node, or a runner that reports.
+    #[display("control")]
+    Server(SocketAddr),
+    /// A runner that answers a request.
+    #[display("answers")]
+    Runner(BackendId),
+}
+
+/// Limits of [`BufferLedger`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BufferLimits {
+    /// Bytes that all sources may hold together.
+    pub total_bytes: usize,
+}
+
+#[derive(Clone, Debug)]
+struct BufferHolding {
+    source: BufferSource,
+    bytes: usize,
+    /// Whether the holder can still be ended.
+    is_open: bool,
+}
+
+/// Decides which bytes are kept when not all of them fit.
+///
+/// An answer of a runner that does not fit ends the largest open answer of the runner that holds most, or itself if that is its
+/// own runner. So a runner with a few ordinary answers never loses them to one that sends without end. Requests and control
+/// calls have a share each, within which they take room from answers, and they are never ended: a request may already run, and
+/// without the log no answer is worth much.
+#[derive(Clone, Debug)]
+pub struct BufferLedger {
+    limits: BufferLimits,
+    holdings: BTreeMap<HolderId, BufferHolding>,
+    held_bytes: BTreeMap<BufferSource, usize>,
+    total_bytes: usize,
+}
+
+impl BufferLedger {
+    /// Creates a ledger without holders.
+    pub fn new(limits: BufferLimits) -> Self {
+        Self {
+            limits,
+            holdings: BTreeMap::new(),
+            held_bytes: BTreeMap::new(),
+            total_bytes: 0,
+        }
+    }
+
+    /// Returns the bytes held by all sources together.
+    pub fn total_bytes(&self) -> usize {
+        self.total_bytes
+    }
+
+    /// Returns the bytes held by a source.
+    pub fn bytes_of(&self, source: &BufferSource) -> usize {
+        self.held_bytes.get(source).copied().unwrap_or_default()
+    }
+
+    /// Returns each source with the bytes that it holds.
+    pub fn sources(&self) -> impl Iterator<Item = (&BufferSource, usize)> {
+        self.held_bytes.iter().map(|(source, bytes)| (source, *bytes))
+    }
+
+    /// Reserves further bytes for a holder, and returns the holders that lose theirs for it; `None` refuses the bytes, and
+    /// nobody loses any. A holder that lost its bytes gets no further ones.
+    pub fn reserve(&mut self, holder: HolderId, source: &BufferSource, bytes: usize) -> Option<Vec<HolderId>> {
+        if !self.fits_share(source, bytes) {
+            return None;
+        }
+        let ended = self.choose_ended(holder, source, bytes)?;
+        for id in &ended {
+            self.release(*id);
+        }
+        let holding = self.holdings.entry(holder).or_insert_with(|| BufferHolding {
+            source: source.clone(),
+            bytes: 0,
+            is_open: matches!(source, BufferSource::Runner(_)),
+        });
+        holding.bytes += bytes;
+        *self.held_bytes.entry(source.clone()).or_default() += bytes;
+        self.total_bytes += bytes;
+        Some(ended)
+    }
+
+    /// Records that a holder cannot be ended any more, because its bytes are on their way to somebody else.
+    pub fn settle(&mut self, holder: HolderId) {
+        if let Some(holding) = self.holdings.get_mut(&holder) {
+            holding.is_open = false;
+        }
+    }
+
+    /// Releases all bytes of a holder.
+    pub fn release(&mut self, holder: HolderId) {
+        let Some(holding) = self.holdings.remove(&holder) else {
+            return;
+        };
+        self.total_bytes -= holding.bytes;
+        if let Some(held) = self.held_bytes.get_mut(&holding.source) {
+            *held -= holding.bytes;
+            if *held == 0 {
+                self.held_bytes.remove(&holding.source);
+            }
+        }
+    }
+
+    fn fits_share(&self, source: &BufferSource, bytes: usize) -> bool {
+        let is_same_kind = |other: &BufferSource| std::mem::discriminant(other) == std::mem::discriminant(source);
+        let held: usize = match source {
+            BufferSource::Runner(_) => return true,
+            _ => self
+                .sources()
+                .filter(|(other, _)| is_same_kind(other))
+                .map(|(_, held)| held)
+                .sum(),
+        };
+        held + bytes <= self.limits.total_bytes / SHARE_DIVISOR
+    }
+
+    /// Returns the holders that have to end so that the bytes fit; `None` if the asking one has to.
+    fn choose_ended(&self, asking: HolderId, source: &BufferSource, bytes: usize) -> Option<Vec<HolderId>> {
+        let mut needed = (self.total_bytes + bytes).saturating_sub(self.limits.total_bytes);
+        let mut ended = Vec::new();
+        if needed == 0 {
+            return Some(ended);
+        }
+        let mut held_bytes = self.held_bytes.clone();
+        let mut open: BTreeSet<(&BufferSource, Reverse<usize>, HolderId)> = self
+            .holdings
+            .iter()
+            .filter(|(id, holding)| holding.is_open && **id != asking)
+            .map(|(id, holding)| (&holding.source, Reverse(holding.bytes), *id))
+            .collect();
+        while needed > 0 {
+            let candidates = held_bytes
+                .iter()
+                .filter(|(other, _)| open.iter().any(|entry| entry.0 == *other));
+            let (greediest, held) = candidates.max_by_key(|(_, held)| **held)?;
+            let is_answer = matches!(source, BufferSource::Runner(_));
+            let own_bytes = held_bytes.get(source).copied().unwrap_or_default() + bytes;
+            if is_answer && (greediest == source || *held <= own_bytes) {
+                return None;
+            }
+            let greediest = greediest.clone();
+            let entry = *open.iter().find(|entry| *entry.0 == greediest)?;
+            open.remove(&entry);
+            let (_, Reverse(freed), id) = entry;
+            if let Some(held) = held_bytes.get_mut(&greediest) {
+                *held -= freed;
+            }
+            needed = needed.saturating_sub(freed);
+            ended.push(id);
+        }
+        Some(ended)
+    }
+}
--- /dev/null
+++ b/crates/mustardgate-core/src/buffers/mod.rs
@@ -0,0 +1,8 @@
+//! Bytes from outside that are held until they form a whole: who may hold how many, and who loses them first.
+//!
+//! A limit on each answer bounds one of them; only a limit on all of them bounds a process. See
+//! `docs/incidents/2026-12-06-lost-endless-answers.md`.
+
+mod ledger;
+
+pub use self::ledger::{BufferLedger, BufferLimits, BufferSource, HolderId};
--- a/crates/mustardgate-core/src/lib.rs
+++ b/crates/mustardgate-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! so that every decision can be reproduced from a seed. The design is explained in `docs/DESIGN.md`.
 
 pub mod admission;
+pub mod buffers;
 pub mod clock;
 pub mod config;
 pub mod drain;
--- a/crates/mustardgate-core/src/relay/admission.rs
+++ b/crates/mustardgate-core/src/relay/admission.rs
@@ -43,6 +43,9 @@
     /// The node stops, and the request may take longer than it still runs.
     #[display("node_stopping")]
     NodeStopping,
+    /// The node has no room to keep the request until it is answered.
+    #[display("no_room")]
+    NoRoom,
 }
 
 /// Settings of [`AdmissionGate`].
@@ -176,7 +179,9 @@
     /// number in 0..1.
     pub fn retry_delay(&self, cause: RefusalCause, load_left: Option<Duration>, draw: f64) -> Duration {
         let base = match cause {
-            RefusalCause::Overloaded | RefusalCause::AttemptsUsedUp => self.settings.overload_delay,
+            RefusalCause::Overloaded | RefusalCause::AttemptsUsedUp | RefusalCause::NoRoom => {
+                self.settings.overload_delay
+            }
             RefusalCause::PromptQuarantined | RefusalCause::RequestQuarantined => self.settings.quarantine_delay,
             RefusalCause::NodeStopping => self.settings.stop_delay,
             RefusalCause::ModelAbsent => load_left.unwrap_or(self.settings.absence_delay),
--- a/crates/mustardgate-core/src/relay/events.rs
+++ b/crates/mustardgate-core/src/relay/events.rs
@@ -3,6 +3,9 @@
 /// Largest incomplete event that is accepted, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Largest buffer that is kept empty, in bytes.
+const KEPT_BYTES: usize = 16 * 1024;
+
 /// One complete event, with its terminating blank line.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamEvent {
@@ -53,6 +56,11 @@
         self.pending.len() > MAX_EVENT_BYTES
     }
 
+    /// Returns the size of the buffer.
+    pub fn buffered_bytes(&self) -> usize {
+        self.pending.capacity()
+    }
+
     fn find_end(&mut self) -> Option<usize> {
         let start = self.scanned.saturating_sub(3);
         for at in start..self.pending.len() {
@@ -65,6 +73,9 @@
             }
         }
         self.scanned = self.pending.len();
+        if self.pending.is_empty() && self.pending.capacity() > KEPT_BYTES {
+            self.pending = Vec::new();
+        }
         None
     }
 }
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod answer_head;
 mod brittle;
 mod budget;
+mod buffers;
 mod catalogue;
 mod crashes;
 mod events;
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -19,7 +19,7 @@
 
 use hyper::StatusCode;
 use metrics::counter;
-use mustardgate::{drain::DrainController, events};
+use mustardgate::{buffers::BufferBudget, drain::DrainController, events};
 use mustardgate_core::{
     ids::{BackendId, RequestId},
     ports::TopicLog,
@@ -73,6 +73,8 @@
     pub ports: PlatformPorts,
     /// Logger of the node.
     pub log: RequestLog,
+    /// The budget of buffered bytes of the process.
+    pub buffers: Arc<BufferBudget>,
     /// The configuration in force.
     pub routes: RouteHolder,
     /// The known runners.
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -14,8 +14,9 @@
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     http::response,
 };
-use mustardgate::{drain::InFlightGuard, events};
+use mustardgate::{buffers::BufferGuard, drain::InFlightGuard, events};
 use mustardgate_core::{
+    buffers::BufferSource,
     clock,
     ids::{BackendId, ServiceId},
     relay::{
@@ -91,6 +92,8 @@
     pub(super) verdict: HeadVerdict,
     pub(super) head: response::Parts,
     pub(super) body: Incoming,
+    /// Covers the bytes of it that are buffered.
+    pub(super) buffers: BufferGuard,
     pub(super) metadata: AnswerMetadata,
     /// When the head was received.
     pub(super) started_at: Instant,
@@ -230,6 +233,7 @@
             verdict,
             head,
             body,
+            buffers: self.context.buffers.guard(BufferSource::Runner(listed.id.clone())),
             metadata,
             started_at: clock::now(),
             _adapter_use: adapter_use,
--- a/crates/mustardgate-relay/src/gateway/body.rs
+++ b/crates/mustardgate-relay/src/gateway/body.rs
@@ -1,11 +1,16 @@
-//! Bodies of requests that are not passed on.
+//! Bodies of requests, passed on or not.
 
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use mustardgate::buffers::{CollectError, collect_bytes};
 use mustardgate_core::{
+    buffers::BufferSource,
     clock,
     relay::{CallerLimits, RelayRequest},
 };
@@ -37,6 +42,35 @@
     discard_body(body, limits.max_body_bytes, time_left).await;
 }
 
+/// Why a body was not received completely.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BodyFailure {
+    Malformed,
+    TooSlow,
+    TooLarge,
+    /// The node has no room to keep it.
+    NoRoom,
+}
+
+/// Receives the body of a request, which is kept until the request is answered.
+pub(super) async fn receive_body(
+    context: &Arc<RelayContext>,
+    body: &mut Incoming,
+    limits: CallerLimits,
+    expires_at: Instant,
+) -> Result<Bytes, BodyFailure> {
+    let time_left = expires_at.saturating_duration_since(clock::now());
+    let buffers = context.buffers.guard(BufferSource::Callers);
+    let collecting = collect_bytes(body, limits.max_body_bytes, buffers);
+    match time::timeout(time_left, collecting).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(CollectError::TooLong { .. })) => Err(BodyFailure::TooLarge),
+        Ok(Err(CollectError::NoRoom { .. })) => Err(BodyFailure::NoRoom),
+        Ok(Err(CollectError::Broken)) => Err(BodyFailure::Malformed),
+        Err(_elapsed) => Err(BodyFailure::TooSlow),
+    }
+}
+
 /// Returns what the configuration in force allows callers.
 pub(super) fn caller_limits(context: &RelayContext) -> CallerLimits {
     let active = context.routes.current();
--- a/crates/mustardgate-relay/src/gateway/buffered.rs
+++ b/crates/mustardgate-relay/src/gateway/buffered.rs
@@ -4,12 +4,12 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::{
     HeaderMap, Method, Response, StatusCode,
     header::{CONNECTION, CONTENT_LENGTH},
     http::response,
 };
+use mustardgate::buffers::{CollectError, collect_bytes};
 use mustardgate_core::{clock, ids::BackendId, relay::HeadVerdict, retry::AttemptPlan, verdict::RunVerdict};
 
 use super::{
@@ -19,6 +19,7 @@
     failure::AttemptError,
     grace::STOP_REASON,
     headers::remove_hop_by_hop_headers,
+    oversized::{OVERSIZED_REASON, OversizedAnswer, log_oversized},
     stream::StreamRelay,
 };
 use crate::{fleet::AttemptOutcome, link::lost_answer};
@@ -48,20 +49,29 @@
         pool,
         helper,
         head,
-        body,
+        mut body,
+        buffers,
         metadata,
         ..
     } = open;
     let backend = ticket.cell().listed().id.clone();
     let time_left = received.expires_at.saturating_duration_since(clock::now());
-    let collecting = Limited::new(body, MAX_BUFFERED_BYTES).collect();
+    let collecting = collect_bytes(&mut body, MAX_BUFFERED_BYTES, buffers);
     let may_move = helper.is_none() && plan.allows_another(clock::now(), MIN_ATTEMPT_TIME);
     let cell = Arc::clone(ticket.cell());
     let aborting = received.context.drain.aborting();
     let collected = tokio::select! {
         collected = tokio::time::timeout(time_left, collecting) => match collected {
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
-            Ok(Err(_)) => Err(("broken_answer", false)),
+            Ok(Ok(content)) => Ok(content),
+            Ok(Err(CollectError::Broken)) => Err(("broken_answer", false)),
+            Ok(Err(CollectError::TooLong { bytes })) => {
+                log_oversized(&received, &backend, OversizedAnswer::new("overlong_answer", bytes));
+                Err((OVERSIZED_REASON, false))
+            }
+            Ok(Err(CollectError::NoRoom { bytes })) => {
+                log_oversized(&received, &backend, OversizedAnswer::new("no_room", bytes));
+                Err((OVERSIZED_REASON, false))
+            }
             Err(_) => Err(("timed_out", true)),
         },
         () = lost_answer(&received.context, &cell, &received.request.id), if may_move => Err(("link_cut", false)),
@@ -75,6 +85,7 @@
             drop((ticket, connection));
             let inputs = received.digests.inputs();
             let is_fatal = !is_timeout
+                && reason != OVERSIZED_REASON
                 && helper.is_none()
                 && tokio::select! {
                     verdict = received.record_crash(&cell, &inputs) => verdict.is_repeated(),
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -6,7 +6,6 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
@@ -26,7 +25,7 @@
 use super::{
     answer::{LocalAnswer, RelayBody, full_body},
     attempt::{OpenAnswer, ReceivedRequest},
-    body::{caller_limits, discard_body, discard_refused},
+    body::{BodyFailure, caller_limits, discard_body, discard_refused, receive_body},
     buffered::{ForwardOutcome, forward_answer},
     digests::RequestDigests,
     failure::AttemptError,
@@ -116,16 +115,17 @@
         return Err(LocalAnswer::NoRoute);
     };
     let expires_at = request.expires_at(route.timeout);
-    let time_left = expires_at.saturating_duration_since(clock::now());
-    let collecting = Limited::new(&mut body, limits.max_body_bytes).collect();
-    let body = match tokio::time::timeout(time_left, collecting).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+    let body = match receive_body(context, &mut body, limits, expires_at).await {
+        Ok(body) => body,
+        Err(BodyFailure::Malformed) => return Err(LocalAnswer::Malformed),
+        Err(BodyFailure::TooSlow) => return Err(refusal(context, RefusalCause::AttemptsUsedUp)),
+        Err(failure) => {
             discard_refused(&mut body, limits, &request).await;
-            return Err(LocalAnswer::TooLarge);
+            return Err(match failure {
+                BodyFailure::NoRoom => refusal(context, RefusalCause::NoRoom),
+                _ => LocalAnswer::TooLarge,
+            });
         }
-        Ok(Err(_)) => return Err(LocalAnswer::Malformed),
-        Err(_) => return Err(refusal(context, RefusalCause::AttemptsUsedUp)),
     };
     let digests = RequestDigests::of(&head, &body);
     let read_at = context.leader.lease_time();
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod listener;
 mod misdirected;
 mod origin;
+mod oversized;
 mod path;
 mod places;
 mod stream;
--- a/crates/mustardgate-relay/src/gateway/stream.rs
+++ b/crates/mustardgate-relay/src/gateway/stream.rs
@@ -29,6 +29,7 @@
     failure::AttemptError,
     grace::STOP_REASON,
     headers::remove_hop_by_hop_headers,
+    oversized::{OversizedAnswer, log_oversized},
     path::ResumePoint,
     trace::{RequestStep, RequestTrace},
 };
@@ -104,12 +105,13 @@
             let may_move = is_direct && self.plan.allows_another(clock::now(), MIN_ATTEMPT_TIME);
             let request = &self.received.request.id;
             let awaited = is_direct.then(|| link.await_answer());
-            let frame = tokio::select! {
-                frame = time::timeout(time_left, open.body.frame()) => Some(frame),
-                () = lost_answer(&self.received.context, open.ticket.cell(), request), if may_move => None,
+            let next = tokio::select! {
+                frame = time::timeout(time_left, open.body.frame()) => NextFrame::Received(frame),
+                () = open.buffers.ended() => NextFrame::NoRoom,
+                () = lost_answer(&self.received.context, open.ticket.cell(), request), if may_move => NextFrame::LinkCut,
             };
             drop(awaited);
-            let Some(frame) = frame else {
+            if let NextFrame::LinkCut = next {
                 if !self.move_elsewhere().await {
                     self.log_broken("link_cut");
                     return Some(Err(BrokenAnswer));
@@ -120,9 +122,9 @@
                 }
                 self.record_origin();
                 return Some(Ok(events));
-            };
-            let reason = match frame {
-                Ok(Some(Ok(frame))) => {
+            }
+            let reason = match next {
+                NextFrame::Received(Ok(Some(Ok(frame)))) => {
                     if is_direct {
                         link.record_contact(false);
                     }
@@ -135,12 +137,21 @@
                         self.record_sound();
                         return Some(Ok(events));
                     }
-                    if self.has_foreign || !self.splitter.is_overlong() {
+                    if self.has_foreign {
+                        continue;
+                    }
+                    let bytes = self.splitter.buffered_bytes();
+                    let has_room = self.open.as_mut().is_some_and(|open| open.buffers.cover(bytes).is_ok());
+                    if self.splitter.is_overlong() {
+                        "overlong_event"
+                    } else if has_room {
                         continue;
+                    } else {
+                        "no_room"
                     }
-                    "overlong_event"
                 }
-                Ok(None) => {
+                NextFrame::NoRoom | NextFrame::LinkCut => "no_room",
+                NextFrame::Received(Ok(None)) => {
                     let has_remainder = !self.splitter.remainder().is_empty();
                     match self.progress.end(has_remainder, open.is_framed()) {
                         EndVerdict::Complete => {
@@ -150,8 +161,8 @@
                         EndVerdict::Broken(reason) => reason,
                     }
                 }
-                Ok(Some(Err(_))) => "broken_answer",
-                Err(_) => "timed_out",
+                NextFrame::Received(Ok(Some(Err(_)))) => "broken_answer",
+                NextFrame::Received(Err(_)) => "timed_out",
             };
             if !self.resume(reason).await {
                 return Some(Err(BrokenAnswer));
@@ -218,7 +229,12 @@
         };
         let (cell, started_at) = (Arc::clone(open.ticket.cell()), open.started_at);
         let is_direct = open.helper.is_none();
-        if is_direct && reason != "timed_out" {
+        let is_oversized = matches!(reason, "overlong_event" | "no_room");
+        if is_oversized {
+            let answer = OversizedAnswer::new(reason, self.splitter.buffered_bytes());
+            log_oversized(&self.received, &cell.listed().id, answer);
+        }
+        if is_direct && reason != "timed_out" && !is_oversized {
             self.received.context.link.record_failure(&cell.listed().id);
         }
         // The old connection is closed before another runner continues, so that the request does not run at both at
@@ -350,6 +366,15 @@
     }
 }
 
+/// What ends the wait for the next frame of an answer.
+enum NextFrame {
+    Received(Result<Option<Result<Frame<Bytes>, hyper::Error>>, time::error::Elapsed>),
+    /// The answer does not come over a cut link.
+    LinkCut,
+    /// The room for its bytes was taken.
+    NoRoom,
+}
+
 /// Returns whether an answer broke off so soon that its request may have crashed the runner.
 fn is_suspect(started_at: Instant, reason: &str) -> bool {
     matches!(reason, "broken_answer" | "unfinished_event")
--- a/crates/mustardgate-relay/src/link/forward.rs
+++ b/crates/mustardgate-relay/src/link/forward.rs
@@ -10,14 +10,17 @@
 
 use bytes::Bytes;
 use futures::stream;
-use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::{
     Request, Response, StatusCode,
     body::{Frame, Incoming},
 };
 use metrics::counter;
-use mustardgate::drain::InFlightGuard;
-use mustardgate_core::{clock, relay::ListedRunner};
+use mustardgate::{
+    buffers::{CollectError, collect_bytes},
+    drain::InFlightGuard,
+};
+use mustardgate_core::{buffers::BufferSource, clock, relay::ListedRunner};
 use tokio::time;
 
 use super::{
@@ -107,10 +110,16 @@
         discard_body(&mut body, MAX_BODY_BYTES, forwarded.time_left).await;
         return Err(refused(ForwardRefusal::Unavailable));
     }
-    let body = Limited::new(body, MAX_BODY_BYTES).collect();
-    let body = time::timeout_at(ends_at, body).await;
-    let Ok(Ok(body)) = body else {
-        return Err(refused(ForwardRefusal::Withheld));
+    let buffers = context.buffers.guard(BufferSource::Callers);
+    let collecting = collect_bytes(&mut body, MAX_BODY_BYTES, buffers);
+    let bytes = match time::timeout_at(ends_at, collecting).await {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(CollectError::NoRoom { .. })) => {
+            let time_left = ends_at.saturating_duration_since(time::Instant::now());
+            discard_body(&mut body, MAX_BODY_BYTES, time_left).await;
+            return Err(refused(ForwardRefusal::Unavailable));
+        }
+        _ => return Err(refused(ForwardRefusal::Withheld)),
     };
     let cell = context.fleet.get(&forwarded.backend);
     let cell = cell.filter(|cell| cell.listed().started_at_ms == forwarded.started_at_ms && cell.is_in_service());
@@ -124,7 +133,7 @@
     let mut connection = connect(context, &cell, &forwarded).await?;
     let sent_at = clock::now();
     let time_left = context.within_stop(ends_at.saturating_duration_since(time::Instant::now()));
-    let mut runner_request = Request::new(Full::new(body.to_bytes()));
+    let mut runner_request = Request::new(Full::new(bytes));
     *runner_request.method_mut() = head.method;
     *runner_request.uri_mut() = head.uri;
     *runner_request.headers_mut() = head.headers;
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use mustardgate::{drain::DrainController, logging::build_logger};
+use mustardgate::{buffers::BufferBudget, drain::DrainController, logging::build_logger};
 use mustardgate_core::{
     ids::DomainId,
     lease::LeaseSettings,
@@ -32,7 +32,11 @@
 const MARGIN_DIVISOR: u32 = 4;
 
 /// Builds the context of a node.
-pub fn build_context(settings: RelaySettings, mut ports: PlatformPorts) -> Arc<RelayContext> {
+pub fn build_context(
+    settings: RelaySettings,
+    mut ports: PlatformPorts,
+    buffers: Arc<BufferBudget>,
+) -> Arc<RelayContext> {
     let logger = build_logger(&settings.logging.logger(), &settings.node.name);
     let directory = Arc::new(PeerDirectory::new(own_member(&settings)));
     let peers = PeerClient::default();
@@ -69,6 +73,7 @@
         ..PoolSettings::default()
     };
     Arc::new(RelayContext {
+        buffers,
         feed: FeedLimiter::new(feed),
         link: RunnerLink::new(logger.clone()),
         helpers: HelperBook::default(),
--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -10,6 +10,7 @@
 
 use metrics_exporter_prometheus::PrometheusHandle;
 use mustardgate::{
+    buffers::BufferBudget,
     events,
     node::{StartError, StopOutcome},
     telemetry::install_recorder,
@@ -34,7 +35,8 @@
     settings::RelaySettings,
 };
 
-/// Runs a node until a planned stop has ended; `path` is the file that the settings came from.
+/// Runs a node until a planned stop has ended; `path` is the file that the settings came from, and `buffers` the budget that
+/// the ports draw on as well.
 ///
 /// # Errors
 /// [`StartError`] when the node cannot start.
@@ -42,9 +44,10 @@
     settings: RelaySettings,
     path: PathBuf,
     ports: PlatformPorts,
+    buffers: Arc<BufferBudget>,
 ) -> Result<StopOutcome, StartError> {
     let metrics = install_recorder().map_err(|reason| StartError::Environment { reason })?;
-    let context = build_context(settings, ports);
+    let context = build_context(settings, ports, buffers);
     let logger = context.log.logger().clone();
     events::STARTING.write(&logger, o!("version" => env!("CARGO_PKG_VERSION")));
     let signals = StopSignals::install()?;
@@ -140,6 +143,7 @@
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
         context.fleet.sweep();
+        context.buffers.publish();
         context.helpers.close_expired();
         context.streams.sweep(context.leader.lease_time(), &context.fleet);
         context.limits.retain(&context.fleet);
--- a/crates/mustardgate-relay/src/settings/mod.rs
+++ b/crates/mustardgate-relay/src/settings/mod.rs
@@ -13,12 +13,23 @@
 };
 
 use mustardgate::settings::LoggingSettings;
-use mustardgate_core::ids::{DomainId, NodeId, RegionId};
+use mustardgate_core::{
+    buffers::BufferLimits,
+    ids::{DomainId, NodeId, RegionId},
+};
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
 
 pub use self::feed::FeedSettings;
 
+/// Part of the memory that buffered bytes may take; the rest is for the process itself, for what the connections and the
+/// operating system hold, and for what is made of the bytes.
+const BUFFER_DIVISOR: u64 = 4;
+/// Smallest memory with which buffers hold an answer of the largest size.
+const MIN_MEMORY_MB: u64 = 64;
+/// Bytes in a megabyte.
+const MEGABYTE: u64 = 1024 * 1024;
+
 /// Settings of a relay node.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct RelaySettings {
@@ -52,6 +63,9 @@
     /// Capacity of the node's link, in megabits per second.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: f64,
+    /// Memory that the process may use, in megabytes.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
     /// Whether the whole deployment starts for the first time, so that nothing happened before that the node has to
     /// know.
     #[serde(default)]
@@ -66,6 +80,20 @@
     1_000.0
 }
 
+/// Returns the memory assumed of a machine whose memory is not stated.
+fn default_memory_mb() -> u64 {
+    512
+}
+
+impl IdentitySettings {
+    /// Returns the limits on buffered bytes.
+    pub fn buffer_limits(&self) -> BufferLimits {
+        BufferLimits {
+            total_bytes: (self.memory_mb.saturating_mul(MEGABYTE) / BUFFER_DIVISOR) as usize,
+        }
+    }
+}
+
 /// Addresses of the listeners.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 pub struct ListenSettings {
@@ -284,6 +312,9 @@
         if !(self.node.link_mbps.is_finite() && self.node.link_mbps > 0.0) {
             return reject("node.link_mbps", "must be above 0");
         }
+        if self.node.memory_mb < MIN_MEMORY_MB {
+            return reject("node.memory_mb", "must be at least 64");
+        }
         if let Some((field, reason)) = self.feed.find_invalid() {
             return reject(field, reason);
         }
--- a/crates/mustardgate-relay/tests/settings.rs
+++ b/crates/mustardgate-relay/tests/settings.rs
@@ -73,6 +73,11 @@
         ("load_window_s = 5", "load_window_s = 0", "bounds.load_window_s"),
         ("load_overage = 1.1", "load_overage = -1", "bounds.load_overage"),
         ("require_fencing = true", "require_fencing = 1", "require_fencing"),
+        (
+            "max_descriptors = 1000",
+            "max_descriptors = 1000\nmemory_mb = 63",
+            "node.memory_mb",
+        ),
         (
             "max_descriptors = 1000",
             "max_descriptors = 1000\nlink_mbps = 0",
--- /dev/null
+++ b/crates/mustardgate/src/buffers/collect.rs
@@ -0,0 +1,80 @@
+//! Receives whole bodies within the budget.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use snafu::Snafu;
+
+use super::BufferGuard;
+
+/// Size from which on a buffer grows by a part of itself, in bytes.
+const MIN_GROWTH_BYTES: usize = 16 * 1024;
+
+/// Why a body was not received completely.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum CollectError {
+    /// It is longer than allowed.
+    #[snafu(display("too_long"))]
+    TooLong {
+        /// Bytes received.
+        bytes: usize,
+    },
+    /// The budget has no room for it.
+    #[snafu(display("no_room"))]
+    NoRoom {
+        /// Bytes received.
+        bytes: usize,
+    },
+    /// The connection broke, or what arrived is malformed.
+    #[snafu(display("broken"))]
+    Broken,
+}
+
+/// Receives a whole body of at most `max_bytes` bytes.
+///
+/// Frames are copied into one buffer whose size is reserved: a body in small chunks would take a multiple of its length
+/// otherwise.
+///
+/// # Errors
+/// [`CollectError`] when the body is too long, does not fit or breaks off.
+pub async fn collect_bytes<B>(body: &mut B, max_bytes: usize, mut guard: BufferGuard) -> Result<Bytes, CollectError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let mut first = Bytes::new();
+    let mut content = Vec::new();
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = guard.ended() => return Err(CollectError::NoRoom { bytes: content.len() }),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else { break };
+        let Ok(data) = frame.map_err(|_error| CollectError::Broken)?.into_data() else {
+            continue;
+        };
+        let bytes = content.len().max(first.len()) + data.len();
+        if bytes > max_bytes {
+            return Err(CollectError::TooLong { bytes });
+        }
+        if first.is_empty() && content.is_empty() {
+            // Most bodies are one frame, which needs no copy.
+            guard.cover(bytes).map_err(|_no_room| CollectError::NoRoom { bytes })?;
+            first = data;
+            continue;
+        }
+        if bytes > content.capacity() {
+            let capacity = (bytes + bytes / 2).max(MIN_GROWTH_BYTES).min(max_bytes);
+            guard
+                .cover(capacity)
+                .map_err(|_no_room| CollectError::NoRoom { bytes })?;
+            content.reserve_exact(capacity - content.len());
+        }
+        content.extend_from_slice(&std::mem::take(&mut first));
+        content.extend_from_slice(&data);
+    }
+    if content.is_empty() {
+        return Ok(first);
+    }
+    Ok(guard.into_bytes(content))
+}
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -139,6 +139,8 @@
 pub const RELAY_ANSWER_DROPPED: EventKind = event(660, Level::Warning, "stray runner answer dropped");
 /// A request came as one to a runner, because the list of runners names an address of this node.
 pub const RELAY_REQUEST_MISDIRECTED: EventKind = event(661, Level::Warning, "request for a runner refused");
+/// An answer of a runner was ended for its bytes; with how many of them were held.
+pub const RELAY_ANSWER_OVERSIZED: EventKind = event(670, Level::Warning, "runner answer oversized");
 /// Origins of streams could not be written to the log; they are written when it answers again.
 pub const RELAY_ORIGINS_UNRECORDED: EventKind = event(640, Level::Warning, "stream origins not recorded");
 /// Origins of streams are written to the log again; with their number.
@@ -228,6 +230,7 @@
     RELAY_TASK_PANICKED,
     RELAY_ANSWER_DROPPED,
     RELAY_REQUEST_MISDIRECTED,
+    RELAY_ANSWER_OVERSIZED,
 ];
 
 impl EventKind {
--- a/crates/mustardgate/src/lib.rs
+++ b/crates/mustardgate/src/lib.rs
@@ -1,6 +1,7 @@
 //! The node: network clients and listeners, and tasks that carry out the decisions of `mustardgate_core`.
 
 pub mod backends;
+pub mod buffers;
 pub mod cli;
 pub mod configuration;
 pub mod context;
