End an answer whose runner writes too much before its head

Callers saw: while runners wrote interim answers (1xx) without end, sound requests to other services were refused or late, and requests to those runners ended seconds after their deadline.

Cause: the HTTP library reads and drops interim answers in a loop that ends only when the socket has no bytes. With bytes always ready, one connection keeps the node's only thread for megabytes at a time, and nothing bounds how many follow.

Change: the socket of a connection to a runner (or to another node that passes requests on) counts what is read while a head is awaited, and fails the read after 128 KiB. A head may have 32 KiB, so a sound runner may precede it by many interim answers.

--- a/crates/mustardgate-relay/src/client/connection.rs
+++ b/crates/mustardgate-relay/src/client/connection.rs
@@ -24,7 +24,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::{
-    socket::{SocketWatch, WatchedSocket},
+    socket::{HeadAllowance, SocketWatch, WatchedSocket},
     target::{PeerKind, TargetField, is_no_runner_answer},
 };
 
@@ -58,6 +58,9 @@
     /// The connection broke, or a malformed answer was received, after the request may have been written.
     #[snafu(display("broken"))]
     Broken,
+    /// The runner wrote too much before or in the head of an answer.
+    #[snafu(display("oversized_head"))]
+    Oversized,
     /// No answer was received in time.
     #[snafu(display("timed_out"))]
     TimedOut,
@@ -82,7 +85,9 @@
             Self::NotConnected | Self::Withheld | Self::Limited | Self::NotSent | Self::NoRunner | Self::NoPath => {
                 RunVerdict::NotRun
             }
-            Self::Broken | Self::TimedOut | Self::BrokenBeyondNode | Self::CrashedBeyondNode => RunVerdict::MayHaveRun,
+            Self::Broken | Self::Oversized | Self::TimedOut | Self::BrokenBeyondNode | Self::CrashedBeyondNode => {
+                RunVerdict::MayHaveRun
+            }
         }
     }
 }
@@ -110,6 +115,7 @@
     /// Address that requests name as a runner's; none if the connection leads to another node as such.
     target: Option<TargetField>,
     watch: SocketWatch,
+    allowance: Arc<HeadAllowance>,
     life: Arc<ConnectionLife>,
     /// Whether it certainly leads to the listed process, which holds as long as the connection lasts.
     is_confirmed: bool,
@@ -163,12 +169,17 @@
         timeout: Duration,
     ) -> Result<Response<Incoming>, SendFailure> {
         TargetField::write(self.target.as_ref(), request.headers_mut());
-        match time::timeout(timeout, self.sender.try_send_request(request)).await {
+        self.allowance.begin();
+        let answer = time::timeout(timeout, self.sender.try_send_request(request)).await;
+        let is_oversized = self.allowance.is_used_up();
+        self.allowance.end();
+        match answer {
             Ok(Ok(answer)) if is_no_runner_answer(&answer, self.target.as_ref()) => Err(SendFailure::NoRunner),
             Ok(Ok(answer)) => Ok(answer),
             // The library returns the request only if none of its bytes was written.
             Ok(Err(mut error)) => Err(match error.take_message() {
                 Some(_) => SendFailure::NotSent,
+                None if is_oversized || error.error().is_parse_too_large() => SendFailure::Oversized,
                 None => SendFailure::Broken,
             }),
             Err(_) => Err(SendFailure::TimedOut),
@@ -229,13 +240,13 @@
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let socket = WatchedSocket::new(stream);
-        let watch = socket.watch();
+        let (watch, allowance) = (socket.watch(), socket.allowance());
         let handshake = builder.handshake(TokioIo::new(socket)).await;
         let (sender, connection) = handshake.map_err(|_error| ProbeFailure::Other)?;
-        Ok((sender, connection, watch))
+        Ok((sender, connection, watch, allowance))
     };
     let connected = time::timeout(timeout, connecting).await;
-    let (sender, connection, watch) = connected.unwrap_or(Err(ProbeFailure::Other))?;
+    let (sender, connection, watch, allowance) = connected.unwrap_or(Err(ProbeFailure::Other))?;
     let life = Arc::<ConnectionLife>::default();
     let ending = Arc::clone(&life);
     let driver = tokio::spawn(async move {
@@ -248,6 +259,7 @@
         answer_count: 0,
         target: (route.peer == PeerKind::Runner).then(|| TargetField::new(route.address)),
         watch,
+        allowance,
         life,
         is_confirmed: false,
         _driver: AbortOnDropHandle::new(driver),
--- a/crates/mustardgate-relay/src/client/mod.rs
+++ b/crates/mustardgate-relay/src/client/mod.rs
@@ -8,5 +8,6 @@
 pub use self::{
     connection::{RunnerConnection, SendFailure, connect_runner, tune_socket},
     pool::{ConnectionPool, PoolSettings, TakenConnection},
+    socket::MAX_BYTES_BEFORE_HEAD,
     target::{PeerKind, names_target, no_runner_answer},
 };
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -31,10 +31,11 @@
     digests::RequestDigests,
     failure::AttemptError,
     headers::is_event_stream,
+    oversized::{OversizedAnswer, log_oversized},
     path::{OpenPath, ResumePoint},
 };
 use crate::{
-    client::{ConnectionPool, RunnerConnection, SendFailure},
+    client::{ConnectionPool, MAX_BYTES_BEFORE_HEAD, RunnerConnection, SendFailure},
     context::{AdapterUseGuard, RelayContext},
     fleet::{AttemptOutcome, RunnerPick, RunnerTicket, SelectionError, SelectionQuery},
     leader::request_adapter,
@@ -255,11 +256,16 @@
                 AttemptOutcome::Neutral
             }
             SendFailure::Broken
+            | SendFailure::Oversized
             | SendFailure::TimedOut
             | SendFailure::BrokenBeyondNode
             | SendFailure::CrashedBeyondNode => AttemptOutcome::Failed,
         });
         let cell = ticket.cell();
+        if failure == SendFailure::Oversized {
+            let answer = OversizedAnswer::new("overlong_head", MAX_BYTES_BEFORE_HEAD);
+            log_oversized(self, &cell.listed().id, answer);
+        }
         // Parts of prompts are no suspects before the answer begins: the request may still have been waiting.
         let inputs = self.digests.inputs();
         let is_fatal = match failure {
