Let control calls draw on the budget and give way

Callers saw: while engines answered questions for their report with interim answers without end, requests to other services were refused or late.

Reports, calls to the log and to other nodes go through the shared client, whose connections read as long as bytes are ready. Its answers had a limit each (1 MiB a report, 16 MiB a page or a message), none together; messages of other nodes neither.

Change: the client's connections give way after 128 KiB read in a row, and accept heads up to 64 KiB. Answers of the log and of other nodes draw on the budget of the process with a share of their own, so that no runner takes it from them; reports count as their runner's bytes; messages of other nodes count with the requests, and are refused with 503 when they do not fit.

--- a/crates/mustardgate-core/src/buffers/ledger.rs
+++ b/crates/mustardgate-core/src/buffers/ledger.rs
@@ -22,14 +22,21 @@
     /// Callers, whose requests are kept until they are answered.
     #[display("requests")]
     Callers,
-    /// A server that answers a control call: the log, another node, or a runner that reports.
+    /// The log or another node that answers a control call.
     #[display("control")]
     Server(SocketAddr),
-    /// A runner that answers a request.
+    /// A runner that answers a request, or a question for its report.
     #[display("answers")]
     Runner(BackendId),
 }
 
+impl BufferSource {
+    /// Returns the source of what a runner at an address answers to other than requests of callers.
+    pub fn runner_at(address: SocketAddr) -> Self {
+        Self::Runner(address.to_string().into())
+    }
+}
+
 /// Limits of [`BufferLedger`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BufferLimits {
--- a/crates/mustardgate-relay/src/link/lost.rs
+++ b/crates/mustardgate-relay/src/link/lost.rs
@@ -108,9 +108,13 @@
     Ok(is_whole && verdict == ForwardVerdict::Answered)
 }
 
+/// Reads an answer to its end, and returns whether it was whole and within the limit; its bytes are dropped.
 async fn read_answer(answer: Response<Incoming>) -> bool {
-    Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
-        .collect()
-        .await
-        .is_ok()
+    let mut body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
+    while let Some(frame) = body.frame().await {
+        if frame.is_err() {
+            return false;
+        }
+    }
+    true
 }
--- a/crates/mustardgate-relay/src/link/process.rs
+++ b/crates/mustardgate-relay/src/link/process.rs
@@ -2,10 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http_body_util::{BodyExt, Limited};
 use metrics::counter;
-use mustardgate::events;
-use mustardgate_core::clock;
+use mustardgate::{buffers::collect_bytes, events};
+use mustardgate_core::{buffers::BufferSource, clock};
 use slog::o;
 use tokio::time;
 
@@ -88,7 +87,8 @@
         SendFailure::NoRunner => SendFailure::NoRunner,
         _ => SendFailure::NotConnected,
     })?;
-    let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await;
+    let buffers = context.buffers.guard(BufferSource::Runner(cell.listed().id.clone()));
+    let body = collect_bytes(&mut answer.into_body(), MAX_ANSWER_BYTES, buffers).await;
     let body = body.map_err(|_error| SendFailure::NotConnected)?;
-    Ok(control.read_process(&body.to_bytes()))
+    Ok(control.read_process(&body))
 }
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -39,7 +39,7 @@
 ) -> Arc<RelayContext> {
     let logger = build_logger(&settings.logging.logger(), &settings.node.name);
     let directory = Arc::new(PeerDirectory::new(own_member(&settings)));
-    let peers = PeerClient::default();
+    let peers = PeerClient::new(Arc::clone(&buffers));
     let direct_log = Arc::clone(&ports.topics);
     let own = settings.listen.peers;
     let seeds = settings.listen.seeds.iter().copied().filter(|seed| Some(*seed) != own);
--- a/crates/mustardgate-relay/src/peers/client.rs
+++ b/crates/mustardgate-relay/src/peers/client.rs
@@ -1,13 +1,17 @@
 //! Calls to other nodes.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
 use metrics::counter;
-use mustardgate::http::{CallLimits, HttpClient};
+use mustardgate::{
+    buffers::BufferBudget,
+    http::{CallLimits, HttpClient},
+};
 use mustardgate_core::{
+    buffers::BufferSource,
     ids::{BackendId, ServiceId},
     ports::{TopicError, TopicPage},
     relay::ModelName,
@@ -37,15 +41,14 @@
     client: HttpClient,
 }
 
-impl Default for PeerClient {
-    fn default() -> Self {
+impl PeerClient {
+    /// Creates a client whose answers draw on a budget.
+    pub fn new(buffers: Arc<BufferBudget>) -> Self {
         Self {
-            client: HttpClient::pooled(CONNECT_TIMEOUT),
+            client: HttpClient::pooled(CONNECT_TIMEOUT).with_buffers(buffers, BufferSource::Server),
         }
     }
-}
 
-impl PeerClient {
     /// Asks the leader to load an adapter; returns whether the adapter is loaded.
     pub async fn request_adapter(
         &self,
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -7,10 +7,12 @@
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use metrics::counter;
 use metrics_exporter_prometheus::PrometheusHandle;
-use mustardgate::http::{
-    AnswerBody, ConnectionLimits, bytes_answer, collect_body, empty_answer, serve_connections, text_answer,
+use mustardgate::{
+    buffers::{CollectError, collect_bytes},
+    http::{AnswerBody, ConnectionLimits, bytes_answer, empty_answer, serve_connections, text_answer},
 };
 use mustardgate_core::{
+    buffers::BufferSource,
     ports::{LogTopic, TopicError, TopicPage, TopicPosition},
     relay::ModelName,
 };
@@ -85,8 +87,13 @@
     if path == METRICS_PATH {
         return text_answer(StatusCode::OK, metrics.render());
     }
-    let Ok(body) = collect_body(request.into_body(), MAX_MESSAGE_BYTES, MESSAGE_TIMEOUT).await else {
-        return empty_answer(StatusCode::BAD_REQUEST);
+    let buffers = context.buffers.guard(BufferSource::Callers);
+    let mut body = request.into_body();
+    let collecting = collect_bytes(&mut body, MAX_MESSAGE_BYTES, buffers);
+    let body = match time::timeout(MESSAGE_TIMEOUT, collecting).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(CollectError::NoRoom { .. })) => return empty_answer(StatusCode::SERVICE_UNAVAILABLE),
+        _ => return empty_answer(StatusCode::BAD_REQUEST),
     };
     let message = match path.as_str() {
         ADAPTER_PATH => answer_adapter_request(&context, &body).await,
--- a/crates/mustardgate/src/buffers/collect.rs
+++ b/crates/mustardgate/src/buffers/collect.rs
@@ -30,6 +30,17 @@
     Broken,
 }
 
+impl CollectError {
+    /// Returns the label for metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::TooLong { .. } => "too_long",
+            Self::NoRoom { .. } => "no_room",
+            Self::Broken => "broken",
+        }
+    }
+}
+
 /// Receives a whole body of at most `max_bytes` bytes.
 ///
 /// Frames are copied into one buffer whose size is reserved: a body in small chunks would take a multiple of its length
--- a/crates/mustardgate/src/http/client.rs
+++ b/crates/mustardgate/src/http/client.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::{IpAddr, SocketAddr},
+    sync::Arc,
     time::Duration,
 };
 
@@ -16,20 +17,35 @@
     client::legacy::{Client, Error as ClientError, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
-use mustardgate_core::verdict::RunVerdict;
+use metrics::counter;
+use mustardgate_core::{buffers::BufferSource, verdict::RunVerdict};
 use snafu::Snafu;
 use tokio::time;
 
-use super::answer::{BodyError, collect_body};
-use crate::telemetry::record_control_bytes;
+use super::{answer::collect_body, turns::TurnConnector};
+use crate::{
+    buffers::{BufferBudget, collect_bytes},
+    telemetry::record_control_bytes,
+};
 
 /// Time after which an idle connection is closed, short enough that the server is unlikely to close it first.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Largest accepted head of an answer.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// Client with pooled connections, or with a new connection for each call.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<TurnConnector, Full<Bytes>>,
+    buffers: Option<ClientBuffers>,
+}
+
+/// The budget that answers draw on, and as whose bytes they count.
+#[derive(Clone, Debug)]
+struct ClientBuffers {
+    budget: Arc<BufferBudget>,
+    source_of: fn(SocketAddr) -> BufferSource,
 }
 
 /// Why a call got no answer.
@@ -105,6 +121,15 @@
         Self::build(connect_timeout, 0, None)
     }
 
+    /// Returns the client with answers that draw on a budget; `source_of` says whose bytes the answers of an address are.
+    #[must_use]
+    pub fn with_buffers(self, budget: Arc<BufferBudget>, source_of: fn(SocketAddr) -> BufferSource) -> Self {
+        Self {
+            buffers: Some(ClientBuffers { budget, source_of }),
+            ..self
+        }
+    }
+
     fn build(connect_timeout: Duration, max_idle: usize, source: Option<IpAddr>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(connect_timeout));
@@ -114,9 +139,10 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(max_idle)
+            .http1_max_buf_size(MAX_HEAD_BYTES)
             .retry_canceled_requests(false)
-            .build(connector);
-        Self { client }
+            .build(TurnConnector(connector));
+        Self { client, buffers: None }
     }
 
     /// Sends a request and returns as soon as the head of the answer has arrived.
@@ -155,13 +181,7 @@
         let reply = self.open(address, request, timeout).await?;
         let (head, body) = reply.into_parts();
         let time_left = ends_at.saturating_duration_since(time::Instant::now());
-        let body = collect_body(body, max_bytes, time_left)
-            .await
-            .map_err(|error| match error {
-                BodyError::TooLong { .. } | BodyError::TooSlow { .. } | BodyError::Broken => {
-                    CallError::BrokenAnswer { address }
-                }
-            })?;
+        let body = self.collect(address, body, max_bytes, time_left).await?;
         Ok(HttpReply {
             status: head.status,
             headers: head.headers,
@@ -169,6 +189,26 @@
         })
     }
 
+    async fn collect(
+        &self,
+        address: SocketAddr,
+        mut body: Incoming,
+        max_bytes: usize,
+        timeout: Duration,
+    ) -> Result<Bytes, CallError> {
+        let broken = CallError::BrokenAnswer { address };
+        let Some(buffers) = &self.buffers else {
+            return collect_body(body, max_bytes, timeout).await.map_err(|_error| broken);
+        };
+        let guard = buffers.budget.guard((buffers.source_of)(address));
+        let collecting = collect_bytes(&mut body, max_bytes, guard);
+        let collected = time::timeout(timeout, collecting).await.map_err(|_elapsed| broken)?;
+        collected.map_err(|error| {
+            counter!("mustardgate_control_answers_refused_total", "reason" => error.label()).increment(1);
+            broken
+        })
+    }
+
     /// Sends a request of control traffic like [`HttpClient::call`] and counts the bytes of both bodies by its kind.
     ///
     /// # Errors
--- a/crates/mustardgate/src/http/mod.rs
+++ b/crates/mustardgate/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod client;
 mod server;
+mod turns;
 
 pub(crate) use self::client::{json_request, plain_request};
 pub use self::{
