Bound what mustardctl receives, and for how long

By reading, for the cause of bytes without end: a whole answer had neither a limit nor a deadline, a line of a watch or of a generation no limit. No test was written for it.

--- a/crates/mustardctl/src/client/http.rs
+++ b/crates/mustardctl/src/client/http.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, body::Incoming, header::AUTHORIZATION, header::HeaderValue,
 };
@@ -12,11 +12,16 @@
     rt::TokioExecutor,
 };
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::time;
 
 use crate::cli::CommandError;
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time limit for a whole answer, longer than any deadline of a call.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(600);
+/// Largest answer that is received as a whole.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
 /// Sends requests over pooled connections.
 #[derive(Clone, Debug)]
@@ -82,11 +87,14 @@
     /// # Errors
     /// [`CommandError::Unreachable`] when the whole answer was not received.
     pub async fn call(&self, server: SocketAddr, request: Request<Full<Bytes>>) -> Result<HttpReply, CommandError> {
-        let (parts, body) = self.open(server, request).await?.into_parts();
-        let body = body
-            .collect()
-            .await
-            .map_err(|error| unreachable_error(server, &error))?;
+        let receiving = async {
+            let (parts, body) = self.open(server, request).await?.into_parts();
+            let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+            let body = body.map_err(|error| unreachable_error(server, error.as_ref()))?;
+            Ok((parts, body))
+        };
+        let received = time::timeout(ANSWER_TIMEOUT, receiving).await;
+        let (parts, body) = received.map_err(|elapsed| unreachable_error(server, &elapsed))??;
         Ok(HttpReply {
             status: parts.status,
             headers: parts.headers,
