Reserve no more for a body than its stated length

A buffer that grows by halves reserved up to 1.5 times a body's length, of which a large page of the log could fill its share of the budget alone. The frames still to come are known for bodies with a length.

--- a/crates/mustardgate/src/buffers/collect.rs
+++ b/crates/mustardgate/src/buffers/collect.rs
@@ -75,7 +75,9 @@
             continue;
         }
         if bytes > content.capacity() {
-            let capacity = (bytes + bytes / 2).max(MIN_GROWTH_BYTES).min(max_bytes);
+            let rest = body.size_hint().upper().and_then(|rest| usize::try_from(rest).ok());
+            let expected = rest.map_or(max_bytes, |rest| bytes.saturating_add(rest).min(max_bytes));
+            let capacity = (bytes + bytes / 2).max(MIN_GROWTH_BYTES).min(expected);
             guard
                 .cover(capacity)
                 .map_err(|_no_room| CollectError::NoRoom { bytes })?;
--- a/crates/mustardgate/tests/buffers.rs
+++ b/crates/mustardgate/tests/buffers.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures::stream;
-use http_body_util::StreamBody;
+use http_body_util::{Limited, StreamBody};
 use hyper::body::Frame;
 use mustardgate::buffers::{BufferBudget, BufferGuard, CollectError, NoRoom, collect_bytes};
 use mustardgate_core::buffers::{BufferLimits, BufferSource};
@@ -72,3 +72,12 @@
     let unfitting = collect_bytes(&mut body(20, 100_000), usize::MAX, guard(&budget, "runner-1")).await;
     assert!(matches!(unfitting, Err(CollectError::NoRoom { .. })));
 }
+
+#[tokio::test]
+async fn a_body_of_known_length_holds_no_more_than_its_length() {
+    let budget = budget();
+    let length = TOTAL_BYTES - 64 * 1024;
+    let mut body = Limited::new(body(length / 1_024, 1_024), length);
+    let received = collect_bytes(&mut body, usize::MAX, guard(&budget, "runner-1")).await;
+    assert_eq!(received.expect("there is room").len(), length);
+}
