--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -14,8 +14,9 @@
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     http::response,
 };
-use mustardgate::{drain::InFlightGuard, events};
+use mustardgate::{buffers::BufferGuard, drain::InFlightGuard, events};
 use mustardgate_core::{
+    buffers::BufferSource,
     clock,
     ids::{BackendId, ServiceId},
     relay::{
@@ -30,10 +31,11 @@
     digests::RequestDigests,
     failure::AttemptError,
     headers::is_event_stream,
+    oversized::{OversizedAnswer, log_oversized},
     path::{OpenPath, ResumePoint},
 };
 use crate::{
-    client::{ConnectionPool, RunnerConnection, SendFailure},
+    client::{ConnectionPool, MAX_BYTES_BEFORE_HEAD, RunnerConnection, SendFailure},
     context::{AdapterUseGuard, RelayContext},
     fleet::{AttemptOutcome, RunnerPick, RunnerTicket, SelectionError, SelectionQuery},
     leader::request_adapter,
@@ -91,6 +93,8 @@
     pub(super) verdict: HeadVerdict,
     pub(super) head: response::Parts,
     pub(super) body: Incoming,
+    /// Covers the bytes of it that are buffered.
+    pub(super) buffers: BufferGuard,
     pub(super) metadata: AnswerMetadata,
     /// When the head was received.
     pub(super) started_at: Instant,
@@ -230,6 +234,7 @@
             verdict,
             head,
             body,
+            buffers: self.context.buffers.guard(BufferSource::Runner(listed.id.clone())),
             metadata,
             started_at: clock::now(),
             _adapter_use: adapter_use,
@@ -251,11 +256,16 @@
                 AttemptOutcome::Neutral
             }
             SendFailure::Broken
+            | SendFailure::Oversized
             | SendFailure::TimedOut
             | SendFailure::BrokenBeyondNode
             | SendFailure::CrashedBeyondNode => AttemptOutcome::Failed,
         });
         let cell = ticket.cell();
+        if failure == SendFailure::Oversized {
+            let answer = OversizedAnswer::new("overlong_head", MAX_BYTES_BEFORE_HEAD);
+            log_oversized(self, &cell.listed().id, answer);
+        }
         // Parts of prompts are no suspects before the answer begins: the request may still have been waiting.
         let inputs = self.digests.inputs();
         let is_fatal = match failure {
--- a/crates/mustardgate-relay/src/peers/client.rs
+++ b/crates/mustardgate-relay/src/peers/client.rs
@@ -1,13 +1,17 @@
 //! Calls to other nodes.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
 use metrics::counter;
-use mustardgate::http::{BodyPace, CallLimits, HttpClient};
+use mustardgate::{
+    buffers::BufferBudget,
+    http::{BodyPace, CallLimits, HttpClient},
+};
 use mustardgate_core::{
+    buffers::BufferSource,
     ids::{BackendId, ServiceId},
     ports::{TopicError, TopicPage},
     relay::ModelName,
@@ -41,16 +45,15 @@
     page_time: Duration,
 }
 
-impl Default for PeerClient {
-    fn default() -> Self {
+impl PeerClient {
+    /// Creates a client whose answers draw on a budget.
+    pub fn new(buffers: Arc<BufferBudget>) -> Self {
         Self {
-            client: HttpClient::pooled(CONNECT_TIMEOUT),
+            client: HttpClient::pooled(CONNECT_TIMEOUT).with_buffers(buffers, BufferSource::Server),
             page_time: CALL_TIMEOUT,
         }
     }
-}
 
-impl PeerClient {
     /// Sets the longest time for records of which bytes keep arriving, which grow with the configuration.
     #[must_use]
     pub fn with_page_time(mut self, page_time: Duration) -> Self {
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -143,6 +143,8 @@
 pub const RELAY_CONNECTION_FAILED: EventKind = event(668, Level::Info, "caller connection failed");
 /// The code that serves a connection panicked, so that a request may have no answer; with what it was doing.
 pub const CONNECTION_PANICKED: EventKind = event(669, Level::Error, "connection panicked");
+/// An answer of a runner was ended for its bytes; with how many of them were held.
+pub const RELAY_ANSWER_OVERSIZED: EventKind = event(670, Level::Warning, "runner answer oversized");
 /// Origins of streams could not be written to the log; they are written when it answers again.
 pub const RELAY_ORIGINS_UNRECORDED: EventKind = event(640, Level::Warning, "stream origins not recorded");
 /// Origins of streams are written to the log again; with their number.
@@ -234,6 +236,7 @@
     RELAY_REQUEST_MISDIRECTED,
     RELAY_CONNECTION_FAILED,
     CONNECTION_PANICKED,
+    RELAY_ANSWER_OVERSIZED,
 ];
 
 impl EventKind {
--- a/crates/mustardgate/src/http/client.rs
+++ b/crates/mustardgate/src/http/client.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::{IpAddr, SocketAddr},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -16,20 +17,55 @@
     client::legacy::{Client, Error as ClientError, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
-use mustardgate_core::{clock, verdict::RunVerdict};
+use metrics::counter;
+use mustardgate_core::{
+    buffers::{BufferLimits, BufferSource},
+    clock,
+    verdict::RunVerdict,
+};
 use snafu::Snafu;
 use tokio::time;
 
-use super::answer::{BodyError, BodyPace, collect_body, collect_steady_body};
-use crate::telemetry::record_control_bytes;
+use super::{
+    steady::{BodyPace, SteadyBody},
+    turns::TurnConnector,
+};
+use crate::{
+    buffers::{BufferBudget, collect_while},
+    telemetry::record_control_bytes,
+};
 
 /// Time after which an idle connection is closed, short enough that the server is unlikely to close it first.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Largest accepted head of an answer.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// Client with pooled connections, or with a new connection for each call.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<TurnConnector, Full<Bytes>>,
+    buffers: ClientBuffers,
+}
+
+/// The budget that answers draw on, and as whose bytes they count.
+#[derive(Clone, Debug)]
+struct ClientBuffers {
+    budget: Arc<BufferBudget>,
+    source_of: fn(SocketAddr) -> BufferSource,
+}
+
+impl Default for ClientBuffers {
+    /// Returns a budget without a limit, for processes that have none in common.
+    fn default() -> Self {
+        let limits = BufferLimits {
+            total_bytes: usize::MAX,
+        };
+        Self {
+            budget: Arc::new(BufferBudget::new(limits)),
+            source_of: BufferSource::Server,
+        }
+    }
 }
 
 /// Why a call got no answer.
@@ -109,6 +145,15 @@
         Self::build(connect_timeout, 0, None)
     }
 
+    /// Returns the client with answers that draw on a budget; `source_of` says whose bytes the answers of an address are.
+    #[must_use]
+    pub fn with_buffers(self, budget: Arc<BufferBudget>, source_of: fn(SocketAddr) -> BufferSource) -> Self {
+        Self {
+            buffers: ClientBuffers { budget, source_of },
+            ..self
+        }
+    }
+
     fn build(connect_timeout: Duration, max_idle: usize, source: Option<IpAddr>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(connect_timeout));
@@ -118,9 +163,13 @@
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
             .pool_max_idle_per_host(max_idle)
+            .http1_max_buf_size(MAX_HEAD_BYTES)
             .retry_canceled_requests(false)
-            .build(connector);
-        Self { client }
+            .build(TurnConnector(connector));
+        Self {
+            client,
+            buffers: ClientBuffers::default(),
+        }
     }
 
     /// Sends a request and returns as soon as the head of the answer has arrived.
@@ -174,18 +223,9 @@
         let reply = self.open(address, request, limits.timeout).await?;
         let head_at = clock::now();
         let (head, body) = reply.into_parts();
-        let received = if let Some(pace) = limits.pace {
-            let is_wanted = |content: &[u8]| !head.status.is_success() || is_wanted(content);
-            collect_steady_body(body, limits.max_bytes, ends_at, pace, is_wanted).await
-        } else {
-            let time_left = ends_at.saturating_duration_since(time::Instant::now());
-            collect_body(body, limits.max_bytes, time_left).await
-        };
-        let body = received.map_err(|error| match error {
-            BodyError::TooLong { .. } | BodyError::TooSlow { .. } | BodyError::Broken => {
-                CallError::BrokenAnswer { address }
-            }
-        })?;
+        let is_wanted = |content: &[u8]| !head.status.is_success() || is_wanted(content);
+        let body = SteadyBody::new(body, ends_at, limits.pace);
+        let body = self.collect(address, body, limits.max_bytes, is_wanted).await?;
         Ok(HttpReply {
             status: head.status,
             headers: head.headers,
@@ -194,6 +234,21 @@
         })
     }
 
+    async fn collect(
+        &self,
+        address: SocketAddr,
+        mut body: SteadyBody<Incoming>,
+        max_bytes: usize,
+        is_wanted: impl Fn(&[u8]) -> bool,
+    ) -> Result<Bytes, CallError> {
+        let guard = self.buffers.budget.guard((self.buffers.source_of)(address));
+        let collected = collect_while(&mut body, max_bytes, guard, is_wanted).await;
+        collected.map_err(|error| {
+            counter!("mustardgate_control_answers_refused_total", "reason" => error.label()).increment(1);
+            CallError::BrokenAnswer { address }
+        })
+    }
+
     /// Sends a request of control traffic like [`HttpClient::call`] and counts the bytes of both bodies by its kind.
     ///
     /// # Errors
--- a/crates/mustardgate/src/http/mod.rs
+++ b/crates/mustardgate/src/http/mod.rs
@@ -5,17 +5,19 @@
 mod connection;
 mod queue;
 mod server;
+mod steady;
 mod timer;
+mod turns;
 
 pub(crate) use self::client::{json_request, plain_request};
 pub use self::{
     answer::{
-        AnswerBody, BodyError, BodyPace, bytes_answer, collect_body, collect_steady_body, empty_answer, json_answer,
-        streamed_answer, text_answer,
+        AnswerBody, BodyError, bytes_answer, collect_body, empty_answer, json_answer, streamed_answer, text_answer,
     },
     client::{CallError, CallLimits, HttpClient, HttpReply, StreamReply},
     connection::{catch_panic, drive_connection},
     queue::close_listener,
     server::{ConnectionLimits, serve_connections},
+    steady::BodyPace,
     timer::{SilenceLimit, SilenceTimer},
 };
