Keep room for control calls, and give back room for events that were passed on

Cause: an answer on its way cannot be ended, and shares were counted against one total, so a share was a limit and no guarantee. Control calls now have a quarter of the budget to themselves, messages of other nodes count as such and not as callers' requests. Streams give back what an event of a megabyte had reserved, once it is passed on; moves of streams draw on the budget as well, and a body that arrives in one piece is counted until it is dropped.

The totals of the other tests grew by the share of control calls, so that answers have the room that they had.

--- a/crates/mustardgate-core/src/buffers/ledger.rs
+++ b/crates/mustardgate-core/src/buffers/ledger.rs
@@ -10,8 +10,10 @@
 
 use crate::ids::BackendId;
 
-/// Requests, and answers to control calls, may each hold the total divided by this.
-const SHARE_DIVISOR: usize = 2;
+/// Control calls have the total divided by this to themselves, so that slow callers cannot keep the node from the log.
+const CONTROL_DIVISOR: usize = 4;
+/// Requests may hold the total divided by this.
+const REQUEST_DIVISOR: usize = 2;
 
 /// Identifier of a holder of bytes, unique in a process.
 pub type HolderId = u64;
@@ -25,18 +27,37 @@
     /// The log or another node that answers a control call.
     #[display("control")]
     Server(SocketAddr),
+    /// Other nodes, whose control calls are answered.
+    #[display("control")]
+    Nodes,
     /// A runner that answers a request, or a question for its report.
     #[display("answers")]
     Runner(BackendId),
 }
 
 impl BufferSource {
+    fn kind(&self) -> SourceKind {
+        match self {
+            Self::Callers => SourceKind::Requests,
+            Self::Server(_) | Self::Nodes => SourceKind::Control,
+            Self::Runner(_) => SourceKind::Answers,
+        }
+    }
+
     /// Returns the source of what a runner at an address answers to other than requests of callers.
     pub fn runner_at(address: SocketAddr) -> Self {
         Self::Runner(address.to_string().into())
     }
 }
 
+/// What the bytes of a source are for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SourceKind {
+    Requests,
+    Control,
+    Answers,
+}
+
 /// Limits of [`BufferLedger`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BufferLimits {
@@ -55,9 +76,9 @@
 /// Decides which bytes are kept when not all of them fit.
 ///
 /// An answer of a runner that does not fit ends the largest open answer of the runner that holds most, or itself if that is its
-/// own runner. So a runner with a few ordinary answers never loses them to one that sends without end. Requests and control
-/// calls have a share each, within which they take room from answers, and they are never ended: a request may already run, and
-/// without the log no answer is worth much.
+/// own runner. So a runner with a few ordinary answers never loses them to one that sends without end. Requests take room from
+/// open answers up to a share of theirs, and are never ended, because they may already run. Control calls have a share to
+/// themselves: without the log no answer is worth much.
 #[derive(Clone, Debug)]
 pub struct BufferLedger {
     limits: BufferLimits,
@@ -120,37 +141,63 @@
         }
     }
 
+    /// Releases some bytes of a holder.
+    pub fn shrink(&mut self, holder: HolderId, bytes: usize) {
+        let Some(holding) = self.holdings.get_mut(&holder) else {
+            return;
+        };
+        let freed = bytes.min(holding.bytes);
+        holding.bytes -= freed;
+        let source = holding.source.clone();
+        self.free(&source, freed);
+    }
+
     /// Releases all bytes of a holder.
     pub fn release(&mut self, holder: HolderId) {
         let Some(holding) = self.holdings.remove(&holder) else {
             return;
         };
-        self.total_bytes -= holding.bytes;
-        if let Some(held) = self.held_bytes.get_mut(&holding.source) {
-            *held -= holding.bytes;
+        self.free(&holding.source, holding.bytes);
+    }
+
+    fn free(&mut self, source: &BufferSource, bytes: usize) {
+        self.total_bytes -= bytes;
+        if let Some(held) = self.held_bytes.get_mut(source) {
+            *held -= bytes;
             if *held == 0 {
-                self.held_bytes.remove(&holding.source);
+                self.held_bytes.remove(source);
             }
         }
     }
 
     fn fits_share(&self, source: &BufferSource, bytes: usize) -> bool {
-        let is_same_kind = |other: &BufferSource| std::mem::discriminant(other) == std::mem::discriminant(source);
-        let held: usize = match source {
-            BufferSource::Runner(_) => return true,
-            _ => self
-                .sources()
-                .filter(|(other, _)| is_same_kind(other))
-                .map(|(_, held)| held)
-                .sum(),
+        let kind = source.kind();
+        let share = match kind {
+            SourceKind::Answers => return true,
+            SourceKind::Control => self.control_share(),
+            SourceKind::Requests => self.limits.total_bytes / REQUEST_DIVISOR,
         };
-        held + bytes <= self.limits.total_bytes / SHARE_DIVISOR
+        self.bytes_for(kind) + bytes <= share
+    }
+
+    fn control_share(&self) -> usize {
+        self.limits.total_bytes / CONTROL_DIVISOR
+    }
+
+    fn bytes_for(&self, kind: SourceKind) -> usize {
+        let sources = self.sources().filter(|(source, _)| source.kind() == kind);
+        sources.map(|(_, held)| held).sum()
     }
 
     /// Returns the holders that have to end so that the bytes fit; `None` if the asking one has to.
     fn choose_ended(&self, asking: HolderId, source: &BufferSource, bytes: usize) -> Option<Vec<HolderId>> {
-        let mut needed = (self.total_bytes + bytes).saturating_sub(self.limits.total_bytes);
         let mut ended = Vec::new();
+        if source.kind() == SourceKind::Control {
+            return Some(ended);
+        }
+        let limit = self.limits.total_bytes - self.control_share();
+        let held = self.total_bytes - self.bytes_for(SourceKind::Control);
+        let mut needed = (held + bytes).saturating_sub(limit);
         if needed == 0 {
             return Some(ended);
         }
--- a/crates/mustardgate-core/tests/relay/buffers.rs
+++ b/crates/mustardgate-core/tests/relay/buffers.rs
@@ -5,7 +5,12 @@
 use mustardgate_core::buffers::{BufferLedger, BufferLimits, BufferSource, HolderId};
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 
-const TOTAL_BYTES: usize = 1_000;
+/// Total, of which control calls have a quarter to themselves.
+const TOTAL_BYTES: usize = 1_333;
+/// Room for requests and answers together.
+const SHARED_BYTES: usize = 1_000;
+/// Room for control calls.
+const CONTROL_BYTES: usize = 333;
 
 fn ledger() -> BufferLedger {
     BufferLedger::new(BufferLimits {
@@ -43,16 +48,37 @@
 }
 
 #[test]
-fn requests_and_control_calls_take_room_from_answers_within_their_share() {
-    for source in [BufferSource::Callers, log()] {
-        let mut ledger = ledger();
-        ledger.reserve(1, &runner(1), 900);
-        assert_eq!(ledger.reserve(2, &source, 400), Some(vec![1]), "{source}");
-        assert_eq!(ledger.reserve(3, &source, 200), None, "{source}");
-        assert_eq!(ledger.reserve(4, &runner(1), 600), Some(vec![]), "{source}");
-        assert_eq!(ledger.reserve(4, &runner(1), 100), None, "{source}");
-        assert_eq!(ledger.bytes_of(&source), 400, "{source}");
+fn requests_take_room_from_answers_within_their_share() {
+    let mut ledger = ledger();
+    ledger.reserve(1, &runner(1), 900);
+    assert_eq!(ledger.reserve(2, &BufferSource::Callers, 400), Some(vec![1]));
+    assert_eq!(ledger.reserve(3, &BufferSource::Callers, 300), None);
+    assert_eq!(ledger.reserve(4, &runner(1), 600), Some(vec![]));
+    assert_eq!(ledger.reserve(4, &runner(1), 100), None);
+    assert_eq!(ledger.bytes_of(&BufferSource::Callers), 400);
+}
+
+// Guards against callers that read slowly and so keep the node from the log.
+#[test]
+fn answers_on_their_way_to_callers_leave_room_for_control_calls() {
+    let mut ledger = ledger();
+    for holder in 1..=5 {
+        assert_eq!(ledger.reserve(holder, &runner(1), SHARED_BYTES / 5), Some(vec![]));
+        ledger.settle(holder);
     }
+    assert_eq!(ledger.reserve(6, &runner(2), 1), None);
+    assert_eq!(ledger.reserve(7, &log(), 200), Some(vec![]));
+    assert_eq!(ledger.reserve(8, &BufferSource::Nodes, 100), Some(vec![]));
+    assert_eq!(ledger.reserve(9, &log(), 100), None);
+}
+
+#[test]
+fn bytes_that_a_holder_gives_back_are_free_for_others() {
+    let mut ledger = ledger();
+    ledger.reserve(1, &runner(1), 900);
+    ledger.shrink(1, 700);
+    assert_eq!(ledger.bytes_of(&runner(1)), 200);
+    assert_eq!(ledger.reserve(2, &runner(2), 800), Some(vec![]));
 }
 
 #[test]
@@ -69,15 +95,21 @@
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(43), ..ProptestConfig::default() })]
     #[test]
     fn the_total_holds_and_nobody_loses_to_a_runner_that_holds_more(
-        steps in vec((0_usize..6, 0_u64..12, 1_usize..200, any::<bool>()), 1..300),
+        steps in vec((0_usize..6, 0_u64..12, 1_usize..200, 0_u8..5), 1..300),
     ) {
         let mut ledger = ledger();
         let mut held: BTreeMap<HolderId, (BufferSource, usize)> = BTreeMap::new();
-        let mut ended_before = BTreeSet::new();
-        for (number, (source, holder, bytes, is_release)) in steps.into_iter().enumerate() {
+        let (mut ended_before, mut settled) = (BTreeSet::new(), BTreeSet::new());
+        for (number, (source, holder, bytes, action)) in steps.into_iter().enumerate() {
             // A holder has one source, and one that was ended does not come back.
             let holder = holder * 6 + source as u64;
-            if is_release || ended_before.contains(&holder) {
+            if action == 0 {
+                ledger.settle(holder);
+                settled.extend(held.contains_key(&holder).then_some(holder));
+                continue;
+            }
+            if action < 3 || ended_before.contains(&holder) {
+                settled.remove(&holder);
                 ledger.release(holder);
                 held.remove(&holder);
                 ended_before.remove(&holder);
@@ -92,8 +124,13 @@
                 held.values().filter(|(other, _)| other == of).map(|(_, bytes)| *bytes).sum()
             };
             let own_bytes = sum(&held, &source) + bytes;
-            let Some(ended) = ledger.reserve(holder, &source, bytes) else { continue };
+            let is_control = source == log();
+            let Some(ended) = ledger.reserve(holder, &source, bytes) else {
+                prop_assert!(!is_control || own_bytes > CONTROL_BYTES, "step {number}");
+                continue;
+            };
             for id in ended {
+                prop_assert!(!settled.contains(&id));
                 let (loser, _) = &held[&id];
                 prop_assert!(matches!(loser, BufferSource::Runner(_)));
                 let is_greedier = sum(&held, loser) > own_bytes;
@@ -104,7 +141,8 @@
             held.entry(holder).or_insert((source.clone(), 0)).1 += bytes;
             let total: usize = held.values().map(|(_, bytes)| *bytes).sum();
             prop_assert_eq!(ledger.total_bytes(), total);
-            prop_assert!(total <= TOTAL_BYTES);
+            prop_assert!(total - sum(&held, &log()) <= SHARED_BYTES);
+            prop_assert!(sum(&held, &log()) <= CONTROL_BYTES);
             prop_assert!(sum(&held, &BufferSource::Callers) <= TOTAL_BYTES / 2);
         }
     }
--- a/crates/mustardgate-relay/src/gateway/stream/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/stream/mod.rs
@@ -139,6 +139,7 @@
                         self.splitter.push(&data);
                     }
                     let events = self.take_events();
+                    let has_room = self.cover_buffer();
                     if !events.is_empty() {
                         self.record_origin();
                         self.record_sound();
@@ -147,8 +148,6 @@
                     if self.has_foreign {
                         continue;
                     }
-                    let bytes = self.splitter.buffered_bytes();
-                    let has_room = self.open.as_mut().is_some_and(|open| open.buffers.cover(bytes).is_ok());
                     if self.splitter.is_overlong() {
                         "overlong_event"
                     } else if has_room {
@@ -190,6 +189,12 @@
         Bytes::from(events)
     }
 
+    /// Reserves room for what is held of the next event; returns whether there is any.
+    fn cover_buffer(&mut self) -> bool {
+        let bytes = self.splitter.buffered_bytes();
+        self.open.as_mut().is_some_and(|open| open.buffers.cover(bytes).is_ok())
+    }
+
     /// Prepares for the answer of another runner.
     fn begin_answer(&mut self) {
         self.has_no_successor = false;
--- a/crates/mustardgate-relay/src/gateway/stream/moves.rs
+++ b/crates/mustardgate-relay/src/gateway/stream/moves.rs
@@ -51,6 +51,7 @@
                     Some(Err(_)) => return moving.await.then(Bytes::new),
                     frame => heard = frame.and_then(Result::ok),
                 },
+                () = current.buffers.ended() => return moving.await.then(Bytes::new),
             }
         }
         if has_moved {
@@ -68,6 +69,7 @@
                         ABANDONED_REASON
                     }
                 },
+                () = current.buffers.ended() => return Some(Bytes::new()),
                 // Both runners would work on the stream from here on.
                 () = runner_reached(&context, &cell) => ABANDONED_REASON,
             };
@@ -97,6 +99,7 @@
                 self.splitter.push(&data);
             }
             let events = self.take_events();
+            let has_room = self.cover_buffer();
             if !events.is_empty() {
                 return Ok(events);
             }
@@ -106,6 +109,9 @@
             if self.splitter.is_overlong() {
                 return Err("overlong_event");
             }
+            if !has_room {
+                return Err("no_room");
+            }
         }
     }
 
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -90,7 +90,7 @@
         context.record_config_age();
         return text_answer(StatusCode::OK, metrics.render());
     }
-    let buffers = context.buffers.guard(BufferSource::Callers);
+    let buffers = context.buffers.guard(BufferSource::Nodes);
     let mut body = request.into_body();
     let collecting = collect_bytes(&mut body, MAX_MESSAGE_BYTES, buffers);
     let body = match time::timeout(MESSAGE_TIMEOUT, collecting).await {
--- a/crates/mustardgate/src/buffers/budget.rs
+++ b/crates/mustardgate/src/buffers/budget.rs
@@ -109,7 +109,7 @@
 }
 
 impl BufferGuard {
-    /// Makes sure that the guard covers as many bytes.
+    /// Makes sure that the guard covers as many bytes, and gives back what exceeds them by more than a step.
     ///
     /// # Errors
     /// [`NoRoom`] when the bytes do not fit, or when others took the room that was held.
@@ -119,6 +119,7 @@
             return Err(NoRoom);
         }
         if bytes <= covered {
+            self.give_back(covered - bytes);
             return Ok(());
         }
         let further = (bytes - covered).next_multiple_of(STEP_BYTES);
@@ -147,6 +148,19 @@
         Ok(())
     }
 
+    fn give_back(&mut self, unneeded: usize) {
+        let Some(reservation) = &mut self.reservation else {
+            return;
+        };
+        let excess = unneeded.min(reservation.bytes);
+        // One step is kept, so that events of ordinary size do not take turns at the budget.
+        let freed = excess.saturating_sub(STEP_BYTES) / STEP_BYTES * STEP_BYTES;
+        if freed > 0 {
+            reservation.bytes -= freed;
+            self.budget.lock().ledger.shrink(reservation.id, freed);
+        }
+    }
+
     /// Returns the bytes that are reserved.
     pub fn reserved_bytes(&self) -> usize {
         self.reservation.as_ref().map_or(0, |reservation| reservation.bytes)
@@ -171,9 +185,12 @@
 
     /// Returns the bytes with the guard, which releases its reservation with the last reference to them. They can't be
     /// taken by others any more.
-    pub fn into_bytes(self, content: Vec<u8>) -> Bytes {
+    pub fn into_bytes<C>(self, content: C) -> Bytes
+    where
+        C: AsRef<[u8]> + Into<Bytes> + Send + 'static,
+    {
         let Some(reservation) = &self.reservation else {
-            return Bytes::from(content);
+            return content.into();
         };
         self.budget.lock().ledger.settle(reservation.id);
         Bytes::from_owner(GuardedBytes { content, _guard: self })
@@ -191,13 +208,13 @@
     }
 }
 
-struct GuardedBytes {
-    content: Vec<u8>,
+struct GuardedBytes<C> {
+    content: C,
     _guard: BufferGuard,
 }
 
-impl AsRef<[u8]> for GuardedBytes {
+impl<C: AsRef<[u8]>> AsRef<[u8]> for GuardedBytes<C> {
     fn as_ref(&self) -> &[u8] {
-        &self.content
+        self.content.as_ref()
     }
 }
--- a/crates/mustardgate/src/buffers/collect.rs
+++ b/crates/mustardgate/src/buffers/collect.rs
@@ -109,7 +109,7 @@
         }
     }
     if content.is_empty() {
-        return Ok(first);
+        return Ok(guard.into_bytes(first));
     }
     Ok(guard.into_bytes(content))
 }
--- a/crates/mustardgate/src/http/steady.rs
+++ b/crates/mustardgate/src/http/steady.rs
@@ -68,15 +68,12 @@
     type Data = Bytes;
     type Error = UnsteadyBody;
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, UnsteadyBody>>> {
-        if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) {
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, UnsteadyBody>>> {
+        if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) {
             self.restart();
             return Poll::Ready(frame.map(|frame| frame.map_err(|_error| UnsteadyBody)));
         }
-        ready!(self.stall.as_mut().poll(context));
+        ready!(self.stall.as_mut().poll(cx));
         Poll::Ready(Some(Err(UnsteadyBody)))
     }
 
