Read small records in pages that arrive in time

What callers would have seen: a node that starts or was cut off reads the leases, the origins of streams or changes of runners from far behind, each read asks for up to a megabyte, takes longer than its 0.6 or 0.7 s over a link of 10 Mbit/s, and asks for the same page again: nobody leads, returns are refused, leaving runners get requests.

A longer time is no cure there, since a page that trickles holds up what came after it.

Pages of newest records, whose size the log chooses, and configurations keep their pace. A part of a page does not count as knowledge of the log's end.

--- a/crates/mustardgate-relay/src/context/records.rs
+++ b/crates/mustardgate-relay/src/context/records.rs
@@ -61,8 +61,11 @@
             cache.records.insert(record.key.clone(), TopicRecord::clone(record));
         }
         cache.next = cache.next.max(page.next);
-        let read_at = now.checked_sub(page.origin.age).unwrap_or(now);
-        cache.read_at = cache.read_at.max(Some(read_at));
+        // The log held more than a part of a page when that was read.
+        if !page.is_partial || cache.read_at.is_none() {
+            let read_at = now.checked_sub(page.origin.age).unwrap_or(now);
+            cache.read_at = cache.read_at.max(Some(read_at));
+        }
         cache.prune_tombstones();
         drop(cache);
         if !page.records.is_empty() {
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -110,7 +110,7 @@
                 self.next = Some(page.end());
                 self.era = Some(page.era);
                 self.apply_page(&page, extent, began_at);
-                if page.records.is_empty() || self.topic == LogTopic::Configuration {
+                if page.records.is_empty() || page.is_partial || self.topic == LogTopic::Configuration {
                     Duration::ZERO
                 } else {
                     self.batch_pause()
