Count an eviction only once the runner reports it

Cause: an eviction that waits for requests is answered 202, also when it is repeated, and a repeat is not counted. The leader counted each 202 as one more order, removed the adapter from its copy of the report, and repeated the load with the foretold count for up to 3 s without reading the report again. A load without an answer that was executed late moved the count to the foretold value, and the repeated load was accepted into a slot that was taken.

Change: an accepted eviction discards the report and is remembered until a report lacks the adapter. Meanwhile no other eviction is ordered, and the load is sent only on a report that shows the room, once each. A report is read only while an eviction waits for requests, at most 8 times in 3 s.

--- a/crates/mustardgate-relay/src/leader/adapters.rs
+++ b/crates/mustardgate-relay/src/leader/adapters.rs
@@ -22,10 +22,12 @@
 const ADAPTER_LOAD_TIME: Duration = Duration::from_millis(14);
 /// Time after which the requester is told that the adapter is not loaded yet; the load continues.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
-/// Interval and number of attempts to load an adapter into the slot of one that requests still use. The interval is
-/// also the longest wait for earlier orders to the same runner.
-const EVICTION_RETRY_INTERVAL: Duration = Duration::from_millis(150);
-const EVICTION_ATTEMPTS: usize = 20;
+/// Longest wait for earlier orders to the same runner.
+const ORDER_WAIT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Interval and number of attempts to load an adapter into the slot of one that requests still use. Each attempt reads a
+/// report, and reports lag behind the runner's state.
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+const REPORT_ATTEMPTS: usize = 8;
 
 /// Requests that an adapter be loaded on a runner that holds its model; returns whether the adapter is loaded.
 pub async fn request_adapter(
@@ -76,6 +78,15 @@
     matches!(time::timeout(ANSWER_TIMEOUT, loaded).await, Ok(Ok(true)))
 }
 
+/// Result of one attempt to load an adapter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LoadStep {
+    Loaded,
+    Abandoned,
+    /// The next attempt needs a new report.
+    AwaitReport,
+}
+
 /// The load of one adapter on one runner.
 struct AdapterLoad {
     context: Arc<RelayContext>,
@@ -88,20 +99,32 @@
 impl AdapterLoad {
     async fn run(&self) -> bool {
         // Do not wait long for a runner that has another order in progress; another runner may hold the model too.
-        let Ok(mut cache) = time::timeout(EVICTION_RETRY_INTERVAL, self.orders.cache.lock()).await else {
+        let Ok(mut cache) = time::timeout(ORDER_WAIT_TIMEOUT, self.orders.cache.lock()).await else {
             return false;
         };
+        for _ in 0..REPORT_ATTEMPTS {
+            match self.attempt(&mut cache).await {
+                LoadStep::Loaded => return true,
+                LoadStep::Abandoned => return false,
+                // Only a new report shows that an eviction is complete, or how many orders were accepted.
+                LoadStep::AwaitReport => time::sleep(REPORT_INTERVAL).await,
+            }
+        }
+        false
+    }
+
+    async fn attempt(&self, cache: &mut ReportCache) -> LoadStep {
         let is_outdated = |report: &RunnerReport| !report.models.contains_key(&self.name.model);
         if cache.report.as_ref().is_some_and(is_outdated) {
             // The model was loaded by an order that completed after the report was read.
             cache.report = None;
         }
-        let Some(report) = ensure_report(&self.context, &self.listed, &mut cache).await else {
-            return false;
+        let Some(report) = ensure_report(&self.context, &self.listed, cache).await else {
+            return LoadStep::Abandoned;
         };
         let held = report.held_adapters();
         let Some(adapters) = held.get(&self.name.model) else {
-            return false;
+            return LoadStep::Abandoned;
         };
         if self
             .name
@@ -109,7 +132,11 @@
             .as_ref()
             .is_some_and(|adapter| adapters.contains(adapter))
         {
-            return true;
+            return LoadStep::Loaded;
+        }
+        if cache.is_evicting() {
+            cache.invalidate();
+            return LoadStep::AwaitReport;
         }
         let backend = &self.listed.id;
         let slot = {
@@ -118,36 +145,27 @@
                 .evictor
                 .find_slot(clock::now(), backend, &held, self.slots, &self.name)
         };
-        let attempts = match slot {
-            AdapterSlot::Free => 1,
-            AdapterSlot::Unavailable => return false,
-            AdapterSlot::AfterEviction(victim) => match self.send_order(&mut cache, OrderKind::Evict, &victim).await {
-                OrderReply::AlreadyHolds => 1,
+        match slot {
+            AdapterSlot::Free => self.load(cache).await,
+            AdapterSlot::Unavailable => LoadStep::Abandoned,
+            AdapterSlot::AfterEviction(victim) => match self.send_order(cache, OrderKind::Evict, &victim).await {
+                OrderReply::AlreadyHolds => self.load(cache).await,
                 // The eviction waits for requests to end, and the runner accepts no other order until then.
-                OrderReply::Accepted => EVICTION_ATTEMPTS,
-                _ => return false,
+                OrderReply::Accepted => LoadStep::AwaitReport,
+                _ => LoadStep::Abandoned,
             },
-        };
-        self.load(&mut cache, attempts).await
+        }
     }
 
-    async fn load(&self, cache: &mut ReportCache, attempts: usize) -> bool {
-        for attempt in 1..=attempts {
-            let before = cache.report.clone();
-            match self.send_order(cache, OrderKind::Load, &self.name).await {
-                OrderReply::Accepted => {
-                    time::sleep(ADAPTER_LOAD_TIME).await;
-                    return true;
-                }
-                OrderReply::AlreadyHolds => return true,
-                OrderReply::Conflict if attempt < attempts => {
-                    cache.report = before;
-                    time::sleep(EVICTION_RETRY_INTERVAL).await;
-                }
-                _ => return false,
+    async fn load(&self, cache: &mut ReportCache) -> LoadStep {
+        match self.send_order(cache, OrderKind::Load, &self.name).await {
+            OrderReply::Accepted => {
+                time::sleep(ADAPTER_LOAD_TIME).await;
+                LoadStep::Loaded
             }
+            OrderReply::AlreadyHolds => LoadStep::Loaded,
+            _ => LoadStep::Abandoned,
         }
-        false
     }
 
     async fn send_order(&self, cache: &mut ReportCache, kind: OrderKind, name: &ModelName) -> OrderReply {
--- a/crates/mustardgate-relay/src/leader/orders.rs
+++ b/crates/mustardgate-relay/src/leader/orders.rs
@@ -93,6 +93,11 @@
     );
     events::RELAY_ORDER_SENT.write(context.log.logger(), values);
     match reply {
+        // The eviction may be a repeat, which is not counted, and waits for requests; only reports show its effect.
+        OrderReply::Accepted if kind == OrderKind::Evict && name.adapter.is_some() => {
+            cache.begin_eviction(name);
+            cache.invalidate();
+        }
         // An eviction that completes at once is answered with `AlreadyHolds` and increases the order count.
         OrderReply::Accepted | OrderReply::AlreadyHolds
             if reply == OrderReply::Accepted || kind == OrderKind::Evict =>
--- a/crates/mustardgate-relay/src/leader/runner_orders.rs
+++ b/crates/mustardgate-relay/src/leader/runner_orders.rs
@@ -6,7 +6,11 @@
     time::{Duration, Instant},
 };
 
-use mustardgate_core::{clock, ids::ModelId, relay::ListedRunner};
+use mustardgate_core::{
+    clock,
+    ids::ModelId,
+    relay::{ListedRunner, ModelName},
+};
 
 use crate::ports::RunnerReport;
 
@@ -31,6 +35,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct ReportCache {
     pub(super) report: Option<RunnerReport>,
+    /// Adapter whose eviction the runner has accepted and not reported yet, and when the order counts as failed.
+    pub(super) eviction: Option<(ModelName, Instant)>,
     /// Order count after the last accepted order, and when it was accepted. Reports lag behind it by up to
     /// [`REPORT_LAG`].
     pub(super) last_count: Option<(u64, Instant)>,
@@ -45,6 +51,25 @@
         self.settled_at = Some(clock::now() + REPORT_LAG);
     }
 
+    /// Records that the runner accepted the eviction of an adapter, which waits for requests to end.
+    pub(super) fn begin_eviction(&mut self, name: &ModelName) {
+        self.eviction = Some((name.clone(), clock::now() + EVICTION_TIMEOUT));
+    }
+
+    /// Returns whether an eviction is in progress that the report does not show as complete.
+    pub(super) fn is_evicting(&mut self) -> bool {
+        let held = self.report.as_ref().map(RunnerReport::held_adapters);
+        self.eviction.take_if(|(name, until)| {
+            let is_gone = held.as_ref().is_some_and(|held| {
+                let adapters = held.get(&name.model);
+                !adapters
+                    .is_some_and(|adapters| name.adapter.as_ref().is_some_and(|adapter| adapters.contains(adapter)))
+            });
+            is_gone || clock::now() >= *until
+        });
+        self.eviction.is_some()
+    }
+
     /// Returns whether a report may be older than the last accepted order. After [`REPORT_LAG`] a lower count is
     /// correct, because the runner counts an accepted eviction only once it is done.
     pub(super) fn is_outdated(&self, report: &RunnerReport) -> bool {
