Keep room for orders without an answer until they expire

Seen: an order to load got no answer; the runner crashed and started again under its id, empty.

Cause: the leader remembered orders without an answer for models only, and for one process of a runner. An order names the runner and its order count, not the process, so it can be executed by the next process when the count passes that value.

Change: `OrderClaims` keeps the orders without an answer by the runner's identity for 15 s, across restarts of the process, for models and adapters alike. A load is sent only if it fits beside the claims that could follow it; where a claim bars the last slot, an idle adapter is evicted, which moves the count past it. Foretold counts are not trusted while claims exist at counts since the last report; the report is read again. Event 675 says when an adapter is withheld. After a change of leader nothing is kept free where runners refuse old tokens, and one slot and the largest model for 15 s elsewhere.

The property test over late deliveries, repeats, restarts and leaders fails if claims count as nothing.

--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -19,6 +19,7 @@
 mod inputs;
 mod link;
 mod load;
+mod order_claims;
 mod permits;
 mod planner;
 mod prefix;
@@ -54,6 +55,7 @@
     inputs::{InputId, PartId, RequestContent, RequestDigest},
     link::LinkMonitor,
     load::{LoadEstimate, ReportedLoad},
+    order_claims::{ClaimId, CountRange, MAX_ORDER_DELAY, OrderClaims},
     permits::{PermitIssuer, PermitSchedule},
     planner::{OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
     prefix::PrefixIndex,
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -15,6 +15,7 @@
 mod load;
 mod lone_versions;
 mod odd_messages;
+mod order_claims;
 mod permits;
 mod placement;
 mod process_evidence;
--- a/crates/mustardgate-relay/src/leader/adapters.rs
+++ b/crates/mustardgate-relay/src/leader/adapters.rs
@@ -2,11 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
+use mustardgate::events;
 use mustardgate_core::{
     clock,
     ids::{BackendId, ServiceId},
     relay::{AdapterSlot, ListedRunner, ModelName, OrderKind},
 };
+use slog::o;
 use tokio::{sync::oneshot, time};
 
 use super::{
@@ -138,18 +140,24 @@
             cache.invalidate();
             return LoadStep::AwaitReport;
         }
+        let claimed = self.orders.claimed_slots(cache);
+        let taken: u32 = held.values().map(|adapters| adapters.len() as u32).sum();
+        let slots = self.slots.saturating_sub(claimed);
         let backend = &self.listed.id;
         let slot = {
             let mut state = self.context.leader.lock();
-            state
-                .evictor
-                .find_slot(clock::now(), backend, &held, self.slots, &self.name)
+            state.evictor.find_slot(clock::now(), backend, &held, slots, &self.name)
         };
         match slot {
             AdapterSlot::Free => self.load(cache).await,
             AdapterSlot::Unavailable => LoadStep::Abandoned,
+            AdapterSlot::AfterEviction(_) if taken + claimed > self.slots + 1 => self.withhold(cache, claimed),
             AdapterSlot::AfterEviction(victim) => match self.send_order(cache, OrderKind::Evict, &victim).await {
-                OrderReply::AlreadyHolds => self.load(cache).await,
+                // An eviction that is complete at once needs no report, unless orders without an answer exist.
+                OrderReply::AlreadyHolds if taken - 1 + self.orders.claimed_slots(cache) < self.slots => {
+                    self.load(cache).await
+                }
+                OrderReply::AlreadyHolds => self.withhold(cache, claimed),
                 // The eviction waits for requests to end, and the runner accepts no other order until then.
                 OrderReply::Accepted => LoadStep::AwaitReport,
                 _ => LoadStep::Abandoned,
@@ -168,7 +176,23 @@
         }
     }
 
+    /// Sends no order, because earlier ones may still take the room that is left.
+    fn withhold(&self, cache: &mut ReportCache, claimed: u32) -> LoadStep {
+        let values = o!(
+            "claimed" => claimed,
+            "report" => format!("{:?}", cache.report),
+            "name" => self.name.to_text().to_string(),
+            "backend" => self.listed.id.to_string(),
+        );
+        events::RELAY_ADAPTER_WITHHELD.write(self.context.log.logger(), values);
+        if !cache.is_extrapolated() {
+            return LoadStep::Abandoned;
+        }
+        cache.invalidate();
+        LoadStep::AwaitReport
+    }
+
     async fn send_order(&self, cache: &mut ReportCache, kind: OrderKind, name: &ModelName) -> OrderReply {
-        send_order(&self.context, &self.listed, cache, kind, name).await
+        send_order(&self.context, &self.listed, &self.orders, cache, kind, name).await
     }
 }
--- a/crates/mustardgate-relay/src/leader/leadership.rs
+++ b/crates/mustardgate-relay/src/leader/leadership.rs
@@ -14,7 +14,7 @@
     log::LeaseRecord,
     placement::share::LoadAccount,
     ports::LogEra,
-    relay::{AdapterEvictor, ListedRunner, ModelName, PlacementPlanner, PlannerSettings},
+    relay::{AdapterEvictor, ListedRunner, ModelName, OrderClaims, PlacementPlanner, PlannerSettings},
 };
 
 use super::{
@@ -40,6 +40,8 @@
     clock: Arc<dyn LeaseClock>,
     state: Mutex<LeadershipState>,
     runners: Mutex<BTreeMap<BackendId, Arc<RunnerOrders>>>,
+    /// When this node's term began, if runners accept the orders of former leaders.
+    unfenced_since: Mutex<Option<Instant>>,
 }
 
 #[derive(Debug)]
@@ -108,6 +110,7 @@
                 arrivals: BTreeMap::new(),
             }),
             runners: Mutex::default(),
+            unfenced_since: Mutex::default(),
         }
     }
 
@@ -273,22 +276,39 @@
         self.lock().tracker.append_failed();
     }
 
-    /// Returns the orders to a runner's current process; those to an earlier process are discarded.
+    /// Returns the orders to a runner's current process; of those to an earlier process only the claims are kept.
     pub(super) fn runner_orders(&self, listed: &ListedRunner) -> Arc<RunnerOrders> {
         let mut runners = self.runners.lock().expect("no holder of the lock panics");
         let known = runners.get(&listed.id);
         if let Some(orders) = known.filter(|orders| orders.started_at_ms == listed.started_at_ms) {
             return Arc::clone(orders);
         }
-        let orders = Arc::new(RunnerOrders::new(listed.started_at_ms));
+        let claims = known.map_or_else(
+            || Arc::new(Mutex::new(self.first_claims())),
+            |orders| orders.shared_claims(),
+        );
+        let orders = Arc::new(RunnerOrders::new(listed.started_at_ms, claims));
         runners.insert(listed.id.clone(), Arc::clone(&orders));
         self.lock().evictor.forget_runner(&listed.id);
         orders
     }
 
-    /// Discards state from an earlier term, since another leader may have acted in between.
-    pub(super) fn begin_term(&self, token: Option<u64>) {
-        self.lock().begin_term(token);
+    /// Returns the claims on a runner that has received no order in this term.
+    fn first_claims(&self) -> OrderClaims {
+        let since = *self.unfenced_since.lock().expect("no holder of the lock panics");
+        since.map_or_else(OrderClaims::default, OrderClaims::after_unfenced_leader)
+    }
+
+    /// Discards state from an earlier term, since another leader may have acted in between. Where runners refuse old
+    /// tokens, the first order of the new term ends all former claims.
+    pub(super) fn begin_term(&self, token: Option<u64>, has_fencing: bool) {
+        let is_first_term = {
+            let mut state = self.lock();
+            state.begin_term(token);
+            state.is_first_term
+        };
+        let since = (!has_fencing && !is_first_term).then(clock::now);
+        *self.unfenced_since.lock().expect("no holder of the lock panics") = since;
         self.runners.lock().expect("no holder of the lock panics").clear();
         let lease_now = self.clock.now();
         let mut state = self.lock();
--- a/crates/mustardgate-relay/src/leader/lease.rs
+++ b/crates/mustardgate-relay/src/leader/lease.rs
@@ -227,7 +227,8 @@
             return;
         }
         self.is_leading = token.is_some();
-        self.context.leader.begin_term(token);
+        let has_fencing = self.context.settings.bounds.require_fencing;
+        self.context.leader.begin_term(token, has_fencing);
         let event = if self.is_leading {
             events::LEASE_GAINED
         } else {
--- a/crates/mustardgate-relay/src/leader/orders.rs
+++ b/crates/mustardgate-relay/src/leader/orders.rs
@@ -1,6 +1,6 @@
 //! Sends single orders to runners.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use metrics::counter;
 use mustardgate::events;
@@ -30,7 +30,14 @@
     let withheld_reason = match &report {
         None => Some("no_report"),
         Some(report) if report.is_busy => Some("busy"),
-        Some(report) => (!is_feasible(&engine, report, &order)).then_some("unsound"),
+        Some(report) if !is_feasible(&engine, report, &order, 0.0) => Some("unsound"),
+        Some(report) => {
+            let claimed_mb = orders.claimed_weights(&cache, &engine);
+            let held_slots: usize = report.held_adapters().values().map(BTreeSet::len).sum();
+            let claimed_slots = orders.claimed_slots(&cache) as usize;
+            let has_slots = claimed_slots == 0 || held_slots + claimed_slots <= engine.adapter_slots as usize;
+            (!has_slots || !is_feasible(&engine, report, &order, claimed_mb)).then_some("claimed")
+        }
     };
     if let Some(reason) = withheld_reason {
         orders.defer();
@@ -44,7 +51,7 @@
         events::RELAY_ORDER_WITHHELD.write(context.log.logger(), values);
         return;
     }
-    let reply = send_order(&context, &listed, &mut cache, order.kind, &order.name).await;
+    let reply = send_order(&context, &listed, &orders, &mut cache, order.kind, &order.name).await;
     if reply == OrderReply::Unknown && order.kind == OrderKind::Load {
         let lease_now = context.leader.lease_time();
         let mut state = context.leader.lock();
@@ -65,6 +72,7 @@
 pub(super) async fn send_order(
     context: &RelayContext,
     listed: &ListedRunner,
+    orders: &RunnerOrders,
     cache: &mut ReportCache,
     kind: OrderKind,
     name: &ModelName,
@@ -81,7 +89,11 @@
         fencing_token: token,
         expected_count: report.order_count,
     };
+    let claim = orders.claims().begin(clock::now(), order.expected_count, kind, name);
     let reply = context.ports.control.order(&order).await;
+    if reply != OrderReply::Unknown {
+        orders.claims().settle(claim);
+    }
     counter!("mustardgate_orders_total", "kind" => kind.to_string(), "reply" => format!("{reply:?}")).increment(1);
     let values = o!(
         "reply" => format!("{reply:?}"),
@@ -130,11 +142,12 @@
     }
 }
 
-/// Returns whether a runner in the reported state can execute the order: a load must fit beside all models it holds.
-fn is_feasible(engine: &EngineProfile, report: &RunnerReport, order: &PlacementOrder) -> bool {
+/// Returns whether a runner in the reported state can execute the order: a load must fit beside all models it holds
+/// and the weights that other orders may still bring.
+fn is_feasible(engine: &EngineProfile, report: &RunnerReport, order: &PlacementOrder, claimed_mb: f64) -> bool {
     let model = &order.name.model;
     let is_held = report.models.contains_key(model);
-    if order.kind == OrderKind::Evict {
+    if order.kind == OrderKind::Evict && claimed_mb == 0.0 {
         return is_held;
     }
     let Some(profile) = engine.models.get(model) else {
@@ -153,7 +166,12 @@
                 .map_or(engine.weights_mb, |held| held.weights_mb)
         })
         .sum();
-    !is_held && held_mb + profile.weights_mb + reserved_mb <= engine.weights_mb
+    let change_mb = match order.kind {
+        OrderKind::Load => profile.weights_mb,
+        OrderKind::Evict => -profile.weights_mb,
+    };
+    let is_load = order.kind == OrderKind::Load;
+    is_held != is_load && held_mb + claimed_mb + change_mb + reserved_mb <= engine.weights_mb
 }
 
 /// Returns the cached report, or reads a new one if none is cached and the effect of earlier orders is visible.
@@ -165,7 +183,8 @@
     if cache.report.is_none() && cache.is_settled() {
         let report = context.ports.control.report(&listed.id, listed.address).await;
         // A report older than the last order has too low an order count, and the runner would refuse the next order.
-        cache.report = report.filter(|report| !cache.is_outdated(report));
+        let report = report.filter(|report| !cache.is_outdated(report));
+        cache.store(report);
         cache.settled_at = None;
     }
     cache.report.as_ref()
--- a/crates/mustardgate-relay/src/leader/runner_orders.rs
+++ b/crates/mustardgate-relay/src/leader/runner_orders.rs
@@ -2,14 +2,14 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::{Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
 
 use mustardgate_core::{
     clock,
     ids::ModelId,
-    relay::{ListedRunner, ModelName},
+    relay::{CountRange, EngineProfile, ListedRunner, ModelName, OrderClaims},
 };
 
 use crate::ports::RunnerReport;
@@ -29,12 +29,16 @@
     pub(super) started_at_ms: u64,
     pub(super) cache: tokio::sync::Mutex<ReportCache>,
     pending: Mutex<PendingMoves>,
+    /// Orders that may still be executed, shared with the runner's other processes.
+    claims: Arc<Mutex<OrderClaims>>,
 }
 
 /// The last report that the leader read from a runner, updated with the leader's own orders since.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ReportCache {
     pub(super) report: Option<RunnerReport>,
+    /// Order count in the report as it was read.
+    pub(super) reported_count: u64,
     /// Adapter whose eviction the runner has accepted and not reported yet, and when the order counts as failed.
     pub(super) eviction: Option<(ModelName, Instant)>,
     /// Order count after the last accepted order, and when it was accepted. Reports lag behind it by up to
@@ -51,6 +55,26 @@
         self.settled_at = Some(clock::now() + REPORT_LAG);
     }
 
+    /// Stores a report that was read now.
+    pub(super) fn store(&mut self, report: Option<RunnerReport>) {
+        self.reported_count = report.as_ref().map_or(0, |report| report.order_count);
+        self.report = report;
+    }
+
+    /// Returns the order counts that the runner may have.
+    pub(super) fn counts(&self) -> CountRange {
+        CountRange {
+            reported: self.reported_count,
+            expected: self.report.as_ref().map_or(0, |report| report.order_count),
+        }
+    }
+
+    /// Returns whether the report lacks the effect of orders accepted since, so that a new one may show more room.
+    pub(super) fn is_extrapolated(&self) -> bool {
+        let counts = self.counts();
+        counts.reported < counts.expected
+    }
+
     /// Records that the runner accepted the eviction of an adapter, which waits for requests to end.
     pub(super) fn begin_eviction(&mut self, name: &ModelName) {
         self.eviction = Some((name.clone(), clock::now() + EVICTION_TIMEOUT));
@@ -95,15 +119,44 @@
 }
 
 impl RunnerOrders {
-    /// Creates the state of a process that has received no order.
-    pub(super) fn new(started_at_ms: u64) -> Self {
+    /// Creates the state of a process that has received no order; `claims` are those of its runner.
+    pub(super) fn new(started_at_ms: u64, claims: Arc<Mutex<OrderClaims>>) -> Self {
         Self {
             started_at_ms,
             cache: tokio::sync::Mutex::default(),
             pending: Mutex::default(),
+            claims,
         }
     }
 
+    /// Returns the claims, for the runner's next process.
+    pub(super) fn shared_claims(&self) -> Arc<Mutex<OrderClaims>> {
+        Arc::clone(&self.claims)
+    }
+
+    /// Returns the orders to the runner that may still be executed.
+    pub(super) fn claims(&self) -> MutexGuard<'_, OrderClaims> {
+        self.claims.lock().expect("no holder of the lock panics")
+    }
+
+    /// Returns the adapter slots that orders without an answer may take beside the next order.
+    pub(super) fn claimed_slots(&self, cache: &ReportCache) -> u32 {
+        let cost = |name: &ModelName| f64::from(u8::from(name.adapter.is_some()));
+        self.claims().largest_claim(clock::now(), cache.counts(), cost, 1.0) as u32
+    }
+
+    /// Returns the weights that orders without an answer may bring beside the next order.
+    pub(super) fn claimed_weights(&self, cache: &ReportCache, engine: &EngineProfile) -> f64 {
+        let weights_mb = |name: &ModelName| {
+            let profile = engine.models.get(&name.model).filter(|_| name.adapter.is_none());
+            profile.map_or(0.0, |profile| profile.weights_mb)
+        };
+        let largest_mb = engine.models.values().map(|model| model.weights_mb).fold(0.0, f64::max);
+        let counts = cache.counts();
+        self.claims()
+            .largest_claim(clock::now(), counts, weights_mb, largest_mb)
+    }
+
     /// Records an order about a model that was or may have been accepted.
     pub(super) fn record_move(&self, model: &ModelId, is_load: bool, load_time: Duration) {
         let mut pending = self.pending();
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -155,6 +155,8 @@
 pub const RELAY_PLACEMENT_PLANNED: EventKind = event(622, Level::Info, "placement planned");
 /// A planned order was not sent, because the runner's own report does not allow it or could not be read.
 pub const RELAY_ORDER_WITHHELD: EventKind = event(623, Level::Info, "order withheld");
+/// An adapter was not loaded, because orders without an answer may still take the runner's slots; with their number.
+pub const RELAY_ADAPTER_WITHHELD: EventKind = event(675, Level::Info, "adapter load withheld");
 /// The settings file changed; with whether the change takes effect only after a restart.
 pub const RELAY_SETTINGS_CHANGED: EventKind = event(630, Level::Info, "settings file changed");
 /// The changed settings file has an error, so the old settings stay in force.
@@ -234,6 +236,7 @@
     RELAY_REQUEST_MISDIRECTED,
     RELAY_CONNECTION_FAILED,
     CONNECTION_PANICKED,
+    RELAY_ADAPTER_WITHHELD,
 ];
 
 impl EventKind {
