--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -21,6 +21,7 @@
 mod link;
 mod load;
 mod node_count;
+mod order_claims;
 mod permits;
 mod planner;
 mod prefix;
@@ -58,6 +59,7 @@
     link::LinkMonitor,
     load::{LoadEstimate, ReportedLoad},
     node_count::{NodeCount, NodeCountHistory},
+    order_claims::{ClaimId, CountRange, MAX_ORDER_DELAY, OrderClaims},
     permits::{PermitIssuer, PermitSchedule},
     planner::{OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
     prefix::PrefixIndex,
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -17,6 +17,7 @@
 mod load;
 mod lone_versions;
 mod odd_messages;
+mod order_claims;
 mod permits;
 mod placement;
 mod process_evidence;
