--- a/crates/mustardgate-core/tests/relay/catalogue.rs
+++ b/crates/mustardgate-core/tests/relay/catalogue.rs
@@ -309,3 +309,43 @@
         Some(CatalogueChange::Added(_))
     ));
 }
+
+// Guards against a runner that is used for the models of one entry at the address or service of another.
+#[test]
+fn the_models_of_a_runner_come_from_the_entry_of_its_service_and_address() {
+    let held = [("menu".into(), BTreeSet::new())];
+    let known = ListedRunner {
+        models: held.into_iter().collect(),
+        order_count: Some(5),
+        ..runner("one", RunnerState::Ready)
+    };
+    let moved = ListedRunner {
+        address: "127.0.0.1:81".parse().unwrap(),
+        ..runner("one", RunnerState::Ready)
+    };
+    let renamed = ListedRunner {
+        service: "orders".into(),
+        ..runner("one", RunnerState::Ready)
+    };
+    for later in [moved, renamed] {
+        for put in [RunnerCatalogue::put, RunnerCatalogue::put_newest] {
+            let mut catalogue = catalogue();
+            catalogue.put(known.clone());
+            put(&mut catalogue, later.clone());
+            assert_eq!(**catalogue.get("one").unwrap(), later);
+        }
+    }
+    let mut catalogue = catalogue();
+    catalogue.put(runner("one", RunnerState::Ready));
+    catalogue.observe(Instant::now(), &observation(3, &["menu"]));
+    let moved = ListedRunner {
+        address: "127.0.0.1:81".parse().unwrap(),
+        ..runner("one", RunnerState::Ready)
+    };
+    catalogue.put_newest(moved.clone());
+    assert_eq!(**catalogue.get("one").unwrap(), moved);
+    assert!(
+        catalogue.observe(Instant::now(), &observation(1, &["menu"])).is_some(),
+        "reports of the process at the address before say nothing of this one"
+    );
+}
