Keep the models of one entry to its own service and address

An entry that states fewer orders than the known one may be a late one, so the catalogue kept the newer models beside it. It did so although the entry named another service or address under the same identity and start time: a runner was used with the models of one entry at the address of another. What is known of the process now holds only where service, address and start time are the same; else the entry counts as a whole.

Test: the_models_of_a_runner_come_from_the_entry_of_its_service_and_address failed before, passes now.

--- a/crates/mustardgate-core/src/relay/catalogue.rs
+++ b/crates/mustardgate-core/src/relay/catalogue.rs
@@ -234,7 +234,7 @@
         }
         let known = self.runners.get(&runner.id);
         if newer_count > runner.order_count
-            && let Some(known) = known
+            && let Some(known) = known.filter(|known| is_same_listener(known, &runner))
         {
             runner.models.clone_from(&known.models);
             runner.cached_models.clone_from(&known.cached_models);
@@ -344,3 +344,9 @@
         Some(CatalogueChange::Removed(id.clone()))
     }
 }
+
+/// Returns whether what is known of one process holds for the other as well, which is not so for another service or address
+/// under the same identity.
+fn is_same_listener(known: &ListedRunner, stated: &ListedRunner) -> bool {
+    (&known.service, known.address, known.started_at_ms) == (&stated.service, stated.address, stated.started_at_ms)
+}
