--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -284,6 +284,9 @@
 }
 
 fn report_refused_record(context: &RelayContext, record: &TopicRecord, error: &DecodeError) {
+    if !context.refusals.is_new(&record.key, record.offset) {
+        return;
+    }
     counter!("mustardgate_records_refused_total").increment(1);
     let Some(unlogged) = context.refusals.admit(clock::now()) else {
         return;
--- a/crates/mustardgate-relay/src/request_log/records.rs
+++ b/crates/mustardgate-relay/src/request_log/records.rs
@@ -1,14 +1,19 @@
 //! Bounds on the log lines about records, whose number and length others choose.
 
 use std::{
+    collections::BTreeMap,
     sync::Mutex,
     time::{Duration, Instant},
 };
 
+use smol_str::SmolStr;
+
 /// Window of the limit on lines about refused records.
 const WINDOW_TIME: Duration = Duration::from_secs(10);
 /// Lines about refused records in one window.
 const MAX_LINES: u32 = 20;
+/// Most keys whose last refused record is remembered.
+const MAX_KEYS: usize = 4_096;
 /// Longest text of a record in a log line, in characters.
 const MAX_TEXT_CHARS: usize = 64;
 /// Most names of a list in a log line.
@@ -18,6 +23,8 @@
 #[derive(Debug, Default)]
 pub struct RefusalLog {
     window: Mutex<RefusalWindow>,
+    /// Offset of the last refused record of each key.
+    offsets: Mutex<BTreeMap<SmolStr, u64>>,
 }
 
 #[derive(Debug, Default)]
@@ -28,6 +35,15 @@
 }
 
 impl RefusalLog {
+    /// Records a refused record; returns whether it is new, as a complete read returns those of before again.
+    pub fn is_new(&self, key: &str, offset: u64) -> bool {
+        let mut offsets = self.offsets.lock().expect("no holder of the lock panics");
+        if offsets.len() >= MAX_KEYS && !offsets.contains_key(key) {
+            offsets.pop_first();
+        }
+        offsets.insert(key.into(), offset) != Some(offset)
+    }
+
     /// Returns whether a line may be written now, as the number of records since the last one that got none.
     pub fn admit(&self, now: Instant) -> Option<u64> {
         let mut window = self.window.lock().expect("no holder of the lock panics");
