Count the former services of a route before a version is certain

Callers whose streams had begun before their route was moved to another service went on there at another version (ORDER): a stream of which no node knows goes on at the only version of the route's service, and only the service of the newest configuration was looked at. The class is a decision on streams of before by the configuration of now.

A node remembers to which services the routes of streams led, by host and prefix (`TargetHistory`): a target that a route loses, and for a new route the targets of those with shorter prefixes. A version is certain only if it is the only one of all of them. A node that starts later, or may have skipped a configuration, knows former targets only from nodes whose knowledge reaches up to its own first configuration, through the digests of versions and the record in the log; until then, or until the life of a stream has passed, no version is certain. The fields have defaults, and earlier builds tell none.

Changes to tests: calls of `certain_version` pass several services now; the odd digests also hold former targets. The proof calls it with its one service, as before.

--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -26,6 +26,7 @@
 mod processes;
 mod rate_limits;
 mod request;
+mod route_targets;
 mod selector;
 mod stream_batches;
 mod stream_lives;
@@ -60,6 +61,7 @@
     process_evidence::ProcessEvidence,
     rate_limits::{LimitChange, LimitLedger, LimitObservation, LimitStatement},
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
+    route_targets::{FormerTarget, TargetDigest},
     selector::{Candidate, RunnerSelector, SelectionWeights},
     stream_batches::{choose_recorders, decode_batch, encode_batches, record_interval},
     stream_lives::StreamLives,
--- a/crates/mustardgate-core/src/relay/stream_versions.rs
+++ b/crates/mustardgate-core/src/relay/stream_versions.rs
@@ -1,12 +1,14 @@
 //! What a node knows of the software versions of streams, and which other nodes it has to tell.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     time::{Duration, Instant},
 };
 
 use super::{
+    config::{RelayConfig, RelayRoute},
     inputs::RequestDigest,
+    route_targets::TargetHistory,
     stream_origins::{OriginFinding, OriginLedger, StreamKey, StreamOrigin},
     versions::{VersionDigest, VersionHistory, VersionTag},
 };
@@ -14,8 +16,6 @@
 
 /// Age of the last read of the list of runners up to which the list counts as recent.
 const RECENT_LIST_AGE: Duration = Duration::from_secs(2);
-/// Time for which versions are remembered; longer than any stream lasts that may be taken up.
-const VERSION_MEMORY: Duration = Duration::from_secs(300);
 
 /// A stream that begins at this node.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,6 +62,7 @@
 pub struct StreamVersions {
     ledger: OriginLedger,
     history: VersionHistory,
+    targets: TargetHistory,
     /// Streams that began at this node, have not ended, and of which one keeper at most was told.
     untold: HashMap<StreamKey, (Instant, BegunStream)>,
     list_read_at: Option<Instant>,
@@ -97,13 +98,13 @@
         listed: impl IntoIterator<Item = (&'a ServiceId, VersionTag)>,
     ) -> Vec<StreamOrigin> {
         self.history.observe(now, listed);
-        self.history.forget_before(now, VERSION_MEMORY);
+        self.history.forget(now);
         self.untold
             .retain(|_, (began_at, stream)| now.saturating_duration_since(*began_at) <= stream.life);
         let history = &self.history;
         let is_recent = is_recent(self.list_read_at, now);
         let due = self.untold.extract_if(|_, (_, stream)| {
-            !is_recent || history.sole_version(now, &stream.service, stream.life).is_none()
+            !is_recent || history.sole_version(now, [&stream.service], stream.life).is_none()
         });
         let mut due: Vec<StreamOrigin> = due.map(|(_, (_, stream))| stream.origin).collect();
         // The map's order differs by process.
@@ -114,25 +115,47 @@
     /// Returns the only version of a service that may have begun a stream within `life`, as far as this node knows. Other
     /// nodes may know better since the list was read.
     pub fn sole_version(&self, now: Instant, service: &ServiceId, life: Duration) -> Option<VersionTag> {
-        let sole = self.history.sole_version(now, service, life);
+        self.sole_version_among(now, [service], life)
+    }
+
+    /// Returns the only version of some services that may have begun a stream within `life`, as far as this node knows.
+    pub fn sole_version_among<'a>(
+        &self,
+        now: Instant,
+        services: impl IntoIterator<Item = &'a ServiceId>,
+        life: Duration,
+    ) -> Option<VersionTag> {
+        let sole = self.history.sole_version(now, services, life);
         sole.filter(|_| is_recent(self.list_read_at, now))
     }
 
-    /// Returns the only version that may have begun a stream which its caller took up at `taken_up_at`, if that is certain.
+    /// Returns the only version of some services that may have begun a stream which its caller took up at `taken_up_at`,
+    /// if that is certain.
     ///
     /// Runners are listed before they begin a stream, so only a read of the list that began later shows all that may have
     /// begun this one.
-    pub fn certain_version(
+    pub fn certain_version<'a>(
         &self,
         now: Instant,
-        service: &ServiceId,
+        services: impl IntoIterator<Item = &'a ServiceId>,
         life: Duration,
         taken_up_at: Instant,
     ) -> Option<VersionTag> {
-        let sole = self.history.sole_version(now, service, life);
+        let sole = self.history.sole_version(now, services, life);
         sole.filter(|_| self.has_list_of(taken_up_at))
     }
 
+    /// Records that a configuration comes into force; `may_skip` says that versions between it and the one before may not
+    /// have been read.
+    pub fn record_config(&mut self, now: Instant, config: &RelayConfig, may_skip: bool, is_first_start: bool) {
+        self.targets.record_config(now, config, may_skip, is_first_start);
+    }
+
+    /// Returns the services that may have begun a stream of a route within `life`, or `None` if some may not be known.
+    pub fn services(&self, now: Instant, route: &RelayRoute, life: Duration) -> Option<BTreeSet<ServiceId>> {
+        self.targets.services(now, route, life)
+    }
+
     /// Returns whether everything that was listed until `at` is known.
     pub fn has_list_of(&self, at: Instant) -> bool {
         self.current_as_of.is_some_and(|known| known >= at)
@@ -169,7 +192,10 @@
     /// Returns what other nodes should know of versions.
     pub fn digest(&self, now: Instant) -> VersionDigest {
         let list_age = self.list_read_at.map(|at| now.saturating_duration_since(at));
-        self.history.digest(now, list_age)
+        VersionDigest {
+            targets: self.targets.digest(now),
+            ..self.history.digest(now, list_age)
+        }
     }
 
     /// Takes over what a record in the log says of versions, and the versions that were listed since it was written.
@@ -180,11 +206,13 @@
         listed_since: impl IntoIterator<Item = (&'a ServiceId, VersionTag)>,
     ) {
         self.history.merge_record(now, record, listed_since);
+        self.targets.merge(now, &record.targets);
     }
 
     /// Takes over what another node knows, from a message that was under way for `message_time` at most.
     pub fn merge(&mut self, now: Instant, digest: &VersionDigest, message_time: Duration) {
         self.history.merge(now, digest, message_time);
+        self.targets.merge(now, &digest.targets);
     }
 }
 
--- a/crates/mustardgate-core/src/relay/versions.rs
+++ b/crates/mustardgate-core/src/relay/versions.rs
@@ -11,11 +11,15 @@
 use sha2::{Digest, Sha256};
 use smol_str::SmolStr;
 
+use super::route_targets::TargetDigest;
 use crate::ids::{RunnerProcess, ServiceId};
 
 /// Extension of the time for which a version counts after it was seen, because it is looked for periodically.
 const OBSERVATION_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time for which versions are remembered; where streams last longer, none is certain.
+const VERSION_MEMORY: Duration = Duration::from_secs(300);
+
 /// Time that stands for the first start of the deployment in messages, longer than any stream lasts.
 const FIRST_START_AGE: Duration = Duration::from_secs(86_400);
 
@@ -102,16 +106,54 @@
     pub list_age: Duration,
     /// Versions seen.
     pub seen: Vec<SeenVersion>,
+    /// Services to which routes led of late; earlier builds do not tell them.
+    #[serde(default)]
+    pub targets: TargetDigest,
 }
 
 /// Since when a node knows of all versions that served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum CompleteSince {
+pub(super) enum CompleteSince {
     /// Since the deployment was started for the first time.
     FirstStart,
     Time(Instant),
 }
 
+impl CompleteSince {
+    /// Returns the begin of the knowledge of a node that starts now.
+    pub(super) fn start(now: Instant, is_first_start: bool) -> Self {
+        if is_first_start {
+            Self::FirstStart
+        } else {
+            Self::Time(now)
+        }
+    }
+
+    /// Returns the time that lies back by `covers`, as another node states it.
+    pub(super) fn before(now: Instant, covers: Duration) -> Self {
+        match now.checked_sub(covers) {
+            Some(at) if covers < FIRST_START_AGE => Self::Time(at),
+            _ => Self::FirstStart,
+        }
+    }
+
+    /// Returns how far it lies back, as other nodes are told.
+    pub(super) fn age(self, now: Instant) -> Duration {
+        match self {
+            Self::FirstStart => FIRST_START_AGE,
+            Self::Time(at) => now.saturating_duration_since(at),
+        }
+    }
+
+    /// Returns whether it lies back by `life`.
+    pub(super) fn reaches(self, now: Instant, life: Duration) -> bool {
+        match self {
+            Self::FirstStart => true,
+            Self::Time(at) => now.saturating_duration_since(at) >= life,
+        }
+    }
+}
+
 /// Remembers which versions of each service served, and since when it knows of all of them.
 ///
 /// A stream whose version is not known may go on only if all runners that may have begun it had one version.
@@ -155,14 +197,12 @@
                 age: age(*at),
             })
         });
-        let covers = self.complete_since.map(|since| match since {
-            CompleteSince::FirstStart => FIRST_START_AGE,
-            CompleteSince::Time(at) => age(at),
-        });
+        let covers = self.complete_since.map(|since| since.age(now));
         VersionDigest {
             covers: covers.filter(|_| list_age.is_some()),
             list_age: list_age.unwrap_or_default(),
             seen: seen.collect(),
+            targets: TargetDigest::default(),
         }
     }
 
@@ -207,31 +247,30 @@
 
     /// Records that no version is missing since `covers` before now.
     fn extend_back(&mut self, now: Instant, covers: Duration) {
-        let since = match now.checked_sub(covers) {
-            Some(at) if covers < FIRST_START_AGE => CompleteSince::Time(at),
-            _ => CompleteSince::FirstStart,
-        };
+        let since = CompleteSince::before(now, covers);
         self.complete_since = self.complete_since.map(|own| own.min(since));
     }
 
-    /// Returns the only version of a service that served within `life`, or `None` if there were several or some may not
-    /// be known.
-    pub fn sole_version(&self, now: Instant, service: &ServiceId, life: Duration) -> Option<VersionTag> {
-        let is_complete = match self.complete_since? {
-            CompleteSince::FirstStart => true,
-            CompleteSince::Time(at) => now.saturating_duration_since(at) >= life,
-        };
+    /// Returns the only version of some services that served within `life`, or `None` if there were several or some may
+    /// not be known.
+    pub fn sole_version<'a>(
+        &self,
+        now: Instant,
+        services: impl IntoIterator<Item = &'a ServiceId>,
+        life: Duration,
+    ) -> Option<VersionTag> {
+        let is_complete = self.complete_since?.reaches(now, life) && life <= VERSION_MEMORY;
         let counts = |at: Instant| now.saturating_duration_since(at) <= life + OBSERVATION_INTERVAL;
-        let versions = self.seen.get(service).filter(|_| is_complete)?;
-        let mut recent = versions.iter().filter(|(_, at)| counts(**at));
+        let versions = services.into_iter().filter_map(|service| self.seen.get(service));
+        let mut recent = versions.flatten().filter(|(_, at)| counts(**at));
         let sole = recent.next().map(|(version, _)| *version);
-        sole.filter(|_| recent.next().is_none())
+        sole.filter(|_| is_complete && recent.next().is_none())
     }
 
-    /// Forgets versions that were not seen for `age`.
-    pub fn forget_before(&mut self, now: Instant, age: Duration) {
+    /// Forgets versions that were last seen too long ago to have begun a stream that may be taken up.
+    pub fn forget(&mut self, now: Instant) {
         for versions in self.seen.values_mut() {
-            versions.retain(|_, at| now.saturating_duration_since(*at) < age);
+            versions.retain(|_, at| now.saturating_duration_since(*at) <= VERSION_MEMORY + OBSERVATION_INTERVAL);
         }
         self.seen.retain(|_, versions| !versions.is_empty());
     }
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -19,6 +19,7 @@
 mod placement;
 mod process_evidence;
 mod rate_limits;
+mod route_targets;
 mod routes;
 mod selector;
 mod stream_batches;
--- a/crates/mustardgate-core/tests/relay/odd_messages.rs
+++ b/crates/mustardgate-core/tests/relay/odd_messages.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use mustardgate_core::relay::{
-    BrittleLedger, BrittleService, CrashDigest, CrashLedger, CrashObservation, CrashSettings, InputId, LimitLedger,
-    LimitObservation, ListRead, QuarantineNotice, SeenVersion, SoftwareVersion, StreamVersions, VersionDigest,
+    BrittleLedger, BrittleService, CrashDigest, CrashLedger, CrashObservation, CrashSettings, FormerTarget, InputId,
+    LimitLedger, LimitObservation, ListRead, QuarantineNotice, SeenVersion, SoftwareVersion, StreamVersions,
+    TargetDigest, VersionDigest,
 };
 
 const MESSAGE_TIME: Duration = Duration::from_millis(800);
@@ -35,6 +36,16 @@
             covers: Some(age),
             list_age: age,
             seen: vec![seen],
+            targets: TargetDigest {
+                covers: Some(age),
+                config_version: u64::MAX,
+                former: vec![FormerTarget {
+                    host: "kitchen.example".into(),
+                    path_prefix: "/".into(),
+                    service: service.clone(),
+                    age,
+                }],
+            },
         };
         versions.merge(now, &digest, MESSAGE_TIME);
         versions.digest(now);
--- a/crates/mustardgate-core/tests/relay/stream_versions.rs
+++ b/crates/mustardgate-core/tests/relay/stream_versions.rs
@@ -264,7 +264,7 @@
     let now = start + LIFE;
     let mut versions = running_node(start, now, &["v1"], false);
     let taken_up_at = now + Duration::from_millis(1);
-    let certain = |versions: &StreamVersions, at| versions.certain_version(at, &service, LIFE, taken_up_at);
+    let certain = |versions: &StreamVersions, at| versions.certain_version(at, [&service], LIFE, taken_up_at);
     assert_eq!(versions.sole_version(taken_up_at, &service, LIFE), Some(tag("v1")));
     assert_eq!(
         certain(&versions, taken_up_at),
@@ -292,9 +292,9 @@
     let mut versions = running_node(start, now, &["v1"], false);
     let listed = [(&service, tag("v1")), (&service, tag("v2"))];
     versions.record_list(list_read(now, now), listed);
-    assert_eq!(versions.certain_version(now, &service, LIFE, now), None);
+    assert_eq!(versions.certain_version(now, [&service], LIFE, now), None);
     // A late answer to an earlier read takes nothing back.
     versions.record_list(list_read(start, now), [(&service, tag("v1"))]);
-    assert_eq!(versions.certain_version(now, &service, LIFE, now), None);
+    assert_eq!(versions.certain_version(now, [&service], LIFE, now), None);
     assert!(versions.has_list_of(now));
 }
--- a/crates/mustardgate-relay/src/context/streams.rs
+++ b/crates/mustardgate-relay/src/context/streams.rs
@@ -10,8 +10,8 @@
 use mustardgate_core::{
     ids::ServiceId,
     relay::{
-        BegunStream, ListRead, NoticeScope, OriginFinding, RequestDigest, StreamKey, StreamOrigin, StreamVersions,
-        VersionDigest, VersionTag,
+        BegunStream, ListRead, NoticeScope, OriginFinding, RelayConfig, RelayRoute, RequestDigest, StreamKey,
+        StreamOrigin, StreamVersions, VersionDigest, VersionTag,
     },
 };
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -101,21 +101,32 @@
         self.tell_all(due);
     }
 
-    /// Returns the only version of a service as far as this node knows, which other nodes may know better.
-    pub fn sole_version(&self, now: Instant, service: &ServiceId, life: Duration) -> Option<VersionTag> {
-        self.lock().sole_version(now, service, life)
+    /// Records that a configuration comes into force; `may_skip` says that versions between it and the one before may not
+    /// have been read.
+    pub fn record_config(&self, now: Instant, config: &RelayConfig, may_skip: bool) {
+        self.lock().record_config(now, config, may_skip, self.is_first_start);
     }
 
-    /// Returns the only version of a service that may have begun a stream which its caller took up at `taken_up_at`, at most
-    /// `life` after its begin, if that is certain.
+    /// Returns the services that may have begun a stream of a route within `life`, or `None` if some may not be known.
+    pub fn services(&self, now: Instant, route: &RelayRoute, life: Duration) -> Option<BTreeSet<ServiceId>> {
+        self.lock().services(now, route, life)
+    }
+
+    /// Returns the only version of some services as far as this node knows, which other nodes may know better.
+    pub fn sole_version(&self, now: Instant, services: &BTreeSet<ServiceId>, life: Duration) -> Option<VersionTag> {
+        self.lock().sole_version_among(now, services, life)
+    }
+
+    /// Returns the only version of some services that may have begun a stream which its caller took up at `taken_up_at`, at
+    /// most `life` after its begin, if that is certain.
     pub fn certain_version(
         &self,
         now: Instant,
-        service: &ServiceId,
+        services: &BTreeSet<ServiceId>,
         life: Duration,
         taken_up_at: Instant,
     ) -> Option<VersionTag> {
-        self.lock().certain_version(now, service, life, taken_up_at)
+        self.lock().certain_version(now, services, life, taken_up_at)
     }
 
     /// Returns whether everything that was listed until `at` is known.
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -126,7 +126,7 @@
                 let is_complete = extent != PageExtent::Changes;
                 let now = self.context.leader.lease_time();
                 for record in self.context.records.store(self.topic, page, is_complete, now) {
-                    apply_configuration(&self.context, record);
+                    apply_configuration(&self.context, record, is_complete);
                 }
             }
             LogTopic::Runners => {
@@ -209,8 +209,9 @@
     context.streams.record_list(read, &context.fleet);
 }
 
-/// Applies a record of the configuration topic; records under other keys are ignored.
-pub(crate) fn apply_configuration(context: &RelayContext, record: &TopicRecord) {
+/// Applies a record of the configuration topic; records under other keys are ignored. `may_skip` says that records since the
+/// last one may not have been read.
+pub(crate) fn apply_configuration(context: &RelayContext, record: &TopicRecord, may_skip: bool) {
     let decoder = &context.ports.decoder;
     let Some(value) = record
         .value
@@ -222,6 +223,9 @@
     match decoder.decode_configuration(value) {
         Ok(config) => {
             let (version, routes) = (config.version, config.routes.len());
+            // Requests that arrive under the configuration find the former targets of its routes.
+            let now = context.leader.lease_time();
+            context.streams.record_config(now, &config, may_skip);
             if context.routes.apply(config) {
                 events::RELAY_CONFIG_IN_FORCE.write(
                     context.log.logger(),
--- a/crates/mustardgate-relay/src/gateway/origin.rs
+++ b/crates/mustardgate-relay/src/gateway/origin.rs
@@ -1,6 +1,7 @@
 //! The software version at which a stream goes on.
 
 use std::{
+    collections::BTreeSet,
     pin::pin,
     time::{Duration, Instant},
 };
@@ -201,15 +202,38 @@
     services.into_iter().find(|service| has_version(service)).cloned()
 }
 
-/// Returns the only version of the runners to which a route leads, as far as this node knows.
-fn believed_version(context: &RelayContext, route: &RelayRoute) -> Option<VersionTag> {
-    let [target] = route.targets.as_slice() else {
-        return None;
-    };
+/// Services that may have begun a stream of a route, and the longest time for which its caller may come back.
+type StreamScope = (BTreeSet<ServiceId>, Duration);
+
+/// Returns the services that may have begun a stream of a route which a caller takes up now, those included to which it led
+/// under former configurations; `None` if some may not be known.
+fn stream_scope(context: &RelayContext, route: &RelayRoute) -> Option<StreamScope> {
     let active = context.routes.current()?;
-    let life = active.longest_stream_life(clock::now(), &target.service);
     let now = context.leader.lease_time();
-    context.streams.sole_version(now, &target.service, life)
+    let longest = |services: &BTreeSet<ServiceId>| {
+        let lives = services
+            .iter()
+            .map(|service| active.longest_stream_life(clock::now(), service));
+        lives.max().unwrap_or_default()
+    };
+    let mut services: BTreeSet<ServiceId> = route.targets.iter().map(|target| target.service.clone()).collect();
+    let mut life = longest(&services);
+    loop {
+        // Nodes take up a configuration one after the other, and until then begin streams under the one before.
+        let moved_within = life + context.settings.bounds.config_apply();
+        services = context.streams.services(now, route, moved_within)?;
+        match longest(&services) {
+            longer if longer > life => life = longer,
+            _ => return Some((services, life)),
+        }
+    }
+}
+
+/// Returns the only version of the runners that may have begun a stream on a route, as far as this node knows.
+fn believed_version(context: &RelayContext, route: &RelayRoute) -> Option<VersionTag> {
+    let (services, life) = stream_scope(context, route)?;
+    let now = context.leader.lease_time();
+    context.streams.sole_version(now, &services, life)
 }
 
 /// Returns the version of all runners that may have begun a stream on the route, if there was certainly only one when its
@@ -221,13 +245,9 @@
     // A newer list can only show more versions.
     believed_version(context, route)?;
     let is_current = context.list.refresh(context, taken_up_at).await;
-    let [target] = route.targets.as_slice() else {
-        return None;
-    };
-    let active = context.routes.current()?;
-    let life = active.longest_stream_life(clock::now(), &target.service);
+    let (services, life) = stream_scope(context, route)?;
     let now = context.leader.lease_time();
-    let sole = context.streams.certain_version(now, &target.service, life, taken_up_at);
+    let sole = context.streams.certain_version(now, &services, life, taken_up_at);
     sole.filter(|_| is_current)
 }
 
--- a/crates/mustardgate-relay/src/node/seeds.rs
+++ b/crates/mustardgate-relay/src/node/seeds.rs
@@ -41,7 +41,7 @@
                 replace_runners(&context, &runners);
             }
             for record in cached.configuration.into_iter().map(CachedRecord::into_record) {
-                apply_configuration(&context, &record);
+                apply_configuration(&context, &record, true);
             }
         }
     }
--- a/crates/standins/src/proof/versions/callers.rs
+++ b/crates/standins/src/proof/versions/callers.rs
@@ -40,7 +40,7 @@
         self.refresh_list(node);
         let sole = self.nodes[node]
             .versions
-            .certain_version(self.now, &self.service, STREAM_LIFE, self.now);
+            .certain_version(self.now, [&self.service], STREAM_LIFE, self.now);
         if sole.is_some() {
             self.count("returns at the only version");
             return sole;
--- a/crates/standins/src/proof/versions/log.rs
+++ b/crates/standins/src/proof/versions/log.rs
@@ -125,7 +125,7 @@
         self.join_history(node);
         self.nodes[node]
             .versions
-            .certain_version(self.now, &self.service, STREAM_LIFE, self.now)
+            .certain_version(self.now, [&self.service], STREAM_LIFE, self.now)
     }
 
     /// Has callers that found no node come back once one has started again.
