Take no version for certain where streams outlast the known targets

Former targets of routes are remembered for 300 s. Where the life of a stream is longer, by the timeout of a route, a target that was forgotten was taken for none. No version is certain then.

--- a/crates/mustardgate-core/src/relay/route_targets.rs
+++ b/crates/mustardgate-core/src/relay/route_targets.rs
@@ -14,7 +14,7 @@
 };
 use crate::ids::ServiceId;
 
-/// Time for which former targets are remembered; longer than any stream lasts that may be taken up.
+/// Time for which former targets are remembered; where streams last longer, none is certain.
 const TARGET_MEMORY: Duration = Duration::from_secs(300);
 /// Largest number of former targets; the oldest are dropped first, and no stream that may be theirs is certain then.
 const MAX_TARGETS: usize = 512;
@@ -104,7 +104,7 @@
 
     /// Returns the services that may have got a request of a route within `life`, or `None` if some may not be known.
     pub(super) fn services(&self, now: Instant, route: &RelayRoute, life: Duration) -> Option<BTreeSet<ServiceId>> {
-        let is_complete = self.complete_since?.reaches(now, life);
+        let is_complete = self.complete_since?.reaches(now, life) && life <= TARGET_MEMORY;
         let is_nested = |prefix: &str| {
             let own = route.path_prefix.as_str();
             prefix.starts_with(own) || own.starts_with(prefix)
@@ -166,7 +166,7 @@
     /// Forgets targets of which no stream can be left, and the oldest ones beyond the bound.
     fn forget(&mut self, now: Instant) {
         self.former
-            .retain(|_, at| now.saturating_duration_since(*at) < TARGET_MEMORY);
+            .retain(|_, at| now.saturating_duration_since(*at) <= TARGET_MEMORY);
         while self.former.len() > MAX_TARGETS {
             let oldest = self.former.iter().min_by_key(|(_, at)| **at);
             let Some((key, at)) = oldest.map(|(key, at)| (key.clone(), *at)) else {
--- a/crates/mustardgate-core/tests/relay/route_targets.rs
+++ b/crates/mustardgate-core/tests/relay/route_targets.rs
@@ -139,3 +139,12 @@
         Some("service-2000".to_owned())
     );
 }
+
+#[test]
+fn no_version_is_certain_where_streams_outlast_what_is_remembered() {
+    let start = Instant::now();
+    let versions = started(start, &config(1, &[("/drafts/", "one")]));
+    let route = route("/drafts/", "one");
+    assert!(versions.services(start, &route, Duration::from_secs(300)).is_some());
+    assert!(versions.services(start, &route, Duration::from_secs(301)).is_none());
+}
