--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -53,6 +53,8 @@
     pub source: PageSource,
     /// Time since the read began.
     pub elapsed: Duration,
+    /// Whether versions since the last one may not have been read.
+    pub may_skip: bool,
 }
 
 /// Follows one topic.
@@ -98,8 +100,9 @@
         };
         match outcome {
             Ok(page) => {
+                let skipped = self.count_skipped(&page);
                 if self.topic == LogTopic::Configuration && !page.records.is_empty() {
-                    self.log_changes(&page, wait, started_at);
+                    self.log_changes(&page, skipped, wait, started_at);
                 }
                 self.record_success();
                 let extent = match self.next {
@@ -109,7 +112,13 @@
                 };
                 self.next = Some(page.end());
                 self.era = Some(page.era);
-                self.apply_page(&page, extent, began_at);
+                let now = self.context.leader.lease_time();
+                let read = ConfigRead {
+                    source: page.origin.source,
+                    elapsed: now.saturating_duration_since(began_at),
+                    may_skip: extent != PageExtent::Changes || skipped > 0,
+                };
+                self.apply_page(&page, extent, began_at, read);
                 if page.records.is_empty() || page.is_partial || self.topic == LogTopic::Configuration {
                     Duration::ZERO
                 } else {
@@ -133,15 +142,11 @@
         self.context.settings.bounds.shortest_bound() / BATCH_PAUSE_DIVISOR
     }
 
-    fn apply_page(&self, page: &TopicPage, extent: PageExtent, began_at: Instant) {
+    fn apply_page(&self, page: &TopicPage, extent: PageExtent, began_at: Instant, read: ConfigRead) {
         match self.topic {
             LogTopic::Configuration => {
                 let is_complete = extent != PageExtent::Changes;
                 let now = self.context.leader.lease_time();
-                let read = ConfigRead {
-                    source: page.origin.source,
-                    elapsed: now.saturating_duration_since(began_at),
-                };
                 for record in self.context.records.store(self.topic, page, is_complete, now) {
                     apply_configuration(&self.context, record, read);
                 }
@@ -155,11 +160,14 @@
         }
     }
 
-    fn log_changes(&self, page: &TopicPage, wait: Duration, started_at: Instant) {
+    /// Returns how many records before the end of a page it does not hold, because newer ones replaced them.
+    fn count_skipped(&self, page: &TopicPage) -> u64 {
         let read_count = page.records.len() as Offset;
-        let skipped = self
-            .next
-            .map_or(0, |from| page.next.saturating_sub(from.offset + read_count));
+        self.next
+            .map_or(0, |from| page.next.saturating_sub(from.offset + read_count))
+    }
+
+    fn log_changes(&self, page: &TopicPage, skipped: u64, wait: Duration, started_at: Instant) {
         counter!("mustardgate_config_records_skipped_total").increment(skipped);
         events::RELAY_CHANGES_READ.write(
             self.context.log.logger(),
@@ -245,6 +253,9 @@
     match decoder.decode_configuration(value) {
         Ok(config) => {
             let (version, routes) = (config.version, config.routes.len());
+            // Requests that arrive under the configuration find the former targets of its routes.
+            let now = context.leader.lease_time();
+            context.streams.record_config(now, &config, read.may_skip);
             if context.routes.apply(config) {
                 gauge!("mustardgate_config_version").set(version as f64);
                 events::RELAY_CONFIG_IN_FORCE.write(
@@ -314,6 +325,9 @@
 }
 
 fn report_refused_record(context: &RelayContext, record: &TopicRecord, error: &DecodeError) {
+    if !context.refusals.is_new(&record.key, record.offset) {
+        return;
+    }
     counter!("mustardgate_records_refused_total").increment(1);
     let Some(unlogged) = context.refusals.admit(clock::now()) else {
         return;
