--- a/crates/mustardgate-relay/src/settings/mod.rs
+++ b/crates/mustardgate-relay/src/settings/mod.rs
@@ -27,6 +27,8 @@
 const BUFFER_DIVISOR: u64 = 4;
 /// Smallest memory with which buffers hold an answer of the largest size.
 const MIN_MEMORY_MB: u64 = 64;
+/// Memory assumed of a machine whose memory is not stated, in megabytes.
+const DEFAULT_MEMORY_MB: u64 = 512;
 /// Bytes in a megabyte.
 const MEGABYTE: u64 = 1024 * 1024;
 
@@ -63,9 +65,9 @@
     /// Capacity of the node's link, in megabits per second.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: f64,
-    /// Memory that the process may use, in megabytes.
-    #[serde(default = "default_memory_mb")]
-    pub memory_mb: u64,
+    /// Memory that the process may use, in megabytes, unless the environment states it.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
     /// Whether the whole deployment starts for the first time, so that nothing happened before that the node has to
     /// know.
     #[serde(default)]
@@ -80,16 +82,12 @@
     1_000.0
 }
 
-/// Returns the memory assumed of a machine whose memory is not stated.
-fn default_memory_mb() -> u64 {
-    512
-}
-
 impl IdentitySettings {
-    /// Returns the limits on buffered bytes.
-    pub fn buffer_limits(&self) -> BufferLimits {
+    /// Returns the limits on buffered bytes of a process whose environment states a memory limit, in megabytes, or none.
+    pub fn buffer_limits(&self, stated_mb: Option<u64>) -> BufferLimits {
+        let memory_mb = self.memory_mb.or(stated_mb).unwrap_or(DEFAULT_MEMORY_MB);
         BufferLimits {
-            total_bytes: (self.memory_mb.saturating_mul(MEGABYTE) / BUFFER_DIVISOR) as usize,
+            total_bytes: (memory_mb.max(MIN_MEMORY_MB).saturating_mul(MEGABYTE) / BUFFER_DIVISOR) as usize,
         }
     }
 }
@@ -312,7 +310,7 @@
         if !(self.node.link_mbps.is_finite() && self.node.link_mbps > 0.0) {
             return reject("node.link_mbps", "must be above 0");
         }
-        if self.node.memory_mb < MIN_MEMORY_MB {
+        if self.node.memory_mb.is_some_and(|memory_mb| memory_mb < MIN_MEMORY_MB) {
             return reject("node.memory_mb", "must be at least 64");
         }
         if let Some((field, reason)) = self.feed.find_invalid() {
