--- a/crates/mustardgate-core/src/relay/order_claims.rs
+++ b/crates/mustardgate-core/src/relay/order_claims.rs
@@ -4,8 +4,7 @@
 
 use super::{ModelName, OrderKind};
 
-/// Longest time after which an order without an answer may still be executed. The platform speaks of seconds and the
-/// longest delay that it simulates is 12 s; the rest allows for transmission.
+/// Longest time after which an order without an answer may still be executed; the platform allows for seconds.
 pub const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
 
 /// Identity of an order in [`OrderClaims`].
--- a/crates/mustardgate-core/src/relay/versions.rs
+++ b/crates/mustardgate-core/src/relay/versions.rs
@@ -120,7 +120,7 @@
 }
 
 impl CompleteSince {
-    /// Returns the begin of the knowledge of a node that starts now.
+    /// Returns the start of the knowledge of a node that starts now.
     pub(super) fn start(now: Instant, is_first_start: bool) -> Self {
         if is_first_start {
             Self::FirstStart
@@ -209,7 +209,7 @@
     /// Takes over what another node knows, from a message that was under way for `message_time` at most.
     pub fn merge(&mut self, now: Instant, digest: &VersionDigest, message_time: Duration) {
         self.merge_seen(now, &digest.seen);
-        // The other node's knowledge has to reach up to the begin of this node's own.
+        // The other node's knowledge has to reach up to the start of this node's own.
         let is_joined = self.began_at.is_some_and(|began_at| {
             now.saturating_duration_since(began_at) >= digest.list_age.saturating_add(message_time)
         });
--- a/crates/mustardgate/src/http/client.rs
+++ b/crates/mustardgate/src/http/client.rs
@@ -264,7 +264,7 @@
     }
 
     /// Makes a call like [`HttpClient::call_counted`] and receives its body, if that has a pace, for as long as `is_wanted`
-    /// returns `true` for what has arrived: the begin of a body may tell that the rest is not worth its way over the link.
+    /// returns `true` for what has arrived: the start of a body may tell that the rest is not worth its way over the link.
     ///
     /// # Errors
     /// [`CallError`], as [`HttpClient::call`].
