Lend the fixed retries, so that processes that follow each other stay within the budget

Callers saw: repeats beyond the retry budget after nodes restart. Cause: each process took a part of the fixed retries by the number of nodes, or one retry while no number was settled; it knew neither what the process before it on its node had spent nor how many others did the same. Class: a part of a common limit taken by a process that knows neither the others nor its own past.

Change: the leader lends the parts (RetryLender) and counts each loan until a retry at its end has left the window; the sum of the loans that count never exceeds the whole. Half is divided among the nodes, the rest is for processes that start meanwhile. A new leader confirms what processes hold, and lends no more until former loans have run out. Nodes ask as soon as they have read a claim, so a node that has just started has its part with its first report. Event 662 tells each change of a loan, event 603 the part.

--- a/crates/mustardgate-core/src/relay/budget.rs
+++ b/crates/mustardgate-core/src/relay/budget.rs
@@ -5,7 +5,6 @@
     time::{Duration, Instant},
 };
 
-use super::NodeCount;
 use crate::retry::RetryAllowance;
 
 /// Settings of [`RetryShare`].
@@ -30,24 +29,6 @@
     pub allowed: f64,
 }
 
-/// Retries of a node in one window while no settled number of nodes is known.
-const MAX_UNSETTLED_FLOOR: f64 = 1.0;
-
-/// Returns a node's part of the retries that all nodes together have in each window regardless of their requests.
-///
-/// A new leader has heard of few nodes, so the part is at most one retry until a number is known for `settling_time`.
-pub fn share_floor(fixed_retries: f64, count: NodeCount, settling_time: Duration) -> f64 {
-    let part = match count.nodes {
-        0 => MAX_UNSETTLED_FLOOR,
-        nodes => fixed_retries / f64::from(nodes),
-    };
-    if count.known_for < settling_time {
-        part.min(MAX_UNSETTLED_FLOOR)
-    } else {
-        part
-    }
-}
-
 /// Limits the retries for one service by the requests counted over a sliding window.
 ///
 /// The budget applies to the sum over all nodes. A node that spends at most the ratio of its own requests respects it
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -29,6 +29,7 @@
 mod processes;
 mod rate_limits;
 mod request;
+mod retry_loans;
 mod route_targets;
 mod selector;
 mod stream_batches;
@@ -44,7 +45,7 @@
     answer_head::{AnswerKind, AnswerStage, HeadFacts, HeadVerdict},
     backlog::BacklogEstimate,
     brittle::{BrittleLedger, BrittleService, BrittleStatement, deal_places},
-    budget::{BudgetSettings, RetryShare, ShareUsage, share_floor},
+    budget::{BudgetSettings, RetryShare, ShareUsage},
     catalogue::{CatalogueChange, ListedRunner, RunnerCatalogue, RunnerObservation, RunnerState},
     config::{
         CallerLimits, EngineProfile, ModelProfile, RelayConfig, RelayRoute, RelayService, RepeatPolicy, RouteTable,
@@ -67,6 +68,7 @@
     process_evidence::ProcessEvidence,
     rate_limits::{LimitChange, LimitLedger, LimitObservation, LimitStatement},
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
+    retry_loans::{LoanRequest, LoanSettings, ProcessNumber, RetryLender, RetryLoan},
     route_targets::{FormerTarget, TargetDigest},
     selector::{Candidate, RunnerSelector, SelectionWeights},
     stream_batches::{choose_recorders, decode_batch, encode_batches, record_interval},
--- a/crates/mustardgate-relay/src/context/budgets.rs
+++ b/crates/mustardgate-relay/src/context/budgets.rs
@@ -8,21 +8,15 @@
 
 use mustardgate_core::{
     ids::ServiceId,
-    relay::{BudgetSettings, NodeCount, RetryShare, ShareUsage, share_floor},
+    relay::{BudgetSettings, RetryShare, ShareUsage},
     retry::RetryAllowance,
 };
 
-use crate::{client::LONGEST_SILENCE, peers::REPORT_INTERVAL, settings::BoundSettings};
+use crate::{client::LONGEST_SILENCE, settings::BoundSettings};
 
 /// Fraction of the configured ratio that is used, because whoever checks the budget counts over windows that are not
 /// aligned with those of this node.
 const RATIO_FACTOR: f64 = 0.6;
-/// Fraction of the fixed retries that is divided among the nodes. During a network partition the nodes of each of the two
-/// sides divide it among themselves; and nodes that restart may spend their parts twice in one window.
-const FIXED_RETRIES_FACTOR: f64 = 0.5;
-/// Time after which a new leader has heard of all nodes that know it: each has reported twice.
-const SETTLING_TIME: Duration = REPORT_INTERVAL.saturating_mul(2);
-
 /// Retry budget shares by service.
 #[derive(Debug)]
 pub struct ServiceBudgets {
@@ -41,7 +35,7 @@
                 window: Duration::from_secs_f64(bounds.budget_window_s),
                 arrival_spread: LONGEST_SILENCE,
             },
-            fixed_retries: bounds.retry_budget_extra * FIXED_RETRIES_FACTOR,
+            fixed_retries: bounds.retry_budget_extra,
             shares: Mutex::default(),
         }
     }
@@ -51,9 +45,10 @@
         self.with_share(service, |share| share.record_request(now));
     }
 
-    /// Returns the retry allowance of a service for an attempt plan, if `count` nodes divide the fixed retries.
-    pub fn allowance<'a>(&'a self, service: &'a ServiceId, count: NodeCount) -> impl RetryAllowance + 'a {
-        let floor = share_floor(self.fixed_retries, count, SETTLING_TIME);
+    /// Returns the retry allowance of a service for an attempt plan, with the part of the fixed retries that this process
+    /// was lent.
+    pub fn allowance<'a>(&'a self, service: &'a ServiceId, part: f64) -> impl RetryAllowance + 'a {
+        let floor = self.fixed_retries * part;
         self.with_share(service, |share| share.set_floor(floor));
         ServiceAllowance { budgets: self, service }
     }
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -8,6 +8,7 @@
 mod link;
 mod observations;
 mod records;
+mod retry_loans;
 mod routes;
 mod stamp;
 mod stop;
@@ -37,6 +38,7 @@
     link::{AwaitedAnswer, RunnerLink},
     observations::ObservationBuffer,
     records::RecordCache,
+    retry_loans::RetryLoans,
     routes::{ActiveRoutes, RouteHolder},
     stamp::ConfigStamp,
     stop::StopGuard,
@@ -89,6 +91,8 @@
     pub observations: ObservationBuffer,
     /// Retry budget shares by service.
     pub budgets: ServiceBudgets,
+    /// The part of the fixed retries that this process was lent, and the loans that it gives while it leads.
+    pub retry_loans: RetryLoans,
     /// Limits that runners state on the rate of requests.
     pub limits: LimitGuard,
     /// Services whose runners fall over when they turn too many requests away.
--- a/crates/mustardgate-relay/src/gateway/retries.rs
+++ b/crates/mustardgate-relay/src/gateway/retries.rs
@@ -64,8 +64,8 @@
 impl ReceivedRequest {
     /// Returns this node's share of the retry budget of the service.
     pub(super) fn allowance(&self) -> impl RetryAllowance + use<'_> {
-        let count = self.context.directory.known_node_count();
-        self.context.budgets.allowance(&self.service, count)
+        let part = self.context.retry_loans.part(self.context.leader.lease_time());
+        self.context.budgets.allowance(&self.service, part)
     }
 }
 
@@ -106,6 +106,7 @@
     let values = o!(
         "nodes_known_ms" => count.known_for.as_millis() as u64,
         "nodes" => count.nodes,
+        "loan_part" => received.context.retry_loans.part(received.context.leader.lease_time()),
         "budget_allowed" => usage.allowed,
         "budget_spent" => usage.spent,
         "is_link_cut" => received.context.link.is_cut(),
--- a/crates/mustardgate-relay/src/leader/leadership.rs
+++ b/crates/mustardgate-relay/src/leader/leadership.rs
@@ -17,6 +17,8 @@
     relay::{AdapterEvictor, ListedRunner, ModelName, OrderClaims, PlacementPlanner, PlannerSettings},
 };
 
+use tokio::sync::Notify;
+
 use super::{
     LeaseClock,
     lease::{LeaseEntry, LoadAccounts},
@@ -26,6 +28,8 @@
 
 /// Time by which one failed renewal extends a claim while the log is unavailable.
 const EXTENSION_TIME: Duration = Duration::from_millis(1_500);
+/// Longest time for which a leader may act after the term of the next one began.
+pub const MAX_LEADER_OVERLAP: Duration = EXTENSION_TIME;
 /// Bits of a fencing token below the era of the log. Offsets are given out again after a restore, so the era makes tokens
 /// unique and higher than all before.
 const OFFSET_BITS: u32 = 40;
@@ -34,12 +38,23 @@
 /// Time for which an answer of the leader counts as proof that it still leads.
 const CONTACT_TIMEOUT: Duration = Duration::from_millis(1_800);
 
+/// A term in which this node leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaderTerm {
+    /// Fencing token of the term.
+    pub token: u64,
+    /// Whether no node led before.
+    pub is_first: bool,
+}
+
 /// Leadership as this node knows it, shared between its tasks.
 #[derive(Debug)]
 pub struct SharedLeadership {
     clock: Arc<dyn LeaseClock>,
     state: Mutex<LeadershipState>,
     runners: Mutex<BTreeMap<BackendId, Arc<RunnerOrders>>>,
+    /// Told of each claim that is read or made.
+    claimed: Notify,
     /// When this node's term began, if runners accept the orders of former leaders.
     unfenced_since: Mutex<Option<Instant>>,
 }
@@ -110,6 +125,7 @@
                 arrivals: BTreeMap::new(),
             }),
             runners: Mutex::default(),
+            claimed: Notify::new(),
             unfenced_since: Mutex::default(),
         }
     }
@@ -129,6 +145,13 @@
         extension.map(|(claim, _)| state.fencing_token(claim))
     }
 
+    /// Returns the term in which this node leads now.
+    pub fn term(&self) -> Option<LeaderTerm> {
+        let token = self.token()?;
+        let is_first = self.lock().is_first_token(token);
+        Some(LeaderTerm { token, is_first })
+    }
+
     /// Extends a claim by [`EXTENSION_TIME`] when it could not be renewed because the log is unavailable.
     ///
     /// Safe only where runners refuse old tokens: once a runner has seen a successor's higher token, it refuses orders
@@ -153,6 +176,11 @@
         self.lock().leader
     }
 
+    /// Waits until a claim has been read or made since the last call.
+    pub async fn next_claim(&self) {
+        self.claimed.notified().await;
+    }
+
     /// Records whether the node believed to lead answered as leader.
     pub fn record_leader_contact(&self, is_leading: bool) {
         self.lock().contact_at = is_leading.then(clock::now);
@@ -218,6 +246,7 @@
         state.tracker.observe(now, offset, &entry.record);
         state.leader = (!entry.record.released).then_some(entry.address);
         if entry.record.renews.is_none() {
+            self.claimed.notify_one();
             // What was begun after the copy was made is missing from an account of an earlier era.
             state.inherited_loads = state.latest_loads.take().filter(|loads| loads.era == entry.era);
         }
@@ -338,7 +367,11 @@
 
     /// Records whether the term that begins is the first of all.
     fn begin_term(&mut self, token: Option<u64>) {
-        self.is_first_term = !self.has_restore && token == Some(self.fencing_token(0));
+        self.is_first_term = token.is_some_and(|token| self.is_first_token(token));
+    }
+
+    fn is_first_token(&self, token: u64) -> bool {
+        !self.has_restore && token == self.fencing_token(0)
     }
 
     pub(super) fn planner(&mut self, service: &ServiceId, lease_now: Instant) -> &mut PlacementPlanner {
--- a/crates/mustardgate-relay/src/leader/mod.rs
+++ b/crates/mustardgate-relay/src/leader/mod.rs
@@ -17,7 +17,7 @@
 pub use self::{
     adapters::{load_adapter, request_adapter},
     clock::{BootClock, LeaseClock},
-    leadership::SharedLeadership,
+    leadership::{LeaderTerm, MAX_LEADER_OVERLAP, SharedLeadership},
     lease::LeaseTask,
     permits::{issue_permit, request_permit},
     plan::PlanTask,
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -14,7 +14,7 @@
     client::PoolSettings,
     context::{
         BrittleGuard, CrashGuard, DemandCounter, LimitGuard, ObservationBuffer, PlatformPorts, RecordCache,
-        RelayContext, RouteHolder, RunnerLink, ServiceBudgets, StopGuard, StreamGuard,
+        RelayContext, RetryLoans, RouteHolder, RunnerLink, ServiceBudgets, StopGuard, StreamGuard,
     },
     fleet::RunnerFleet,
     follow::ListRefresher,
@@ -89,6 +89,7 @@
         refusals: RefusalLog::default(),
         observations: ObservationBuffer::default(),
         budgets: ServiceBudgets::new(&settings.bounds),
+        retry_loans: RetryLoans::new(&settings.bounds),
         streams: StreamGuard::new(settings.node.first_start),
         list: ListRefresher::default(),
         stream_log: StreamLogReader::default(),
--- a/crates/mustardgate-relay/src/peers/digests.rs
+++ b/crates/mustardgate-relay/src/peers/digests.rs
@@ -6,8 +6,10 @@
     time::{Duration, Instant},
 };
 
+use mustardgate::events;
 use mustardgate_core::clock;
 use rand::Rng;
+use slog::o;
 use tokio::time;
 
 use super::{DemandReport, LeaderAnswer, PartCrashDigest, exchange::exchange_with_neighbours};
@@ -19,6 +21,9 @@
 /// Time after a crash in which further ones are put into the same report.
 const CRASH_BATCH_PAUSE: Duration = Duration::from_millis(20);
 
+/// Longest time between the reading of a claim and the report to the new leader.
+const MAX_CLAIM_PAUSE: Duration = Duration::from_millis(50);
+
 /// Reports demand, crashes and rate limits to the leader, whose answers also prove that it still leads.
 #[derive(Debug)]
 pub struct DigestTask {
@@ -52,25 +57,40 @@
                 () = time::sleep(pause) => {}
                 // Crashes under one input follow each other fast, so other nodes hear of each at once.
                 () = self.context.crashes.next_crash() => time::sleep(CRASH_BATCH_PAUSE).await,
+                // A new leader lends retries, and a node that has just started has none before.
+                () = self.context.leader.next_claim() => time::sleep(self.claim_pause()).await,
             }
             self.report().await;
         }
     }
 
+    /// Spreads the reports of many nodes to a new leader. Nodes that have just started are spread already.
+    fn claim_pause(&self) -> Duration {
+        if self.seen.is_none() {
+            return Duration::ZERO;
+        }
+        MAX_CLAIM_PAUSE.mul_f64(rand::rng().random_range(0.0..1.0))
+    }
+
     async fn report(&mut self) {
         let leader = &self.context.leader;
-        if leader.token().is_some() {
+        if let Some(term) = leader.term() {
             leader.record_demand(&self.context.demand.take());
             let directory = &self.context.directory;
             directory.set_feeder(None);
-            directory.set_node_count(directory.count_live_nodes());
+            let nodes = directory.count_live_nodes();
+            directory.set_node_count(nodes);
             directory.list_contacts();
+            let (now, loans) = (leader.lease_time(), &self.context.retry_loans);
+            let part = loans.lend(now, term, self.address, Some(loans.request(now)), nodes);
+            self.renew_loan(self.address, now, part);
             return;
         }
         let Some(address) = leader.leader_address() else {
             return exchange_with_neighbours(&self.context, self.address).await;
         };
         let reported_at = clock::now();
+        let asked_at = self.context.leader.lease_time();
         let answer = self.call_leader(address).await;
         let is_leading = answer.as_ref().is_some_and(|answer| answer.is_leading);
         self.is_led = is_leading;
@@ -79,7 +99,26 @@
         self.reported_at = Some(reported_at);
         if let Some(answer) = answer {
             self.apply_answer(address, &answer);
+            if let Some(part) = answer.loan {
+                self.renew_loan(address, asked_at, part);
+            }
+        }
+    }
+
+    fn renew_loan(&self, leader: SocketAddr, asked_at: Instant, part: f64) {
+        let former = self.context.retry_loans.renew(asked_at, part);
+        if former == Some(part) {
+            return;
         }
+        events::RELAY_RETRY_LOAN_CHANGED.write(
+            self.context.log.logger(),
+            o!(
+                "nodes" => self.context.directory.node_count(),
+                "before" => former.unwrap_or_default(),
+                "part" => part,
+                "leader" => leader.to_string(),
+            ),
+        );
     }
 
     /// Reports to the node that is believed to lead. While it does not answer as leader, other nodes are told what this
@@ -98,6 +137,7 @@
             members_seen: self.context.directory.members_digest(),
             versions: self.context.streams.version_digest(now),
             brittle: self.context.brittle.services(),
+            loan: Some(self.context.retry_loans.request(now)),
             seen: seen.map_or(0, |(_, seen)| seen),
         };
         let reporting = self.context.peers.report_demand(address, &report);
--- a/crates/mustardgate-relay/src/peers/messages.rs
+++ b/crates/mustardgate-relay/src/peers/messages.rs
@@ -6,8 +6,8 @@
     ids::{BackendId, DomainId, Offset, RunnerProcess, ServiceId},
     ports::{ConditionalAppendError, LogEra, LogTopic, TopicError, TopicPage, TopicRecord},
     relay::{
-        BrittleService, CrashDigest, LimitObservation, NodeMember, OriginFinding, RequestDigest, RunnerObservation,
-        StreamKey, StreamOrigin, VersionDigest,
+        BrittleService, CrashDigest, LimitObservation, LoanRequest, NodeMember, OriginFinding, RequestDigest,
+        RunnerObservation, StreamKey, StreamOrigin, VersionDigest,
     },
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -77,6 +77,9 @@
     /// Services whose runners are brittle.
     #[serde(default)]
     pub brittle: Vec<BrittleService>,
+    /// What the process holds of the fixed retries; earlier builds do not send it.
+    #[serde(default)]
+    pub loan: Option<LoanRequest>,
 }
 
 /// Answer of the called node.
@@ -115,6 +118,9 @@
     /// Services whose runners are brittle.
     #[serde(default)]
     pub brittle: Vec<BrittleService>,
+    /// Part of the fixed retries that the leader lends; earlier builds do not send it.
+    #[serde(default)]
+    pub loan: Option<f64>,
 }
 
 /// What a node knows that binds all nodes. Nodes exchange it with each other while they reach no leader.
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -129,7 +129,7 @@
 
 fn answer_demand(context: &RelayContext, body: &[u8]) -> Option<Vec<u8>> {
     let report: DemandReport = decode(body)?;
-    let is_leading = context.leader.token().is_some();
+    let term = context.leader.term();
     context.directory.record_contact(report.address, report.domain.clone());
     let versions_now = context.leader.lease_time();
     context.streams.merge_versions(versions_now, &report.versions);
@@ -137,16 +137,20 @@
     let inputs = report.crashes.or_newer(report.inputs.as_ref());
     context.crashes.merge(&inputs);
     context.limits.merge(&report.limits);
-    if !is_leading {
+    let Some(term) = term else {
         return Some(encode(&LeaderAnswer::default()));
-    }
+    };
     context.leader.record_demand(&report.digest);
     let (observations, seen) = context.observations.since(report.seen);
     let suspects = context.crashes.suspect_digest();
+    let nodes = context.directory.count_live_nodes();
+    let lent = context
+        .retry_loans
+        .lend(versions_now, term, report.address, report.loan, nodes);
     Some(encode(&LeaderAnswer {
-        is_leading,
+        is_leading: true,
         is_done: true,
-        nodes: context.directory.count_live_nodes(),
+        nodes,
         observations,
         seen,
         crashes: PartCrashDigest::of(&suspects),
@@ -156,6 +160,7 @@
         members: context.directory.changed_members(report.members_seen),
         versions: context.streams.version_digest(versions_now),
         brittle: context.brittle.services(),
+        loan: Some(lent),
     }))
 }
 
--- a/crates/mustardgate-relay/tests/budgets.rs
+++ b/crates/mustardgate-relay/tests/budgets.rs
@@ -7,7 +7,12 @@
 };
 
 use mustardgate_core::{clock, ids::ServiceId, retry::RetryAllowance};
-use mustardgate_relay::{context::ServiceBudgets, peers::PeerDirectory, settings::BoundSettings};
+use mustardgate_relay::{
+    context::{RetryLoans, ServiceBudgets},
+    leader::LeaderTerm,
+    peers::PeerDirectory,
+    settings::BoundSettings,
+};
 use tokio::time;
 
 const RATIO: f64 = 0.2;
@@ -43,6 +48,7 @@
 /// A node as far as its retry budget is concerned.
 struct SimulatedNode {
     budgets: ServiceBudgets,
+    loans: RetryLoans,
     directory: PeerDirectory,
     address: SocketAddr,
     next_report: Instant,
@@ -53,6 +59,7 @@
         let offset = REPORT_INTERVAL.mul_f64((number % 7) as f64 / 7.0);
         Self {
             budgets: ServiceBudgets::new(&bounds()),
+            loans: RetryLoans::new(&bounds()),
             directory: PeerDirectory::default(),
             address: SocketAddr::from(([127, 0, 0, 1], 10_000 + number as u16)),
             next_report: clock::now() + offset,
@@ -64,6 +71,8 @@
 struct SimulatedFleet {
     nodes: Vec<Option<SimulatedNode>>,
     leader: Option<usize>,
+    /// Terms that began so far.
+    terms: u64,
     service: ServiceId,
     requests_per_s: f64,
     due: f64,
@@ -78,6 +87,7 @@
                 .map(|number| Some(SimulatedNode::start(number)))
                 .collect(),
             leader: Some(0),
+            terms: 1,
             service: "assist".into(),
             requests_per_s,
             due: 0.0,
@@ -106,6 +116,10 @@
     fn report(&mut self) {
         let now = clock::now();
         let Some(leader) = self.leader else { return };
+        let term = LeaderTerm {
+            token: self.terms,
+            is_first: self.terms == 1,
+        };
         for number in 0..self.nodes.len() {
             let is_due = self.nodes[number].as_ref().is_some_and(|node| now >= node.next_report);
             if !is_due || self.nodes[leader].is_none() {
@@ -120,8 +134,13 @@
                 led.record_contact(address, None);
             }
             let count = led.count_live_nodes();
+            let (Some(node), Some(leading)) = (&self.nodes[number], &self.nodes[leader]) else {
+                continue;
+            };
+            let request = Some(node.loans.request(now));
+            node.loans
+                .renew(now, leading.loans.lend(now, term, address, request, count));
             if let Some(node) = &mut self.nodes[number] {
-                node.directory.set_node_count(count);
                 node.next_report = now + REPORT_INTERVAL;
             }
         }
@@ -139,13 +158,19 @@
     fn retry(&mut self) {
         let now = clock::now();
         for node in self.nodes.iter().flatten() {
-            let count = node.directory.known_node_count();
-            while node.budgets.allowance(&self.service, count).spend(now) {
+            let part = node.loans.part(now);
+            while node.budgets.allowance(&self.service, part).spend(now) {
                 self.retries.push(now);
             }
         }
     }
 
+    /// Begins the next term.
+    fn lead(&mut self, number: usize) {
+        self.leader = Some(number);
+        self.terms += 1;
+    }
+
     fn restart(&mut self, number: usize) {
         self.nodes[number] = Some(SimulatedNode::start(number));
     }
@@ -199,7 +224,7 @@
                 fleet.restart(number);
             }
             fleet.pass(Duration::from_secs(1), true).await;
-            fleet.leader = Some(0);
+            fleet.lead(0);
             fleet.pass(WINDOW * 3, true).await;
             excesses.insert((node_count, downtime_ms), fleet.excess(|_| Duration::ZERO));
         }
@@ -242,9 +267,10 @@
     for node_count in node_counts.iter().copied() {
         let mut fleet = SimulatedFleet::new(node_count, 10.0);
         fleet.leader = None;
+        fleet.terms = 0;
         fleet.pass(WINDOW * 3, true).await;
         excesses.insert(node_count, fleet.excess(|_| Duration::ZERO));
-        fleet.leader = Some(0);
+        fleet.lead(0);
         fleet.pass(WINDOW * 3, true).await;
         excesses.insert(node_count, fleet.excess(|_| Duration::ZERO));
     }
--- a/crates/mustardgate-relay/tests/messages.rs
+++ b/crates/mustardgate-relay/tests/messages.rs
@@ -193,6 +193,7 @@
         ..UnversionedAnswer::default()
     });
     assert!(answer.is_leading && answer.members.is_none() && answer.versions.covers.is_none());
+    assert_eq!(answer.loan, None);
     let told = LeaderAnswer {
         nodes: 9,
         members: Some(vec![NodeMember {
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -139,6 +139,8 @@
 pub const RELAY_ANSWER_DROPPED: EventKind = event(660, Level::Warning, "stray runner answer dropped");
 /// A request came as one to a runner, because the list of runners names an address of this node.
 pub const RELAY_REQUEST_MISDIRECTED: EventKind = event(661, Level::Warning, "request for a runner refused");
+/// The leader lent this process another part of the fixed retries; with both parts and the leader.
+pub const RELAY_RETRY_LOAN_CHANGED: EventKind = event(662, Level::Info, "retry loan changed");
 /// A caller's connection failed; with the reason and the number of requests that it carried.
 pub const RELAY_CONNECTION_FAILED: EventKind = event(668, Level::Info, "caller connection failed");
 /// The code that serves a connection panicked, so that a request may have no answer; with what it was doing.
@@ -236,6 +238,7 @@
     RELAY_TASK_PANICKED,
     RELAY_ANSWER_DROPPED,
     RELAY_REQUEST_MISDIRECTED,
+    RELAY_RETRY_LOAN_CHANGED,
     RELAY_CONNECTION_FAILED,
     CONNECTION_PANICKED,
     RELAY_ANSWER_OVERSIZED,
