--- a/crates/mustardgate-core/tests/retry_loans.rs
+++ b/crates/mustardgate-core/tests/retry_loans.rs
@@ -146,9 +146,9 @@
 
     fn report(&mut self, node: usize, leader: usize, term: u64, nodes: u32, is_answered: bool) {
         let request = Some(self.processes[node].loan.request(self.now));
-        let lender = &mut self.processes[leader].lender;
-        lender.begin_term(self.now, term, term == 1);
-        let part = lender.lend(self.now, address(node), request, nodes);
+        let leading = &mut self.processes[leader];
+        leading.lender.begin_term(self.now, term, term == 1);
+        let part = leading.lender.lend(self.now, address(node), request, nodes);
         if is_answered {
             self.processes[node].loan.renew(self.now, part);
         }
