Shorten the deadline of a request passed on for another node by the time spent on the way

Cause: a node that passes a request on for one that is cut off sent the deadline as the first node had written it, which leaves out what the body's way, a question to the runner, a connection and a permit took.

Same cause looked for elsewhere: own attempts write it anew each time.

--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -27,6 +27,7 @@
     body::discard_body,
     buffered::{closes_connection, keep_alive_timeout},
     headers::remove_hop_by_hop_headers,
+    path::runner_time,
     places::REJECTION_PAUSE,
 };
 pub use self::{
--- a/crates/mustardgate-relay/src/gateway/path.rs
+++ b/crates/mustardgate-relay/src/gateway/path.rs
@@ -48,6 +48,11 @@
 /// Time by which the runner's deadline is shortened, for the answer's way back to the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(5);
 
+/// Returns the time in which the runner must answer, of the time left until the caller must have the answer.
+pub fn runner_time(time_left: Duration) -> Duration {
+    time_left.saturating_sub(RETURN_MARGIN).max(Duration::from_millis(1))
+}
+
 /// Where an attempt takes the answer up, and what may follow it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ResumePoint {
@@ -220,7 +225,7 @@
         remove_hop_by_hop_headers(headers);
         let metadata = AttemptMetadata {
             backend: backend.clone(),
-            time_left: time_left.saturating_sub(RETURN_MARGIN).max(Duration::from_millis(1)),
+            time_left: runner_time(time_left),
             rank: runner_rank(&self.route),
             resume_after,
         };
--- a/crates/mustardgate-relay/src/link/forward.rs
+++ b/crates/mustardgate-relay/src/link/forward.rs
@@ -34,7 +34,7 @@
     fleet::RunnerCell,
     gateway::{
         BrokenAnswer, RelayBody, closes_connection, discard_body, full_body, keep_alive_timeout,
-        remove_hop_by_hop_headers,
+        remove_hop_by_hop_headers, runner_time,
     },
     leader::request_permit,
     ports::{AnswerKind, AnswerMetadata},
@@ -138,6 +138,8 @@
     *runner_request.uri_mut() = head.uri;
     *runner_request.headers_mut() = head.headers;
     remove_hop_by_hop_headers(runner_request.headers_mut());
+    let dialect = &context.ports.dialect;
+    dialect.write_time_left(runner_request.headers_mut(), runner_time(time_left));
     let awaited = context.link.await_answer();
     is_sent.store(true, Ordering::Relaxed);
     let answer = connection.send(runner_request, time_left).await;
--- a/crates/mustardgate-relay/src/ports/mod.rs
+++ b/crates/mustardgate-relay/src/ports/mod.rs
@@ -147,6 +147,9 @@
     /// Removes the fields that callers may not set, and sets those of an attempt.
     fn write_attempt(&self, headers: &mut HeaderMap, metadata: &AttemptMetadata);
 
+    /// Writes the time left for the runner into a request that has the other fields of its attempt.
+    fn write_time_left(&self, headers: &mut HeaderMap, time_left: Duration);
+
     /// Reads the head of a runner's answer.
     fn read_answer(&self, head: &response::Parts, request: &RequestId) -> AnswerMetadata;
 
