Read what has arrived before a request ends by time

Callers saw: 504, 502 or a broken stream although the runner's answer had arrived at the node, when the node stood still (a freeze, or too little processor time) until the end of its grace period, of the request's time or of a probe. Cause: after a standstill a timer is over before the runtime has polled its sockets, and the wait ended on that.

Change: waits for heads, bodies, events and connections read on for 20 ms after their end (LastRead); a planned stop ends requests 40 ms after the time that bounds them.

--- a/crates/mustardgate-relay/src/client/connection.rs
+++ b/crates/mustardgate-relay/src/client/connection.rs
@@ -17,13 +17,11 @@
 use mustardgate_core::verdict::RunVerdict;
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{
-    net::{TcpSocket, TcpStream},
-    time,
-};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio_util::task::AbortOnDropHandle;
 
 use super::{
+    last_read::LastRead,
     socket::{HeadAllowance, SocketWatch, WatchedSocket},
     target::{PeerKind, TargetField, is_no_runner_answer},
 };
@@ -170,7 +168,9 @@
     ) -> Result<Response<Incoming>, SendFailure> {
         TargetField::write(self.target.as_ref(), request.headers_mut());
         self.allowance.begin();
-        let answer = time::timeout(timeout, self.sender.try_send_request(request)).await;
+        let answer = LastRead::default()
+            .within(timeout, self.sender.try_send_request(request))
+            .await;
         let is_oversized = self.allowance.is_used_up();
         self.allowance.end();
         match answer {
@@ -245,7 +245,7 @@
         let (sender, connection) = handshake.map_err(|_error| ProbeFailure::Other)?;
         Ok((sender, connection, watch, allowance))
     };
-    let connected = time::timeout(timeout, connecting).await;
+    let connected = LastRead::default().within(timeout, connecting).await;
     let (sender, connection, watch, allowance) = connected.unwrap_or(Err(ProbeFailure::Other))?;
     let life = Arc::<ConnectionLife>::default();
     let ending = Arc::clone(&life);
--- a/crates/mustardgate-relay/src/gateway/buffered.rs
+++ b/crates/mustardgate-relay/src/gateway/buffered.rs
@@ -23,7 +23,7 @@
     retries::MIN_ATTEMPT_TIME,
     stream::StreamRelay,
 };
-use crate::{fleet::AttemptOutcome, link::lost_answer};
+use crate::{client::LastRead, fleet::AttemptOutcome, link::lost_answer};
 
 /// Largest buffered answer.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
@@ -57,12 +57,13 @@
     } = open;
     let backend = ticket.cell().listed().id.clone();
     let time_left = received.expires_at.saturating_duration_since(clock::now());
+    let mut last_read = LastRead::default();
     let collecting = collect_bytes(&mut body, MAX_BUFFERED_BYTES, buffers);
     let may_move = helper.is_none() && plan.allows_another(clock::now(), MIN_ATTEMPT_TIME);
     let cell = Arc::clone(ticket.cell());
     let aborting = received.context.drain.aborting();
     let collected = tokio::select! {
-        collected = tokio::time::timeout(time_left, collecting) => match collected {
+        collected = last_read.within(time_left, collecting) => match collected {
             Ok(Ok(content)) => Ok(content),
             Ok(Err(CollectError::Broken)) => Err(("broken_answer", false)),
             Ok(Err(CollectError::TooLong { bytes })) => {
--- a/crates/mustardgate-relay/src/gateway/stream/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/stream/mod.rs
@@ -36,7 +36,7 @@
     retries::{MIN_ATTEMPT_TIME, count_repeat, log_failure, next_step},
     trace::{RequestStep, RequestTrace},
 };
-use crate::{fleet::AttemptOutcome, link::lost_answer};
+use crate::{client::LastRead, fleet::AttemptOutcome, link::lost_answer};
 
 /// Time from the head of an answer within which a runner crashes that cannot process the request.
 const ANSWER_START_TIME: Duration = Duration::from_millis(500);
@@ -57,6 +57,7 @@
     /// Whether another runner had no event left to go on with since the current one was last heard of.
     has_no_successor: bool,
     status: hyper::StatusCode,
+    last_read: LastRead,
 }
 
 impl StreamRelay {
@@ -66,6 +67,7 @@
         let mut headers = open.head.headers.clone();
         remove_hop_by_hop_headers(&mut headers);
         let relay = Self {
+            last_read: LastRead::default(),
             trace: RequestTrace::begin(Arc::clone(&received.context), &received.request, RequestStep::Answering),
             progress: received.begin_progress(),
             has_foreign: false,
@@ -113,7 +115,7 @@
             let request = &self.received.request.id;
             let awaited = is_direct.then(|| link.await_answer());
             let next = tokio::select! {
-                frame = time::timeout(time_left, open.body.frame()) => NextFrame::Received(frame),
+                frame = self.last_read.within(time_left, open.body.frame()) => NextFrame::Received(frame),
                 () = open.buffers.ended() => NextFrame::NoRoom,
                 () = lost_answer(&self.received.context, open.ticket.cell(), request), if may_move => NextFrame::LinkCut,
             };
--- a/crates/mustardgate-relay/src/gateway/stream/moves.rs
+++ b/crates/mustardgate-relay/src/gateway/stream/moves.rs
@@ -11,7 +11,6 @@
     retry::{NoRetries, PrepaidRetry, RetryAllowance},
     verdict::RunVerdict,
 };
-use tokio::time;
 
 use super::{
     super::{
@@ -89,7 +88,7 @@
         loop {
             let time_left = self.received.time_left();
             let open = self.open.as_mut().ok_or("not_open")?;
-            let frame = match time::timeout(time_left, open.body.frame()).await {
+            let frame = match self.last_read.within(time_left, open.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return Err("broken_answer"),
                 Ok(None) => return Err(NO_EVENT_REASON),
--- a/crates/mustardgate-relay/src/node/stop.rs
+++ b/crates/mustardgate-relay/src/node/stop.rs
@@ -18,7 +18,7 @@
     time,
 };
 
-use crate::context::RelayContext;
+use crate::{client::LAST_READ_TIME, context::RelayContext};
 
 /// Longest sleep between two looks at the clock that counts suspensions, which the runtime's clock does not.
 const CLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -83,6 +83,8 @@
         () = &mut closing => return StopOutcome::Drained,
         () = sleep_until(context, schedule.cuts_at) => {}
     }
+    // The answers of a head and of a body that have arrived are read first.
+    time::sleep(LAST_READ_TIME * 2).await;
     let in_flight = context.drain.in_flight();
     if in_flight > 0 {
         events::DRAIN_CUT.write(context.log.logger(), o!("in_flight" => in_flight));
