Install the handlers of signals before the settings are read

Callers saw a node end when a hang-up came in the first milliseconds of its process, as settings files change beside restarts. Cause: the handler was installed after the listeners, and the default action ends the process.

Change: the program installs all handlers within its runtime before it reads its settings.

--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod build;
 mod reload;
 mod seeds;
+mod signals;
 mod stop;
 mod supervision;
 
@@ -17,14 +18,13 @@
 };
 use mustardgate_core::ports::LogTopic;
 use slog::o;
-use tokio::net::{TcpListener, UdpSocket};
-
-pub use self::{build::build_context, supervision::keep_running};
-use self::{
-    reload::ReloadTask,
-    seeds::load_neighbour_records,
-    stop::{StopSignals, stop_node},
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    signal::unix::Signal,
 };
+
+pub use self::{build::build_context, signals::NodeSignals, supervision::keep_running};
+use self::{reload::ReloadTask, seeds::load_neighbour_records, stop::stop_node};
 use crate::{
     context::{PlatformPorts, RelayContext},
     follow::TopicFollower,
@@ -35,8 +35,8 @@
     settings::RelaySettings,
 };
 
-/// Runs a node until a planned stop has ended; `path` is the file that the settings came from, and `buffers` the budget that
-/// the ports draw on as well.
+/// Runs a node until a planned stop has ended; `path` is the file that the settings came from, `buffers` the budget that
+/// the ports draw on as well, and `signals` are handled since the program began.
 ///
 /// # Errors
 /// [`StartError`] when the node cannot start.
@@ -45,15 +45,15 @@
     path: PathBuf,
     ports: PlatformPorts,
     buffers: Arc<BufferBudget>,
+    signals: NodeSignals,
 ) -> Result<StopOutcome, StartError> {
     let metrics = install_recorder().map_err(|reason| StartError::Environment { reason })?;
     let context = build_context(settings, ports, buffers);
     let logger = context.log.logger().clone();
     events::STARTING.write(&logger, o!("version" => env!("CARGO_PKG_VERSION")));
-    let signals = StopSignals::install()?;
-    let tasks = start(&context, path, metrics).await?;
+    let tasks = start(&context, path, metrics, signals.hang_up).await?;
     events::LISTENING.write(&logger, o!("callers" => context.settings.listen.callers.to_string()));
-    let outcome = stop_node(&context, signals, tasks.callers).await;
+    let outcome = stop_node(&context, signals.stop, tasks.callers).await;
     events::STOPPED.write(&logger, o!("outcome" => format!("{outcome:?}")));
     Ok(outcome)
 }
@@ -64,7 +64,12 @@
     callers: Vec<tokio::task::JoinHandle<()>>,
 }
 
-async fn start(context: &Arc<RelayContext>, path: PathBuf, metrics: PrometheusHandle) -> Result<NodeTasks, StartError> {
+async fn start(
+    context: &Arc<RelayContext>,
+    path: PathBuf,
+    metrics: PrometheusHandle,
+    hang_up: Signal,
+) -> Result<NodeTasks, StartError> {
     let listen = &context.settings.listen;
     let mut callers = Vec::new();
     let mut addresses = vec![listen.callers];
@@ -108,7 +113,7 @@
     }
     keep(context, "link", |context| LinkTask::new(context).run());
     keep(context, "sweep", sweep);
-    tokio::spawn(ReloadTask::new(Arc::clone(context), path)?.run());
+    tokio::spawn(ReloadTask::new(Arc::clone(context), path, hang_up).run());
     Ok(NodeTasks { callers })
 }
 
--- a/crates/mustardgate-relay/src/node/reload.rs
+++ b/crates/mustardgate-relay/src/node/reload.rs
@@ -2,12 +2,9 @@
 
 use std::{fs, path::PathBuf, sync::Arc, time::Duration};
 
-use mustardgate::{events, node::StartError};
+use mustardgate::events;
 use slog::o;
-use tokio::{
-    signal::unix::{Signal, SignalKind, signal},
-    time,
-};
+use tokio::{signal::unix::Signal, time};
 
 use crate::{context::RelayContext, settings::RelaySettings};
 
@@ -24,18 +21,15 @@
 }
 
 impl ReloadTask {
-    /// Creates the task and installs a handler for the hangup signal, whose default action would end the process.
-    pub(super) fn new(context: Arc<RelayContext>, path: PathBuf) -> Result<Self, StartError> {
-        let signals = signal(SignalKind::hangup()).map_err(|error| StartError::Environment {
-            reason: error.to_string(),
-        })?;
+    /// Creates the task of a node whose hang-up signals ask for a check.
+    pub(super) fn new(context: Arc<RelayContext>, path: PathBuf, signals: Signal) -> Self {
         let last_text = fs::read_to_string(&path).unwrap_or_default();
-        Ok(Self {
+        Self {
             context,
             path,
             signals,
             last_text,
-        })
+        }
     }
 
     /// Runs until the process ends.
--- a/crates/mustardgate-relay/src/node/stop.rs
+++ b/crates/mustardgate-relay/src/node/stop.rs
@@ -6,18 +6,12 @@
     time::{Duration, Instant},
 };
 
-use mustardgate::{
-    events,
-    node::{StartError, StopOutcome},
-};
+use mustardgate::{events, node::StopOutcome};
 use mustardgate_core::relay::StopSchedule;
 use slog::o;
-use tokio::{
-    signal::unix::{Signal, SignalKind, signal},
-    task::JoinHandle,
-    time,
-};
+use tokio::{task::JoinHandle, time};
 
+use super::signals::StopSignals;
 use crate::{client::LAST_READ_TIME, context::RelayContext};
 
 /// Longest sleep between two looks at the clock that counts suspensions, which the runtime's clock does not.
@@ -26,35 +20,6 @@
 /// Time that callers are given at least to get the answers with which their requests are ended.
 const ANSWER_TIME: Duration = Duration::from_millis(50);
 
-/// The signals that stop a node. Those that follow the first one change nothing.
-#[derive(Debug)]
-pub(super) struct StopSignals {
-    terminate: Signal,
-    interrupt: Signal,
-}
-
-impl StopSignals {
-    /// Installs the handlers, without which a signal ends the process at once.
-    pub(super) fn install() -> Result<Self, StartError> {
-        let install = |kind| {
-            signal(kind).map_err(|error| StartError::Environment {
-                reason: error.to_string(),
-            })
-        };
-        Ok(Self {
-            terminate: install(SignalKind::terminate())?,
-            interrupt: install(SignalKind::interrupt())?,
-        })
-    }
-
-    async fn next(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
-        }
-    }
-}
-
 /// Waits for a stop signal and stops the node within its grace period.
 pub(super) async fn stop_node(
     context: &Arc<RelayContext>,
--- a/crates/standins/src/harness/scratch.rs
+++ b/crates/standins/src/harness/scratch.rs
@@ -8,6 +8,7 @@
     sync::atomic::{AtomicU16, AtomicU64, Ordering},
 };
 
+use nix::{sys::stat::Mode, unistd::mkfifo};
 use snafu::ResultExt;
 
 use super::child::{HarnessError, ProcessSnafu, WriteSnafu};
@@ -43,6 +44,18 @@
         &self.path
     }
 
+    /// Creates a named pipe and returns its path.
+    ///
+    /// # Errors
+    /// [`HarnessError`] when that fails.
+    pub fn create_pipe(&self, name: &str) -> Result<PathBuf, HarnessError> {
+        let path = self.path.join(name);
+        mkfifo(&path, Mode::S_IRUSR | Mode::S_IWUSR)
+            .map_err(io::Error::from)
+            .context(WriteSnafu { path: &path })?;
+        Ok(path)
+    }
+
     /// Writes a file and returns its path.
     ///
     /// # Errors
