--- a/crates/mustardgate-relay/tests/messages.rs
+++ b/crates/mustardgate-relay/tests/messages.rs
@@ -5,8 +5,8 @@
 use mustardgate_core::{
     ports::{LogTopic, TopicError, TopicPage, TopicRecord},
     relay::{
-        CrashDigest, CrashObservation, InputId, LimitObservation, NodeMember, RequestContent, RunnerObservation,
-        SoftwareVersion, StreamOrigin,
+        CrashDigest, CrashObservation, InputId, LimitObservation, LoanRequest, NodeMember, RequestContent,
+        RunnerObservation, SoftwareVersion, StreamOrigin,
     },
 };
 use mustardgate_relay::{
@@ -140,6 +140,26 @@
     assert!(sent <= CONTROL_BYTES_PER_S, "{sent} B/s, {} B a record", bytes.len());
 }
 
+// Guards the control traffic at the design size: one report and its answer each 0.7 s from each node.
+#[test]
+fn a_loan_of_retries_fits_into_the_control_traffic() {
+    const REPORT_INTERVAL_MS: usize = 700;
+    const LOAN_BYTES_PER_S: usize = 120;
+    let request = LoanRequest {
+        process: u64::MAX,
+        held: 0.5 / 360.0,
+    };
+    let answer = |loan| LeaderAnswer {
+        loan,
+        ..LeaderAnswer::default()
+    };
+    let asked = encoded_length(&Some(request)) - encoded_length(&None::<LoanRequest>);
+    let lent = encoded_length(&answer(Some(request.held))) - encoded_length(&answer(None));
+    let sent = (asked + lent) * 1_000 / REPORT_INTERVAL_MS;
+    eprintln!("{sent} B/s, {asked} B asked, {lent} B lent");
+    assert!(sent <= LOAN_BYTES_PER_S, "{sent} B/s, {asked} B asked, {lent} B lent");
+}
+
 /// A report of the build before versions, members and brittle services were told.
 #[derive(Debug, Serialize, Deserialize)]
 struct UnversionedReport {
