Answers that have arrived count before the end of the requests in flight

Cause: after a standstill a request hears of its answer and of the end of the grace period at once, and the select took either at random.

Change: unless_aborted, and the selects beside it, take a complete step first; the product's own node too.

--- a/crates/mustardgate-relay/src/gateway/buffered.rs
+++ b/crates/mustardgate-relay/src/gateway/buffered.rs
@@ -63,6 +63,8 @@
     let cell = Arc::clone(ticket.cell());
     let aborting = received.context.drain.aborting();
     let collected = tokio::select! {
+        // An answer that is whole counts first.
+        biased;
         collected = last_read.within(time_left, collecting) => match collected {
             Ok(Ok(content)) => Ok(content),
             Ok(Err(CollectError::Broken)) => Err(("broken_answer", false)),
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -58,11 +58,9 @@
     };
     let id = relayed.id.clone();
     let mut trace = RequestTrace::begin(Arc::clone(&context), &relayed, RequestStep::Receiving);
-    let aborting = context.drain.aborting();
-    let received = tokio::select! {
-        received = receive(&context, head, body, relayed, in_flight) => received,
-        () = aborting.cancelled() => Err(refusal(&context, RefusalCause::NodeStopping)),
-    };
+    let receiving = receive(&context, head, body, relayed, in_flight);
+    let received = context.drain.unless_aborted(receiving).await;
+    let received = received.unwrap_or_else(|| Err(refusal(&context, RefusalCause::NodeStopping)));
     let mut response = match received {
         Ok(received) => {
             trace.reach(RequestStep::Waiting);
@@ -168,12 +166,10 @@
     });
     let mut tried = Vec::new();
     let mut fallback = None;
-    let aborting = received.context.drain.aborting();
+    let drain = received.context.drain.clone();
     loop {
-        let opened = tokio::select! {
-            opened = attempt(&received, &mut plan, &tried) => opened,
-            () = aborting.cancelled() => Err(received.stop_attempt(&mut plan)),
-        };
+        let opened = drain.unless_aborted(attempt(&received, &mut plan, &tried)).await;
+        let opened = opened.unwrap_or_else(|| Err(received.stop_attempt(&mut plan)));
         let error = match opened {
             Ok(open) => match forward_answer(received, plan, open).await {
                 ForwardOutcome::Answered(response) => return response,
--- a/crates/mustardgate-relay/src/gateway/stream/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/stream/mod.rs
@@ -93,6 +93,8 @@
     async fn next_chunk_before_stop(&mut self) -> Option<Result<Bytes, BrokenAnswer>> {
         let aborting = self.received.context.drain.aborting();
         tokio::select! {
+            // Events that have arrived count first.
+            biased;
             chunk = self.next_chunk() => chunk,
             () = aborting.cancelled() => {
                 self.log_broken(STOP_REASON);
--- a/crates/mustardgate-relay/src/link/forward.rs
+++ b/crates/mustardgate-relay/src/link/forward.rs
@@ -71,15 +71,14 @@
     };
     let load = context.forwarded.fetch_add(1, Ordering::Relaxed) + 1;
     let is_sent = AtomicBool::new(false);
-    let aborting = context.drain.aborting();
-    let outcome = tokio::select! {
-        outcome = send(&context, request, load, slot, &is_sent) => outcome,
-        () = aborting.cancelled() => Err(if is_sent.load(Ordering::Relaxed) {
+    let sending = send(&context, request, load, slot, &is_sent);
+    let outcome = context.drain.unless_aborted(sending).await.unwrap_or_else(|| {
+        Err(if is_sent.load(Ordering::Relaxed) {
             ForwardVerdict::Broken { is_timeout: true }
         } else {
             ForwardVerdict::Refused(ForwardRefusal::Unavailable)
-        }),
-    };
+        })
+    });
     let label = match &outcome {
         Ok(_) => "answered",
         Err(ForwardVerdict::Refused(_)) => "refused",
@@ -276,12 +275,11 @@
 
     async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, BrokenAnswer>> {
         let awaited = self.context.link.await_answer();
-        let aborting = self.context.drain.aborting();
-        let frame = tokio::select! {
-            frame = self.body.frame() => frame,
-            () = aborting.cancelled() => return Some(Err(BrokenAnswer)),
-        };
+        let frame = self.context.drain.unless_aborted(self.body.frame()).await;
         drop(awaited);
+        let Some(frame) = frame else {
+            return Some(Err(BrokenAnswer));
+        };
         match frame {
             Some(Ok(frame)) => {
                 self.context.link.record_contact(false);
--- a/crates/mustardgate/src/dispatch/call.rs
+++ b/crates/mustardgate/src/dispatch/call.rs
@@ -56,13 +56,13 @@
         plan: AttemptPlan::new(settings),
         attempt: 0,
     };
-    let aborting = context.drain.aborting();
-    tokio::select! {
-        result = run.run_attempts() => result,
-        () = aborting.cancelled() => {
-            Err(CallerError::Stopping { verdict: run.plan.verdict(), retry_after: FAILED_RETRY_AFTER })
-        }
-    }
+    let ended = context.drain.unless_aborted(run.run_attempts()).await;
+    ended.unwrap_or_else(|| {
+        Err(CallerError::Stopping {
+            verdict: run.plan.verdict(),
+            retry_after: FAILED_RETRY_AFTER,
+        })
+    })
 }
 
 /// Returns the expected time from the dispatch of a call to its answer.
--- a/crates/mustardgate/src/dispatch/generation.rs
+++ b/crates/mustardgate/src/dispatch/generation.rs
@@ -63,6 +63,8 @@
         assembler,
     };
     let result = tokio::select! {
+        // A whole answer counts first.
+        biased;
         result = run.run_attempts() => result,
         () = time::sleep(remaining) => {
             Err(CallerError::DeadlinePassed { verdict: run.plan.verdict(), retry_after: ENDED_RETRY_AFTER })
--- a/crates/mustardgate/src/drain/mod.rs
+++ b/crates/mustardgate/src/drain/mod.rs
@@ -137,6 +137,16 @@
         self.state.aborting.clone()
     }
 
+    /// Returns the outcome of a step of a request, or `None` if the requests still in flight are ended before. A step that is
+    /// complete counts first.
+    pub async fn unless_aborted<F: Future>(&self, step: F) -> Option<F::Output> {
+        tokio::select! {
+            biased;
+            output = step => Some(output),
+            () = self.state.aborting.cancelled() => None,
+        }
+    }
+
     /// Waits until no request is in flight, for at most `limit`; returns whether that state was reached.
     pub async fn wait_idle(&self, limit: Duration) -> bool {
         time::timeout(limit, async {
--- a/crates/mustardgate/tests/drain.rs
+++ b/crates/mustardgate/tests/drain.rs
@@ -50,3 +50,17 @@
     assert_eq!(cut.elapsed(), Duration::ZERO);
     assert!(drain.aborting().is_cancelled() && drain.closing().is_cancelled());
 }
+
+// Guards against answers that have arrived and are ended, because a node that stood still hears of both at once.
+#[tokio::test]
+async fn steps_that_are_complete_count_before_the_end_of_the_requests_in_flight() {
+    const STEPS: usize = 100;
+    let drain = DrainController::default();
+    drain.aborting().cancel();
+    let mut ended = 0;
+    for _ in 0..STEPS {
+        ended += usize::from(drain.unless_aborted(async {}).await.is_none());
+    }
+    assert_eq!(ended, 0, "of {STEPS}");
+    assert_eq!(drain.unless_aborted(std::future::pending::<()>()).await, None);
+}
