--- a/crates/mustardgate-core/src/relay/retry_loans.rs
+++ b/crates/mustardgate-core/src/relay/retry_loans.rs
@@ -1,7 +1,7 @@
 //! Loans of the fixed part of a retry budget, which a leader gives to the processes of all nodes.
 //!
 //! The parts that may still be spent or count in a window never exceed the whole, whichever processes end and start
-//! meanwhile. See `docs/design/leader.md`.
+//! meanwhile. See `docs/design/platform.md`.
 
 use std::{
     collections::BTreeMap,
