Log how many crashes a node knows of, and holds of runners

Event 625 says both, 663 a hold with the start of its process, 614 how much of a hold went with an entry. No decision is changed.

--- a/crates/mustardgate-core/src/relay/crashes.rs
+++ b/crates/mustardgate-core/src/relay/crashes.rs
@@ -207,6 +207,12 @@
         })
     }
 
+    /// Returns the largest number of runner processes that are known to have crashed under one of the inputs.
+    pub fn crash_count(&self, inputs: impl IntoIterator<Item = InputId>) -> usize {
+        let by_process = inputs.into_iter().filter_map(|input| self.crashes.get(&input));
+        by_process.map(BTreeMap::len).max().unwrap_or_default()
+    }
+
     /// Returns what this node observed itself since a time, or all of it, for a leader that collects it.
     pub fn own_digest(&self, now: Instant, since: Option<Instant>) -> CrashDigest {
         let crashes = self.observations(now, |input, process, at| {
--- a/crates/mustardgate-relay/src/context/crashes.rs
+++ b/crates/mustardgate-relay/src/context/crashes.rs
@@ -19,6 +19,7 @@
 pub struct CrashGuard {
     ledger: Mutex<CrashLedger>,
     changed: Notify,
+    started_at: Instant,
     logger: Logger,
 }
 
@@ -28,6 +29,7 @@
         Self {
             ledger: Mutex::new(CrashLedger::new(settings)),
             changed: Notify::new(),
+            started_at: clock::now(),
             logger,
         }
     }
@@ -40,19 +42,21 @@
     /// Records that a runner crashed when it processed these inputs of a request; returns whether another one did so
     /// before.
     pub fn record_crash(&self, runner: &ListedRunner, request: &RequestId, inputs: &[InputId]) -> bool {
+        let process = (runner.id.clone(), runner.started_at_ms);
+        let now = clock::now();
+        let mut ledger = self.lock();
+        ledger.record_crash(now, &process, inputs.iter().copied());
         events::RELAY_RUNNER_CRASHED.write(
             &self.logger,
             o!(
+                "uptime_ms" => now.saturating_duration_since(self.started_at).as_millis() as u64,
+                "crashes" => ledger.crash_count(inputs.iter().copied()),
                 "digests" => describe(inputs, digest_text),
                 "parts" => describe(inputs, part_text),
                 "backend" => runner.id.to_string(),
                 "request" => request.to_string(),
             ),
         );
-        let process = (runner.id.clone(), runner.started_at_ms);
-        let now = clock::now();
-        let mut ledger = self.lock();
-        ledger.record_crash(now, &process, inputs.iter().copied());
         self.update(&mut ledger, now);
         self.changed.notify_one();
         ledger.is_repeated(inputs.iter().copied())
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -16,13 +16,14 @@
 
 use std::{
     sync::{Arc, atomic::AtomicUsize},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use hyper::StatusCode;
 use metrics::counter;
 use mustardgate::{buffers::BufferBudget, drain::DrainController, events};
 use mustardgate_core::{
+    clock,
     ids::{BackendId, RequestId},
     ports::TopicLog,
     relay::{AdmissionGate, BrittleStatement, LimitStatement, ListedRunner, RetryAdvisor},
@@ -45,7 +46,7 @@
     streams::{StreamGuard, StreamNotice},
 };
 use crate::{
-    fleet::RunnerFleet,
+    fleet::{RunnerCell, RunnerFleet},
     follow::ListRefresher,
     leader::SharedLeadership,
     link::HelperBook,
@@ -153,6 +154,21 @@
         }
     }
 
+    /// Sends no request to a runner for a time that it asked for in a refusal.
+    pub fn record_hold(&self, cell: &RunnerCell, delay: Duration) {
+        let now = clock::now();
+        if cell.hold_left(now).is_none() {
+            let listed = cell.listed();
+            let values = o!(
+                "hold_ms" => delay.as_millis() as u64,
+                "start_ms" => listed.started_at_ms,
+                "backend" => listed.id.to_string(),
+            );
+            events::RELAY_RUNNER_HELD.write(self.log.logger(), values);
+        }
+        cell.hold(now + delay);
+    }
+
     /// Records an answer that nothing binds to the request after which it arrived.
     pub fn record_dropped_answer(
         &self,
--- a/crates/mustardgate-relay/src/fleet/runners.rs
+++ b/crates/mustardgate-relay/src/fleet/runners.rs
@@ -172,7 +172,12 @@
     }
 
     fn drop_cell(&self, id: &BackendId) {
-        events::RELAY_RUNNER_REMOVED.write(&self.logger, o!("backend" => id.to_string()));
+        let hold_left = self.get(id).and_then(|cell| cell.hold_left(clock::now()));
+        let values = o!(
+            "hold_left_ms" => hold_left.unwrap_or_default().as_millis() as u64,
+            "backend" => id.to_string(),
+        );
+        events::RELAY_RUNNER_REMOVED.write(&self.logger, values);
         let mut cells = self.cells.write().expect("no holder of the lock panics");
         retire_cell(&mut cells, id);
     }
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -327,7 +327,7 @@
     fn record_refusal(&self, ticket: &mut RunnerTicket, metadata: &AnswerMetadata) {
         ticket.discard_wait();
         if let Some(delay) = metadata.retry_after {
-            ticket.cell().hold(clock::now() + delay);
+            self.context.record_hold(ticket.cell(), delay);
         }
         if metadata.kind == AnswerKind::NotRun {
             self.context.record_rejection(ticket.cell());
--- a/crates/mustardgate-relay/src/link/forward.rs
+++ b/crates/mustardgate-relay/src/link/forward.rs
@@ -247,7 +247,7 @@
         context.record_rejection(cell);
     }
     if let (AnswerKind::NotRun | AnswerKind::Misdirected, Some(delay)) = (metadata.kind, metadata.retry_after) {
-        cell.hold(clock::now() + delay);
+        context.record_hold(cell, delay);
     }
 }
 
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -165,6 +165,8 @@
 pub const RELAY_SETTINGS_CHANGED: EventKind = event(630, Level::Info, "settings file changed");
 /// The changed settings file has an error, so the old settings stay in force.
 pub const RELAY_SETTINGS_REFUSED: EventKind = event(631, Level::Warning, "settings file refused");
+/// A runner wants no requests of this node for a time; with how long.
+pub const RELAY_RUNNER_HELD: EventKind = event(663, Level::Info, "runner held");
 /// A task of the node panicked and is started again.
 pub const RELAY_TASK_PANICKED: EventKind = event(650, Level::Error, "task panicked");
 
@@ -239,6 +241,7 @@
     RELAY_ANSWER_DROPPED,
     RELAY_REQUEST_MISDIRECTED,
     RELAY_RETRY_LOAN_CHANGED,
+    RELAY_RUNNER_HELD,
     RELAY_CONNECTION_FAILED,
     CONNECTION_PANICKED,
     RELAY_ANSWER_OVERSIZED,
