Keep what nodes know of crashing inputs in the log, for the time when all of them end

Callers and runners saw (four real nodes, an input that crashes runners every 0.4 s, all nodes killed two or three times): after the rule binds, 12 sends of a request, 8 of a stream that crashes in the middle and 9 of a part of prompts; three are allowed. Sound requests beside them: 21 of 24, 23 of 24 and 26 of 32 served.

Cause: the ledger lived in the memories of the nodes only, so each loss of all of them gave an input three more crashes and more. Class: knowledge that protects others lives only with those that may all go at once.

Change: one record in a keyed topic holds the crashes that count and the quarantines. The leader replaces it, or a node that reaches none, behind the record that it has taken over; a process reads it before it is ready. No call without a crash but the read at the start. Why it works: whatever led to a quarantine is in the record within 30 ms of the leader's hearing of it, and a new process goes on from there; its end stays where it was.

--- a/crates/mustardgate-core/src/ports/keyed_log.rs
+++ b/crates/mustardgate-core/src/ports/keyed_log.rs
@@ -34,12 +34,14 @@
     Leases,
     /// Batches of stream origins, without keys.
     StreamOrigins,
+    /// What nodes know of inputs that crash runners, in one record that each writer replaces.
+    Crashes,
 }
 
 impl LogTopic {
     /// Returns whether the records of the topic have keys, of which the newest record is kept.
     pub fn is_keyed(self) -> bool {
-        matches!(self, Self::Configuration | Self::Runners)
+        matches!(self, Self::Configuration | Self::Runners | Self::Crashes)
     }
 }
 
--- a/crates/mustardgate-core/src/relay/crashes.rs
+++ b/crates/mustardgate-core/src/relay/crashes/mod.rs
@@ -1,17 +1,20 @@
 //! Inputs under which runners crash, which are parts of prompts or whole requests, and their quarantine.
 
+mod digest;
+mod record;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
-use serde::{Deserialize, Serialize};
-
+pub use self::{
+    digest::{CrashDigest, CrashObservation, QuarantineNotice},
+    record::{CrashRecord, RecordNeed, RecordedCrashes},
+};
 use super::{InputId, RelayRequest};
 use crate::ids::RunnerProcess;
 
-/// Largest number of crashes that nodes without a leader tell each other at once.
-const MAX_EXCHANGED_CRASHES: usize = 256;
 /// Time between two removals of expired entries; the leader merges several digests in that time.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -49,39 +52,6 @@
     }
 }
 
-/// One runner process that crashed when it processed an input.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashObservation {
-    /// The input.
-    pub input: InputId,
-    /// Runner, with the start time of its process in Unix milliseconds.
-    pub process: RunnerProcess,
-    /// Time since the crash.
-    pub age: Duration,
-}
-
-/// What a node knows of crashes, for other nodes. Times are relative, because nodes have no common clock.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashDigest {
-    /// Crashes that still count.
-    pub crashes: Vec<CrashObservation>,
-    /// Inputs of these crashes that were answered well, and the time since.
-    pub sound: Vec<(InputId, Duration)>,
-    /// Inputs in quarantine.
-    pub quarantined: Vec<QuarantineNotice>,
-}
-
-/// One input in quarantine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuarantineNotice {
-    /// The input.
-    pub input: InputId,
-    /// Time until the quarantine ends if no further request comes.
-    pub left: Duration,
-    /// Time since the quarantine began.
-    pub age: Duration,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct InputQuarantine {
     until: Instant,
@@ -100,6 +70,8 @@
     own: BTreeSet<(InputId, RunnerProcess)>,
     sound: BTreeMap<InputId, Instant>,
     quarantined: BTreeMap<InputId, InputQuarantine>,
+    /// Grows with each crash that becomes known, and with each quarantine that begins or ends.
+    revision: u64,
     /// When expired entries were last dropped.
     expired_at: Option<Instant>,
 }
@@ -119,6 +91,7 @@
             own: BTreeSet::new(),
             sound: BTreeMap::new(),
             quarantined: BTreeMap::new(),
+            revision: 0,
             expired_at: None,
         }
     }
@@ -134,7 +107,10 @@
     fn add_crash(&mut self, at: Instant, process: &RunnerProcess, inputs: impl IntoIterator<Item = InputId>) {
         for input in inputs {
             let by_process = self.crashes.entry(input).or_default();
-            let known = by_process.entry(process.clone()).or_insert(at);
+            let known = by_process.entry(process.clone()).or_insert_with(|| {
+                self.revision += 1;
+                at
+            });
             *known = at.min(*known);
         }
         limit_inputs(&mut self.crashes, self.settings.max_inputs, |by_process| {
@@ -147,7 +123,7 @@
         for input in inputs {
             let known = self.sound.entry(input).or_insert(at);
             *known = at.max(*known);
-            self.quarantined.remove(&input);
+            self.end_quarantine(input);
         }
         limit_inputs(&mut self.sound, self.settings.max_inputs, |at| Some(*at));
     }
@@ -174,6 +150,7 @@
             };
             self.quarantined.insert(*input, quarantine);
         }
+        self.revision += added.len() as u64;
         limit_inputs(&mut self.quarantined, self.settings.max_inputs, |quarantine| {
             Some(quarantine.until)
         });
@@ -207,110 +184,25 @@
         })
     }
 
-    /// Returns the largest number of runner processes that are known to have crashed under one of the inputs.
-    pub fn crash_count(&self, inputs: impl IntoIterator<Item = InputId>) -> usize {
-        let by_process = inputs.into_iter().filter_map(|input| self.crashes.get(&input));
-        by_process.map(BTreeMap::len).max().unwrap_or_default()
-    }
-
-    /// Returns what this node observed itself since a time, or all of it, for a leader that collects it.
-    pub fn own_digest(&self, now: Instant, since: Option<Instant>) -> CrashDigest {
-        let crashes = self.observations(now, |input, process, at| {
-            let is_own = self.own.contains(&(input, process.clone()));
-            is_own && since.is_none_or(|since| at >= since)
-        });
-        self.digest_of(now, crashes, |input| self.is_suspect(input))
-    }
-
-    /// Returns what nodes should know of what their leader collected: inputs under which several runners crashed.
-    ///
-    /// Each crash breaks off many requests, and most of them are never seen again.
-    pub fn suspect_digest(&self, now: Instant) -> CrashDigest {
-        let crashes = self.observations(now, |input, _, _| self.is_suspect(input));
-        self.digest_of(now, crashes, |input| self.is_suspect(input))
-    }
-
-    /// Returns everything that this node knows, for nodes without a leader; of many crashes only the newest.
-    pub fn digest(&self, now: Instant) -> CrashDigest {
-        let mut crashes = self.observations(now, |_, _, _| true);
-        crashes.sort_by_key(|crash| crash.age);
-        crashes.truncate(MAX_EXCHANGED_CRASHES);
-        let told: BTreeSet<InputId> = crashes.iter().map(|crash| crash.input).collect();
-        self.digest_of(now, crashes, |input| told.contains(&input))
+    /// Returns a number that grows with each crash that becomes known, and with each quarantine that begins or ends.
+    pub fn revision(&self) -> u64 {
+        self.revision
     }
 
-    /// Returns whether several runners crashed under an input, whoever saw it.
-    fn is_suspect(&self, input: InputId) -> bool {
-        let by_process = self.crashes.get(&input);
-        by_process.is_some_and(|by_process| by_process.len() > 1)
+    /// Returns whether no crash and no quarantine is known.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.quarantined.is_empty()
     }
 
-    fn observations(
-        &self,
-        now: Instant,
-        includes: impl Fn(InputId, &RunnerProcess, Instant) -> bool,
-    ) -> Vec<CrashObservation> {
-        let crashes = self
-            .crashes
-            .iter()
-            .flat_map(|(input, by_process)| by_process.iter().map(|(process, at)| (*input, process, *at)));
-        let told = crashes.filter(|(input, process, at)| includes(*input, process, *at));
-        told.map(|(input, process, at)| CrashObservation {
-            input,
-            process: process.clone(),
-            age: now.saturating_duration_since(at),
-        })
-        .collect()
-    }
-
-    /// Completes a digest with the disputed inputs that were answered well, and with all quarantines.
-    fn digest_of(
-        &self,
-        now: Instant,
-        crashes: Vec<CrashObservation>,
-        is_disputed: impl Fn(InputId) -> bool,
-    ) -> CrashDigest {
-        let sound = self
-            .sound
-            .iter()
-            .filter(|(input, _)| is_disputed(**input) || self.quarantined.contains_key(*input));
-        let quarantined = self.quarantined.iter().map(|(input, quarantine)| QuarantineNotice {
-            input: *input,
-            left: quarantine.until.saturating_duration_since(now),
-            age: now.saturating_duration_since(quarantine.began_at),
-        });
-        CrashDigest {
-            crashes,
-            sound: sound
-                .map(|(input, at)| (*input, now.saturating_duration_since(*at)))
-                .collect(),
-            quarantined: quarantined.collect(),
-        }
+    /// Returns for how long a crash counts.
+    pub fn crash_memory(&self) -> Duration {
+        self.settings.crash_memory
     }
 
-    /// Takes over what another node knows.
-    pub fn merge(&mut self, now: Instant, digest: &CrashDigest) {
-        let past = |age: Duration| now.checked_sub(age).unwrap_or(now);
-        for crash in &digest.crashes {
-            self.add_crash(past(crash.age), &crash.process, [crash.input]);
-        }
-        for notice in &digest.quarantined {
-            let began_at = past(notice.age);
-            let ends_at = began_at + self.settings.max_quarantine_time;
-            let until = (now + notice.left.min(self.settings.quarantine_time)).min(ends_at);
-            let known = self
-                .quarantined
-                .entry(notice.input)
-                .or_insert(InputQuarantine { until, began_at });
-            known.until = until.max(known.until);
-            known.began_at = began_at.min(known.began_at);
-        }
-        for (input, age) in &digest.sound {
-            let at = past(*age);
-            let known = self.sound.entry(*input).or_insert(at);
-            *known = at.max(*known);
-        }
-        self.lift_cleared(now);
+    /// Returns the largest number of runner processes that are known to have crashed under one of the inputs.
+    pub fn crash_count(&self, inputs: impl IntoIterator<Item = InputId>) -> usize {
+        let by_process = inputs.into_iter().filter_map(|input| self.crashes.get(&input));
+        by_process.map(BTreeMap::len).max().unwrap_or_default()
     }
 
     /// Ends the quarantine of inputs that other nodes answered well so recently that the crashes no longer count.
@@ -326,7 +218,13 @@
             .copied()
             .collect();
         for input in cleared {
-            self.quarantined.remove(&input);
+            self.end_quarantine(input);
+        }
+    }
+
+    fn end_quarantine(&mut self, input: InputId) {
+        if self.quarantined.remove(&input).is_some() {
+            self.revision += 1;
         }
     }
 
@@ -337,6 +235,10 @@
         times.filter(|at| sound_until.is_none_or(|until| *at > until)).collect()
     }
 
+    fn is_counted_at(&self, now: Instant, at: Instant) -> bool {
+        now.saturating_duration_since(at) < self.settings.crash_memory
+    }
+
     fn expire(&mut self, now: Instant) {
         let is_due = |at: Instant| now.saturating_duration_since(at) >= EXPIRY_INTERVAL;
         if !self.expired_at.is_none_or(is_due) {
@@ -357,7 +259,9 @@
         // An input that was answered well outlives the crashes that it clears.
         self.sound
             .retain(|_, at| is_recent(at, settings.sound_memory + settings.crash_memory));
+        let before = self.quarantined.len();
         self.quarantined.retain(|_, quarantine| now < quarantine.until);
+        self.revision += (before - self.quarantined.len()) as u64;
     }
 }
 
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -51,7 +51,10 @@
         CallerLimits, EngineProfile, ModelProfile, RelayConfig, RelayRoute, RelayService, RepeatPolicy, RouteTable,
         WeightedTarget, runner_rank,
     },
-    crashes::{CrashDigest, CrashLedger, CrashObservation, CrashSettings, QuarantineNotice, shared_parts},
+    crashes::{
+        CrashDigest, CrashLedger, CrashObservation, CrashRecord, CrashSettings, QuarantineNotice, RecordNeed,
+        RecordedCrashes, shared_parts,
+    },
     events::{EventSplitter, StreamEvent},
     feed::{FeedAllowance, FeedLimits},
     feed_times::FeedTimes,
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod buffers;
 mod catalogue;
+mod crash_records;
 mod crashes;
 mod events;
 mod feed;
--- a/crates/mustardgate-relay/src/context/crashes.rs
+++ b/crates/mustardgate-relay/src/context/crashes.rs
@@ -1,8 +1,11 @@
 //! What this node knows of inputs under which runners crash.
 
 use std::{
-    sync::{Mutex, MutexGuard},
-    time::Instant,
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
 use mustardgate::events;
@@ -19,6 +22,10 @@
 pub struct CrashGuard {
     ledger: Mutex<CrashLedger>,
     changed: Notify,
+    /// Tells the task that keeps what must outlast all nodes.
+    news: Notify,
+    /// Whether that was read at the start, or could not be read for a while.
+    is_loaded: AtomicBool,
     started_at: Instant,
     logger: Logger,
 }
@@ -29,6 +36,8 @@
         Self {
             ledger: Mutex::new(CrashLedger::new(settings)),
             changed: Notify::new(),
+            news: Notify::new(),
+            is_loaded: AtomicBool::new(false),
             started_at: clock::now(),
             logger,
         }
@@ -45,6 +54,7 @@
         let process = (runner.id.clone(), runner.started_at_ms);
         let now = clock::now();
         let mut ledger = self.lock();
+        let revision = ledger.revision();
         ledger.record_crash(now, &process, inputs.iter().copied());
         events::RELAY_RUNNER_CRASHED.write(
             &self.logger,
@@ -57,7 +67,7 @@
                 "request" => request.to_string(),
             ),
         );
-        self.update(&mut ledger, now);
+        self.update(&mut ledger, now, revision);
         self.changed.notify_one();
         ledger.is_repeated(inputs.iter().copied())
     }
@@ -87,10 +97,41 @@
         self.updated(CrashLedger::digest)
     }
 
+    /// Returns what must outlast all nodes.
+    pub fn lasting_digest(&self) -> CrashDigest {
+        self.updated(CrashLedger::lasting_digest)
+    }
+
+    /// Returns for how long a crash counts.
+    pub fn crash_memory(&self) -> Duration {
+        self.lock().crash_memory()
+    }
+
+    /// Returns whether no crash and no quarantine is known.
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
+    /// Completes once a crash, or the begin or end of a quarantine, has become known since the last call.
+    pub async fn next_news(&self) {
+        self.news.notified().await;
+    }
+
+    /// Records that the log was read for what former processes knew, or that the node no longer waits for it.
+    pub fn set_loaded(&self) {
+        self.is_loaded.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the node need not wait for what former processes knew.
+    pub fn is_loaded(&self) -> bool {
+        self.is_loaded.load(Ordering::Relaxed)
+    }
+
     fn updated(&self, digest: impl FnOnce(&CrashLedger, Instant) -> CrashDigest) -> CrashDigest {
         let now = clock::now();
         let mut ledger = self.lock();
-        self.update(&mut ledger, now);
+        let revision = ledger.revision();
+        self.update(&mut ledger, now, revision);
         digest(&ledger, now)
     }
 
@@ -98,12 +139,18 @@
     pub fn merge(&self, digest: &CrashDigest) {
         let now = clock::now();
         let mut ledger = self.lock();
+        let revision = ledger.revision();
         ledger.merge(now, digest);
-        self.update(&mut ledger, now);
+        self.update(&mut ledger, now, revision);
     }
 
-    fn update(&self, ledger: &mut CrashLedger, now: Instant) {
-        for (input, crashes) in ledger.update(now) {
+    /// Brings the ledger up to date, and tells what has changed since an earlier revision.
+    fn update(&self, ledger: &mut CrashLedger, now: Instant, revision: u64) {
+        let added = ledger.update(now);
+        if ledger.revision() != revision {
+            self.news.notify_one();
+        }
+        for (input, crashes) in added {
             events::RELAY_INPUT_QUARANTINED.write(
                 &self.logger,
                 o!(
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -137,7 +137,8 @@
 impl RelayContext {
     /// Returns whether the node is ready for new connections.
     pub fn is_ready(&self) -> bool {
-        !self.drain.is_draining() && self.routes.current().is_some() && self.fleet.has_runner()
+        let has_state = self.routes.current().is_some() && self.fleet.has_runner() && self.crashes.is_loaded();
+        has_state && !self.drain.is_draining()
     }
 
     /// Records what a runner states about itself in an answer to a request sent at `sent_at`, whatever it answers.
--- a/crates/mustardgate-relay/src/context/records.rs
+++ b/crates/mustardgate-relay/src/context/records.rs
@@ -128,7 +128,7 @@
         let cache = match topic {
             LogTopic::Configuration => &self.configuration,
             LogTopic::Runners => &self.runners,
-            LogTopic::Leases | LogTopic::StreamOrigins => return None,
+            LogTopic::Leases | LogTopic::StreamOrigins | LogTopic::Crashes => return None,
         };
         Some(cache.lock().expect("no holder of the lock panics"))
     }
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -156,7 +156,7 @@
                 let reaches_end = extent != PageExtent::Changes;
                 apply_runners(&self.context, page, extent, began_at, reaches_end);
             }
-            LogTopic::Leases | LogTopic::StreamOrigins => {}
+            LogTopic::Leases | LogTopic::StreamOrigins | LogTopic::Crashes => {}
         }
     }
 
--- a/crates/mustardgate-relay/src/leader/leadership.rs
+++ b/crates/mustardgate-relay/src/leader/leadership.rs
@@ -187,7 +187,7 @@
     }
 
     /// Returns whether the leader answered within [`CONTACT_TIMEOUT`], so that the log need not be read as often.
-    pub(super) fn has_contact(&self) -> bool {
+    pub fn has_contact(&self) -> bool {
         let now = clock::now();
         self.lock()
             .contact_at
--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -31,7 +31,7 @@
     gateway::{CallerListener, answer_caller, serve_callers},
     leader::{LeaseTask, PlanTask, WatchTask},
     link::LinkTask,
-    peers::{DigestTask, NoticeTask, RecordTask, VersionRecordTask, serve_peers},
+    peers::{CrashRecordTask, DigestTask, NoticeTask, RecordTask, VersionRecordTask, serve_peers},
     settings::RelaySettings,
 };
 
@@ -83,6 +83,7 @@
         };
         callers.push(tokio::spawn(serve_callers(Arc::clone(context), listener)));
     }
+    keep(context, "crashes", |context| CrashRecordTask::new(context).run());
     for topic in [LogTopic::Configuration, LogTopic::Runners] {
         keep(context, "follow", move |context| {
             TopicFollower::new(context, topic).run()
--- a/crates/mustardgate-relay/src/peers/mod.rs
+++ b/crates/mustardgate-relay/src/peers/mod.rs
@@ -6,6 +6,7 @@
 //! lease alone.
 
 mod client;
+mod crash_log;
 mod digests;
 mod directory;
 mod exchange;
@@ -21,6 +22,7 @@
 
 pub use self::{
     client::{MAX_MESSAGE_TIME, PeerClient},
+    crash_log::CrashRecordTask,
     digests::{DigestTask, REPORT_INTERVAL},
     directory::PeerDirectory,
     feed::FeedLimiter,
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -167,6 +167,12 @@
 pub const RELAY_SETTINGS_REFUSED: EventKind = event(631, Level::Warning, "settings file refused");
 /// A runner wants no requests of this node for a time; with how long.
 pub const RELAY_RUNNER_HELD: EventKind = event(663, Level::Info, "runner held");
+/// The log took a record of what nodes know of crashes; with the number of crashes and quarantined inputs in it.
+pub const RELAY_CRASHES_RECORDED: EventKind = event(664, Level::Info, "crashes recorded");
+/// What nodes know of crashes could not be read from the log, or written to it.
+pub const RELAY_CRASHES_UNRECORDED: EventKind = event(665, Level::Warning, "crashes not recorded");
+/// A record of what nodes knew of crashes was taken over from the log; with its age.
+pub const RELAY_CRASHES_READ: EventKind = event(666, Level::Info, "recorded crashes read");
 /// A task of the node panicked and is started again.
 pub const RELAY_TASK_PANICKED: EventKind = event(650, Level::Error, "task panicked");
 
@@ -242,6 +248,9 @@
     RELAY_REQUEST_MISDIRECTED,
     RELAY_RETRY_LOAN_CHANGED,
     RELAY_RUNNER_HELD,
+    RELAY_CRASHES_RECORDED,
+    RELAY_CRASHES_UNRECORDED,
+    RELAY_CRASHES_READ,
     RELAY_CONNECTION_FAILED,
     CONNECTION_PANICKED,
     RELAY_ANSWER_OVERSIZED,
