Keep what is known of a runner process when its entry ends and comes back

A runner that answered 503 with Retry-After: 3.5 saw three requests of one node within one hold, two allowed, when its entry was deleted and written again each second: 9 arrivals in 9 s.

Cause: the hold stood in the cell of the entry, and went with it. So did the requests in flight (and with them the places at brittle runners), failures, missing models and, after half a second, the rate limit. Class: a memory that goes with what it is about.

Change: cells of processes whose entries ended are kept for a minute, or until their hold ends, and used again when the same process is listed at the same address; at another address it takes its hold along. Rate limits are kept as long. Bounded to 1,024 cells, whose idle connections are closed.

--- a/crates/mustardgate-relay/src/context/limits.rs
+++ b/crates/mustardgate-relay/src/context/limits.rs
@@ -1,7 +1,6 @@
 //! Rate limits that runners state, and permits to send within them.
 
 use std::{
-    collections::BTreeSet,
     slice,
     sync::{Mutex, MutexGuard},
     time::{Duration, Instant},
@@ -132,13 +131,13 @@
         until.is_some_and(|until| clock::now() < until)
     }
 
-    /// Forgets runner processes that no longer exist.
+    /// Forgets runner processes that have not been listed for a while.
     pub fn retain(&self, fleet: &RunnerFleet) {
         let mut state = self.lock();
         if state.ledger.is_empty() {
             return;
         }
-        let existing: BTreeSet<RunnerProcess> = fleet.all().iter().map(|cell| process_of(&cell.listed())).collect();
+        let existing = fleet.processes();
         let exists = |process: &RunnerProcess| existing.contains(process);
         state.ledger.retain(exists);
         state.issuer.retain(exists);
--- a/crates/mustardgate-relay/src/fleet/cell.rs
+++ b/crates/mustardgate-relay/src/fleet/cell.rs
@@ -12,6 +12,7 @@
 
 use mustardgate_core::{
     clock,
+    ids::RunnerProcess,
     relay::{
         BacklogEstimate, HealthSettings, ListedRunner, LoadEstimate, ModelName, OutcomeTracker, PrefixIndex,
         ProcessEvidence, RelayRequest, ReportedLoad, RunnerState, VersionTag,
@@ -120,6 +121,18 @@
         *self.listed.write().expect("no holder of the lock panics") = listed;
     }
 
+    /// Returns the runner process.
+    pub fn process(&self) -> RunnerProcess {
+        let listed = self.listed();
+        (listed.id.clone(), listed.started_at_ms)
+    }
+
+    /// Sends to the runner again, because its process is listed again.
+    pub fn restore(&self, listed: Arc<ListedRunner>) {
+        self.update(listed);
+        self.is_retired.store(false, Ordering::Relaxed);
+    }
+
     /// Stops sending to the runner, because it is gone from the list or was replaced there.
     pub fn retire(&self) {
         self.is_retired.store(true, Ordering::Relaxed);
--- a/crates/mustardgate-relay/src/fleet/mod.rs
+++ b/crates/mustardgate-relay/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The runners known to this node, with what it has observed of each.
 
 mod cell;
+mod retired;
 mod runners;
 mod selection;
 
--- a/crates/mustardgate-relay/src/fleet/runners.rs
+++ b/crates/mustardgate-relay/src/fleet/runners.rs
@@ -1,7 +1,7 @@
 //! The runners known to this node, by service.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, RwLock},
     time::{Duration, Instant},
 };
@@ -9,12 +9,12 @@
 use mustardgate::events;
 use mustardgate_core::{
     clock,
-    ids::{BackendId, DomainId, ServiceId},
+    ids::{BackendId, DomainId, RunnerProcess, ServiceId},
     relay::{CatalogueChange, ListedRunner, RunnerCatalogue, RunnerObservation, RunnerState},
 };
 use slog::{Logger, o};
 
-use super::RunnerCell;
+use super::{RunnerCell, retired::RetiredCells};
 use crate::{
     client::PoolSettings,
     request_log::{list_names, shorten},
@@ -32,6 +32,7 @@
     logger: Logger,
     catalogue: Mutex<RunnerCatalogue>,
     cells: RwLock<BTreeMap<ServiceId, BTreeMap<BackendId, Arc<RunnerCell>>>>,
+    retired: Mutex<RetiredCells>,
 }
 
 impl RunnerFleet {
@@ -43,6 +44,7 @@
             logger,
             catalogue: Mutex::new(RunnerCatalogue::new(OUTAGE_GRACE)),
             cells: RwLock::default(),
+            retired: Mutex::default(),
         }
     }
 
@@ -107,6 +109,7 @@
         for cell in self.all() {
             cell.pool.close_expired();
         }
+        self.lock_retired().expire(clock::now());
     }
 
     /// Returns the cells of a service.
@@ -148,9 +151,9 @@
 
     fn add(&self, runner: &Arc<ListedRunner>) {
         events::RELAY_RUNNER_ADDED.write(&self.logger, describe(runner));
-        let cell = Arc::new(RunnerCell::new(Arc::clone(runner), self.pool));
+        self.retire_cell(&runner.id);
+        let cell = self.cell_of(runner);
         let mut cells = self.cells.write().expect("no holder of the lock panics");
-        retire_cell(&mut cells, &runner.id);
         cells
             .entry(runner.service.clone())
             .or_default()
@@ -178,8 +181,47 @@
             "backend" => id.to_string(),
         );
         events::RELAY_RUNNER_REMOVED.write(&self.logger, values);
+        self.retire_cell(id);
+    }
+
+    /// Returns the cell of a runner that is listed anew: the former one if it is the same process at the same address.
+    fn cell_of(&self, runner: &Arc<ListedRunner>) -> Arc<RunnerCell> {
+        let process = (runner.id.clone(), runner.started_at_ms);
+        let former = self.lock_retired().take(&process);
+        if let Some(cell) = former.as_ref().filter(|cell| is_same_listener(&cell.listed(), runner)) {
+            cell.restore(Arc::clone(runner));
+            return Arc::clone(cell);
+        }
+        let cell = Arc::new(RunnerCell::new(Arc::clone(runner), self.pool));
+        let now = clock::now();
+        if let Some(left) = former.and_then(|former| former.hold_left(now)) {
+            cell.hold(now + left);
+        }
+        cell
+    }
+
+    /// Removes a runner's cell; requests that hold it send to it no longer, unless its process is listed again.
+    fn retire_cell(&self, id: &BackendId) {
         let mut cells = self.cells.write().expect("no holder of the lock panics");
-        retire_cell(&mut cells, id);
+        let retired: Vec<_> = cells.values_mut().filter_map(|known| known.remove(id)).collect();
+        drop(cells);
+        for cell in retired {
+            cell.retire();
+            cell.pool.close_all();
+            self.lock_retired().insert(clock::now(), cell);
+        }
+    }
+
+    /// Returns the processes that are listed or were until lately.
+    pub fn processes(&self) -> BTreeSet<RunnerProcess> {
+        let listed = self.all().into_iter().map(|cell| cell.process());
+        let mut processes: BTreeSet<RunnerProcess> = listed.collect();
+        processes.extend(self.lock_retired().processes().cloned());
+        processes
+    }
+
+    fn lock_retired(&self) -> MutexGuard<'_, RetiredCells> {
+        self.retired.lock().expect("no holder of the lock panics")
     }
 
     fn lock(&self) -> MutexGuard<'_, RunnerCatalogue> {
@@ -187,13 +229,8 @@
     }
 }
 
-/// Removes a runner's cell; requests that hold it no longer send to it.
-fn retire_cell(cells: &mut BTreeMap<ServiceId, BTreeMap<BackendId, Arc<RunnerCell>>>, id: &BackendId) {
-    for known in cells.values_mut() {
-        if let Some(cell) = known.remove(id) {
-            cell.retire();
-        }
-    }
+fn is_same_listener(former: &ListedRunner, runner: &ListedRunner) -> bool {
+    (&former.service, former.address, &former.version) == (&runner.service, runner.address, &runner.version)
 }
 
 fn describe(runner: &ListedRunner) -> slog::OwnedKV<impl slog::SendSyncRefUnwindSafeKV + use<>> {
