Blame inputs for crashes of brittle runners that turned nothing away

Runners that say they are brittle were sent a request that crashes them 24 times after the third crash and contact_ms, 30 times in all (three real nodes, three runners); three are allowed.

Cause: a crash of a brittle runner was taken for a fall by too many rejections, whatever it had turned away, so an input that crashes runners was never blamed there.

--- a/crates/mustardgate-relay/src/gateway/crash.rs
+++ b/crates/mustardgate-relay/src/gateway/crash.rs
@@ -1,6 +1,9 @@
 //! Tells a crash of a runner from a broken connection, and records under which inputs it crashed.
 
-use mustardgate_core::relay::{InputId, RefusalCause, shared_parts};
+use mustardgate_core::{
+    clock,
+    relay::{InputId, RefusalCause, shared_parts},
+};
 
 use super::attempt::ReceivedRequest;
 use crate::{fleet::RunnerCell, link::is_link_sound};
@@ -47,9 +50,7 @@
     ///
     /// A runner that leaves as planned ends its connections as well and is not checked.
     pub(super) async fn record_crash(&self, cell: &RunnerCell, inputs: &[InputId]) -> CrashOutcome {
-        // A brittle runner falls over for another reason than what it processes.
-        let is_suspect = !self.context.brittle.is_brittle(&self.service);
-        let is_crashed = is_suspect && cell.is_in_service() && cell.is_process_gone().await;
+        let is_crashed = !self.falls_over(cell) && cell.is_in_service() && cell.is_process_gone().await;
         // While the link is cut, nothing seems to listen anywhere.
         if !is_crashed || !is_link_sound(&self.context, cell).await {
             return CrashOutcome::NotCrashed;
@@ -57,6 +58,12 @@
         self.record_known_crash(cell, inputs)
     }
 
+    /// Returns whether a runner that crashes has turned too many requests away.
+    fn falls_over(&self, cell: &RunnerCell) -> bool {
+        // Nodes stay away from a brittle runner that has turned a request away.
+        self.context.brittle.is_brittle(&self.service) && cell.hold_left(clock::now()).is_some()
+    }
+
     /// Records the inputs under which a runner is known to have crashed.
     pub(super) fn record_known_crash(&self, cell: &RunnerCell, inputs: &[InputId]) -> CrashOutcome {
         let crashes = &self.context.crashes;
