Blame whole requests for crashes long after the begin of their streams

A stream that crashes its runner 0.9 s after its begin was sent on 8 times after the rule binds, 16 crashes in all (four real nodes, all killed once); three are allowed.

Cause: a break more than 0.5 s after the head was no crash of the input, and the request counted as sound from then on. That holds for a part of a prompt, which crashes a runner as it begins to answer, but not for a request.

--- a/crates/mustardgate-relay/src/gateway/crash.rs
+++ b/crates/mustardgate-relay/src/gateway/crash.rs
@@ -1,5 +1,7 @@
 //! Tells a crash of a runner from a broken connection, and records under which inputs it crashed.
 
+use std::sync::Arc;
+
 use mustardgate_core::{
     clock,
     relay::{InputId, RefusalCause, shared_parts},
@@ -58,6 +60,23 @@
         self.record_known_crash(cell, inputs)
     }
 
+    /// Records that a runner has crashed if it has, under a request that it had been answering for long.
+    ///
+    /// The stream goes on elsewhere meanwhile: what ended beside it may be the cause, and its next runner shows which.
+    pub(super) fn record_late_crash(&self, cell: &Arc<RunnerCell>) {
+        let is_suspect = !self.falls_over(cell) && cell.is_in_service();
+        if !is_suspect {
+            return;
+        }
+        let (context, cell) = (Arc::clone(&self.context), Arc::clone(cell));
+        let (request, inputs) = (self.request.id.clone(), self.digests.inputs().to_vec());
+        tokio::spawn(async move {
+            if cell.is_process_gone().await && is_link_sound(&context, &cell).await {
+                context.crashes.record_crash(&cell.listed(), &request, &inputs);
+            }
+        });
+    }
+
     /// Returns whether a runner that crashes has turned too many requests away.
     fn falls_over(&self, cell: &RunnerCell) -> bool {
         // Nodes stay away from a brittle runner that has turned a request away.
--- a/crates/mustardgate-relay/src/gateway/stream/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/stream/mod.rs
@@ -15,7 +15,9 @@
 use mustardgate::events;
 use mustardgate_core::{
     clock,
-    relay::{AnswerStage, EndVerdict, EventSplitter, EventVerdict, SoftwareVersion, StreamKey, StreamProgress},
+    relay::{
+        AnswerStage, EndVerdict, EventSplitter, EventVerdict, SoftwareVersion, StreamKey, StreamProgress, shared_parts,
+    },
     retry::{AttemptPlan, NextStep},
     verdict::RunVerdict,
 };
@@ -36,9 +38,14 @@
     retries::{MIN_ATTEMPT_TIME, count_repeat, log_failure, next_step},
     trace::{RequestStep, RequestTrace},
 };
-use crate::{client::LastRead, fleet::AttemptOutcome, link::lost_answer};
+use crate::{
+    client::LastRead,
+    fleet::{AttemptOutcome, RunnerCell},
+    link::lost_answer,
+};
 
-/// Time from the head of an answer within which a runner crashes that cannot process the request.
+/// Time from the head of an answer within which a runner crashes that cannot process a part of the prompt. A request may
+/// crash it at any time.
 const ANSWER_START_TIME: Duration = Duration::from_millis(500);
 
 /// An event stream that is passed on from one runner, or several in turn, to a caller.
@@ -259,13 +266,10 @@
         drop(open);
         let version = cell.listed().version.clone();
         self.begin_answer();
-        if is_direct && is_suspect(started_at, reason) {
-            let inputs = self.received.inputs();
-            if self.received.record_crash(&cell, &inputs).await.is_crashed() {
-                // Another attempt might crash the next runner.
-                self.log_broken("runner_crashed");
-                return false;
-            }
+        if is_direct && self.record_break(&cell, started_at, reason).await {
+            // Another attempt might crash the next runner.
+            self.log_broken("runner_crashed");
+            return false;
         }
         let step = next_step(&self.received, &mut self.plan, &error);
         if self.go_on(step, error, &version).await {
@@ -275,6 +279,19 @@
         false
     }
 
+    /// Records what an answer that broke off says of the inputs; returns whether the runner crashed at its start.
+    async fn record_break(&self, cell: &Arc<RunnerCell>, started_at: Instant, reason: &str) -> bool {
+        if !matches!(reason, "broken_answer" | "unfinished_event") {
+            return false;
+        }
+        if has_begun(started_at) {
+            self.received.record_late_crash(cell);
+            return false;
+        }
+        let inputs = self.received.inputs();
+        self.received.record_crash(cell, &inputs).await.is_crashed()
+    }
+
     /// Opens the rest of the stream at another runner if the next step allows it; the answer before it, if still open, is
     /// dropped only then.
     async fn go_on(&mut self, mut step: NextStep, mut error: AttemptError, version: &SoftwareVersion) -> bool {
@@ -298,10 +315,10 @@
 
     /// Clears the parts of the prompt once the runner has answered for longer than the start of an answer takes.
     fn record_sound(&mut self) {
-        let started_at = self.open.as_ref().map(|open| open.started_at);
-        let is_under_way = started_at.is_some_and(|at| clock::now().saturating_duration_since(at) >= ANSWER_START_TIME);
+        let is_under_way = self.open.as_ref().is_some_and(|open| has_begun(open.started_at));
         if is_under_way && !std::mem::replace(&mut self.is_sound, true) {
-            self.received.context.crashes.record_sound(self.received.inputs());
+            let parts = shared_parts(&self.received.request);
+            self.received.context.crashes.record_sound(parts);
         }
     }
 
@@ -359,8 +376,7 @@
     NoRoom,
 }
 
-/// Returns whether an answer broke off so soon that its request may have crashed the runner.
-fn is_suspect(started_at: Instant, reason: &str) -> bool {
-    matches!(reason, "broken_answer" | "unfinished_event")
-        && clock::now().saturating_duration_since(started_at) < ANSWER_START_TIME
+/// Returns whether an answer has lasted for longer than its start takes.
+fn has_begun(started_at: Instant) -> bool {
+    clock::now().saturating_duration_since(started_at) >= ANSWER_START_TIME
 }
--- a/crates/mustardgate-relay/src/gateway/stream/moves.rs
+++ b/crates/mustardgate-relay/src/gateway/stream/moves.rs
@@ -17,7 +17,7 @@
         failure::AttemptError,
         retries::{log_abandoned, next_step_within},
     },
-    StreamRelay, is_suspect,
+    StreamRelay,
 };
 use crate::link::runner_reached;
 
@@ -123,9 +123,8 @@
         let error = AttemptError::at_runner(&cell.listed().id, RunVerdict::MayHaveRun, reason);
         let _step = next_step_within(&mut self.plan, &error, &mut NoRetries);
         log_abandoned(&self.received, &self.plan, &error);
-        if is_direct && is_suspect(started_at, reason) {
-            let inputs = self.received.inputs();
-            self.received.record_crash(&cell, &inputs).await;
+        if is_direct {
+            self.record_break(&cell, started_at, reason).await;
         }
     }
 }
