Test a part that another one explains, instead of refusing what is sound beside a crash

Cause: a crash blames every part that was there, and only an answer clears the sound ones. Nodes that have just started know of no answer, and once the sound part is in quarantine no request with it is sent that could be answered. Class: that of the lost ledger; what was sound lives only in memories that may all go at once.

Change: a part whose crashes all happened beside another part in quarantine keeps back only requests that contain both. The crashes of an input in quarantine are kept as long as that.

--- a/crates/mustardgate-core/src/relay/crashes/digest.rs
+++ b/crates/mustardgate-core/src/relay/crashes/digest.rs
@@ -125,8 +125,10 @@
     /// Takes over what another node knows.
     pub fn merge(&mut self, now: Instant, digest: &CrashDigest) {
         let past = |age: Duration| now.checked_sub(age).unwrap_or(now);
+        let quarantined: BTreeSet<InputId> = digest.quarantined.iter().map(|notice| notice.input).collect();
         let crash_memory = self.settings.crash_memory;
-        for crash in digest.crashes.iter().filter(|crash| crash.age < crash_memory) {
+        let is_kept = |crash: &&CrashObservation| crash.age < crash_memory || quarantined.contains(&crash.input);
+        for crash in digest.crashes.iter().filter(is_kept) {
             self.add_crash(past(crash.age), &crash.process, [crash.input]);
         }
         for notice in &digest.quarantined {
--- a/crates/mustardgate-core/src/relay/crashes/mod.rs
+++ b/crates/mustardgate-core/src/relay/crashes/mod.rs
@@ -2,6 +2,7 @@
 
 mod digest;
 mod record;
+mod refusal;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -70,6 +71,8 @@
     own: BTreeSet<(InputId, RunnerProcess)>,
     sound: BTreeMap<InputId, Instant>,
     quarantined: BTreeMap<InputId, InputQuarantine>,
+    /// When a request tested a part in quarantine.
+    probed: BTreeMap<InputId, Instant>,
     /// Grows with each crash that becomes known, and with each quarantine that begins or ends.
     revision: u64,
     /// When expired entries were last dropped.
@@ -91,6 +94,7 @@
             own: BTreeSet::new(),
             sound: BTreeMap::new(),
             quarantined: BTreeMap::new(),
+            probed: BTreeMap::new(),
             revision: 0,
             expired_at: None,
         }
@@ -157,23 +161,6 @@
         added
     }
 
-    /// Returns whether any of the inputs is in quarantine, and keeps those that are there for another full time, up to
-    /// the longest.
-    pub fn refuses(&mut self, now: Instant, inputs: impl IntoIterator<Item = InputId>) -> bool {
-        let settings = self.settings;
-        let mut is_refused = false;
-        for input in inputs {
-            if let Some(quarantine) = self.quarantined.get_mut(&input)
-                && now < quarantine.until
-            {
-                let ends_at = quarantine.began_at + settings.max_quarantine_time;
-                quarantine.until = (now + settings.quarantine_time).min(ends_at);
-                is_refused = true;
-            }
-        }
-        is_refused
-    }
-
     /// Returns whether several runner processes crashed under one of the inputs, so that another attempt would be likely
     /// to crash a further one.
     pub fn is_repeated(&self, inputs: impl IntoIterator<Item = InputId>) -> bool {
@@ -247,7 +234,15 @@
         self.expired_at = Some(now);
         let settings = self.settings;
         let is_recent = |at: &Instant, memory: Duration| now.saturating_duration_since(*at) < memory;
-        for by_process in self.crashes.values_mut() {
+        let before = self.quarantined.len();
+        self.quarantined.retain(|_, quarantine| now < quarantine.until);
+        self.revision += (before - self.quarantined.len()) as u64;
+        // The crashes of an input in quarantine tell what else may explain them.
+        for (_, by_process) in self
+            .crashes
+            .iter_mut()
+            .filter(|(input, _)| !self.quarantined.contains_key(*input))
+        {
             by_process.retain(|_, at| is_recent(at, settings.crash_memory));
         }
         self.crashes.retain(|_, by_process| !by_process.is_empty());
@@ -259,9 +254,6 @@
         // An input that was answered well outlives the crashes that it clears.
         self.sound
             .retain(|_, at| is_recent(at, settings.sound_memory + settings.crash_memory));
-        let before = self.quarantined.len();
-        self.quarantined.retain(|_, quarantine| now < quarantine.until);
-        self.revision += (before - self.quarantined.len()) as u64;
     }
 }
 
--- a/crates/mustardgate-core/src/relay/crashes/record.rs
+++ b/crates/mustardgate-core/src/relay/crashes/record.rs
@@ -51,7 +51,8 @@
     pub fn lasting_digest(&self, now: Instant) -> CrashDigest {
         let counts = |input: InputId, at: Instant| {
             let sound_until = self.sound.get(&input).map(|sound| *sound + self.settings.sound_memory);
-            sound_until.is_none_or(|until| at > until) && self.is_counted_at(now, at)
+            let is_kept = self.quarantined.contains_key(&input) || self.is_counted_at(now, at);
+            is_kept && sound_until.is_none_or(|until| at > until)
         };
         let mut crashes = self.observations(now, |input, _, at| counts(input, at));
         crashes.sort_by_key(|crash| (!self.is_suspect(crash.input), crash.age));
--- a/crates/mustardgate-core/tests/relay/crashes.rs
+++ b/crates/mustardgate-core/tests/relay/crashes.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use mustardgate_core::relay::{CrashLedger, CrashSettings, InputId};
+use mustardgate_core::relay::{CrashLedger, CrashSettings, InputId, RequestContent, RequestDigest};
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 
 const BAD: InputId = InputId::Part(7);
@@ -257,3 +257,67 @@
         }
     }
 }
+
+/// Returns a ledger in which both parts have crashed the same processes and nothing was answered.
+fn ledger_of_two_blamed(now: Instant) -> CrashLedger {
+    let mut ledger = ledger();
+    for number in 0..5 {
+        ledger.record_crash(now, &process(number), [SHARED, BAD]);
+    }
+    ledger.update(now + CrashSettings::default().dispute_time);
+    ledger
+}
+
+#[test]
+fn a_part_that_another_one_explains_is_tested_without_it() {
+    let start = Instant::now();
+    let mut ledger = ledger_of_two_blamed(start);
+    let now = start + Duration::from_secs(20);
+    assert!(ledger.refuses(now, [SHARED, BAD]));
+    assert!(!ledger.refuses(now, [SHARED, InputId::Part(9)]));
+    assert!(ledger.refuses(now, [SHARED, InputId::Part(9)]), "one test at a time");
+    ledger.record_sound(now, [SHARED]);
+    assert!(!ledger.refuses(now, [SHARED, InputId::Part(9)]));
+    assert!(ledger.refuses(now, [SHARED, BAD]));
+    assert!(ledger.refuses(now, [BAD]), "nothing else explains it any more");
+}
+
+#[test]
+fn a_test_that_crashes_a_runner_ends_the_tests() {
+    let start = Instant::now();
+    let mut ledger = ledger_of_two_blamed(start);
+    let mut now = start + Duration::from_secs(20);
+    assert!(!ledger.refuses(now, [BAD]));
+    ledger.record_crash(now, &process(9), [BAD]);
+    for _ in 0..100 {
+        now += STEP;
+        ledger.update(now);
+        assert!(ledger.refuses(now, [BAD]));
+    }
+    // The other one is sound, though only a request shows it.
+    assert!(!ledger.refuses(now, [SHARED]));
+}
+
+#[test]
+fn a_whole_request_in_quarantine_is_explained_by_nothing() {
+    let now = Instant::now();
+    let mut ledger = ledger();
+    let request = InputId::Request(request_digest());
+    for number in 0..3 {
+        ledger.record_crash(now, &process(number), [request, BAD]);
+    }
+    let later = now + CrashSettings::default().dispute_time;
+    ledger.update(later);
+    assert!(ledger.refuses(later, [request]));
+}
+
+fn request_digest() -> RequestDigest {
+    let content = RequestContent {
+        method: "POST",
+        host: "kitchen.example",
+        target: "/drafts/1",
+        account: b"",
+        body: b"a box of boxes",
+    };
+    content.digest(None)
+}
