Pause longer between failed records of crashes

While the store is away each node that reaches no leader tried once a second; calls are priced, refused ones too. The pause doubles up to 8 s.

--- a/crates/mustardgate-relay/src/peers/crash_log.rs
+++ b/crates/mustardgate-relay/src/peers/crash_log.rs
@@ -24,8 +24,9 @@
 
 /// Longest time for which a node that starts waits for the record before it is ready.
 const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(800);
-/// Pause after a failed read or write.
+/// Pause after a failed read or write; it doubles with each further failure.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
+const MAX_DOUBLINGS: u32 = 3;
 /// Time after a crash in which further ones are put into the same record.
 const CRASH_BATCH_PAUSE: Duration = Duration::from_millis(30);
 /// Time between two comparisons while the record or this node knows of a crash.
@@ -49,7 +50,8 @@
     written_at: Option<Instant>,
     /// Whether this node led at the last comparison.
     is_leading: bool,
-    has_failed: bool,
+    /// Failures since the last record that was read or written.
+    failures: u32,
 }
 
 impl CrashRecordTask {
@@ -61,7 +63,7 @@
             recorded: RecordedCrashes::default(),
             written_at: None,
             is_leading: false,
-            has_failed: false,
+            failures: 0,
         }
     }
 
@@ -81,18 +83,22 @@
                 self.read_until_done().await;
             }
             if self.is_writer().await && !self.write().await {
-                time::sleep(FAILURE_PAUSE).await;
+                time::sleep(self.failure_pause()).await;
             }
         }
     }
 
     async fn read_until_done(&mut self) {
         while !self.read().await {
-            let pause = FAILURE_PAUSE.mul_f64(rand::rng().random_range(0.8..1.2));
-            time::sleep(pause).await;
+            time::sleep(self.failure_pause()).await;
         }
     }
 
+    fn failure_pause(&self) -> Duration {
+        let doublings = self.failures.saturating_sub(1).min(MAX_DOUBLINGS);
+        (FAILURE_PAUSE * 2_u32.pow(doublings)).mul_f64(rand::rng().random_range(0.8..1.2))
+    }
+
     /// Waits until the record and what this node knows may differ.
     async fn next_change(&self) {
         let crashes = &self.context.crashes;
@@ -141,6 +147,7 @@
             }
         };
         self.position = Some(page.end());
+        self.failures = 0;
         let value = page.records.last().and_then(|record| record.value.as_deref());
         let record = value.and_then(decode::<CrashRecord>).unwrap_or_default();
         let now_ms = unix_ms();
@@ -195,7 +202,7 @@
                     });
                     self.recorded = RecordedCrashes::of(now, &record.digest);
                     self.written_at = Some(now);
-                    self.has_failed = false;
+                    self.failures = 0;
                     let values = o!(
                         "offset" => offset,
                         "quarantined" => record.digest.quarantined.len(),
@@ -220,7 +227,8 @@
     }
 
     fn report_failure(&mut self, reason: &dyn Display) {
-        if std::mem::replace(&mut self.has_failed, true) {
+        self.failures += 1;
+        if self.failures > 1 {
             return;
         }
         let values = o!("reason" => reason.to_string());
