Close connections that requests give back after their runner's entry has ended

Cells are kept for a minute since the entry that ends no longer takes them along, and with them connections that requests in flight gave back stayed open to runners that leave. Found by reading the change; no caller saw it.

--- a/crates/mustardgate-relay/src/fleet/retired.rs
+++ b/crates/mustardgate-relay/src/fleet/retired.rs
@@ -48,8 +48,11 @@
         self.cells.keys()
     }
 
-    /// Drops the cells that were kept long enough.
+    /// Drops the cells that were kept long enough, and closes connections that came back from requests since.
     pub(super) fn expire(&mut self, now: Instant) {
+        for (_, cell) in self.cells.values() {
+            cell.pool.close_all();
+        }
         self.cells.retain(|_, (at, cell)| {
             now.saturating_duration_since(*at) < RETENTION_TIME || cell.hold_left(now).is_some()
         });
