--- a/crates/mustardgate-relay/src/peers/crash_log.rs
+++ b/crates/mustardgate-relay/src/peers/crash_log.rs
@@ -24,9 +24,10 @@
 
 /// Longest time for which a node that starts waits for the record before it is ready.
 const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(800);
-/// Pause after a failed read or write; it doubles with each further failure.
+/// Pause after a failed read or write, and after further ones; a log that is back must hold the record soon, before all
+/// nodes may end.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
-const MAX_DOUBLINGS: u32 = 3;
+const LONG_FAILURE_PAUSE: Duration = Duration::from_secs(2);
 /// Time after a crash in which further ones are put into the same record.
 const CRASH_BATCH_PAUSE: Duration = Duration::from_millis(30);
 /// Time between two comparisons while the record or this node knows of a crash.
@@ -95,8 +96,12 @@
     }
 
     fn failure_pause(&self) -> Duration {
-        let doublings = self.failures.saturating_sub(1).min(MAX_DOUBLINGS);
-        (FAILURE_PAUSE * 2_u32.pow(doublings)).mul_f64(rand::rng().random_range(0.8..1.2))
+        let pause = if self.failures > 1 {
+            LONG_FAILURE_PAUSE
+        } else {
+            FAILURE_PAUSE
+        };
+        pause.mul_f64(rand::rng().random_range(0.8..1.2))
     }
 
     /// Waits until the record and what this node knows may differ.
