Check that earlier builds take no call for the record of crashes for one of another topic

Cause: nodes of two builds run side by side, and a call through a neighbour names its topic. The record of crashes added a name, and no test held the others.

Change: a test that reads each topic's name as builds before it do: the four of before are understood, the new one is not. By reading, an earlier node then answers 400, and the caller goes on without.

--- a/crates/mustardgate-relay/tests/messages.rs
+++ b/crates/mustardgate-relay/tests/messages.rs
@@ -343,3 +343,27 @@
     ciborium::into_writer(message, &mut bytes).expect("the message is encoded");
     bytes.len()
 }
+
+/// A topic as builds before the record of crashes know it.
+#[derive(Debug, Deserialize)]
+enum FormerTopic {
+    Configuration,
+    Runners,
+    Leases,
+    StreamOrigins,
+}
+
+// Guards against calls of the log that an earlier build takes for calls of another topic; it answers that it cannot read them.
+#[test]
+fn builds_before_recorded_crashes_know_the_other_topics_only() {
+    let is_known = |topic: LogTopic| is_understood::<FormerTopic>(&bytes_of(&topic));
+    for topic in [
+        LogTopic::Configuration,
+        LogTopic::Runners,
+        LogTopic::Leases,
+        LogTopic::StreamOrigins,
+    ] {
+        assert!(is_known(topic), "{topic:?}");
+    }
+    assert!(!is_known(LogTopic::Crashes));
+}
