Log and count what a leader spends on other nodes and on plans

Nothing told whether a leader that lost its lease had too little processor or too little link, or what took it. The line 'control load' (643, each 5 s at a leader and at nodes without one) gives bytes by kind of message, plans with their time and the models and runners that they looked at, and how late the runtime woke. 'leader silent' (644) and 'leader answers again' (645) tell when a node falls back to the log. The same in mustardgate_peer_bytes_total, mustardgate_plan_seconds, mustardgate_plan_steps_total and mustardgate_runtime_lag_seconds. No decision changes.

--- a/crates/mustardgate-core/src/placement/share/counts.rs
+++ b/crates/mustardgate-core/src/placement/share/counts.rs
@@ -94,27 +94,30 @@
     }
 
     /// Divides the memory of all runners among the models and returns their target replica counts: one replica each,
-    /// then one at a time for the model with the highest rate per replica, until no rate exceeds `comfortable_rate`.
+    /// then one at a time for the model with the highest rate per replica, until no rate exceeds `comfortable_rate`. Returns
+    /// as well how many models it looked at.
     pub(super) fn target_replicas(
         &self,
         total_mib: MemoryMib,
         max_replicas: u32,
         comfortable_rate: f64,
-    ) -> BTreeMap<Artifact, u32> {
+    ) -> (BTreeMap<Artifact, u32>, u64) {
+        let mut steps = 0;
         let mut targets: BTreeMap<Artifact, u32> = self.replicas.keys().map(|artifact| (artifact.clone(), 1)).collect();
         let mut left_mib = total_mib.saturating_sub(self.memory_mib.values().sum());
         let mut without_room: BTreeSet<Artifact> = BTreeSet::new();
         loop {
+            steps += targets.len() as u64;
             let busiest = targets
                 .iter()
                 .filter(|(artifact, replicas)| !without_room.contains(*artifact) && **replicas < max_replicas)
                 .map(|(artifact, replicas)| (artifact.clone(), self.rate_per_replica_at(artifact, *replicas)))
                 .max_by(|one, other| one.1.total_cmp(&other.1));
             let Some((artifact, rate)) = busiest else {
-                return targets;
+                return (targets, steps);
             };
             if rate <= comfortable_rate {
-                return targets;
+                return (targets, steps);
             }
             let memory_mib = self.memory_mib(&artifact);
             if memory_mib > left_mib {
@@ -133,13 +136,15 @@
         total_mib: MemoryMib,
         weights: &BTreeMap<Artifact, f64>,
         max_replicas: u32,
-    ) -> BTreeMap<Artifact, u32> {
+    ) -> (BTreeMap<Artifact, u32>, u64) {
+        let mut steps = 0;
         let used_mib: MemoryMib = targets
             .iter()
             .map(|(artifact, replicas)| self.memory_mib(artifact) * MemoryMib::from(*replicas))
             .sum();
         let mut left_mib = total_mib.saturating_sub(used_mib);
         loop {
+            steps += weights.len() as u64;
             let next = weights
                 .iter()
                 .filter_map(|(artifact, weight)| {
@@ -148,7 +153,9 @@
                     fits.then(|| (artifact, weight / f64::from(replicas + 1)))
                 })
                 .max_by(|one, other| one.1.total_cmp(&other.1));
-            let Some((artifact, _)) = next else { return targets };
+            let Some((artifact, _)) = next else {
+                return (targets, steps);
+            };
             left_mib -= self.memory_mib(artifact);
             *targets.entry(artifact.clone()).or_default() += 1;
         }
--- a/crates/mustardgate-core/src/placement/share/mod.rs
+++ b/crates/mustardgate-core/src/placement/share/mod.rs
@@ -9,6 +9,6 @@
 mod window;
 
 pub use self::{
-    policy::{SharePolicy, ShareSettings},
+    policy::{PlanEffort, SharePolicy, ShareSettings},
     window::{LoadAccount, LoadBound},
 };
--- a/crates/mustardgate-core/src/placement/share/policy.rs
+++ b/crates/mustardgate-core/src/placement/share/policy.rs
@@ -60,6 +60,15 @@
     }
 }
 
+/// Number of models and runners that a plan looked at, each time that it did.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlanEffort {
+    /// Models, to give out replicas.
+    pub models: u64,
+    /// Runners, to find one for a replica.
+    pub runners: u64,
+}
+
 /// Proportional placement for one failure domain.
 #[derive(Debug)]
 pub struct SharePolicy {
@@ -73,6 +82,7 @@
     surplus_since: BTreeMap<Artifact, Instant>,
     /// Model that memory was freed for on each runner, and when the reservation expires.
     reservations: BTreeMap<BackendId, (Artifact, Instant)>,
+    effort: PlanEffort,
 }
 
 impl SharePolicy {
@@ -90,9 +100,15 @@
             headroom_weights: BTreeMap::new(),
             surplus_since: BTreeMap::new(),
             reservations: BTreeMap::new(),
+            effort: PlanEffort::default(),
         }
     }
 
+    /// Returns the work of the last plan.
+    pub fn effort(&self) -> PlanEffort {
+        self.effort
+    }
+
     /// Sets the bound on loads from the weight store; before the first call no such load begins.
     pub fn set_bound(&mut self, bound: LoadBound) {
         self.bound = bound;
@@ -151,6 +167,7 @@
     /// Models that get replicas in this plan or have memory reserved.
     pub(super) growing: BTreeSet<Artifact>,
     pub(super) moves: Vec<PlannedMove>,
+    pub(super) effort: PlanEffort,
 }
 
 impl<'a> SharePlan<'a> {
@@ -176,12 +193,13 @@
             changed_runners: BTreeSet::new(),
             growing: BTreeSet::new(),
             moves: Vec::new(),
+            effort: PlanEffort::default(),
         };
         self.use_reservations(&mut plan);
-        let mut targets = self.replicas_for_demand(&plan, 1.0);
-        let ample_replicas = self.replicas_for_demand(&plan, self.settings.headroom_share);
+        let mut targets = self.replicas_for_demand(&mut plan, 1.0);
+        let ample_replicas = self.replicas_for_demand(&mut plan, self.settings.headroom_share);
         self.update_surplus(&plan, &ample_replicas);
-        for (artifact, replicas) in self.targets_with_headroom(&plan, &ample_replicas) {
+        for (artifact, replicas) in self.targets_with_headroom(&mut plan, &ample_replicas) {
             if replicas > ample_replicas[&artifact] {
                 targets.insert(artifact, replicas);
             }
@@ -205,6 +223,7 @@
                 }
             }
         }
+        self.effort = plan.effort;
         plan.moves
     }
 }
@@ -212,26 +231,31 @@
 impl SharePolicy {
     /// Returns the replicas that each model needs for each to serve at most `rate_share` of the comfortable rate, as
     /// far as memory allows.
-    fn replicas_for_demand(&self, plan: &SharePlan<'_>, rate_share: f64) -> BTreeMap<Artifact, u32> {
+    fn replicas_for_demand(&self, plan: &mut SharePlan<'_>, rate_share: f64) -> BTreeMap<Artifact, u32> {
         let usable = plan.usable_runners();
         let capacities = usable.clone().map(|runner| f64::from(runner.request_capacity));
         let comfortable_rate = capacities.fold(0.0, f64::max) * self.settings.comfortable_utilisation * rate_share;
-        plan.counts
-            .target_replicas(plan.total_mib(), usable.count() as u32, comfortable_rate)
+        let (targets, steps) = plan
+            .counts
+            .target_replicas(plan.total_mib(), usable.count() as u32, comfortable_rate);
+        plan.effort.models += steps;
+        targets
     }
 
     /// Adds replicas ahead of demand to `demanded`, from the memory that it leaves.
     fn targets_with_headroom(
         &self,
-        plan: &SharePlan<'_>,
+        plan: &mut SharePlan<'_>,
         demanded: &BTreeMap<Artifact, u32>,
     ) -> BTreeMap<Artifact, u32> {
-        plan.counts.add_headroom(
+        let (targets, steps) = plan.counts.add_headroom(
             demanded.clone(),
             plan.total_mib(),
             &self.headroom_weights,
             self.settings.max_headroom_replicas,
-        )
+        );
+        plan.effort.models += steps;
+        targets
     }
 
     fn update_surplus(&mut self, plan: &SharePlan<'_>, demanded: &BTreeMap<Artifact, u32>) {
@@ -285,6 +309,7 @@
         artifact: &Artifact,
         targets: &BTreeMap<Artifact, u32>,
     ) -> bool {
+        plan.effort.runners += plan.view.runners.len() as u64;
         let candidates = plan
             .view
             .runners
--- a/crates/mustardgate-core/src/relay/planner.rs
+++ b/crates/mustardgate-core/src/relay/planner.rs
@@ -20,6 +20,8 @@
     resources::PriorityClass,
 };
 
+pub use crate::placement::share::PlanEffort;
+
 /// Loads of the allowed number that are held in reserve, because an order may be carried out late or twice.
 const RESERVED_LOADS: f64 = 2.0;
 /// Extension of the load window: orders may arrive late by up to this time, which can bring loads closer together.
@@ -210,6 +212,11 @@
         }
     }
 
+    /// Returns the work of the last plan.
+    pub fn effort(&self) -> PlanEffort {
+        self.policy.effort()
+    }
+
     /// Returns the orders to send now, at most one per runner.
     pub fn plan(&mut self, now: Instant, engine: &EngineProfile, runners: &[RunnerHoldings]) -> Vec<PlacementOrder> {
         self.record_initial_replicas(runners);
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -60,7 +60,7 @@
     follow::ListRefresher,
     leader::SharedLeadership,
     link::HelperBook,
-    peers::{FeedLimiter, PeerClient, PeerDirectory, StreamLogReader},
+    peers::{ControlLoad, FeedLimiter, PeerClient, PeerDirectory, StreamLogReader},
     ports::{AnswerKind, AnswerMetadata, CallDialect, RecordDecoder, RequestName, RunnerControl},
     request_log::{RefusalLog, RequestLog},
     settings::RelaySettings,
@@ -136,6 +136,8 @@
     pub peers: PeerClient,
     /// Limit on the bytes that this node sends to other nodes.
     pub feed: FeedLimiter,
+    /// What this node spends on other nodes.
+    pub load: Arc<ControlLoad>,
     /// Addresses of other nodes.
     pub directory: Arc<PeerDirectory>,
     /// The log, always called by this node itself.
--- a/crates/mustardgate-relay/src/leader/plan.rs
+++ b/crates/mustardgate-relay/src/leader/plan.rs
@@ -32,7 +32,11 @@
     /// Runs until the process ends.
     pub async fn run(self) {
         loop {
+            let woken_at = clock::now() + PLAN_INTERVAL;
             time::sleep(PLAN_INTERVAL).await;
+            self.context
+                .load
+                .record_lag(clock::now().saturating_duration_since(woken_at));
             if self.context.leader.token().is_some() {
                 self.plan();
             }
@@ -53,20 +57,22 @@
     fn plan_service(&self, service: &ServiceId, engine: &EngineProfile) {
         let (now, lease_now) = (clock::now(), self.context.leader.lease_time());
         let runners = self.list_holdings(service);
-        let (orders, demand) = {
+        let (orders, demand, effort) = {
             let mut state = self.context.leader.lock();
             let arrivals = state.arrivals.remove(service).unwrap_or_default();
             let planner = state.planner(service, lease_now);
             planner.observe_demand(now, &arrivals);
             let orders = planner.plan(now, engine, &runners);
-            (orders, describe_demand(planner, engine, &runners))
+            (orders, describe_demand(planner, engine, &runners), planner.effort())
         };
+        let elapsed = clock::now().saturating_duration_since(now);
+        self.context.load.record_plan(elapsed, effort);
         if orders.is_empty() {
             return;
         }
         events::RELAY_PLACEMENT_PLANNED.write(
             self.context.log.logger(),
-            o!("demand" => demand, "orders" => orders.len(), "service" => service.to_string()),
+            o!("elapsed_ms" => elapsed.as_millis() as u64, "demand" => demand, "orders" => orders.len(), "service" => service.to_string()),
         );
         let engine = Arc::new(engine.clone());
         for order in orders {
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -21,7 +21,7 @@
     follow::ListRefresher,
     leader::{BootClock, SharedLeadership},
     link::HelperBook,
-    peers::{FeedLimiter, NeighbourLog, PeerClient, PeerDirectory, StreamLogReader},
+    peers::{ControlLoad, FeedLimiter, NeighbourLog, PeerClient, PeerDirectory, StreamLogReader},
     request_log::{RefusalLog, RequestLog},
     settings::RelaySettings,
 };
@@ -41,7 +41,10 @@
     let logger = build_logger(&settings.logging.logger(), &settings.node.name);
     let directory = Arc::new(PeerDirectory::new(own_member(&settings)));
     let page_time = settings.bounds.shortest_bound();
-    let peers = PeerClient::new(Arc::clone(&buffers)).with_page_time(page_time);
+    let load = Arc::new(ControlLoad::new(logger.clone()));
+    let peers = PeerClient::new(Arc::clone(&buffers))
+        .with_page_time(page_time)
+        .with_load(Arc::clone(&load));
     let direct_log = Arc::clone(&ports.topics);
     let own = settings.listen.peers;
     let seeds = settings.listen.seeds.iter().copied().filter(|seed| Some(*seed) != own);
@@ -79,6 +82,7 @@
     Arc::new(RelayContext {
         buffers,
         feed: FeedLimiter::new(feed),
+        load,
         link: RunnerLink::new(logger.clone()),
         helpers: HelperBook::default(),
         forwarded: Arc::default(),
--- a/crates/mustardgate-relay/src/peers/client.rs
+++ b/crates/mustardgate-relay/src/peers/client.rs
@@ -18,10 +18,13 @@
 };
 use serde::{Serialize, de::DeserializeOwned};
 
-use super::messages::{
-    ADAPTER_PATH, AdapterRequest, CachedRecords, DEMAND_PATH, DemandReport, EXCHANGE_PATH, KnowledgeExchange, LOG_PATH,
-    LeaderAnswer, LogCall, LogReply, ORIGIN_PATH, OriginAnswer, OriginQuery, PERMIT_PATH, PermitAnswer, PermitRequest,
-    QUOTA_PATH, QuotaCall, RECORDS_PATH, decode, encode,
+use super::{
+    messages::{
+        ADAPTER_PATH, AdapterRequest, CachedRecords, DEMAND_PATH, DemandReport, EXCHANGE_PATH, KnowledgeExchange,
+        LOG_PATH, LeaderAnswer, LogCall, LogReply, ORIGIN_PATH, OriginAnswer, OriginQuery, PERMIT_PATH, PermitAnswer,
+        PermitRequest, QUOTA_PATH, QuotaCall, RECORDS_PATH, decode, encode,
+    },
+    traffic::{ControlLoad, MessageDirection, MessageKind},
 };
 
 /// Timeout for a connection to another node.
@@ -43,6 +46,7 @@
     client: HttpClient,
     /// Longest time for records of which bytes keep arriving.
     page_time: Duration,
+    load: Option<Arc<ControlLoad>>,
 }
 
 impl PeerClient {
@@ -51,6 +55,7 @@
         Self {
             client: HttpClient::pooled(CONNECT_TIMEOUT).with_buffers(buffers, BufferSource::Server),
             page_time: CALL_TIMEOUT,
+            load: None,
         }
     }
 
@@ -61,6 +66,19 @@
         self
     }
 
+    /// Sets where the bytes of calls and answers are counted.
+    #[must_use]
+    pub fn with_load(mut self, load: Arc<ControlLoad>) -> Self {
+        self.load = Some(load);
+        self
+    }
+
+    fn record_message(&self, kind: MessageKind, direction: MessageDirection, bytes: usize) {
+        if let Some(load) = &self.load {
+            load.record_message(kind, direction, bytes);
+        }
+    }
+
     /// Asks the leader to load an adapter; returns whether the adapter is loaded.
     pub async fn request_adapter(
         &self,
@@ -199,11 +217,16 @@
         M: Serialize,
         A: DeserializeOwned,
     {
-        let mut request = Request::new(Full::new(Bytes::from(encode(message))));
+        let body = encode(message);
+        self.record_message(kind, MessageDirection::Sent, body.len());
+        let mut request = Request::new(Full::new(Bytes::from(body)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = path.parse().expect("paths are constants");
         match self.client.call_counted(kind, address, request, limits).await {
-            Ok(reply) if reply.status.is_success() => decode(&reply.body),
+            Ok(reply) if reply.status.is_success() => {
+                self.record_message(kind, MessageDirection::Received, reply.body.len());
+                decode(&reply.body)
+            }
             Ok(_) | Err(_) => {
                 counter!("mustardgate_peer_calls_failed_total", "kind" => kind).increment(1);
                 None
--- a/crates/mustardgate-relay/src/peers/digests.rs
+++ b/crates/mustardgate-relay/src/peers/digests.rs
@@ -43,6 +43,8 @@
     reported_at: Option<Instant>,
     /// Whether the last report reached a leader.
     is_led: bool,
+    /// Since when no leader has answered.
+    silent_since: Option<Instant>,
 }
 
 impl DigestTask {
@@ -55,6 +57,7 @@
             loads_seen: 0,
             reported_at: None,
             is_led: false,
+            silent_since: None,
         }
     }
 
@@ -70,11 +73,32 @@
                 () = self.context.leader.next_claim() => time::sleep(self.claim_pause()).await,
             }
             self.report().await;
+            let leader = &self.context.leader;
+            let is_leading = leader.token().is_some();
+            self.context.load.review(is_leading, leader.has_contact());
+            self.record_contact(is_leading || leader.has_contact());
             // Requests wait for what a neighbour answers, so the next report does not.
             let _asking = tokio::spawn(exchange_without_leader(Arc::clone(&self.context)));
         }
     }
 
+    /// Logs that no leader answers, and that one does again.
+    fn record_contact(&mut self, is_led: bool) {
+        let now = clock::now();
+        let leader = self.context.leader.leader_address();
+        let name = leader.map(|address| address.to_string()).unwrap_or_default();
+        let log = self.context.log.logger();
+        if is_led {
+            if let Some(since) = self.silent_since.take() {
+                let silent_ms = now.saturating_duration_since(since).as_millis() as u64;
+                events::RELAY_LEADER_ANSWERS.write(log, o!("silent_ms" => silent_ms, "leader" => name));
+            }
+        } else if self.silent_since.is_none() {
+            self.silent_since = Some(now);
+            events::RELAY_LEADER_SILENT.write(log, o!("leader" => name));
+        }
+    }
+
     /// Spreads the reports of many nodes to a new leader. Nodes that have just started are spread already.
     fn claim_pause(&self) -> Duration {
         if self.seen.is_none() {
--- a/crates/mustardgate-relay/src/peers/mod.rs
+++ b/crates/mustardgate-relay/src/peers/mod.rs
@@ -18,6 +18,7 @@
 mod part_crashes;
 mod server;
 mod stream_log;
+mod traffic;
 mod version_log;
 
 pub use self::{
@@ -35,5 +36,6 @@
     part_crashes::{PartCrash, PartCrashDigest},
     server::serve_peers,
     stream_log::{RecordTask, StreamLogReader},
+    traffic::{ControlLoad, MessageDirection, MessageKind},
     version_log::VersionRecordTask,
 };
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -27,6 +27,7 @@
         PERMIT_PATH, PermitRequest, QUOTA_PATH, QuotaCall, RECORDS_PATH, decode, encode,
     },
     part_crashes::PartCrashDigest,
+    traffic::{MessageDirection, MessageKind},
 };
 use crate::{
     client::{names_target, no_runner_answer},
@@ -110,12 +111,33 @@
         // Anyone may list this address as a runner's. The answer tells the sending node that its request did not run.
         _ => return empty_answer(StatusCode::MISDIRECTED_REQUEST),
     };
+    let kind = kind_of(&path);
+    context
+        .load
+        .record_message(kind, MessageDirection::Received, body.len());
+    if let Some(message) = &message {
+        context.load.record_message(kind, MessageDirection::Sent, message.len());
+    }
     match message {
         Some(message) => bytes_answer(StatusCode::OK, None, Bytes::from(message)),
         None => empty_answer(StatusCode::BAD_REQUEST),
     }
 }
 
+/// Returns the kind of the messages at a path: "…_served" for those that other nodes began.
+fn kind_of(path: &str) -> MessageKind {
+    match path {
+        ADAPTER_PATH => "adapter_served",
+        DEMAND_PATH => "demand_served",
+        PERMIT_PATH => "permit_served",
+        QUOTA_PATH => "quotas_served",
+        EXCHANGE_PATH => "exchange_served",
+        ORIGIN_PATH => "origin_served",
+        LOG_PATH => "log_served",
+        _ => "records_served",
+    }
+}
+
 async fn answer_adapter_request(context: &Arc<RelayContext>, body: &[u8]) -> Option<Vec<u8>> {
     let wanted: AdapterRequest = decode(body)?;
     let is_leading = context.leader.token().is_some();
--- /dev/null
+++ b/crates/mustardgate-relay/src/peers/traffic.rs
@@ -0,0 +1,158 @@
+//! Bytes of the messages between nodes, and the work of a leader, for the log and the metrics.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use metrics::{counter, histogram};
+use mustardgate::events;
+use mustardgate_core::{clock, relay::PlanEffort};
+use slog::{Logger, o};
+
+/// Time between two lines about the control load of a node that leads or that no leader answers.
+const LINE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Kind of a message between nodes, as in the metrics.
+pub type MessageKind = &'static str;
+
+/// Direction of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MessageDirection {
+    /// From another node to this one.
+    Received,
+    /// From this node to another one.
+    Sent,
+}
+
+/// Counts what a node spends on other nodes.
+///
+/// A leader serves all nodes, so what it spends shows first whether a deployment has outgrown its machines; see
+/// `docs/CAPACITY.md`.
+#[derive(Debug)]
+pub struct ControlLoad {
+    counts: Mutex<LoadCounts>,
+    logger: Logger,
+}
+
+/// What was spent since the last line.
+#[derive(Debug)]
+struct LoadCounts {
+    since: Instant,
+    bytes: BTreeMap<MessageKind, DirectedBytes>,
+    plans: u32,
+    plan_time: Duration,
+    longest_plan: Duration,
+    effort: PlanEffort,
+    /// Longest time by which the runtime woke the planning task late.
+    longest_lag: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct DirectedBytes {
+    messages: u64,
+    received: u64,
+    sent: u64,
+}
+
+impl LoadCounts {
+    fn new(since: Instant) -> Self {
+        Self {
+            since,
+            bytes: BTreeMap::new(),
+            plans: 0,
+            plan_time: Duration::ZERO,
+            longest_plan: Duration::ZERO,
+            effort: PlanEffort::default(),
+            longest_lag: Duration::ZERO,
+        }
+    }
+
+    /// Describes the messages of each kind: their number, and the bytes received and sent.
+    fn describe_bytes(&self) -> String {
+        let kinds = self.bytes.iter();
+        let texts: Vec<String> = kinds
+            .map(|(kind, bytes)| format!("{kind}:{}:{}/{}", bytes.messages, bytes.received, bytes.sent))
+            .collect();
+        texts.join(" ")
+    }
+}
+
+impl ControlLoad {
+    /// Creates counts that begin now.
+    pub fn new(logger: Logger) -> Self {
+        Self {
+            counts: Mutex::new(LoadCounts::new(clock::now())),
+            logger,
+        }
+    }
+
+    /// Counts a message.
+    pub fn record_message(&self, kind: MessageKind, direction: MessageDirection, bytes: usize) {
+        let label = match direction {
+            MessageDirection::Received => "received",
+            MessageDirection::Sent => "sent",
+        };
+        counter!("mustardgate_peer_bytes_total", "kind" => kind, "direction" => label).increment(bytes as u64);
+        let mut counts = self.lock();
+        let counted = counts.bytes.entry(kind).or_default();
+        match direction {
+            MessageDirection::Received => counted.received += bytes as u64,
+            MessageDirection::Sent => {
+                counted.messages += 1;
+                counted.sent += bytes as u64;
+            }
+        }
+    }
+
+    /// Records a plan that took a time, during which nothing else runs on the node.
+    pub fn record_plan(&self, elapsed: Duration, effort: PlanEffort) {
+        histogram!("mustardgate_plan_seconds").record(elapsed.as_secs_f64());
+        counter!("mustardgate_plan_steps_total", "of" => "models").increment(effort.models);
+        counter!("mustardgate_plan_steps_total", "of" => "runners").increment(effort.runners);
+        let mut counts = self.lock();
+        counts.plans += 1;
+        counts.plan_time += elapsed;
+        counts.longest_plan = counts.longest_plan.max(elapsed);
+        counts.effort.models += effort.models;
+        counts.effort.runners += effort.runners;
+    }
+
+    /// Records by how much the runtime woke a task late.
+    pub fn record_lag(&self, lag: Duration) {
+        histogram!("mustardgate_runtime_lag_seconds").record(lag.as_secs_f64());
+        let mut counts = self.lock();
+        counts.longest_lag = counts.longest_lag.max(lag);
+    }
+
+    /// Writes a line for a node that leads or that no leader answers, if one is due, and starts to count anew.
+    pub fn review(&self, is_leading: bool, has_contact: bool) {
+        let now = clock::now();
+        let mut current = self.lock();
+        if now.saturating_duration_since(current.since) < LINE_INTERVAL {
+            return;
+        }
+        let counts = std::mem::replace(&mut *current, LoadCounts::new(now));
+        drop(current);
+        if !is_leading && has_contact {
+            return;
+        }
+        let values = o!(
+            "messages" => counts.describe_bytes(),
+            "longest_lag_ms" => counts.longest_lag.as_millis() as u64,
+            "runners_examined" => counts.effort.runners,
+            "models_examined" => counts.effort.models,
+            "longest_plan_ms" => counts.longest_plan.as_millis() as u64,
+            "plan_ms" => counts.plan_time.as_millis() as u64,
+            "plans" => counts.plans,
+            "elapsed_ms" => now.saturating_duration_since(counts.since).as_millis() as u64,
+            "is_leading" => is_leading,
+        );
+        events::RELAY_CONTROL_LOAD.write(&self.logger, values);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LoadCounts> {
+        self.counts.lock().expect("no holder of the lock panics")
+    }
+}
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -177,6 +177,12 @@
 pub const RELAY_REQUEST_WAITED: EventKind = event(691, Level::Info, "request waited for capacity");
 /// No runner takes a request by its forecast; with the forecast and the time until there is room for it.
 pub const RELAY_CAPACITY_SHORT: EventKind = event(692, Level::Info, "no capacity for request");
+/// What a node that leads, or that no leader answers, has spent on other nodes and on plans; each 5 s.
+pub const RELAY_CONTROL_LOAD: EventKind = event(643, Level::Info, "control load");
+/// The leader does not answer any more; with how long it has not.
+pub const RELAY_LEADER_SILENT: EventKind = event(644, Level::Warning, "leader silent");
+/// A leader answers again; with how long none did.
+pub const RELAY_LEADER_ANSWERS: EventKind = event(645, Level::Info, "leader answers again");
 /// The settings file changed; with whether the change takes effect only after a restart.
 pub const RELAY_SETTINGS_CHANGED: EventKind = event(630, Level::Info, "settings file changed");
 /// The changed settings file has an error, so the old settings stay in force.
@@ -273,6 +279,9 @@
     RELAY_STOP_REFUSED,
     RELAY_ORIGINS_UNRECORDED,
     RELAY_ORIGINS_RECORDED,
+    RELAY_CONTROL_LOAD,
+    RELAY_LEADER_SILENT,
+    RELAY_LEADER_ANSWERS,
     RELAY_TASK_PANICKED,
     RELAY_ANSWER_DROPPED,
     RELAY_REQUEST_MISDIRECTED,
