--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -24,6 +24,7 @@
 mod order_claims;
 mod order_histories;
 mod permits;
+mod plan_effort;
 mod placement;
 mod process_evidence;
 mod quota_messages;
