--- a/crates/mustardgate-core/src/placement/share/mod.rs
+++ b/crates/mustardgate-core/src/placement/share/mod.rs
@@ -4,11 +4,14 @@
 //! an unnecessary move. See `docs/design/placement.md`.
 
 mod candidates;
-mod counts;
 mod policy;
+mod round;
+mod rows;
+mod targets;
 mod window;
 
 pub use self::{
-    policy::{PlanEffort, SharePolicy, ShareSettings},
+    policy::{SharePolicy, ShareSettings},
+    round::PlanEffort,
     window::{LoadAccount, LoadBound},
 };
--- a/crates/mustardgate-core/src/placement/share/policy.rs
+++ b/crates/mustardgate-core/src/placement/share/policy.rs
@@ -1,20 +1,21 @@
 //! The proportional placement policy.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     time::{Duration, Instant},
 };
 
 use super::{
-    candidates::ReplicaCandidate,
-    counts::ReplicaCounts,
+    round::{PlanEffort, PlanRound},
+    rows::{ModelIndex, ModelRow, RunnerIndex},
+    targets::MemoryPool,
     window::{LoadAccount, LoadBound, LoadWindow},
 };
 use crate::{
-    ids::{BackendId, MemoryMib},
+    ids::BackendId,
     log::Artifact,
     placement::{
-        AcceleratorView, DomainView, HoldingState, PlacementPolicy, PlannedMove, RunnerView,
+        ArtifactDemand, DomainView, PlacementPolicy, PlannedMove,
         gain::{LoadTimes, ResidenceTracker},
     },
 };
@@ -60,15 +61,6 @@
     }
 }
 
-/// Number of models and runners that a plan looked at, each time that it did.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct PlanEffort {
-    /// Models, to give out replicas.
-    pub models: u64,
-    /// Runners, to find one for a replica.
-    pub runners: u64,
-}
-
 /// Proportional placement for one failure domain.
 #[derive(Debug)]
 pub struct SharePolicy {
@@ -155,240 +147,194 @@
     }
 }
 
-/// Working state of one planning round.
-pub(super) struct SharePlan<'a> {
-    pub(super) now: Instant,
-    pub(super) view: &'a DomainView,
-    pub(super) counts: ReplicaCounts,
-    /// Loads from the weight store that may still begin.
-    pub(super) allowance: u32,
-    /// Runners that already have a move or a reservation in this plan.
-    pub(super) changed_runners: BTreeSet<BackendId>,
-    /// Models that get replicas in this plan or have memory reserved.
-    pub(super) growing: BTreeSet<Artifact>,
-    pub(super) moves: Vec<PlannedMove>,
-    pub(super) effort: PlanEffort,
-}
-
-impl<'a> SharePlan<'a> {
-    fn usable_runners(&self) -> impl Iterator<Item = &'a RunnerView> + Clone + use<'a> {
-        self.view.runners.iter().filter(|runner| !runner.is_unschedulable)
+impl SharePolicy {
+    /// Returns the loads from the weight store that may begin now.
+    pub(super) fn load_allowance(&mut self, now: Instant) -> u32 {
+        self.loads.allowance(now, self.bound)
     }
 
-    fn total_mib(&self) -> MemoryMib {
-        let accelerators = self.usable_runners().flat_map(|runner| &runner.accelerators);
-        accelerators.map(|accelerator| accelerator.capacity_mib).sum()
+    /// Returns a declared model before its replicas are counted.
+    pub(super) fn model_row<'a>(&self, demand: &'a ArtifactDemand) -> ModelRow<'a> {
+        let artifact = &demand.artifact;
+        let store_load = self.load_times.from_store.get(artifact);
+        ModelRow {
+            artifact,
+            is_declared: true,
+            rate: demand.requests_per_second,
+            memory_mib: demand.memory_mib,
+            replicas: 0,
+            ready: 0,
+            headroom_weight: self.headroom_weights.get(artifact).copied(),
+            has_stable_surplus: false,
+            is_growing: false,
+            store_load_s: store_load.copied().unwrap_or_default().as_secs_f64(),
+        }
     }
 }
 
 impl PlacementPolicy for SharePolicy {
     fn plan(&mut self, now: Instant, view: &DomainView) -> Vec<PlannedMove> {
         self.residence.update(now, view);
-        let allowance = self.loads.allowance(now, self.bound);
-        let mut plan = SharePlan {
-            now,
-            view,
-            counts: ReplicaCounts::new(view),
-            allowance,
-            changed_runners: BTreeSet::new(),
-            growing: BTreeSet::new(),
-            moves: Vec::new(),
-            effort: PlanEffort::default(),
-        };
-        self.use_reservations(&mut plan);
-        let mut targets = self.replicas_for_demand(&mut plan, 1.0);
-        let ample_replicas = self.replicas_for_demand(&mut plan, self.settings.headroom_share);
-        self.update_surplus(&plan, &ample_replicas);
-        for (artifact, replicas) in self.targets_with_headroom(&mut plan, &ample_replicas) {
-            if replicas > ample_replicas[&artifact] {
-                targets.insert(artifact, replicas);
-            }
-        }
-        let mut by_urgency: Vec<&Artifact> = targets.keys().collect();
-        // Models without a replica come first regardless of demand, because every model has to be available.
-        by_urgency.sort_by(|one, other| {
-            let key = |artifact: &Artifact| {
-                (
-                    plan.counts.replicas(artifact) == 0,
-                    plan.counts.rate_per_replica(artifact),
-                )
-            };
-            let (one, other) = (key(one), key(other));
-            other.0.cmp(&one.0).then_with(|| other.1.total_cmp(&one.1))
-        });
-        for artifact in by_urgency {
-            while plan.counts.replicas(artifact) < targets[artifact] {
-                if !self.add_replica(&mut plan, artifact, &targets) {
+        let mut round = PlanRound::new(self, now, view);
+        self.use_reservations(&mut round);
+        let targets = self.target_replicas(&mut round);
+        round.rank_runners(&self.settings, &targets);
+        for model in models_by_urgency(&round) {
+            while round.rows.models[model].replicas < targets[model] {
+                if !self.add_replica(&mut round, model, &targets) {
                     break;
                 }
             }
         }
-        self.effort = plan.effort;
-        plan.moves
+        self.effort = round.effort;
+        round.moves
     }
 }
 
-impl SharePolicy {
-    /// Returns the replicas that each model needs for each to serve at most `rate_share` of the comfortable rate, as
-    /// far as memory allows.
-    fn replicas_for_demand(&self, plan: &mut SharePlan<'_>, rate_share: f64) -> BTreeMap<Artifact, u32> {
-        let usable = plan.usable_runners();
-        let capacities = usable.clone().map(|runner| f64::from(runner.request_capacity));
-        let comfortable_rate = capacities.fold(0.0, f64::max) * self.settings.comfortable_utilisation * rate_share;
-        let (targets, steps) = plan
-            .counts
-            .target_replicas(plan.total_mib(), usable.count() as u32, comfortable_rate);
-        plan.effort.models += steps;
-        targets
-    }
-
-    /// Adds replicas ahead of demand to `demanded`, from the memory that it leaves.
-    fn targets_with_headroom(
-        &self,
-        plan: &mut SharePlan<'_>,
-        demanded: &BTreeMap<Artifact, u32>,
-    ) -> BTreeMap<Artifact, u32> {
-        let (targets, steps) = plan.counts.add_headroom(
-            demanded.clone(),
-            plan.total_mib(),
-            &self.headroom_weights,
-            self.settings.max_headroom_replicas,
-        );
-        plan.effort.models += steps;
-        targets
-    }
+/// Returns the declared models in the order in which they get replicas. Models without a replica come first regardless
+/// of demand, because every model has to be available.
+fn models_by_urgency(round: &PlanRound<'_>) -> Vec<ModelIndex> {
+    let models = &round.rows.models;
+    let key = |model: &ModelIndex| (models[*model].replicas == 0, models[*model].rate_per_replica());
+    let mut by_urgency: Vec<ModelIndex> = (0..round.rows.declared).collect();
+    by_urgency.sort_by(|one, other| {
+        let (one, other) = (key(one), key(other));
+        other.0.cmp(&one.0).then_with(|| other.1.total_cmp(&one.1))
+    });
+    by_urgency
+}
 
-    fn update_surplus(&mut self, plan: &SharePlan<'_>, demanded: &BTreeMap<Artifact, u32>) {
-        self.surplus_since.retain(|artifact, _| {
-            demanded
-                .get(artifact)
-                .is_some_and(|target| plan.counts.replicas(artifact) > *target)
-        });
-        for (artifact, target) in demanded {
-            if plan.counts.replicas(artifact) > *target {
-                self.surplus_since.entry(artifact.clone()).or_insert(plan.now);
+impl SharePolicy {
+    /// Returns the replicas that each declared model is to have: those for its demand, and ahead of demand from the
+    /// memory that ample ones leave.
+    fn target_replicas(&mut self, round: &mut PlanRound<'_>) -> Vec<u32> {
+        let declared = &round.rows.models[..round.rows.declared];
+        let usable = round.rows.usable_runners();
+        let capacities = usable.map(|runner| f64::from(runner.view.request_capacity));
+        let comfortable_rate = capacities.fold(0.0, f64::max) * self.settings.comfortable_utilisation;
+        let ample_rate = comfortable_rate * self.settings.headroom_share;
+        let max_replicas = round.rows.usable_runners().count() as u32;
+        let mut pool = MemoryPool::new(round.rows.total_mib());
+        let mut targets = pool.target_replicas(declared, max_replicas, comfortable_rate);
+        let ample = pool.target_replicas(declared, max_replicas, ample_rate);
+        let mut with_headroom = ample.clone();
+        pool.add_headroom(declared, &mut with_headroom, self.settings.max_headroom_replicas);
+        for (target, (ample, with_headroom)) in targets.iter_mut().zip(ample.iter().zip(&with_headroom)) {
+            if with_headroom > ample {
+                *target = *with_headroom;
             }
         }
+        round.effort.models += pool.steps;
+        self.update_surplus(round, &ample);
+        targets
     }
 
-    /// Returns whether the next replica of a model would be one ahead of demand.
-    pub(super) fn is_headroom(&self, plan: &SharePlan<'_>, artifact: &Artifact) -> bool {
-        self.headroom_weights.contains_key(artifact) && plan.counts.replicas(artifact) > 0
-    }
-
-    pub(super) fn has_stable_surplus(&self, plan: &SharePlan<'_>, artifact: &Artifact) -> bool {
-        let since = self.surplus_since.get(artifact);
-        since.is_some_and(|since| plan.now.saturating_duration_since(*since) >= self.settings.min_surplus_time)
+    fn update_surplus(&mut self, round: &mut PlanRound<'_>, ample: &[u32]) {
+        let models = round.rows.models.iter_mut().zip(ample);
+        let mut surplus_since = BTreeMap::new();
+        for (row, _) in models.filter(|(row, target)| row.replicas > **target) {
+            let (artifact, since) = self
+                .surplus_since
+                .remove_entry(row.artifact)
+                .unwrap_or_else(|| (row.artifact.clone(), round.now));
+            let surplus_time = round.now.saturating_duration_since(since);
+            row.has_stable_surplus = surplus_time >= self.settings.min_surplus_time;
+            surplus_since.insert(artifact, since);
+        }
+        self.surplus_since = surplus_since;
     }
 
     /// Counts the replicas that memory is reserved for, and plans the loads of those for which it is free.
-    fn use_reservations(&mut self, plan: &mut SharePlan<'_>) {
-        let now = plan.now;
+    fn use_reservations(&mut self, round: &mut PlanRound<'_>) {
+        let now = round.now;
         self.reservations.retain(|_, (_, until)| now < *until);
         for (backend, (artifact, _)) in self.reservations.clone() {
-            let runner = plan.view.runners.iter().find(|runner| runner.backend == backend);
-            let Some(runner) = runner.filter(|runner| !runner.is_unschedulable && !holds(runner, &artifact)) else {
+            let model = round.rows.model_index(&artifact);
+            let runner = round.rows.runner_index(&backend).filter(|runner| {
+                let row = &round.rows.runners[*runner];
+                !row.view.is_unschedulable && !model.is_some_and(|model| row.holds(model))
+            });
+            let Some(runner) = runner else {
                 self.reservations.remove(&backend);
                 continue;
             };
-            plan.counts.add(&artifact);
-            plan.growing.insert(artifact.clone());
-            plan.changed_runners.insert(backend.clone());
-            let has_room = free_mib(runner) >= plan.counts.memory_mib(&artifact);
-            if is_idle(runner) && has_room && self.spend_load(plan, &backend, &artifact) {
+            round.take(runner);
+            // A model that is no longer declared keeps its reservation until it ends, and needs no memory.
+            let memory_mib = model.map_or(0, |model| round.rows.models[model].memory_mib);
+            if let Some(model) = model {
+                let row = &mut round.rows.models[model];
+                row.add_replica();
+                row.is_growing = true;
+            }
+            let row = &round.rows.runners[runner];
+            if row.is_idle && row.free_mib >= memory_mib && self.spend_load(round, runner, model) {
                 self.reservations.remove(&backend);
-                plan.moves
-                    .push(load_move(runner, &artifact, plan.counts.memory_mib(&artifact)));
+                round.moves.push(PlannedMove::Load {
+                    backend,
+                    accelerator: 0,
+                    artifact,
+                    memory_mib,
+                });
             }
         }
     }
 
-    fn add_replica(
-        &mut self,
-        plan: &mut SharePlan<'_>,
-        artifact: &Artifact,
-        targets: &BTreeMap<Artifact, u32>,
-    ) -> bool {
-        plan.effort.runners += plan.view.runners.len() as u64;
-        let candidates = plan
-            .view
-            .runners
-            .iter()
-            .filter(|runner| is_idle(runner) && !runner.is_unschedulable && !holds(runner, artifact))
-            .filter(|runner| !plan.changed_runners.contains(&runner.backend))
-            .filter(|runner| runner.takes(plan.counts.rate(artifact)))
-            .filter(|runner| self.may_load(plan, &runner.backend, artifact))
-            .filter_map(|runner| self.candidate(plan, runner, artifact, targets));
-        let best = candidates.min_by(|one, other| one.cost_s.total_cmp(&other.cost_s));
-        let Some(ReplicaCandidate { runner, victims, .. }) = best else {
+    fn add_replica(&mut self, round: &mut PlanRound<'_>, model: ModelIndex, targets: &[u32]) -> bool {
+        let has_reserve = round.allowance > self.reserved_loads(round, model);
+        let Some(best) = round.best_candidate(&self.settings, model, targets, has_reserve) else {
             return false;
         };
-        plan.changed_runners.insert(runner.backend.clone());
-        plan.counts.add(artifact);
-        plan.growing.insert(artifact.clone());
-        let Some(victim) = victims.first() else {
-            let is_allowed = self.spend_load(plan, &runner.backend, artifact);
+        let (runner, victim) = (best.runner, best.victim);
+        let backend = round.rows.runners[runner].view.backend.clone();
+        round.take(runner);
+        let row = &mut round.rows.models[model];
+        row.add_replica();
+        row.is_growing = true;
+        let (artifact, memory_mib) = (row.artifact.clone(), row.memory_mib);
+        let Some(victim) = victim else {
+            let is_allowed = self.spend_load(round, runner, Some(model));
             if is_allowed {
-                plan.moves
-                    .push(load_move(runner, artifact, plan.counts.memory_mib(artifact)));
+                round.moves.push(PlannedMove::Load {
+                    backend,
+                    accelerator: 0,
+                    artifact,
+                    memory_mib,
+                });
             }
             return is_allowed;
         };
         // A runner executes one order at a time, so further evictions and the load itself follow in later plans.
-        plan.counts.remove(victim);
-        let until = plan.now + self.settings.reservation_time;
-        self.reservations
-            .insert(runner.backend.clone(), (artifact.clone(), until));
-        plan.moves.push(PlannedMove::Unload {
-            backend: runner.backend.clone(),
+        let victim = &mut round.rows.models[victim];
+        victim.remove_replica();
+        let until = round.now + self.settings.reservation_time;
+        self.reservations.insert(backend.clone(), (artifact, until));
+        round.moves.push(PlannedMove::Unload {
+            backend,
             accelerator: 0,
-            artifact: victim.clone(),
+            artifact: victim.artifact.clone(),
         });
         true
     }
 
-    fn may_load(&self, plan: &SharePlan<'_>, backend: &BackendId, artifact: &Artifact) -> bool {
-        let reserve = if self.is_headroom(plan, artifact) {
-            (f64::from(self.bound.max_loads) * self.settings.headroom_reserve) as u32
-        } else {
-            0
-        };
-        plan.allowance > reserve || self.load_times.cached_load_time(backend, artifact).is_some()
+    /// Returns the loads from the weight store that the next replica of a model leaves to others.
+    fn reserved_loads(&self, round: &PlanRound<'_>, model: ModelIndex) -> u32 {
+        if !round.rows.models[model].is_headroom() {
+            return 0;
+        }
+        (f64::from(self.bound.max_loads) * self.settings.headroom_reserve) as u32
     }
 
-    fn spend_load(&mut self, plan: &mut SharePlan<'_>, backend: &BackendId, artifact: &Artifact) -> bool {
-        if self.load_times.cached_load_time(backend, artifact).is_some() {
+    /// Returns whether a load may begin, and counts it if it comes from the weight store.
+    fn spend_load(&mut self, round: &mut PlanRound<'_>, runner: RunnerIndex, model: Option<ModelIndex>) -> bool {
+        let row = &round.rows.runners[runner];
+        if model.is_some_and(|model| row.copy_load_s(model).is_some()) {
             return true;
         }
-        if plan.allowance == 0 {
+        if round.allowance == 0 {
             return false;
         }
-        plan.allowance -= 1;
-        self.loads.record(plan.now, self.bound);
+        round.allowance -= 1;
+        self.loads.record(round.now, self.bound);
         true
     }
 }
-
-fn load_move(runner: &RunnerView, artifact: &Artifact, memory_mib: MemoryMib) -> PlannedMove {
-    PlannedMove::Load {
-        backend: runner.backend.clone(),
-        accelerator: 0,
-        artifact: artifact.clone(),
-        memory_mib,
-    }
-}
-
-fn holds(runner: &RunnerView, artifact: &Artifact) -> bool {
-    let mut holdings = runner.accelerators.iter().flat_map(|accelerator| &accelerator.holdings);
-    holdings.any(|holding| holding.artifact == *artifact)
-}
-
-/// Returns whether no load or unload is in progress at a runner.
-fn is_idle(runner: &RunnerView) -> bool {
-    let mut holdings = runner.accelerators.iter().flat_map(|accelerator| &accelerator.holdings);
-    holdings.all(|holding| holding.state == HoldingState::Resident)
-}
-
-pub(super) fn free_mib(runner: &RunnerView) -> MemoryMib {
-    runner.accelerators.iter().map(AcceleratorView::free_mib).sum()
-}
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -80,7 +80,7 @@
     node_count::{NodeCount, NodeCountHistory},
     order_claims::{ClaimId, CountRange, MAX_ORDER_DELAY, OrderClaims},
     permits::{PermitIssuer, PermitSchedule},
-    planner::{OrderKind, PlacementOrder, PlacementPlanner, PlanEffort, PlannerSettings, RunnerHoldings},
+    planner::{OrderKind, PlacementOrder, PlacementPlanner, PlannerSettings, RunnerHoldings},
     prefix::PrefixIndex,
     process_evidence::ProcessEvidence,
     quotas::{
--- a/crates/mustardgate-core/src/relay/planner.rs
+++ b/crates/mustardgate-core/src/relay/planner.rs
@@ -1,7 +1,7 @@
 //! Placement of models on listed runners, by the placement policy that the rest of the system also uses.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashSet},
     time::{Duration, Instant},
 };
 
@@ -15,13 +15,11 @@
         AcceleratorView, ArtifactDemand, DomainView, Holding, HoldingState, PlacementPolicy, PlannedMove, RunnerView,
         demand::{DemandEstimator, DemandSettings},
         gain::LoadTimes,
-        share::{LoadAccount, LoadBound, SharePolicy, ShareSettings},
+        share::{LoadAccount, LoadBound, PlanEffort, SharePolicy, ShareSettings},
     },
     resources::PriorityClass,
 };
 
-pub use crate::placement::share::PlanEffort;
-
 /// Loads of the allowed number that are held in reserve, because an order may be carried out late or twice.
 const RESERVED_LOADS: f64 = 2.0;
 /// Extension of the load window: orders may arrive late by up to this time, which can bring loads closer together.
@@ -226,14 +224,13 @@
         self.policy.set_headroom_weights(self.headroom_weights(engine));
         let moves = self.policy.plan(now, &view);
         let mut ordered: BTreeSet<BackendId> = BTreeSet::new();
+        let idle = runners.iter().filter(|runner| !runner.is_busy);
+        let idle: HashSet<&BackendId> = idle.map(|runner| &runner.backend).collect();
         moves
             .into_iter()
             .map(to_order)
             .filter(|order| ordered.insert(order.backend.clone()))
-            .filter(|order| {
-                let found = runners.iter().find(|runner| runner.backend == order.backend);
-                found.is_some_and(|runner| !runner.is_busy)
-            })
+            .filter(|order| idle.contains(&order.backend))
             .collect()
     }
 
--- a/crates/mustardgate-relay/src/peers/traffic.rs
+++ b/crates/mustardgate-relay/src/peers/traffic.rs
@@ -8,7 +8,7 @@
 
 use metrics::{counter, histogram};
 use mustardgate::events;
-use mustardgate_core::{clock, relay::PlanEffort};
+use mustardgate_core::{clock, placement::share::PlanEffort};
 use slog::{Logger, o};
 
 /// Time between two lines about the control load of a node that leads or that no leader answers.
