--- a/crates/mustardgate-core/src/placement/share/rows.rs
+++ b/crates/mustardgate-core/src/placement/share/rows.rs
@@ -21,7 +21,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct ModelRow<'a> {
     pub(super) artifact: &'a Artifact,
-    /// Whether the model is declared; others are held only because of an older configuration.
+    /// False for a model that is only held, because of an older configuration.
     pub(super) is_declared: bool,
     /// Requests a second.
     pub(super) rate: f64,
@@ -32,9 +32,9 @@
     pub(super) ready: u32,
     /// Weight of a replica ahead of demand, if the model gets some.
     pub(super) headroom_weight: Option<f64>,
-    /// Whether the model has had more replicas than it needs for long enough to lose one for a replica ahead of demand.
+    /// Set once the model has had more replicas than it needs for long enough to lose one for a replica ahead of demand.
     pub(super) has_stable_surplus: bool,
-    /// Whether the model gets replicas in this plan or has memory reserved.
+    /// Set for a model that gets replicas in this plan or has memory reserved.
     pub(super) is_growing: bool,
     /// Duration of a load from the weight store, in seconds.
     pub(super) store_load_s: f64,
@@ -101,7 +101,7 @@
 pub(super) struct HeldModel {
     pub(super) model: ModelIndex,
     pub(super) memory_mib: MemoryMib,
-    /// Whether it has been there for the minimum residence; not looked up where another reason keeps the replica.
+    /// Set if it has been there for the minimum residence; not looked up where another reason keeps the replica.
     pub(super) has_stayed: bool,
 }
 
@@ -109,7 +109,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct RunnerRow<'a> {
     pub(super) view: &'a RunnerView,
-    /// Whether no load or unload is in progress.
+    /// Set if no load or unload is in progress.
     pub(super) is_idle: bool,
     pub(super) free_mib: MemoryMib,
     pub(super) held: Vec<HeldModel>,
--- a/crates/mustardgate-core/src/relay/crashes/digest.rs
+++ b/crates/mustardgate-core/src/relay/crashes/digest.rs
@@ -64,19 +64,20 @@
         self.digest_of(now, crashes, |input| self.is_suspect(input))
     }
 
-    /// Returns what has changed of that after a change which a node has seen, with the number of the last change.
+    /// Returns what [`CrashLedger::suspect_digest`] holds of the inputs that changed after the change `seen`, with the number of
+    /// the last change; see `docs/design/platform.md`, "Crashing inputs".
     ///
     /// A leader answers every node several times within a contact time; told anew each time, the crashes of a wave of lost
     /// runners fill its link. Quarantines are few, and requests extend them, so all are told.
     pub fn suspect_changes(&self, now: Instant, seen: ChangeNumber) -> (CrashDigest, ChangeNumber) {
-        let (first, last) = self.change_numbers;
-        let is_own = (first..=last).contains(&seen);
+        // A number of another process says nothing of this one's changes.
+        let is_own = (self.changes_from..=self.last_change).contains(&seen);
         let is_news = |input: InputId| {
             let changed = self.changed.get(&input);
             changed.is_some_and(|changed| !is_own || *changed > seen) && self.is_suspect(input)
         };
         let crashes = self.observations(now, |input, _, _| is_news(input));
-        (self.digest_of(now, crashes, is_news), last)
+        (self.digest_of(now, crashes, is_news), self.last_change)
     }
 
     /// Returns everything that this node knows, for nodes without a leader; of many crashes only the newest.
--- a/crates/mustardgate-core/src/relay/crashes/mod.rs
+++ b/crates/mustardgate-core/src/relay/crashes/mod.rs
@@ -78,8 +78,9 @@
     probed: BTreeMap<InputId, Instant>,
     /// Number of the last change of each input of which other nodes have to be told.
     changed: BTreeMap<InputId, ChangeNumber>,
-    /// Number before the first change, and of the last one.
-    change_numbers: (ChangeNumber, ChangeNumber),
+    /// Number before the first change.
+    changes_from: ChangeNumber,
+    last_change: ChangeNumber,
     /// Grows with each crash that becomes known, and with each quarantine that begins or ends.
     revision: u64,
     /// When expired entries were last dropped.
@@ -103,7 +104,8 @@
             quarantined: BTreeMap::new(),
             probed: BTreeMap::new(),
             changed: BTreeMap::new(),
-            change_numbers: (0, 0),
+            changes_from: 0,
+            last_change: 0,
             revision: 0,
             expired_at: None,
         }
@@ -113,7 +115,8 @@
     /// seen of one says nothing of another.
     #[must_use]
     pub fn with_changes_from(mut self, first: ChangeNumber) -> Self {
-        self.change_numbers = (first, first);
+        self.changes_from = first;
+        self.last_change = first;
         self
     }
 
@@ -170,9 +173,8 @@
     }
 
     fn record_change(&mut self, input: InputId) {
-        let (_, last) = &mut self.change_numbers;
-        *last += 1;
-        self.changed.insert(input, *last);
+        self.last_change += 1;
+        self.changed.insert(input, self.last_change);
     }
 
     /// Quarantines the inputs that meet the conditions now, and returns them with the number of crashes.
--- a/crates/mustardgate-relay/src/context/crashes.rs
+++ b/crates/mustardgate-relay/src/context/crashes.rs
@@ -98,7 +98,7 @@
         self.updated(CrashLedger::suspect_digest)
     }
 
-    /// Returns what has changed of that after a change which a node has seen, with the number of the last change.
+    /// Returns what of that changed after a change that a node has seen, with the number of the last change.
     pub fn suspect_changes(&self, seen: ChangeNumber) -> (CrashDigest, ChangeNumber) {
         self.updated(|ledger, now| ledger.suspect_changes(now, seen))
     }
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -136,7 +136,7 @@
     pub peers: PeerClient,
     /// Limit on the bytes that this node sends to other nodes.
     pub feed: FeedLimiter,
-    /// What this node spends on other nodes.
+    /// Bytes and plans that this node spends on control.
     pub load: Arc<ControlLoad>,
     /// Addresses of other nodes.
     pub directory: Arc<PeerDirectory>,
--- a/crates/mustardgate-relay/src/peers/traffic.rs
+++ b/crates/mustardgate-relay/src/peers/traffic.rs
@@ -26,7 +26,7 @@
     Sent,
 }
 
-/// Counts what a node spends on other nodes.
+/// Counts the bytes of messages between nodes and the work of plans.
 ///
 /// A leader serves all nodes, so what it spends shows first whether a deployment has outgrown its machines; see
 /// `docs/CAPACITY.md`.
@@ -36,7 +36,7 @@
     logger: Logger,
 }
 
-/// What was spent since the last line.
+/// Counts since the last line.
 #[derive(Debug)]
 struct LoadCounts {
     since: Instant,
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -177,7 +177,7 @@
 pub const RELAY_REQUEST_WAITED: EventKind = event(691, Level::Info, "request waited for capacity");
 /// No runner takes a request by its forecast; with the forecast and the time until there is room for it.
 pub const RELAY_CAPACITY_SHORT: EventKind = event(692, Level::Info, "no capacity for request");
-/// What a node that leads, or that no leader answers, has spent on other nodes and on plans; each 5 s.
+/// Bytes of messages and time of plans of a node that leads, or that no leader answers; each 5 s.
 pub const RELAY_CONTROL_LOAD: EventKind = event(643, Level::Info, "control load");
 /// The leader does not answer any more; with how long it has not.
 pub const RELAY_LEADER_SILENT: EventKind = event(644, Level::Warning, "leader silent");
--- a/crates/standins/src/proof/crashing/mod.rs
+++ b/crates/standins/src/proof/crashing/mod.rs
@@ -1,6 +1,7 @@
 //! Proof that a request under which every runner crashes soon reaches runners no more, whoever leads and whoever is cut
 //! off, and that sound requests beside it go on.
 
+mod messages;
 mod simulation;
 
 use self::simulation::CrashSimulation;
--- a/crates/standins/src/proof/crashing/simulation.rs
+++ b/crates/standins/src/proof/crashing/simulation.rs
@@ -5,11 +5,12 @@
     time::{Duration, Instant},
 };
 
-use mustardgate_core::relay::{ChangeNumber, CrashDigest, CrashLedger, CrashSettings, InputId, RequestContent};
+use mustardgate_core::relay::{ChangeNumber, CrashLedger, CrashSettings, InputId, RequestContent};
 use rand::{Rng, SeedableRng, seq::IteratorRandom};
 use rand_chacha::ChaCha8Rng;
 use smol_str::format_smolstr;
 
+use super::messages::{MessageContent, SimulatedMessage};
 use crate::proof::{
     GuaranteeViolation, GuardMode,
     cadence::{CONTACT_TIME, REPORT_INTERVAL_MS, message_time},
@@ -42,24 +43,6 @@
     seen: BTreeMap<usize, ChangeNumber>,
 }
 
-/// What one node tells another.
-#[derive(Debug)]
-struct SimulatedMessage {
-    due_at: Instant,
-    receiver: usize,
-    sender: usize,
-    digest: CrashDigest,
-    content: MessageContent,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum MessageContent {
-    /// The receiver answers with what it knows. Of a leader's changes the sender has seen those up to the number.
-    Report(ChangeNumber),
-    /// The answer of a leader, with the number of its newest change, or of another node.
-    Answer(Option<ChangeNumber>),
-}
-
 #[derive(Debug)]
 struct SimulatedRunner {
     starts: u64,
