One fleet for the test and the benchmark of plans; two builds side by side, tested

Cause: the benchmark repeated 30 lines of the test, and no test said how nodes of earlier builds stand to the number of the newest change of crashes. Change: both use plan_fleet.rs; a report without the number counts as one that has seen nothing, an answer with it is understood without it. outer-names against: fields are added, none is lost.

--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -27,6 +27,7 @@
 mod permits;
 mod placement;
 mod plan_effort;
+mod plan_fleet;
 mod process_evidence;
 mod quota_messages;
 mod quota_simulation;
--- a/crates/mustardgate-relay/tests/messages.rs
+++ b/crates/mustardgate-relay/tests/messages.rs
@@ -206,6 +206,8 @@
         limits: Vec::new(),
     });
     assert_eq!((report.address, report.seen, report.domain.clone()), (address, 7, None));
+    // It names no change of crashes, so it gets all of them.
+    assert_eq!(report.crashes_seen, 0);
     assert_eq!(convert::<_, UnversionedReport>(&report).seen, 7);
     let answer: LeaderAnswer = convert(&UnversionedAnswer {
         is_leading: true,
@@ -213,9 +215,10 @@
         ..UnversionedAnswer::default()
     });
     assert!(answer.is_leading && answer.members.is_none() && answer.versions.covers.is_none());
-    assert_eq!(answer.loan, None);
+    assert_eq!((answer.loan, answer.crashes_seen), (None, 0));
     let told = LeaderAnswer {
         nodes: 9,
+        crashes_seen: 7,
         members: Some(vec![NodeMember {
             address,
             domain: "east".into(),
