--- a/crates/standins/src/harness/mod.rs
+++ b/crates/standins/src/harness/mod.rs
@@ -5,6 +5,7 @@
 mod binaries;
 mod child;
 mod cluster;
+mod memory;
 mod node;
 mod proxy;
 mod scratch;
@@ -16,6 +17,7 @@
     binaries::BinarySet,
     child::{ChildProcess, HarnessError},
     cluster::{BackendKind, BackendOptions, ClusterOptions, DomainOptions, RunningBackend, TestCluster},
+    memory::{MemoryPeak, MemoryWatch},
     node::{NodeAddresses, RunningNode},
     proxy::{FaultProxy, ProxyMode},
     scratch::{ScratchDirectory, free_address},
