Relay: bound the bytes of callers that were received and not yet read

Cause: no socket had a receive buffer of the node's choice, so the kernel sized each by itself, to megabytes. Connections that nobody had accepted held theirs too, up to 1,024 of them. No ledger saw either. The listener for readiness checks had as many places again.

Change: listeners set a receive buffer of 64 KiB before they open, which connections inherit, and have a short queue. A place costs 128 KiB: what it took, and its receive buffer. BufferLimits divides the memory so that process, buffered bytes, places and queues together fit; a property test adds them up for each memory from 64 MB on. Readiness checks get an eighth of the places. Connections of the queue of a stopping node wait for places as others do.

--- a/crates/mustardgate-core/src/buffers/ledger.rs
+++ b/crates/mustardgate-core/src/buffers/ledger.rs
@@ -8,6 +8,7 @@
 
 use derive_more::Display;
 
+use super::BufferLimits;
 use crate::ids::BackendId;
 
 /// Control calls have the total divided by this to themselves, so that slow callers cannot keep the node from the log.
@@ -63,15 +64,6 @@
     Connections,
 }
 
-/// Limits of [`BufferLedger`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct BufferLimits {
-    /// Bytes that all sources but connections may hold together.
-    pub total_bytes: usize,
-    /// Bytes that callers' connections may hold beside the bodies of their requests.
-    pub connection_bytes: usize,
-}
-
 #[derive(Clone, Debug)]
 struct BufferHolding {
     source: BufferSource,
--- /dev/null
+++ b/crates/mustardgate-core/src/buffers/limits.rs
@@ -0,0 +1,79 @@
+//! How the memory of a process is divided among what callers can make it hold.
+
+/// Bytes in a megabyte.
+const MEGABYTE: usize = 1024 * 1024;
+/// Memory of a process without callers.
+const PROCESS_BYTES: usize = 22 * MEGABYTE;
+/// Part of the memory that buffered bytes may take.
+const BUFFER_DIVISOR: usize = 4;
+/// Part of the memory beside the process's own that callers' connections may take.
+const CONNECTION_DIVISOR: usize = 2;
+/// Callers' connections that wait to be accepted are at most the places divided by this. They hold bytes that were
+/// received, too.
+const CALLER_QUEUE_DIVISOR: usize = 4;
+/// The same for connections of other nodes.
+const NODE_QUEUE_DIVISOR: usize = 8;
+/// The same for connections of readiness checks.
+const CHECK_QUEUE_DIVISOR: usize = 16;
+/// Bytes that a connection takes beside its receive buffer: two read buffers of 16 KiB, the write buffer of 8 KiB, the
+/// request's task, and the first 16 KiB of the body, which need no reservation.
+const CONNECTION_BYTES: usize = 64 * 1024;
+/// Bytes of a connection that the kernel keeps until they are read. Half of them are offered to the sender as its window,
+/// which is enough for 10 Mbit/s at a round trip of 25 ms.
+pub const RECEIVE_BYTES: usize = 64 * 1024;
+/// Bytes that a connection takes in all, beside the part of a body that is reserved.
+pub const PLACE_BYTES: usize = CONNECTION_BYTES + RECEIVE_BYTES;
+
+/// Whose connections a listener accepts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListenerRole {
+    /// Callers.
+    Callers,
+    /// Other nodes, or operators.
+    Nodes,
+    /// Checks whether the node is ready.
+    Checks,
+}
+
+/// Limits of [`BufferLedger`](super::BufferLedger).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BufferLimits {
+    /// Bytes that all sources but connections may hold together.
+    pub total_bytes: usize,
+    /// Bytes that callers' connections may hold beside the bodies of their requests.
+    pub connection_bytes: usize,
+}
+
+impl BufferLimits {
+    /// Returns the limits of a process with some memory, so that everything which callers can make it hold fits.
+    ///
+    /// The sums for machines of all sizes stand in `docs/design/untrusted-callers.md`.
+    pub fn within(memory_bytes: usize) -> Self {
+        Self {
+            total_bytes: memory_bytes / BUFFER_DIVISOR,
+            connection_bytes: memory_bytes.saturating_sub(PROCESS_BYTES) / CONNECTION_DIVISOR,
+        }
+    }
+
+    /// Returns the number of callers' connections that fit.
+    pub fn places(&self) -> usize {
+        self.connection_bytes / PLACE_BYTES
+    }
+
+    /// Returns the number of connections that may wait to be accepted at a listener.
+    pub fn queued_connections(&self, role: ListenerRole) -> usize {
+        let divisor = match role {
+            ListenerRole::Callers => CALLER_QUEUE_DIVISOR,
+            ListenerRole::Nodes => NODE_QUEUE_DIVISOR,
+            ListenerRole::Checks => CHECK_QUEUE_DIVISOR,
+        };
+        (self.places() / divisor).max(1)
+    }
+
+    /// Returns the most bytes that a process within the limits holds.
+    pub fn largest_bytes(&self) -> usize {
+        let roles = [ListenerRole::Callers, ListenerRole::Nodes, ListenerRole::Checks];
+        let queued: usize = roles.map(|role| self.queued_connections(role)).into_iter().sum();
+        PROCESS_BYTES + self.total_bytes + self.connection_bytes + queued * RECEIVE_BYTES
+    }
+}
--- a/crates/mustardgate-core/src/buffers/mod.rs
+++ b/crates/mustardgate-core/src/buffers/mod.rs
@@ -4,9 +4,11 @@
 //! `docs/incidents/2026-12-06-lost-endless-answers.md`.
 
 mod ledger;
+mod limits;
 mod unfinished;
 
 pub use self::{
-    ledger::{BufferLedger, BufferLimits, BufferSource, HolderId},
+    ledger::{BufferLedger, BufferSource, HolderId},
+    limits::{BufferLimits, ListenerRole, PLACE_BYTES, RECEIVE_BYTES},
     unfinished::{ConnectionId, STALL_TIME, UnfinishedBodies},
 };
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -5,6 +5,7 @@
 mod answer_head;
 mod brittle;
 mod budget;
+mod buffer_limits;
 mod buffers;
 mod catalogue;
 mod crash_changes;
--- a/crates/mustardgate-relay/src/gateway/listener.rs
+++ b/crates/mustardgate-relay/src/gateway/listener.rs
@@ -43,8 +43,6 @@
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 /// Time between closing the listener and closing the connections without a request.
 const LAST_READ_TIME: Duration = Duration::from_millis(50);
-/// Callers' connections may use the process's file descriptors divided by this number.
-const CALLER_DESCRIPTOR_DIVISOR: u64 = 2;
 /// Smallest read buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Largest number of header fields of a request.
@@ -61,6 +59,8 @@
     pub listener: TcpListener,
     /// Handler of one request.
     pub handler: H,
+    /// Connections that may be open at once.
+    pub places: usize,
 }
 
 /// An accepted connection.
@@ -92,11 +92,13 @@
     H: Fn(Arc<RelayContext>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
     F: Future<Output = Response<RelayBody>> + Send + 'static,
 {
-    let CallerListener { listener, handler } = listener;
+    let CallerListener {
+        listener,
+        handler,
+        places,
+    } = listener;
     let connections = TaskTracker::new();
     let last_read = CancellationToken::new();
-    let by_descriptors = (context.settings.node.max_descriptors / CALLER_DESCRIPTOR_DIVISOR) as usize;
-    let places = by_descriptors.min(context.buffers.connection_capacity()).max(1);
     let slots = Arc::new(Semaphore::new(places));
     let caller_slots = Arc::<CallerSlots>::default();
     let keeping = Arc::clone(&caller_slots).evict_stalled(Arc::clone(&context), Arc::clone(&slots), places);
@@ -134,11 +136,17 @@
             }
         }
     }
-    // The queue is short, so its connections need no slots.
+    // Connections of the queue wait for places as well: requests that are unfinished or answered leave theirs.
     for stream in close_listener(listener) {
         // A caller that has left already has no address.
         if let Ok(address) = stream.peer_addr() {
-            connections.spawn(serve(stream, CallerAddress(address.ip())));
+            let connection = serve(stream, CallerAddress(address.ip()));
+            let slots = Arc::clone(&slots);
+            connections.spawn(async move {
+                let slot = slots.acquire_owned().await;
+                connection.await;
+                drop(slot);
+            });
         }
     }
     // Requests that have arrived on connections accepted last are still read; closing those connections would reset them.
--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -13,10 +13,14 @@
 use mustardgate::{
     buffers::BufferBudget,
     events,
+    http::bind_listener,
     node::{StartError, StopOutcome},
     telemetry::install_recorder,
 };
-use mustardgate_core::ports::LogTopic;
+use mustardgate_core::{
+    buffers::{BufferLimits, ListenerRole},
+    ports::LogTopic,
+};
 use slog::o;
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -35,6 +39,11 @@
     settings::RelaySettings,
 };
 
+/// Callers' connections may use the process's file descriptors divided by this number.
+const CALLER_DESCRIPTOR_DIVISOR: u64 = 2;
+/// Readiness checks have the places of callers divided by this to themselves, if they come to a listener of their own.
+const READINESS_DIVISOR: usize = 8;
+
 /// Runs a node until a planned stop has ended; `path` is the file that the settings came from, `buffers` the budget that
 /// the ports draw on as well, and `signals` are handled since the program began.
 ///
@@ -72,14 +81,12 @@
 ) -> Result<NodeTasks, StartError> {
     let listen = &context.settings.listen;
     let mut callers = Vec::new();
-    let mut addresses = vec![listen.callers];
-    if listen.readiness != listen.callers {
-        addresses.push(listen.readiness);
-    }
-    for address in addresses {
+    let limits = context.buffers.limits();
+    for (address, role, places) in caller_places(&context.settings, limits) {
         let listener = CallerListener {
-            listener: bind(address).await?,
+            listener: bind(address, limits.queued_connections(role))?,
             handler: answer_caller,
+            places,
         };
         callers.push(tokio::spawn(serve_callers(Arc::clone(context), listener)));
     }
@@ -93,7 +100,7 @@
         // A planned stop waits for it as well, because it passes on requests of other nodes.
         callers.push(tokio::spawn(serve_peers(
             Arc::clone(context),
-            bind(address).await?,
+            bind(address, limits.queued_connections(ListenerRole::Nodes))?,
             metrics,
         )));
         tokio::spawn(LeaseTask::new(Arc::clone(context), address).run());
@@ -130,10 +137,23 @@
     drop(keep_running(logger, name, move || start(Arc::clone(&context))));
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| StartError::Listen { address, source })
+/// Returns the listeners for callers and for readiness checks, each with the connections that it may have open at once.
+fn caller_places(settings: &RelaySettings, limits: BufferLimits) -> Vec<(SocketAddr, ListenerRole, usize)> {
+    let by_descriptors = (settings.node.max_descriptors / CALLER_DESCRIPTOR_DIVISOR) as usize;
+    let places = by_descriptors.min(limits.places()).max(1);
+    let listen = &settings.listen;
+    if listen.readiness == listen.callers {
+        return vec![(listen.callers, ListenerRole::Callers, places)];
+    }
+    let checks = (places / READINESS_DIVISOR).max(1);
+    vec![
+        (listen.callers, ListenerRole::Callers, (places - checks).max(1)),
+        (listen.readiness, ListenerRole::Checks, checks),
+    ]
+}
+
+fn bind(address: SocketAddr, queued: usize) -> Result<TcpListener, StartError> {
+    bind_listener(address, queued).map_err(|source| StartError::Listen { address, source })
 }
 
 async fn bind_datagrams(address: SocketAddr) -> Result<UdpSocket, StartError> {
--- a/crates/mustardgate-relay/src/settings/mod.rs
+++ b/crates/mustardgate-relay/src/settings/mod.rs
@@ -24,11 +24,6 @@
 
 pub use self::{feed::FeedSettings, paced::PacedSettings};
 
-/// Part of the memory that buffered bytes may take; the rest is for the process itself, for callers' connections, for what
-/// the operating system holds, and for what is made of the bytes.
-const BUFFER_DIVISOR: u64 = 4;
-/// Part of the memory that callers' connections may take beside buffered bytes.
-const CONNECTION_DIVISOR: u64 = 3;
 /// Smallest memory with which buffers hold an answer of the largest size.
 const MIN_MEMORY_MB: u64 = 64;
 /// Memory assumed of a machine whose memory is not stated, in megabytes.
@@ -94,10 +89,7 @@
     pub fn buffer_limits(&self, stated_mb: Option<u64>) -> BufferLimits {
         let memory_mb = self.memory_mb.or(stated_mb).unwrap_or(DEFAULT_MEMORY_MB);
         let memory_bytes = memory_mb.max(MIN_MEMORY_MB).saturating_mul(MEGABYTE);
-        BufferLimits {
-            total_bytes: (memory_bytes / BUFFER_DIVISOR) as usize,
-            connection_bytes: (memory_bytes / CONNECTION_DIVISOR) as usize,
-        }
+        BufferLimits::within(memory_bytes as usize)
     }
 }
 
--- a/crates/mustardgate/src/buffers/budget.rs
+++ b/crates/mustardgate/src/buffers/budget.rs
@@ -11,13 +11,10 @@
 
 use bytes::Bytes;
 use metrics::gauge;
-use mustardgate_core::buffers::{BufferLedger, BufferLimits, BufferSource, HolderId};
+use mustardgate_core::buffers::{BufferLedger, BufferLimits, BufferSource, HolderId, PLACE_BYTES};
 use snafu::Snafu;
 use tokio::sync::Notify;
 
-/// Bytes that a connection takes beside reserved ones: two read buffers of 16 KiB, the write buffer of 8 KiB, the request's
-/// task, and [`FREE_BYTES`] of the body. 750 connections with unfinished bodies took 56 MB more than none.
-const CONNECTION_BYTES: usize = 64 * 1024;
 /// Bytes that a holder may have without a reservation. They are bounded by the number of connections.
 const FREE_BYTES: usize = 16 * 1024;
 /// Reservations are multiples of this, so that most bytes need none.
@@ -31,6 +28,7 @@
 /// The budget of buffered bytes.
 #[derive(Debug)]
 pub struct BufferBudget {
+    limits: BufferLimits,
     state: Mutex<BudgetState>,
 }
 
@@ -54,6 +52,7 @@
     /// Creates a budget of which nothing is used.
     pub fn new(limits: BufferLimits) -> Self {
         Self {
+            limits,
             state: Mutex::new(BudgetState {
                 ledger: BufferLedger::new(limits),
                 signals: HashMap::new(),
@@ -96,9 +95,9 @@
         self.lock().ledger.is_short_for_requests()
     }
 
-    /// Returns the number of callers' connections for which there is room.
-    pub fn connection_capacity(&self) -> usize {
-        self.lock().ledger.connection_capacity(CONNECTION_BYTES)
+    /// Returns the limits of the budget.
+    pub fn limits(&self) -> BufferLimits {
+        self.limits
     }
 
     /// Returns a guard for what a connection of a caller takes beside the body of its request.
@@ -107,7 +106,7 @@
     /// [`NoRoom`] when there are as many connections as fit.
     pub fn connection(self: &Arc<Self>) -> Result<BufferGuard, NoRoom> {
         let mut guard = self.guard(BufferSource::Connections);
-        guard.cover(FREE_BYTES + CONNECTION_BYTES)?;
+        guard.cover(FREE_BYTES + PLACE_BYTES)?;
         Ok(guard)
     }
 
--- a/crates/mustardgate/src/http/mod.rs
+++ b/crates/mustardgate/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod client;
 mod connection;
+mod listen;
 mod queue;
 mod server;
 mod steady;
@@ -16,6 +17,7 @@
     },
     client::{CallError, CallLimits, HttpClient, HttpReply, StreamReply},
     connection::{catch_panic, drive_connection},
+    listen::bind_listener,
     queue::close_listener,
     server::{ConnectionLimits, serve_connections},
     steady::BodyPace,
