Move the slots of unfinished requests to the product, for its own gateway

The relay's listener and the product's need the same eviction. A body has an identifier of its own instead of its connection's, because an HTTP/2 connection receives several at once. No behaviour changes: the caller of evict_stalled writes the log line.

--- a/crates/mustardgate-core/src/buffers/mod.rs
+++ b/crates/mustardgate-core/src/buffers/mod.rs
@@ -10,5 +10,5 @@
 pub use self::{
     ledger::{BufferLedger, BufferSource, HolderId},
     limits::{BufferLimits, ListenerRole, PLACE_BYTES, RECEIVE_BYTES},
-    unfinished::{ConnectionId, STALL_TIME, UnfinishedBodies},
+    unfinished::{BodyId, STALL_TIME, UnfinishedBodies},
 };
--- a/crates/mustardgate-core/src/buffers/unfinished.rs
+++ b/crates/mustardgate-core/src/buffers/unfinished.rs
@@ -10,8 +10,8 @@
 /// Time without progress after which a body may give way. A link that lost a packet goes on within it.
 pub const STALL_TIME: Duration = Duration::from_secs(1);
 
-/// Identifier of a connection, unique in a process.
-pub type ConnectionId = u64;
+/// Identifier of a body that is received, unique in a process.
+pub type BodyId = u64;
 
 #[derive(Clone, Copy, Debug)]
 struct BodyProgress {
@@ -27,22 +27,22 @@
 /// give way first; their requests have not run. Bodies that arrive keep their room however long they take.
 #[derive(Clone, Debug, Default)]
 pub struct UnfinishedBodies {
-    bodies: BTreeMap<ConnectionId, BodyProgress>,
+    bodies: BTreeMap<BodyId, BodyProgress>,
 }
 
 impl UnfinishedBodies {
-    /// Records that the body of a request is being received on a connection.
-    pub fn begin(&mut self, connection: ConnectionId, now: Instant) {
+    /// Records that the body of a request is being received.
+    pub fn begin(&mut self, id: BodyId, now: Instant) {
         let progress = BodyProgress {
             fresh_bytes: 0,
             progressed_at: now,
         };
-        self.bodies.insert(connection, progress);
+        self.bodies.insert(id, progress);
     }
 
     /// Records that bytes of the body arrived.
-    pub fn record_bytes(&mut self, connection: ConnectionId, bytes: usize, now: Instant) {
-        let Some(body) = self.bodies.get_mut(&connection) else {
+    pub fn record_bytes(&mut self, id: BodyId, bytes: usize, now: Instant) {
+        let Some(body) = self.bodies.get_mut(&id) else {
             return;
         };
         body.fresh_bytes += bytes;
@@ -55,16 +55,15 @@
     }
 
     /// Records that the body is whole, or not received any further.
-    pub fn end(&mut self, connection: ConnectionId) {
-        self.bodies.remove(&connection);
+    pub fn end(&mut self, id: BodyId) {
+        self.bodies.remove(&id);
     }
 
-    /// Removes at most `count` bodies without progress, those first that made none for longest, and returns their
-    /// connections.
-    pub fn evict(&mut self, count: usize, now: Instant) -> Vec<ConnectionId> {
+    /// Removes at most `count` bodies without progress, those first that made none for longest, and returns them.
+    pub fn evict(&mut self, count: usize, now: Instant) -> Vec<BodyId> {
         let silence = |body: &BodyProgress| now.saturating_duration_since(body.progressed_at);
         let stalled = self.bodies.iter().filter(|(_, body)| silence(body) >= STALL_TIME);
-        let mut stalled: Vec<(Instant, ConnectionId)> = stalled.map(|(id, body)| (body.progressed_at, *id)).collect();
+        let mut stalled: Vec<(Instant, BodyId)> = stalled.map(|(id, body)| (body.progressed_at, *id)).collect();
         stalled.sort_unstable();
         stalled.truncate(count);
         for (_, id) in &stalled {
--- a/crates/mustardgate-core/tests/relay/unfinished.rs
+++ b/crates/mustardgate-core/tests/relay/unfinished.rs
@@ -2,10 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use mustardgate_core::buffers::{ConnectionId, STALL_TIME, UnfinishedBodies};
+use mustardgate_core::buffers::{BodyId, STALL_TIME, UnfinishedBodies};
 
 /// Callers of a crowd, and the interval in which they come.
-const CROWD: ConnectionId = 40;
+const CROWD: BodyId = 40;
 const INTERVAL: Duration = Duration::from_millis(10);
 const STEP: Duration = Duration::from_millis(100);
 
--- a/crates/mustardgate-relay/src/gateway/body.rs
+++ b/crates/mustardgate-relay/src/gateway/body.rs
@@ -8,11 +8,13 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use mustardgate::buffers::{CollectError, collect_bytes};
+use mustardgate::{
+    buffers::{CollectError, collect_bytes},
+    callers::CallerSlot,
+};
 use mustardgate_core::{buffers::BufferSource, clock, relay::CallerLimits};
 use tokio::time;
 
-use super::caller_slots::CallerSlot;
 use crate::context::RelayContext;
 
 /// Bytes of a refused request that are read before its answer, and the longest time for that. A refusal that waits for the
--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -9,7 +9,7 @@
     header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING},
 };
 use metrics::{counter, histogram};
-use mustardgate::{drain::InFlightGuard, events};
+use mustardgate::{callers::CallerSlot, drain::InFlightGuard, events};
 use mustardgate_core::{
     clock,
     ids::RequestId,
@@ -24,7 +24,6 @@
     attempt::{OpenAnswer, ReceivedRequest},
     body::{BodyFailure, discard_refused, receive_body},
     buffered::{ForwardOutcome, forward_answer},
-    caller_slots::CallerSlot,
     digests::RequestDigests,
     failure::AttemptError,
     grace::{StopCandidate, check_grace},
--- a/crates/mustardgate-relay/src/gateway/listener.rs
+++ b/crates/mustardgate-relay/src/gateway/listener.rs
@@ -10,10 +10,11 @@
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use mustardgate::{
+    callers::{CallerSlot, CallerSlots, EndedRequests, SharedRoom},
     events,
     http::{SilenceLimit, SilenceTimer, catch_panic, close_listener, drive_connection},
 };
-use mustardgate_core::relay::CallerLimits;
+use mustardgate_core::{ids::RequestId, relay::CallerLimits};
 use slog::o;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -26,12 +27,7 @@
 };
 
 use super::{
-    RelayBody,
-    answer::LocalAnswer,
-    body::caller_limits,
-    caller_slots::{CallerSlot, CallerSlots},
-    connection::ConnectionEnd,
-    linger::LingeringSocket,
+    RelayBody, answer::LocalAnswer, body::caller_limits, connection::ConnectionEnd, linger::LingeringSocket,
     misdirected::refuse_misdirected,
 };
 use crate::{
@@ -101,7 +97,12 @@
     let last_read = CancellationToken::new();
     let slots = Arc::new(Semaphore::new(places));
     let caller_slots = Arc::<CallerSlots>::default();
-    let keeping = Arc::clone(&caller_slots).evict_stalled(Arc::clone(&context), Arc::clone(&slots), places);
+    let room = SharedRoom {
+        buffers: Arc::clone(&context.buffers),
+        places: Arc::clone(&slots),
+        total: places,
+    };
+    let keeping = Arc::clone(&caller_slots).evict_stalled(room, log_ended(Arc::clone(&context)));
     let _keeper = AbortOnDropHandle::new(tokio::spawn(keeping));
     let closing = context.drain.closing();
     let serve = |stream, address| {
@@ -156,6 +157,16 @@
     connections.wait().await;
 }
 
+/// Returns what logs unfinished requests that were ended.
+fn log_ended(context: Arc<RelayContext>) -> impl Fn(EndedRequests) {
+    move |ended| {
+        let values = o!("cause" => ended.cause, "requests" => ended.count);
+        context
+            .log
+            .write(events::RELAY_UNFINISHED_ENDED, &RequestId::default(), values);
+    }
+}
+
 fn serve_connection<H, F>(
     context: Arc<RelayContext>,
     caller: CallerConnection,
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -6,7 +6,6 @@
 mod attempt;
 mod body;
 mod buffered;
-mod caller_slots;
 mod connection;
 mod crash;
 mod digests;
--- a/crates/mustardgate-relay/src/gateway/caller_slots.rs
+++ b/crates/mustardgate/src/callers/slots.rs
@@ -14,19 +14,16 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use metrics::counter;
-use mustardgate::events;
 use mustardgate_core::{
-    buffers::{ConnectionId, UnfinishedBodies},
+    buffers::{BodyId, UnfinishedBodies},
     clock,
-    ids::RequestId,
 };
-use slog::o;
 use tokio::{
     sync::{Notify, Semaphore},
     time,
 };
 
-use crate::context::RelayContext;
+use crate::buffers::BufferBudget;
 
 /// Interval between two checks whether unfinished requests have to be evicted.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -39,46 +36,57 @@
 
 /// The connections of one listener.
 #[derive(Debug, Default)]
-pub(super) struct CallerSlots {
+pub struct CallerSlots {
     state: Mutex<SlotState>,
 }
 
 #[derive(Debug, Default)]
 struct SlotState {
     bodies: UnfinishedBodies,
-    signals: HashMap<ConnectionId, Arc<Notify>>,
-    next: ConnectionId,
+    signals: HashMap<BodyId, Arc<Notify>>,
+    next: BodyId,
 }
 
-/// One connection, as an extension of its requests.
+/// What the unfinished requests of a listener compete for.
 #[derive(Clone, Debug)]
-pub(super) struct CallerSlot {
+pub struct SharedRoom {
+    /// Budget of their bodies.
+    pub buffers: Arc<BufferBudget>,
+    /// Free places for connections.
+    pub places: Arc<Semaphore>,
+    /// All places for connections.
+    pub total: usize,
+}
+
+/// Unfinished requests that were ended together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndedRequests {
+    /// What was short.
+    pub cause: &'static str,
+    /// How many were ended.
+    pub count: usize,
+}
+
+/// One connection, as an extension of its requests.
+#[derive(Clone, Debug, Default)]
+pub struct CallerSlot {
     caller_slots: Arc<CallerSlots>,
-    id: ConnectionId,
     /// Whether the rest of a refused request is read after its answer.
     lingers: Arc<AtomicBool>,
 }
 
 impl CallerSlots {
     /// Returns a slot for a new connection.
-    pub(super) fn take(self: &Arc<Self>) -> CallerSlot {
-        let mut state = self.lock();
-        state.next += 1;
+    pub fn take(self: &Arc<Self>) -> CallerSlot {
         CallerSlot {
             caller_slots: Arc::clone(self),
-            id: state.next,
             lingers: Arc::default(),
         }
     }
 
-    /// Ends unfinished requests without progress whenever places or room for bodies are short.
-    pub(super) async fn evict_stalled(
-        self: Arc<Self>,
-        context: Arc<RelayContext>,
-        places: Arc<Semaphore>,
-        total: usize,
-    ) {
-        let wanted = (total / FREE_DIVISOR).max(1);
+    /// Ends unfinished requests without progress whenever places or room for bodies are short, and reports them.
+    pub async fn evict_stalled(self: Arc<Self>, room: SharedRoom, report: impl Fn(EndedRequests)) {
+        let wanted = (room.total / FREE_DIVISOR).max(1);
         loop {
             let slept_at = clock::now();
             time::sleep(CHECK_INTERVAL).await;
@@ -86,20 +94,17 @@
             if clock::now().saturating_duration_since(slept_at) > STANDSTILL_TIME {
                 continue;
             }
-            let missing = wanted.saturating_sub(places.available_permits());
-            let (count, cause) = if context.buffers.is_short_for_requests() {
+            let missing = wanted.saturating_sub(room.places.available_permits());
+            let (most, cause) = if room.buffers.is_short_for_requests() {
                 (BATCH, "bytes")
             } else {
                 (missing, "places")
             };
-            let ended = self.evict(count);
-            if ended == 0 {
-                continue;
+            let count = self.evict(most);
+            if count > 0 {
+                counter!("mustardgate_unfinished_requests_ended_total", "cause" => cause).increment(count as u64);
+                report(EndedRequests { cause, count });
             }
-            counter!("mustardgate_unfinished_requests_ended_total", "cause" => cause).increment(ended as u64);
-            let values = o!("cause" => cause, "requests" => ended);
-            let id = RequestId::default();
-            context.log.write(events::RELAY_UNFINISHED_ENDED, &id, values);
         }
     }
 
@@ -124,25 +129,28 @@
 
 impl CallerSlot {
     /// Returns whether the connection shall be read for a while after its last answer, shared with its socket.
-    pub(super) fn lingers(&self) -> Arc<AtomicBool> {
+    pub fn lingers(&self) -> Arc<AtomicBool> {
         Arc::clone(&self.lingers)
     }
 
     /// Has the rest of a refused request read after its answer.
-    pub(super) fn linger(&self) {
+    pub fn linger(&self) {
         self.lingers.store(true, Ordering::Relaxed);
     }
 
     /// Begins to receive a body.
-    pub(super) fn receive<'a>(&self, body: &'a mut Incoming) -> ReceivedBody<'a> {
+    pub fn receive<'a>(&self, body: &'a mut Incoming) -> ReceivedBody<'a> {
         let signal = Arc::<Notify>::default();
         let mut state = self.caller_slots.lock();
-        state.bodies.begin(self.id, clock::now());
-        state.signals.insert(self.id, Arc::clone(&signal));
+        state.next += 1;
+        let id = state.next;
+        state.bodies.begin(id, clock::now());
+        state.signals.insert(id, Arc::clone(&signal));
         drop(state);
         ReceivedBody {
             body,
-            caller_slot: self.clone(),
+            caller_slots: Arc::clone(&self.caller_slots),
+            id,
             signal,
         }
     }
@@ -150,15 +158,16 @@
 
 /// The body of a request that is being received, and may have to give way.
 #[derive(Debug)]
-pub(super) struct ReceivedBody<'a> {
+pub struct ReceivedBody<'a> {
     body: &'a mut Incoming,
-    caller_slot: CallerSlot,
+    caller_slots: Arc<CallerSlots>,
+    id: BodyId,
     signal: Arc<Notify>,
 }
 
 impl ReceivedBody<'_> {
     /// Returns what is notified when the request has to give way.
-    pub(super) fn signal(&self) -> Arc<Notify> {
+    pub fn signal(&self) -> Arc<Notify> {
         Arc::clone(&self.signal)
     }
 }
@@ -170,8 +179,8 @@
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<hyper::Result<Frame<Bytes>>>> {
         let frame = ready!(Pin::new(&mut *self.body).poll_frame(cx));
         if let Some(data) = frame.as_ref().and_then(|frame| frame.as_ref().ok()?.data_ref()) {
-            let mut state = self.caller_slot.caller_slots.lock();
-            state.bodies.record_bytes(self.caller_slot.id, data.len(), clock::now());
+            let mut state = self.caller_slots.lock();
+            state.bodies.record_bytes(self.id, data.len(), clock::now());
         }
         Poll::Ready(frame)
     }
@@ -187,8 +196,8 @@
 
 impl Drop for ReceivedBody<'_> {
     fn drop(&mut self) {
-        let mut state = self.caller_slot.caller_slots.lock();
-        state.bodies.end(self.caller_slot.id);
-        state.signals.remove(&self.caller_slot.id);
+        let mut state = self.caller_slots.lock();
+        state.bodies.end(self.id);
+        state.signals.remove(&self.id);
     }
 }
--- a/crates/mustardgate/src/lib.rs
+++ b/crates/mustardgate/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod backends;
 pub mod buffers;
+pub mod callers;
 pub mod cli;
 pub mod configuration;
 pub mod context;
