Gateway: one budget for the bodies, connections and answers of a node of the product

Cause: read_body collected each body by itself, up to max_connections of them, and no setting named a memory.

Bodies draw on the budget and hold their room until their last reference is dropped, a chat's for as long as its prompt lives; answers of plain services draw on it too. Bodies without progress for 1 s end while places or room are short. Who finds no room gets 503 with code no_room, a verdict and a time to come back; with an idempotency key the verdict is that an earlier delivery may have run. Listeners have a receive buffer and a short queue, and no more connections than fit.

--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -77,6 +77,7 @@
     let limits = ConnectionLimits {
         max_connections: MAX_CONNECTIONS,
         head_timeout: IDLE_TIMEOUT,
+        buffers: None,
     };
     serve_connections(listener, handler, limits, closing, logger).await;
 }
--- a/crates/mustardgate/src/context/mod.rs
+++ b/crates/mustardgate/src/context/mod.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     backends::{AddressBook, EngineClient, PlainClient},
+    buffers::BufferBudget,
     configuration::ConfigDirectory,
     dispatch::AdmissionController,
     drain::DrainController,
@@ -39,6 +40,8 @@
     pub settings: NodeSettings,
     /// Root logger.
     pub logger: Logger,
+    /// Budget of the bytes that are held until they form a whole.
+    pub buffers: Arc<BufferBudget>,
     /// The platform's log.
     pub log: Arc<dyn PlatformLog>,
     /// The platform's list of VMs.
--- a/crates/mustardgate/src/gateway/chat.rs
+++ b/crates/mustardgate/src/gateway/chat.rs
@@ -44,6 +44,8 @@
     job: GenerationJob,
     model: SmolStr,
     is_streamed: bool,
+    /// The body, whose room in the budget stands for the prompt that was made of it.
+    room: Bytes,
 }
 
 pub(super) async fn answer_chat(
@@ -69,7 +71,8 @@
     let (head, body) = request.into_parts();
     let scope = authenticate(context, &head.headers)?;
     let deadline = read_deadline(&head.headers, &context.settings.callers)?;
-    let body = read_body(body, context).await?;
+    let caller_slot = head.extensions.get().cloned().unwrap_or_default();
+    let body = read_body(body, &caller_slot, context).await?;
     let chat = parse_chat(&body)?;
     let artifact = resolve_artifact(context, &scope, &chat.model)?;
     let service = scope.service_of_model(&artifact.model)?;
@@ -92,6 +95,7 @@
         job,
         model: chat.model,
         is_streamed: chat.stream,
+        room: body,
     })
 }
 
@@ -165,6 +169,7 @@
         tenant: origin.tenant.clone(),
         class: origin.class,
     };
+    let room = chat.room;
     tokio::spawn(run_generation(context, chat.job, sender));
     tokio::spawn(async move {
         while let Some(event) = generated.recv().await {
@@ -173,7 +178,7 @@
                 break;
             }
         }
-        drop(guard);
+        drop((guard, room));
     });
     ChatExchange {
         id,
--- a/crates/mustardgate/src/gateway/errors.rs
+++ b/crates/mustardgate/src/gateway/errors.rs
@@ -53,6 +53,12 @@
         /// Cause.
         source: BodyError,
     },
+    /// The node has no memory for the request now.
+    #[snafu(display("the node has no room for the request at present"))]
+    NoRoom {
+        /// Time after which to retry.
+        retry_after: Duration,
+    },
     /// The body is not valid for the path.
     #[snafu(display("the body is not valid: {reason}"))]
     InvalidBody {
@@ -172,6 +178,7 @@
                 BodyError::TooSlow { .. } => "body_too_slow",
                 BodyError::Broken => "body_broken",
             },
+            Self::NoRoom { .. } => "no_room",
             Self::InvalidBody { .. } => "invalid_body",
             Self::InvalidHeader { .. } => "invalid_header",
             Self::UnknownModel { .. } => "unknown_model",
@@ -202,9 +209,11 @@
             },
             Self::InvalidBody { .. } | Self::InvalidHeader { .. } => StatusCode::BAD_REQUEST,
             Self::NotAdmitted { .. } => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotReady { .. } | Self::NoCapacity { .. } | Self::Stopping { .. } | Self::KeyUnresolved { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady { .. }
+            | Self::NoRoom { .. }
+            | Self::NoCapacity { .. }
+            | Self::Stopping { .. }
+            | Self::KeyUnresolved { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::AttemptsFailed { .. } => StatusCode::BAD_GATEWAY,
             Self::DeadlinePassed { .. } => StatusCode::GATEWAY_TIMEOUT,
             Self::KeyReused { .. } => StatusCode::UNPROCESSABLE_ENTITY,
@@ -256,6 +265,7 @@
         match self {
             Self::NotReady { retry_after, .. }
             | Self::NotAdmitted { retry_after, .. }
+            | Self::NoRoom { retry_after }
             | Self::NoCapacity { retry_after }
             | Self::AttemptsFailed { retry_after, .. }
             | Self::DeadlinePassed { retry_after, .. }
--- a/crates/mustardgate/src/gateway/request.rs
+++ b/crates/mustardgate/src/gateway/request.rs
@@ -5,10 +5,11 @@
 use bytes::Bytes;
 use hyper::{
     HeaderMap,
-    body::Incoming,
+    body::{Body, Incoming},
     header::{AUTHORIZATION, HeaderName, HeaderValue},
 };
 use mustardgate_core::{
+    buffers::BufferSource,
     clock,
     ids::{IdempotencyKey, RequestId},
     verdict::RunVerdict,
@@ -16,12 +17,21 @@
 use mustardgate_protocol::callers::{DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, REQUEST_ID_HEADER};
 use sha2::{Digest, Sha256};
 use smol_str::SmolStr;
+use tokio::time;
 
 use super::errors::CallerError;
-use crate::{context::NodeContext, http::collect_body, settings::CallerSettings};
+use crate::{
+    buffers::{CollectError, collect_bytes},
+    callers::CallerSlot,
+    context::NodeContext,
+    http::BodyError,
+    settings::CallerSettings,
+};
 
 /// Maximum length of an idempotency key.
 const MAX_KEY_BYTES: usize = 128;
+/// Time after which unfinished requests without progress have left their room.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest deadline that a caller may request.
 const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
 
@@ -89,17 +99,46 @@
     Ok(Some(key.into()))
 }
 
-/// Receives the body within the listener's limits, unless a planned stop ends first.
-pub(super) async fn read_body(body: Incoming, context: &NodeContext) -> Result<Bytes, CallerError> {
+/// Receives the body within the listener's limits and the node's memory, unless a planned stop ends first. The body holds
+/// its room until its last reference is dropped.
+pub(super) async fn read_body(
+    mut body: Incoming,
+    caller_slot: &CallerSlot,
+    context: &NodeContext,
+) -> Result<Bytes, CallerError> {
     let settings = &context.settings.callers;
-    tokio::select! {
+    let limit = settings.max_body_bytes;
+    if body.size_hint().lower() > limit as u64 {
+        let source = BodyError::TooLong { limit };
+        return Err(CallerError::Body { source });
+    }
+    let mut received = caller_slot.receive(&mut body);
+    let signal = received.signal();
+    let buffers = context.buffers.guard(BufferSource::Callers);
+    let collecting = collect_bytes(&mut received, limit, buffers);
+    let timeout = settings.receive_timeout();
+    let collected = tokio::select! {
         biased;
-        body = collect_body(body, settings.max_body_bytes, settings.receive_timeout()) => {
-            body.map_err(|source| CallerError::Body { source })
-        }
+        collected = time::timeout(timeout, collecting) => collected,
+        () = signal.notified() => Ok(Err(CollectError::NoRoom { bytes: 0 })),
         retry_after = context.drain.too_late(Duration::ZERO) => {
-            Err(CallerError::Stopping { verdict: RunVerdict::NotRun, retry_after })
+            return Err(CallerError::Stopping { verdict: RunVerdict::NotRun, retry_after });
         }
+    };
+    let source = match collected {
+        Ok(Ok(bytes)) => return Ok(bytes),
+        Ok(Err(CollectError::NoRoom { .. })) => return Err(no_room()),
+        Ok(Err(CollectError::TooLong { .. })) => BodyError::TooLong { limit },
+        Ok(Err(CollectError::Broken)) => BodyError::Broken,
+        Err(_elapsed) => BodyError::TooSlow { timeout },
+    };
+    Err(CallerError::Body { source })
+}
+
+/// Returns the error for a request that the node has no memory for.
+pub(super) fn no_room() -> CallerError {
+    CallerError::NoRoom {
+        retry_after: NO_ROOM_RETRY_AFTER,
     }
 }
 
--- a/crates/mustardgate/src/gateway/services.rs
+++ b/crates/mustardgate/src/gateway/services.rs
@@ -86,7 +86,8 @@
     let rest = path.strip_prefix(SERVICES_PREFIX).unwrap_or_default();
     let (service, path) = rest.find('/').map_or((rest, "/"), |slash| rest.split_at(slash));
     let spec = scope.service(service)?;
-    let body = read_body(body, context)
+    let caller_slot = head.extensions.get().cloned().unwrap_or_default();
+    let body = read_body(body, &caller_slot, context)
         .await
         .map_err(|error| without_key_verdict(error, key.is_some()))?;
     let origin = JobOrigin {
@@ -118,7 +119,9 @@
 /// Returns the error of a call that was refused before its key was looked up: an earlier delivery may have run.
 fn without_key_verdict(error: CallerError, has_key: bool) -> CallerError {
     match error {
-        CallerError::Stopping { .. } if has_key => error.with_verdict(RunVerdict::MayHaveRun),
+        CallerError::Stopping { .. } | CallerError::NoRoom { .. } if has_key => {
+            error.with_verdict(RunVerdict::MayHaveRun)
+        }
         error => error,
     }
 }
--- a/crates/mustardgate/src/http/server.rs
+++ b/crates/mustardgate/src/http/server.rs
@@ -18,10 +18,17 @@
     sync::{OwnedSemaphorePermit, Semaphore},
     time,
 };
-use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tokio_util::{
+    sync::CancellationToken,
+    task::{AbortOnDropHandle, TaskTracker},
+};
 
 use super::{SilenceTimer, catch_panic, close_listener, drive_connection};
-use crate::events;
+use crate::{
+    buffers::BufferBudget,
+    callers::{CallerSlot, CallerSlots, EndedRequests, SharedRoom},
+    events,
+};
 
 /// Pause after a failed accept, which is usually caused by a lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -32,12 +39,15 @@
 const PARSER_MAX_HEADERS: usize = 512;
 
 /// Limits of the connections of one listener.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct ConnectionLimits {
     /// Maximum number of connections open at once.
     pub max_connections: usize,
     /// Time within which the head of a request must arrive.
     pub head_timeout: Duration,
+    /// Budget of the requests' bodies. While it or the places are short, unfinished requests that make no progress are
+    /// ended; without it they are not.
+    pub buffers: Option<Arc<BufferBudget>>,
 }
 
 /// Serves connections until `shutdown` is cancelled, then those that wait in the accept queue; finishes the requests in
@@ -57,6 +67,30 @@
     let closing = CancellationToken::new();
     let connections = TaskTracker::new();
     let slots = Arc::new(Semaphore::new(limits.max_connections));
+    let caller_slots = Arc::<CallerSlots>::default();
+    let keeping = limits.buffers.as_ref().map(|buffers| {
+        let room = SharedRoom {
+            buffers: Arc::clone(buffers),
+            places: Arc::clone(&slots),
+            total: limits.max_connections,
+        };
+        let logger = logger.clone();
+        let log_ended = move |ended: EndedRequests| {
+            let values = o!("cause" => ended.cause, "requests" => ended.count);
+            events::RELAY_UNFINISHED_ENDED.write(&logger, values);
+        };
+        Arc::clone(&caller_slots).evict_stalled(room, log_ended)
+    });
+    let _keeper = keeping.map(|keeping| AbortOnDropHandle::new(tokio::spawn(keeping)));
+    let serve = |stream| {
+        let caller_slot = caller_slots.take();
+        let handler = handler.clone();
+        let handler = move |mut request: Request<Incoming>| {
+            request.extensions_mut().insert::<CallerSlot>(caller_slot.clone());
+            handler(request)
+        };
+        serve_connection(stream, handler, limits.clone(), closing.clone(), logger.clone())
+    };
     loop {
         let accepted = tokio::select! {
             () = shutdown.cancelled() => break,
@@ -64,7 +98,7 @@
         };
         match accepted {
             Ok((stream, slot)) => {
-                let connection = serve_connection(stream, handler.clone(), limits, closing.clone(), logger.clone());
+                let connection = serve(stream);
                 connections.spawn(async move {
                     connection.await;
                     drop(slot);
@@ -76,17 +110,17 @@
             }
         }
     }
-    // The queue is short, so its connections need no slots.
+    // Connections of the queue wait for places as well: requests that are unfinished or answered leave theirs.
     for stream in close_listener(listener) {
         // Without the option answers are slower, but whole.
         drop(stream.set_nodelay(true));
-        connections.spawn(serve_connection(
-            stream,
-            handler.clone(),
-            limits,
-            closing.clone(),
-            logger.clone(),
-        ));
+        let connection = serve(stream);
+        let slots = Arc::clone(&slots);
+        connections.spawn(async move {
+            let slot = slots.acquire_owned().await;
+            connection.await;
+            drop(slot);
+        });
     }
     time::sleep(LAST_READ_TIME).await;
     closing.cancel();
@@ -111,7 +145,7 @@
     closing: CancellationToken,
     logger: Logger,
 ) where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
@@ -127,6 +161,8 @@
         .header_read_timeout(limits.head_timeout)
         .max_headers(PARSER_MAX_HEADERS);
     builder.http2().timer(SilenceTimer::default());
+    // The places are bounded so that it fits; those of the last connections of a stopping node are few.
+    let _room = limits.buffers.as_ref().map(BufferBudget::connection);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     // A client that closes the connection is no failure of the node, and the request's own task notices it.
     drop(catch_panic(drive_connection(connection, closing), "connection", &logger).await);
--- a/crates/mustardgate/src/node/build.rs
+++ b/crates/mustardgate/src/node/build.rs
@@ -4,6 +4,7 @@
 
 use mustardgate_core::{
     admission::AdmissionLimits,
+    buffers::BufferSource,
     retry::{RetryBudget, RetryLimits},
     routing::{Locality, RoutingSettings, RunnerSelector},
 };
@@ -11,6 +12,7 @@
 
 use crate::{
     backends::{AddressBook, EngineClient, HttpEngineControl, PlainClient},
+    buffers::BufferBudget,
     configuration::ConfigDirectory,
     context::{IdGenerator, NodeContext},
     dispatch::AdmissionController,
@@ -27,10 +29,14 @@
 
 /// Builds the context of a node; nothing is sent yet.
 pub fn build_context(settings: NodeSettings, logger: Logger) -> Arc<NodeContext> {
+    let buffers = Arc::new(BufferBudget::new(settings.node.buffer_limits()));
     let platform = &settings.platform;
     let backends = &settings.backends;
     let pooled = HttpClient::pooled(backends.connect_timeout());
     let unpooled = HttpClient::unpooled(backends.connect_timeout());
+    let services = unpooled
+        .clone()
+        .with_buffers(Arc::clone(&buffers), BufferSource::runner_at);
     let addresses = AddressBook::default();
     let locality = Locality {
         domain: settings.node.domain.clone(),
@@ -67,7 +73,8 @@
         vm_list: Arc::new(HttpVmList::new(pooled.clone(), platform.address, platform.timeout())),
         engines: Arc::new(engine_control),
         engine_client: EngineClient::new(pooled, backends.stall_timeout()),
-        plain_client: PlainClient::new(unpooled, backends.max_answer_bytes),
+        plain_client: PlainClient::new(services, backends.max_answer_bytes),
+        buffers,
         addresses,
         directory: ConfigDirectory::new(),
         runners: RunnerTable::default(),
--- a/crates/mustardgate/src/node/mod.rs
+++ b/crates/mustardgate/src/node/mod.rs
@@ -6,7 +6,7 @@
 
 use std::{io, net::SocketAddr, sync::Arc};
 
-use mustardgate_core::ids::NodeId;
+use mustardgate_core::{buffers::ListenerRole, ids::NodeId};
 use slog::o;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
@@ -17,7 +17,7 @@
     context::NodeContext,
     events,
     gateway::{answer_caller, key_digest},
-    http::{ConnectionLimits, serve_connections},
+    http::{ConnectionLimits, bind_listener, serve_connections},
     logging::build_logger,
     operator::{OperatorContext, answer_operator},
     peers::{MetricsMeter, PeerHub, PeerResponder, serve_peers},
@@ -75,9 +75,19 @@
     let peer_key = settings.peers.read_key()?;
     // Installed before a listener is open, so that no signal ends the process while a caller may be connected.
     let mut signals = stop::StopSignals::install()?;
-    let caller_listener = listen(settings.callers.listen).await?;
-    let operator_listener = listen(settings.operators.listen).await?;
-    let peer_listener = listen(settings.peers.listen.into()).await?;
+    let limits = settings.node.buffer_limits();
+    let caller_listener = listen(
+        settings.callers.listen,
+        limits.queued_connections(ListenerRole::Callers),
+    )?;
+    let operator_listener = listen(
+        settings.operators.listen,
+        limits.queued_connections(ListenerRole::Checks),
+    )?;
+    let peer_listener = listen(
+        settings.peers.listen.into(),
+        limits.queued_connections(ListenerRole::Nodes),
+    )?;
     let hub = Arc::new(PeerHub::new(peer_key, Arc::new(MetricsMeter), logger.clone()));
     let node = build_context(settings, logger);
     let operator_context = Arc::new(OperatorContext {
@@ -107,15 +117,17 @@
     Ok(outcome)
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.context(ListenSnafu { address })
+fn listen(address: SocketAddr, queued: usize) -> Result<TcpListener, StartError> {
+    bind_listener(address, queued).context(ListenSnafu { address })
 }
 
 async fn serve_callers(node: Arc<NodeContext>, listener: TcpListener) {
     let settings = &node.settings.callers;
+    let places = node.buffers.limits().places();
     let limits = ConnectionLimits {
-        max_connections: settings.max_connections,
+        max_connections: settings.max_connections.min(places),
         head_timeout: settings.receive_timeout(),
+        buffers: Some(Arc::clone(&node.buffers)),
     };
     let closing = node.drain.closing();
     let logger = node.logger.clone();
@@ -128,6 +140,7 @@
     let limits = ConnectionLimits {
         max_connections: MAX_OPERATOR_CONNECTIONS,
         head_timeout,
+        buffers: None,
     };
     let logger = context.node.logger.clone();
     let handler = move |request| answer_operator(Arc::clone(&context), request);
--- a/crates/mustardgate/tests/listener.rs
+++ b/crates/mustardgate/tests/listener.rs
@@ -26,6 +26,7 @@
     let limits = ConnectionLimits {
         max_connections: 64,
         head_timeout: Duration::from_secs(5),
+        buffers: None,
     };
     let shutdown = CancellationToken::new();
     let handler = async |_request: Request<Incoming>| text_answer(StatusCode::OK, "whole".to_owned());
