Gateway and listeners for nodes and operators: bound the heads of requests

By reading, whoever reaches the listener for operators or other nodes could do the same, before he shows a key.

Cause: the HTTP library reads a head of up to 400 KiB when nobody says otherwise.

Change: callers.max_head_bytes, 16 KiB by default; 16 KiB for operators, and 40 KiB between nodes of the relay, whose requests bring the fields of their callers. The places count the read buffers, so the listener for other nodes has no more connections than fit.

--- a/crates/mustardgate-core/src/buffers/limits.rs
+++ b/crates/mustardgate-core/src/buffers/limits.rs
@@ -15,8 +15,10 @@
 const NODE_QUEUE_DIVISOR: usize = 8;
 /// The same for connections of readiness checks.
 const CHECK_QUEUE_DIVISOR: usize = 16;
-/// Bytes that a connection takes beside its receive buffer: two read buffers of 16 KiB, the write buffer of 8 KiB, the
-/// request's task, and the first 16 KiB of the body, which need no reservation.
+/// Bytes of a read buffer. It grows to the largest head of a request, if that is larger.
+pub const READ_BYTES: usize = 16 * 1024;
+/// Bytes that a connection takes beside its receive buffer: two read buffers, the write buffer of 8 KiB, the request's
+/// task, and the first 16 KiB of the body, which need no reservation.
 const CONNECTION_BYTES: usize = 64 * 1024;
 /// Bytes of a connection that the kernel keeps until they are read. Half of them are offered to the sender as its window,
 /// which is enough for 10 Mbit/s at a round trip of 25 ms.
@@ -57,7 +59,12 @@
 
     /// Returns the number of callers' connections that fit.
     pub fn places(&self) -> usize {
-        self.connection_bytes / PLACE_BYTES
+        self.places_with_heads(READ_BYTES)
+    }
+
+    /// Returns the number of connections that fit when each may send a head of some bytes.
+    pub fn places_with_heads(&self, head_bytes: usize) -> usize {
+        self.connection_bytes / (PLACE_BYTES + 2 * head_bytes.saturating_sub(READ_BYTES))
     }
 
     /// Returns the number of connections that may wait to be accepted at a listener.
--- a/crates/mustardgate-core/src/buffers/mod.rs
+++ b/crates/mustardgate-core/src/buffers/mod.rs
@@ -9,6 +9,6 @@
 
 pub use self::{
     ledger::{BufferLedger, BufferSource, HolderId},
-    limits::{BufferLimits, ListenerRole, PLACE_BYTES, RECEIVE_BYTES},
+    limits::{BufferLimits, ListenerRole, PLACE_BYTES, READ_BYTES, RECEIVE_BYTES},
     unfinished::{BodyId, STALL_TIME, UnfinishedBodies},
 };
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -49,6 +49,8 @@
 const AGE_STEP: Duration = Duration::from_millis(1);
 /// Most connections open at once: one or two for each node of a large deployment.
 const MAX_CONNECTIONS: usize = 1_024;
+/// Largest head of a message, in bytes. Requests that are passed on bring the fields of their callers.
+const MAX_HEAD_BYTES: usize = 40 * 1024;
 /// Time after which an idle connection of another node is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -56,6 +58,7 @@
 pub async fn serve_peers(context: Arc<RelayContext>, listener: TcpListener, metrics: PrometheusHandle) {
     let closing = context.drain.closing();
     let logger = context.log.logger().clone();
+    let places = context.buffers.limits().places_with_heads(MAX_HEAD_BYTES);
     let handler = move |mut request: Request<Incoming>| {
         let (context, metrics) = (Arc::clone(&context), metrics.clone());
         async move {
@@ -75,8 +78,9 @@
         }
     };
     let limits = ConnectionLimits {
-        max_connections: MAX_CONNECTIONS,
+        max_connections: MAX_CONNECTIONS.min(places),
         head_timeout: IDLE_TIMEOUT,
+        max_head_bytes: MAX_HEAD_BYTES,
         buffers: None,
     };
     serve_connections(listener, handler, limits, closing, logger).await;
--- a/crates/mustardgate/src/http/server.rs
+++ b/crates/mustardgate/src/http/server.rs
@@ -45,6 +45,8 @@
     pub max_connections: usize,
     /// Time within which the head of a request must arrive.
     pub head_timeout: Duration,
+    /// Maximum size of the head of a request, in bytes.
+    pub max_head_bytes: usize,
     /// Budget of the requests' bodies. While it or the places are short, unfinished requests that make no progress are
     /// ended; without it they are not.
     pub buffers: Option<Arc<BufferBudget>>,
@@ -159,8 +161,12 @@
         .http1()
         .timer(SilenceTimer::default())
         .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.max_head_bytes)
         .max_headers(PARSER_MAX_HEADERS);
-    builder.http2().timer(SilenceTimer::default());
+    builder
+        .http2()
+        .timer(SilenceTimer::default())
+        .max_header_list_size(limits.max_head_bytes as u32);
     // The places are bounded so that it fits; those of the last connections of a stopping node are few.
     let _room = limits.buffers.as_ref().map(BufferBudget::connection);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
--- a/crates/mustardgate/src/node/mod.rs
+++ b/crates/mustardgate/src/node/mod.rs
@@ -6,7 +6,10 @@
 
 use std::{io, net::SocketAddr, sync::Arc};
 
-use mustardgate_core::{buffers::ListenerRole, ids::NodeId};
+use mustardgate_core::{
+    buffers::{ListenerRole, READ_BYTES},
+    ids::NodeId,
+};
 use slog::o;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
@@ -123,10 +126,11 @@
 
 async fn serve_callers(node: Arc<NodeContext>, listener: TcpListener) {
     let settings = &node.settings.callers;
-    let places = node.buffers.limits().places();
+    let places = node.buffers.limits().places_with_heads(settings.max_head_bytes);
     let limits = ConnectionLimits {
         max_connections: settings.max_connections.min(places),
         head_timeout: settings.receive_timeout(),
+        max_head_bytes: settings.max_head_bytes,
         buffers: Some(Arc::clone(&node.buffers)),
     };
     let closing = node.drain.closing();
@@ -140,6 +144,7 @@
     let limits = ConnectionLimits {
         max_connections: MAX_OPERATOR_CONNECTIONS,
         head_timeout,
+        max_head_bytes: READ_BYTES,
         buffers: None,
     };
     let logger = context.node.logger.clone();
--- a/crates/mustardgate/src/settings/callers.rs
+++ b/crates/mustardgate/src/settings/callers.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use mustardgate_core::buffers::READ_BYTES;
 use serde::Deserialize;
 
 use super::RangeCheck;
@@ -18,6 +19,9 @@
     /// Maximum number of header fields of a request.
     #[serde(default = "default_max_headers")]
     pub max_headers: usize,
+    /// Maximum size of the head of a request, in bytes.
+    #[serde(default = "default_max_head_bytes")]
+    pub max_head_bytes: usize,
     /// Time within which a whole request must have arrived, in milliseconds.
     #[serde(default = "default_receive_timeout_ms")]
     pub receive_timeout_ms: u64,
@@ -43,6 +47,10 @@
     64
 }
 
+fn default_max_head_bytes() -> usize {
+    READ_BYTES
+}
+
 fn default_receive_timeout_ms() -> u64 {
     10_000
 }
@@ -77,6 +85,7 @@
     pub(super) fn check(&self, check: &mut RangeCheck) {
         check.within("callers", "max_body_bytes", self.max_body_bytes, 1_024..=64 << 20);
         check.within("callers", "max_headers", self.max_headers, 8..=256);
+        check.within("callers", "max_head_bytes", self.max_head_bytes, 8 << 10..=1 << 20);
         check.within("callers", "receive_timeout_ms", self.receive_timeout_ms, 100..=120_000);
         check.within(
             "callers",
--- a/crates/mustardgate/tests/listener.rs
+++ b/crates/mustardgate/tests/listener.rs
@@ -26,6 +26,7 @@
     let limits = ConnectionLimits {
         max_connections: 64,
         head_timeout: Duration::from_secs(5),
+        max_head_bytes: 16 * 1024,
         buffers: None,
     };
     let shutdown = CancellationToken::new();
--- a/crates/mustardgate/tests/support/mod.rs
+++ b/crates/mustardgate/tests/support/mod.rs
@@ -130,6 +130,7 @@
     let limits = ConnectionLimits {
         max_connections: 16,
         head_timeout: context.settings.callers.receive_timeout(),
+        max_head_bytes: 16 * 1024,
         buffers: None,
     };
     let closing = context.drain.closing();
