Gateway: bound what the streams of an HTTP/2 connection hold

Cause: HTTP/2 allows many requests on a connection, with windows of a megabyte each, while the place of a connection covers one request.

Change: callers.max_streams, 100 by default; windows and send buffers of 64 KiB; each request of HTTP/2 reserves 64 KiB of the room for connections beside its body, or gets 503 with no_room at once. A quarter of that room is left to them. Operators and other nodes speak HTTP/1.1 alone.

--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -81,6 +81,7 @@
         max_connections: MAX_CONNECTIONS.min(places),
         head_timeout: IDLE_TIMEOUT,
         max_head_bytes: MAX_HEAD_BYTES,
+        max_streams: None,
         buffers: None,
     };
     serve_connections(listener, handler, limits, closing, logger).await;
--- a/crates/mustardgate/src/buffers/budget.rs
+++ b/crates/mustardgate/src/buffers/budget.rs
@@ -110,6 +110,16 @@
         Ok(guard)
     }
 
+    /// Returns a guard for what a request takes beside its body, where the connection's guard does not cover it.
+    ///
+    /// # Errors
+    /// [`NoRoom`] when there are as many connections and requests as fit.
+    pub fn stream(self: &Arc<Self>) -> Result<BufferGuard, NoRoom> {
+        let mut guard = self.guard(BufferSource::Connections);
+        guard.cover(FREE_BYTES + STEP_BYTES)?;
+        Ok(guard)
+    }
+
     fn lock(&self) -> MutexGuard<'_, BudgetState> {
         self.state.lock().expect("no holder of the lock panics")
     }
--- a/crates/mustardgate/src/gateway/mod.rs
+++ b/crates/mustardgate/src/gateway/mod.rs
@@ -62,6 +62,10 @@
     guard: InFlightGuard,
 ) -> Result<Response<AnswerBody>, CallerError> {
     request::check_headers(request.headers(), &context.settings.callers)?;
+    // The place of a connection covers one request; HTTP/2 has many at once.
+    let _room = (request.version() >= Version::HTTP_2)
+        .then(|| context.buffers.stream().map_err(|_no_room| request::no_room()))
+        .transpose()?;
     let path = request.uri().path();
     if path == CHAT_PATH {
         require_method(request.method(), &Method::POST, "POST")?;
--- a/crates/mustardgate/src/http/server.rs
+++ b/crates/mustardgate/src/http/server.rs
@@ -37,6 +37,8 @@
 /// Maximum number of header fields that the parser accepts; the callers' handler has a lower limit, beyond which it
 /// answers with a typed error.
 const PARSER_MAX_HEADERS: usize = 512;
+/// Bytes that HTTP/2 holds of a connection's requests until they are read, and of a request's answer until it is sent.
+const STREAM_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Limits of the connections of one listener.
 #[derive(Clone, Debug)]
@@ -47,6 +49,8 @@
     pub head_timeout: Duration,
     /// Maximum size of the head of a request, in bytes.
     pub max_head_bytes: usize,
+    /// Requests that one connection may have open at once with HTTP/2; without it, only HTTP/1.1 is spoken.
+    pub max_streams: Option<u32>,
     /// Budget of the requests' bodies. While it or the places are short, unfinished requests that make no progress are
     /// ended; without it they are not.
     pub buffers: Option<Arc<BufferBudget>>,
@@ -166,7 +170,14 @@
     builder
         .http2()
         .timer(SilenceTimer::default())
-        .max_header_list_size(limits.max_head_bytes as u32);
+        .max_concurrent_streams(limits.max_streams)
+        .initial_stream_window_size(STREAM_BUFFER_BYTES as u32)
+        .initial_connection_window_size(STREAM_BUFFER_BYTES as u32)
+        .max_header_list_size(limits.max_head_bytes as u32)
+        .max_send_buf_size(STREAM_BUFFER_BYTES);
+    if limits.max_streams.is_none() {
+        builder = builder.http1_only();
+    }
     // The places are bounded so that it fits; those of the last connections of a stopping node are few.
     let _room = limits.buffers.as_ref().map(BufferBudget::connection);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
--- a/crates/mustardgate/src/node/mod.rs
+++ b/crates/mustardgate/src/node/mod.rs
@@ -31,6 +31,9 @@
 /// Maximum number of operators' connections open at once.
 const MAX_OPERATOR_CONNECTIONS: usize = 256;
 
+/// Further requests of HTTP/2 connections have the room of this part of the places for connections.
+const STREAM_DIVISOR: usize = 4;
+
 /// Why a node did not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -128,9 +131,11 @@
     let settings = &node.settings.callers;
     let places = node.buffers.limits().places_with_heads(settings.max_head_bytes);
     let limits = ConnectionLimits {
-        max_connections: settings.max_connections.min(places),
+        // The rest of the room is for further requests of HTTP/2 connections.
+        max_connections: settings.max_connections.min(places - places / STREAM_DIVISOR),
         head_timeout: settings.receive_timeout(),
         max_head_bytes: settings.max_head_bytes,
+        max_streams: Some(settings.max_streams),
         buffers: Some(Arc::clone(&node.buffers)),
     };
     let closing = node.drain.closing();
@@ -145,6 +150,7 @@
         max_connections: MAX_OPERATOR_CONNECTIONS,
         head_timeout,
         max_head_bytes: READ_BYTES,
+        max_streams: None,
         buffers: None,
     };
     let logger = context.node.logger.clone();
--- a/crates/mustardgate/src/settings/callers.rs
+++ b/crates/mustardgate/src/settings/callers.rs
@@ -22,6 +22,9 @@
     /// Maximum size of the head of a request, in bytes.
     #[serde(default = "default_max_head_bytes")]
     pub max_head_bytes: usize,
+    /// Maximum number of requests of one HTTP/2 connection open at once.
+    #[serde(default = "default_max_streams")]
+    pub max_streams: u32,
     /// Time within which a whole request must have arrived, in milliseconds.
     #[serde(default = "default_receive_timeout_ms")]
     pub receive_timeout_ms: u64,
@@ -51,6 +54,10 @@
     READ_BYTES
 }
 
+fn default_max_streams() -> u32 {
+    100
+}
+
 fn default_receive_timeout_ms() -> u64 {
     10_000
 }
@@ -86,6 +93,7 @@
         check.within("callers", "max_body_bytes", self.max_body_bytes, 1_024..=64 << 20);
         check.within("callers", "max_headers", self.max_headers, 8..=256);
         check.within("callers", "max_head_bytes", self.max_head_bytes, 8 << 10..=1 << 20);
+        check.within("callers", "max_streams", self.max_streams, 1..=1_000);
         check.within("callers", "receive_timeout_ms", self.receive_timeout_ms, 100..=120_000);
         check.within(
             "callers",
--- a/crates/mustardgate/tests/listener.rs
+++ b/crates/mustardgate/tests/listener.rs
@@ -27,6 +27,7 @@
         max_connections: 64,
         head_timeout: Duration::from_secs(5),
         max_head_bytes: 16 * 1024,
+        max_streams: Some(16),
         buffers: None,
     };
     let shutdown = CancellationToken::new();
--- a/crates/mustardgate/tests/support/mod.rs
+++ b/crates/mustardgate/tests/support/mod.rs
@@ -131,6 +131,7 @@
         max_connections: 16,
         head_timeout: context.settings.callers.receive_timeout(),
         max_head_bytes: 16 * 1024,
+        max_streams: Some(16),
         buffers: None,
     };
     let closing = context.drain.closing();
