Serve a lone body of the largest size, and tell operators of one that never fits

What callers saw: 16 MiB at a node with 120 MB got 503 each time, though the configuration allows it and the node had nothing else to do.

Cause: requests may hold an eighth of the memory, whoever else holds any.

Change: one request may exceed that by what nobody else holds, to 5/32 of the memory, while others hold no more than the difference. Until it is whole it ends when a request or an answer needs the room. A body that does not get room to grow by half gets as much as has arrived. A configuration that allows larger bodies than that is logged (event 699) at the start and at each new one, and counted in mustardgate_body_limit_unreachable; a node of the product says so at its start.

--- a/crates/mustardgate-core/src/buffers/ledger.rs
+++ b/crates/mustardgate-core/src/buffers/ledger.rs
@@ -13,8 +13,6 @@
 
 /// Control calls have the total divided by this to themselves, so that slow callers cannot keep the node from the log.
 const CONTROL_DIVISOR: usize = 4;
-/// Requests may hold the total divided by this.
-const REQUEST_DIVISOR: usize = 2;
 
 /// Identifier of a holder of bytes, unique in a process.
 pub type HolderId = u64;
@@ -72,13 +70,20 @@
     is_open: bool,
 }
 
+impl BufferHolding {
+    fn is_request(&self) -> bool {
+        self.source == BufferSource::Callers
+    }
+}
+
 /// Decides which bytes are kept when not all of them fit.
 ///
 /// An answer of a runner that does not fit ends the largest open answer of the runner that holds most, or itself if that is its
 /// own runner. So a runner with a few ordinary answers never loses them to one that sends without end. Requests take room from
-/// open answers up to a share of theirs, and are never ended, because they may already run. Control calls have a share to
-/// themselves: without the log no answer is worth much. So have callers' connections, which are there before anything is
-/// known of their requests.
+/// open answers up to a share of theirs, and are not ended, because they may already run. One request may exceed that share
+/// by what nobody else holds, or no node would ever serve a large body that its configuration allows; while it is not whole,
+/// it ends when others need that room. Control calls have a share to themselves: without the log no answer is worth much. So
+/// have callers' connections, which are there before anything is known of their requests.
 #[derive(Clone, Debug)]
 pub struct BufferLedger {
     limits: BufferLimits,
@@ -116,17 +121,18 @@
     /// Reserves further bytes for a holder, and returns the holders that lose theirs for it; `None` refuses the bytes, and
     /// nobody loses any. A holder that lost its bytes gets no further ones.
     pub fn reserve(&mut self, holder: HolderId, source: &BufferSource, bytes: usize) -> Option<Vec<HolderId>> {
-        if !self.fits_share(source, bytes) {
-            return None;
-        }
-        let ended = self.choose_ended(holder, source, bytes)?;
+        let ended = match source.kind() {
+            SourceKind::Requests if !self.fits_share(source, bytes) => self.choose_oversized(holder, bytes)?,
+            _ if !self.fits_share(source, bytes) => return None,
+            _ => self.choose_ended(holder, source, bytes)?,
+        };
         for id in &ended {
             self.release(*id);
         }
         let holding = self.holdings.entry(holder).or_insert_with(|| BufferHolding {
             source: source.clone(),
             bytes: 0,
-            is_open: matches!(source, BufferSource::Runner(_)),
+            is_open: matches!(source, BufferSource::Runner(_) | BufferSource::Callers),
         });
         holding.bytes += bytes;
         *self.held_bytes.entry(source.clone()).or_default() += bytes;
@@ -162,7 +168,7 @@
 
     /// Returns whether requests hold more than half of what they may hold.
     pub fn is_short_for_requests(&self) -> bool {
-        self.bytes_for(SourceKind::Requests) > self.limits.total_bytes / REQUEST_DIVISOR / 2
+        self.bytes_for(SourceKind::Requests) > self.limits.request_bytes() / 2
     }
 
     /// Returns the number of connections that fit when each takes as many bytes.
@@ -186,11 +192,45 @@
             SourceKind::Answers => return true,
             SourceKind::Control => self.control_share(),
             SourceKind::Connections => self.limits.connection_bytes,
-            SourceKind::Requests => self.limits.total_bytes / REQUEST_DIVISOR,
+            SourceKind::Requests => self.limits.request_bytes(),
         };
         self.bytes_for(kind) + bytes <= share
     }
 
+    /// Returns the holders that have to end so that a request may exceed the share of all; `None` if it may not.
+    fn choose_oversized(&self, asking: HolderId, bytes: usize) -> Option<Vec<HolderId>> {
+        let share = self.limits.request_bytes();
+        let largest_body = self.limits.largest_body_bytes();
+        let wanted = self.bytes_for(SourceKind::Requests) + bytes;
+        let own_bytes = self.holdings.get(&asking).map_or(0, |holding| holding.bytes) + bytes;
+        let requests = self.holdings.values().filter(|holding| holding.is_request());
+        let largest = requests.map(|holding| holding.bytes).fold(own_bytes, usize::max);
+        let is_free = self.shared_bytes() + bytes <= self.shared_limit();
+        if is_free && wanted <= largest_body && wanted - largest <= largest_body - share {
+            return Some(Vec::new());
+        }
+        let (id, freed) = self.oversized_request().filter(|(id, _)| *id != asking)?;
+        (wanted - freed <= share).then(|| vec![id])
+    }
+
+    /// Returns the request that exceeds the share of all requests, if it can still be ended, with its bytes.
+    fn oversized_request(&self) -> Option<(HolderId, usize)> {
+        let share = self.limits.request_bytes();
+        let mut open = self.holdings.iter().filter(|(_, holding)| holding.is_open);
+        let (id, holding) = open.find(|(_, holding)| holding.is_request() && holding.bytes > share)?;
+        Some((*id, holding.bytes))
+    }
+
+    /// Returns the bytes that requests and answers hold.
+    fn shared_bytes(&self) -> usize {
+        self.bytes_for(SourceKind::Requests) + self.bytes_for(SourceKind::Answers)
+    }
+
+    /// Returns the bytes that requests and answers may hold.
+    fn shared_limit(&self) -> usize {
+        self.limits.total_bytes - self.control_share()
+    }
+
     fn control_share(&self) -> usize {
         self.limits.total_bytes / CONTROL_DIVISOR
     }
@@ -206,18 +246,19 @@
         if matches!(source.kind(), SourceKind::Control | SourceKind::Connections) {
             return Some(ended);
         }
-        let limit = self.limits.total_bytes - self.control_share();
-        let apart = self.bytes_for(SourceKind::Control) + self.bytes_for(SourceKind::Connections);
-        let held = self.total_bytes - apart;
-        let mut needed = (held + bytes).saturating_sub(limit);
+        let mut needed = (self.shared_bytes() + bytes).saturating_sub(self.shared_limit());
         if needed == 0 {
             return Some(ended);
         }
+        if let Some((id, freed)) = self.oversized_request().filter(|(id, _)| *id != asking) {
+            needed = needed.saturating_sub(freed);
+            ended.push(id);
+        }
         let mut held_bytes = self.held_bytes.clone();
         let mut open: BTreeSet<(&BufferSource, Reverse<usize>, HolderId)> = self
             .holdings
             .iter()
-            .filter(|(id, holding)| holding.is_open && **id != asking)
+            .filter(|(id, holding)| holding.is_open && !holding.is_request() && **id != asking)
             .map(|(id, holding)| (&holding.source, Reverse(holding.bytes), *id))
             .collect();
         while needed > 0 {
--- a/crates/mustardgate-core/src/buffers/limits.rs
+++ b/crates/mustardgate-core/src/buffers/limits.rs
@@ -6,6 +6,10 @@
 const PROCESS_BYTES: usize = 22 * MEGABYTE;
 /// Part of the memory that buffered bytes may take.
 const BUFFER_DIVISOR: usize = 4;
+/// Part of the buffered bytes that requests may hold.
+const REQUEST_DIVISOR: usize = 2;
+/// Part of the buffered bytes by which one request may exceed what all may hold.
+const OVERSIZE_DIVISOR: usize = 8;
 /// Part of the memory beside the process's own that callers' connections may take.
 const CONNECTION_DIVISOR: usize = 2;
 /// Callers' connections that wait to be accepted are at most the places divided by this. They hold bytes that were
@@ -77,6 +81,16 @@
         (self.places() / divisor).max(1)
     }
 
+    /// Returns the bytes that requests may hold together.
+    pub fn request_bytes(&self) -> usize {
+        self.total_bytes / REQUEST_DIVISOR
+    }
+
+    /// Returns the bytes that a request may hold when no others hold any.
+    pub fn largest_body_bytes(&self) -> usize {
+        self.request_bytes() + self.total_bytes / OVERSIZE_DIVISOR
+    }
+
     /// Returns the most bytes that a process within the limits holds.
     pub fn largest_bytes(&self) -> usize {
         let roles = [ListenerRole::Callers, ListenerRole::Nodes, ListenerRole::Checks];
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -271,11 +271,13 @@
     match decoder.decode_configuration(value) {
         Ok(config) => {
             let (version, routes) = (config.version, config.routes.len());
+            let max_body_bytes = config.limits.max_body_bytes;
             // Requests that arrive under the configuration find the former targets of its routes.
             let now = context.leader.lease_time();
             context.streams.record_config(now, &config, read.may_skip);
             if context.routes.apply(config) {
                 gauge!("mustardgate_config_version").set(version as f64);
+                context.buffers.check_body_limit(max_body_bytes, context.log.logger());
                 events::RELAY_CONFIG_IN_FORCE.write(
                     context.log.logger(),
                     o!(
--- a/crates/mustardgate/src/buffers/budget.rs
+++ b/crates/mustardgate/src/buffers/budget.rs
@@ -12,9 +12,12 @@
 use bytes::Bytes;
 use metrics::gauge;
 use mustardgate_core::buffers::{BufferLedger, BufferLimits, BufferSource, HolderId, PLACE_BYTES};
+use slog::{Logger, o};
 use snafu::Snafu;
 use tokio::sync::Notify;
 
+use crate::events;
+
 /// Bytes that a holder may have without a reservation. They are bounded by the number of connections.
 const FREE_BYTES: usize = 16 * 1024;
 /// Reservations are multiples of this, so that most bytes need none.
@@ -62,6 +65,17 @@
         }
     }
 
+    /// Tells operators whether the largest body that is allowed can be received at all.
+    pub fn check_body_limit(&self, max_body_bytes: usize, logger: &Logger) {
+        let largest_bytes = self.limits.largest_body_bytes();
+        let is_unreachable = max_body_bytes > largest_bytes;
+        gauge!("mustardgate_body_limit_unreachable").set(f64::from(u8::from(is_unreachable)));
+        if is_unreachable {
+            let values = o!("largest_bytes" => largest_bytes, "allowed_bytes" => max_body_bytes);
+            events::BODY_LIMIT_UNREACHABLE.write(logger, values);
+        }
+    }
+
     /// Returns a guard for the bytes of one request or answer, which holds none yet.
     pub fn guard(self: &Arc<Self>, source: BufferSource) -> BufferGuard {
         BufferGuard {
--- a/crates/mustardgate/src/buffers/collect.rs
+++ b/crates/mustardgate/src/buffers/collect.rs
@@ -96,10 +96,12 @@
         if bytes > content.capacity() {
             let rest = body.size_hint().upper().and_then(|rest| usize::try_from(rest).ok());
             let expected = rest.map_or(max_bytes, |rest| bytes.saturating_add(rest).min(max_bytes));
-            let capacity = (bytes + bytes / 2).max(MIN_GROWTH_BYTES).min(expected);
-            guard
-                .cover(capacity)
-                .map_err(|_no_room| CollectError::NoRoom { bytes })?;
+            let wanted = (bytes + bytes / 2).max(MIN_GROWTH_BYTES).min(expected);
+            // Growth by a part is for speed; a body that is nearly whole may fit without it.
+            let capacity = guard.cover(wanted).map(|()| wanted).or_else(|_no_room| {
+                let covered = guard.cover(bytes).map(|()| bytes);
+                covered.map_err(|_no_room| CollectError::NoRoom { bytes })
+            })?;
             content.reserve_exact(capacity - content.len());
         }
         content.extend_from_slice(&std::mem::take(&mut first));
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -155,6 +155,8 @@
 pub const RELAY_LOADS_SHARED: EventKind = event(690, Level::Info, "runner loads shared again");
 /// Unfinished requests without progress were ended, because places or room were short; with the cause and their number.
 pub const RELAY_UNFINISHED_ENDED: EventKind = event(698, Level::Warning, "unfinished requests ended");
+/// The largest body that is allowed does not fit the memory, so requests of its size are refused; with both sizes.
+pub const BODY_LIMIT_UNREACHABLE: EventKind = event(699, Level::Warning, "largest body exceeds the memory");
 /// Requests leave the failure domain, because its runners are too few for them; with the service and the fraction.
 pub const RELAY_SPILLOVER_BEGUN: EventKind = event(695, Level::Info, "spillover begun");
 /// Requests stay in the failure domain again; with the service and the fraction that is left.
@@ -309,6 +311,7 @@
     RELAY_SPILLOVER_BEGUN,
     RELAY_SPILLOVER_ENDED,
     RELAY_UNFINISHED_ENDED,
+    BODY_LIMIT_UNREACHABLE,
 ];
 
 impl EventKind {
--- a/crates/mustardgate/src/node/mod.rs
+++ b/crates/mustardgate/src/node/mod.rs
@@ -96,6 +96,8 @@
     )?;
     let hub = Arc::new(PeerHub::new(peer_key, Arc::new(MetricsMeter), logger.clone()));
     let node = build_context(settings, logger);
+    node.buffers
+        .check_body_limit(node.settings.callers.max_body_bytes, &node.logger);
     let operator_context = Arc::new(OperatorContext {
         node: Arc::clone(&node),
         metrics,
