Let bodies with fewer bytes to come keep their room

Cause: who asked for room last was refused, however near to its end it was, so each of many bodies in turn lost what it had sent.

Change: requests record the bytes that are still to come. Where there is not enough room for all, those with more of them end first; a body in chunks counts as the longest. Whole ones never end.

--- a/crates/mustardgate-core/src/buffers/ledger.rs
+++ b/crates/mustardgate-core/src/buffers/ledger.rs
@@ -66,6 +66,8 @@
 struct BufferHolding {
     source: BufferSource,
     bytes: usize,
+    /// Bytes that are still to come, as far as the holder knows.
+    left: usize,
     /// Whether the holder can still be ended.
     is_open: bool,
 }
@@ -80,9 +82,10 @@
 ///
 /// An answer of a runner that does not fit ends the largest open answer of the runner that holds most, or itself if that is its
 /// own runner. So a runner with a few ordinary answers never loses them to one that sends without end. Requests take room from
-/// open answers up to a share of theirs, and are not ended, because they may already run. One request may exceed that share
+/// open answers up to a share of theirs, and are not ended once they are whole, because they may already run. One request may exceed that share
 /// by what nobody else holds, or no node would ever serve a large body that its configuration allows; while it is not whole,
-/// it ends when others need that room. Control calls have a share to themselves: without the log no answer is worth much. So
+/// it ends when others need that room. Of requests that are not whole, those with fewer bytes to come take the room of those
+/// with more: with too many of them, some become whole instead of none. Control calls have a share to themselves: without the log no answer is worth much. So
 /// have callers' connections, which are there before anything is known of their requests.
 #[derive(Clone, Debug)]
 pub struct BufferLedger {
@@ -121,25 +124,50 @@
     /// Reserves further bytes for a holder, and returns the holders that lose theirs for it; `None` refuses the bytes, and
     /// nobody loses any. A holder that lost its bytes gets no further ones.
     pub fn reserve(&mut self, holder: HolderId, source: &BufferSource, bytes: usize) -> Option<Vec<HolderId>> {
-        let ended = match source.kind() {
-            SourceKind::Requests if !self.fits_share(source, bytes) => self.choose_oversized(holder, bytes)?,
-            _ if !self.fits_share(source, bytes) => return None,
-            _ => self.choose_ended(holder, source, bytes)?,
-        };
+        self.reserve_towards(holder, source, bytes, usize::MAX)
+    }
+
+    /// Reserves bytes like [`BufferLedger::reserve`] for a holder to which `left` bytes are still to come.
+    pub fn reserve_towards(
+        &mut self,
+        holder: HolderId,
+        source: &BufferSource,
+        bytes: usize,
+        left: usize,
+    ) -> Option<Vec<HolderId>> {
+        let mut ended = Vec::new();
+        if !self.fits_share(source, bytes) {
+            if source.kind() != SourceKind::Requests {
+                return None;
+            }
+            ended = self.choose_requests(holder, bytes, left)?;
+        }
+        let freed = ended.iter().filter_map(|id| self.holdings.get(id));
+        let freed: usize = freed.map(|holding| holding.bytes).sum();
+        ended.extend(self.choose_ended(holder, source, bytes.saturating_sub(freed))?);
         for id in &ended {
             self.release(*id);
         }
         let holding = self.holdings.entry(holder).or_insert_with(|| BufferHolding {
             source: source.clone(),
             bytes: 0,
+            left,
             is_open: matches!(source, BufferSource::Runner(_) | BufferSource::Callers),
         });
         holding.bytes += bytes;
+        holding.left = left;
         *self.held_bytes.entry(source.clone()).or_default() += bytes;
         self.total_bytes += bytes;
         Some(ended)
     }
 
+    /// Records how many bytes are still to come to a holder.
+    pub fn record_left(&mut self, holder: HolderId, left: usize) {
+        if let Some(holding) = self.holdings.get_mut(&holder) {
+            holding.left = left;
+        }
+    }
+
     /// Records that a holder cannot be ended any more, because its bytes are on their way to somebody else.
     pub fn settle(&mut self, holder: HolderId) {
         if let Some(holding) = self.holdings.get_mut(&holder) {
@@ -197,20 +225,39 @@
         self.bytes_for(kind) + bytes <= share
     }
 
-    /// Returns the holders that have to end so that a request may exceed the share of all; `None` if it may not.
-    fn choose_oversized(&self, asking: HolderId, bytes: usize) -> Option<Vec<HolderId>> {
+    /// Returns the requests that have to end so that one gets further bytes beyond the share of all; `None` if it has to.
+    fn choose_requests(&self, asking: HolderId, bytes: usize, left: usize) -> Option<Vec<HolderId>> {
         let share = self.limits.request_bytes();
+        let wanted = self.bytes_for(SourceKind::Requests) + bytes;
+        if self.is_lone(asking, bytes) {
+            return Some(Vec::new());
+        }
+        let others = self.holdings.iter().filter(|(id, _)| **id != asking);
+        let open = others.filter(|(_, holding)| holding.is_open && holding.is_request());
+        let mut losers: Vec<(usize, HolderId, usize)> = open
+            .filter(|(_, holding)| holding.left > left || holding.bytes > share)
+            .map(|(id, holding)| (holding.left, *id, holding.bytes))
+            .collect();
+        losers.sort_unstable();
+        let mut needed = wanted.saturating_sub(share);
+        let mut ended = Vec::new();
+        while needed > 0 {
+            let (_, id, freed) = losers.pop()?;
+            needed = needed.saturating_sub(freed);
+            ended.push(id);
+        }
+        Some(ended)
+    }
+
+    /// Returns whether a request may exceed the share of all by what nobody else holds.
+    fn is_lone(&self, asking: HolderId, bytes: usize) -> bool {
         let largest_body = self.limits.largest_body_bytes();
         let wanted = self.bytes_for(SourceKind::Requests) + bytes;
         let own_bytes = self.holdings.get(&asking).map_or(0, |holding| holding.bytes) + bytes;
         let requests = self.holdings.values().filter(|holding| holding.is_request());
         let largest = requests.map(|holding| holding.bytes).fold(own_bytes, usize::max);
         let is_free = self.shared_bytes() + bytes <= self.shared_limit();
-        if is_free && wanted <= largest_body && wanted - largest <= largest_body - share {
-            return Some(Vec::new());
-        }
-        let (id, freed) = self.oversized_request().filter(|(id, _)| *id != asking)?;
-        (wanted - freed <= share).then(|| vec![id])
+        is_free && wanted <= largest_body && wanted - largest <= largest_body - self.limits.request_bytes()
     }
 
     /// Returns the request that exceeds the share of all requests, if it can still be ended, with its bytes.
@@ -250,7 +297,8 @@
         if needed == 0 {
             return Some(ended);
         }
-        if let Some((id, freed)) = self.oversized_request().filter(|(id, _)| *id != asking) {
+        let is_answer = matches!(source, BufferSource::Runner(_));
+        if is_answer && let Some((id, freed)) = self.oversized_request() {
             needed = needed.saturating_sub(freed);
             ended.push(id);
         }
@@ -266,7 +314,6 @@
                 .iter()
                 .filter(|(other, _)| open.iter().any(|entry| entry.0 == *other));
             let (greediest, held) = candidates.max_by_key(|(_, held)| **held)?;
-            let is_answer = matches!(source, BufferSource::Runner(_));
             let own_bytes = held_bytes.get(source).copied().unwrap_or_default() + bytes;
             if is_answer && (greediest == source || *held <= own_bytes) {
                 return None;
--- a/crates/mustardgate-core/tests/relay/buffers.rs
+++ b/crates/mustardgate-core/tests/relay/buffers.rs
@@ -193,6 +193,25 @@
     assert_eq!(ledger.reserve(8, &BufferSource::Callers, 300), None);
 }
 
+// Guards against crowds of bodies none of which ever becomes whole.
+#[test]
+fn a_request_takes_the_room_of_those_with_more_bytes_to_come() {
+    let mut ledger = ledger();
+    let source = BufferSource::Callers;
+    for holder in 1..=4 {
+        let left = 100 * holder as usize;
+        assert_eq!(ledger.reserve_towards(holder, &source, 150, left), Some(vec![]));
+    }
+    assert_eq!(ledger.reserve_towards(5, &source, 150, 400), None);
+    assert_eq!(ledger.reserve_towards(5, &source, 150, 250), Some(vec![4]));
+    assert_eq!(ledger.reserve_towards(1, &source, 100, 10), Some(vec![3]));
+    ledger.record_left(2, 0);
+    assert_eq!(ledger.reserve_towards(1, &source, 200, 0), Some(vec![5]));
+    ledger.settle(2);
+    assert_eq!(ledger.reserve_towards(6, &source, 300, 0), None);
+    assert_eq!(ledger.bytes_of(&source), 600);
+}
+
 // Guards against connections that take the room of requests and answers, or are refused because those hold theirs.
 #[test]
 fn connections_have_a_share_of_their_own() {
--- a/crates/mustardgate/src/buffers/budget.rs
+++ b/crates/mustardgate/src/buffers/budget.rs
@@ -81,6 +81,7 @@
         BufferGuard {
             budget: Arc::clone(self),
             source,
+            left: usize::MAX,
             reservation: None,
         }
     }
@@ -151,6 +152,8 @@
 pub struct BufferGuard {
     budget: Arc<BufferBudget>,
     source: BufferSource,
+    /// Bytes that are still to come, as far as that is known.
+    left: usize,
     reservation: Option<Reservation>,
 }
 
@@ -181,7 +184,7 @@
         });
         let ended = state
             .ledger
-            .reserve(reservation.id, &self.source, further)
+            .reserve_towards(reservation.id, &self.source, further, self.left)
             .ok_or(NoRoom)?;
         reservation.bytes += further;
         state.signals.insert(reservation.id, Arc::clone(&reservation.signal));
@@ -194,6 +197,14 @@
         Ok(())
     }
 
+    /// Records how many bytes are still to come: holders with fewer of them keep their room first.
+    pub fn expect(&mut self, left: usize) {
+        self.left = left;
+        if let Some(reservation) = &self.reservation {
+            self.budget.lock().ledger.record_left(reservation.id, left);
+        }
+    }
+
     fn give_back(&mut self, unneeded: usize) {
         let Some(reservation) = &mut self.reservation else {
             return;
--- a/crates/mustardgate/src/buffers/collect.rs
+++ b/crates/mustardgate/src/buffers/collect.rs
@@ -84,6 +84,8 @@
         if bytes > max_bytes {
             return Err(CollectError::TooLong { bytes });
         }
+        let rest = body.size_hint().upper().and_then(|rest| usize::try_from(rest).ok());
+        guard.expect(rest.unwrap_or(usize::MAX));
         if first.is_empty() && content.is_empty() {
             // Most bodies are one frame, which needs no copy.
             guard.cover(bytes).map_err(|_no_room| CollectError::NoRoom { bytes })?;
@@ -94,7 +96,6 @@
             break;
         }
         if bytes > content.capacity() {
-            let rest = body.size_hint().upper().and_then(|rest| usize::try_from(rest).ok());
             let expected = rest.map_or(max_bytes, |rest| bytes.saturating_add(rest).min(max_bytes));
             let wanted = (bytes + bytes / 2).max(MIN_GROWTH_BYTES).min(expected);
             // Growth by a part is for speed; a body that is nearly whole may fit without it.
