--- a/crates/standins/tests/untrusted_callers/main.rs
+++ b/crates/standins/tests/untrusted_callers/main.rs
@@ -35,7 +35,12 @@
 
 #[tokio::test]
 async fn large_chunks_without_an_end_leave_room_at_the_gateway() {
-    let chunk = [format!("{CHUNK_BYTES:x}\r\n").as_bytes(), &[b'x'; CHUNK_BYTES], b"\r\n"].concat();
+    let chunk = [
+        format!("{CHUNK_BYTES:x}\r\n").as_bytes(),
+        &vec![b'x'; CHUNK_BYTES],
+        b"\r\n",
+    ]
+    .concat();
     let call = CrowdCall {
         framing: "Transfer-Encoding: chunked\r\n\r\n".to_owned(),
         content: vec![Bytes::from(chunk); (BODY_BYTES - WITHHELD_BYTES) / CHUNK_BYTES],
