End connections with their answers while few places are free

Cause: a connection keeps its place between its requests, however many callers wait for one.

Change: while fewer than an eighth of the places are free, answers say Connection: close, so that the caller comes back behind those who wait. It is told before it sends its next request, so none is lost.

All other bounds stay.

--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -48,6 +48,7 @@
     // it.
     let is_chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let (head, mut body) = request.into_parts();
+    let caller_slot = head.extensions.get::<CallerSlot>().cloned();
     let relayed = match context.ports.dialect.read_request(&head, received_at) {
         Ok(relayed) => relayed,
         Err(error) => {
@@ -71,7 +72,8 @@
         Err(answer) => finish_local(&context, &id, answer, received_at, "none"),
     };
     trace.end();
-    if is_chunked || context.drain.is_draining() {
+    let is_crowded = caller_slot.is_some_and(|slot| slot.is_crowded());
+    if is_chunked || is_crowded || context.drain.is_draining() {
         let headers = response.headers_mut();
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/mustardgate/src/callers/slots.rs
+++ b/crates/mustardgate/src/callers/slots.rs
@@ -38,6 +38,8 @@
 #[derive(Debug, Default)]
 pub struct CallerSlots {
     state: Mutex<SlotState>,
+    /// Whether few places are free.
+    is_crowded: AtomicBool,
 }
 
 #[derive(Debug, Default)]
@@ -95,6 +97,7 @@
                 continue;
             }
             let missing = wanted.saturating_sub(room.places.available_permits());
+            self.is_crowded.store(missing > 0, Ordering::Relaxed);
             let (most, cause) = if room.buffers.is_short_for_requests() {
                 (BATCH, "bytes")
             } else {
@@ -138,6 +141,12 @@
         self.lingers.store(true, Ordering::Relaxed);
     }
 
+    /// Returns whether few places are free, so that connections shall end with their answers: those without a request keep
+    /// their places from callers that have one.
+    pub fn is_crowded(&self) -> bool {
+        self.caller_slots.is_crowded.load(Ordering::Relaxed)
+    }
+
     /// Begins to receive a body.
     pub fn receive<'a>(&self, body: &'a mut Incoming) -> ReceivedBody<'a> {
         let signal = Arc::<Notify>::default();
--- a/crates/mustardgate/src/gateway/mod.rs
+++ b/crates/mustardgate/src/gateway/mod.rs
@@ -22,15 +22,17 @@
     errors::CallerError,
     request::{bearer_digest, key_digest},
 };
-use crate::{context::NodeContext, drain::InFlightGuard, events, http::AnswerBody};
+use crate::{callers::CallerSlot, context::NodeContext, drain::InFlightGuard, events, http::AnswerBody};
 
 /// Answers one request of a caller; every failure is answered with a typed error and its verdict.
 pub async fn answer_caller(context: Arc<NodeContext>, request: Request<Incoming>) -> Response<AnswerBody> {
     let guard = context.drain.track_request();
     let (drain, version) = (context.drain.clone(), request.version());
+    let caller_slot = request.extensions().get::<CallerSlot>().cloned();
     let mut response = answer_request(context, request, guard).await;
+    let is_crowded = caller_slot.is_some_and(|slot| slot.is_crowded());
     // Callers with an open connection change to another node before this one closes it.
-    if drain.is_draining() && version < Version::HTTP_2 {
+    if (is_crowded || drain.is_draining()) && version < Version::HTTP_2 {
         response
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
