Relay: count the lines about malformed requests against the limit of lines

Cause: by reading, each request with malformed fields wrote a line of its own, so a crowd of them costs a node of 0.09 cores as many lines as it sends requests; all other lines about requests are limited to logging.request_lines_per_s. Change: so is this one. No test; not measured.

--- a/crates/mustardgate-relay/src/gateway/exchange.rs
+++ b/crates/mustardgate-relay/src/gateway/exchange.rs
@@ -54,7 +54,10 @@
         Err(error) => {
             discard_refused(&mut body, head.extensions.get()).await;
             counter!("mustardgate_relay_answers_total", "outcome" => "malformed").increment(1);
-            events::RELAY_REQUEST_NOT_SERVED.write(context.log.logger(), o!("reason" => error.to_string()));
+            let values = o!("reason" => error.to_string());
+            context
+                .log
+                .write(events::RELAY_REQUEST_NOT_SERVED, &RequestId::default(), values);
             return LocalAnswer::Malformed.into_response();
         }
     };
