Names and comments of the buffers' limits, read as a newcomer would

The event of unfinished requests is not the relay's alone any more; record_left says what the guard does and is not taken for Result::expect; the ledger's rules stand in paragraphs. No behaviour changes.

--- a/crates/mustardgate-core/src/buffers/ledger.rs
+++ b/crates/mustardgate-core/src/buffers/ledger.rs
@@ -81,12 +81,16 @@
 /// Decides which bytes are kept when not all of them fit.
 ///
 /// An answer of a runner that does not fit ends the largest open answer of the runner that holds most, or itself if that is its
-/// own runner. So a runner with a few ordinary answers never loses them to one that sends without end. Requests take room from
-/// open answers up to a share of theirs, and are not ended once they are whole, because they may already run. One request may exceed that share
-/// by what nobody else holds, or no node would ever serve a large body that its configuration allows; while it is not whole,
-/// it ends when others need that room. Of requests that are not whole, those with fewer bytes to come take the room of those
-/// with more: with too many of them, some become whole instead of none. Control calls have a share to themselves: without the log no answer is worth much. So
-/// have callers' connections, which are there before anything is known of their requests.
+/// own runner. So a runner with a few ordinary answers never loses them to one that sends without end.
+///
+/// Requests take room from open answers up to a share of theirs, and are not ended once they are whole, because they may
+/// already run. One request may exceed that share by what nobody else holds, or no node would ever serve a large body that
+/// its configuration allows; while it is not whole, it ends when others need that room. Of requests that are not whole,
+/// those with fewer bytes to come take the room of those with more: with too many of them, some become whole instead of
+/// none.
+///
+/// Control calls have a share to themselves: without the log no answer is worth much. So have callers' connections, which
+/// are there before anything is known of their requests.
 #[derive(Clone, Debug)]
 pub struct BufferLedger {
     limits: BufferLimits,
@@ -140,7 +144,7 @@
             if source.kind() != SourceKind::Requests {
                 return None;
             }
-            ended = self.choose_requests(holder, bytes, left)?;
+            ended = self.choose_ended_requests(holder, bytes, left)?;
         }
         let freed = ended.iter().filter_map(|id| self.holdings.get(id));
         let freed: usize = freed.map(|holding| holding.bytes).sum();
@@ -225,8 +229,8 @@
         self.bytes_for(kind) + bytes <= share
     }
 
-    /// Returns the requests that have to end so that one gets further bytes beyond the share of all; `None` if it has to.
-    fn choose_requests(&self, asking: HolderId, bytes: usize, left: usize) -> Option<Vec<HolderId>> {
+    /// Returns the requests that have to end so that one gets bytes which exceed the share of all; `None` if it has to end.
+    fn choose_ended_requests(&self, asking: HolderId, bytes: usize, left: usize) -> Option<Vec<HolderId>> {
         let share = self.limits.request_bytes();
         let wanted = self.bytes_for(SourceKind::Requests) + bytes;
         if self.is_lone(asking, bytes) {
--- a/crates/mustardgate-core/src/buffers/limits.rs
+++ b/crates/mustardgate-core/src/buffers/limits.rs
@@ -12,8 +12,7 @@
 const OVERSIZE_DIVISOR: usize = 8;
 /// Part of the memory beside the process's own that callers' connections may take.
 const CONNECTION_DIVISOR: usize = 2;
-/// Callers' connections that wait to be accepted are at most the places divided by this. They hold bytes that were
-/// received, too.
+/// Callers' connections that wait to be accepted are at most the places divided by this: they hold received bytes as well.
 const CALLER_QUEUE_DIVISOR: usize = 4;
 /// The same for connections of other nodes.
 const NODE_QUEUE_DIVISOR: usize = 8;
@@ -35,9 +34,9 @@
 pub enum ListenerRole {
     /// Callers.
     Callers,
-    /// Other nodes, or operators.
+    /// Other nodes.
     Nodes,
-    /// Checks whether the node is ready.
+    /// Checks whether the node is ready, or operators.
     Checks,
 }
 
--- a/crates/mustardgate-relay/src/gateway/listener.rs
+++ b/crates/mustardgate-relay/src/gateway/listener.rs
@@ -163,7 +163,7 @@
         let values = o!("cause" => ended.cause, "requests" => ended.count);
         context
             .log
-            .write(events::RELAY_UNFINISHED_ENDED, &RequestId::default(), values);
+            .write(events::UNFINISHED_ENDED, &RequestId::default(), values);
     }
 }
 
--- a/crates/mustardgate/src/buffers/budget.rs
+++ b/crates/mustardgate/src/buffers/budget.rs
@@ -198,7 +198,7 @@
     }
 
     /// Records how many bytes are still to come: holders with fewer of them keep their room first.
-    pub fn expect(&mut self, left: usize) {
+    pub fn record_left(&mut self, left: usize) {
         self.left = left;
         if let Some(reservation) = &self.reservation {
             self.budget.lock().ledger.record_left(reservation.id, left);
--- a/crates/mustardgate/src/buffers/collect.rs
+++ b/crates/mustardgate/src/buffers/collect.rs
@@ -85,7 +85,7 @@
             return Err(CollectError::TooLong { bytes });
         }
         let rest = body.size_hint().upper().and_then(|rest| usize::try_from(rest).ok());
-        guard.expect(rest.unwrap_or(usize::MAX));
+        guard.record_left(rest.unwrap_or(usize::MAX));
         if first.is_empty() && content.is_empty() {
             // Most bodies are one frame, which needs no copy.
             guard.cover(bytes).map_err(|_no_room| CollectError::NoRoom { bytes })?;
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -154,7 +154,7 @@
 /// A leader returns loads of runners again, or this node leads.
 pub const RELAY_LOADS_SHARED: EventKind = event(690, Level::Info, "runner loads shared again");
 /// Unfinished requests without progress were ended, because places or room were short; with the cause and their number.
-pub const RELAY_UNFINISHED_ENDED: EventKind = event(698, Level::Warning, "unfinished requests ended");
+pub const UNFINISHED_ENDED: EventKind = event(698, Level::Warning, "unfinished requests ended");
 /// The largest body that is allowed does not fit the memory, so requests of its size are refused; with both sizes.
 pub const BODY_LIMIT_UNREACHABLE: EventKind = event(699, Level::Warning, "largest body exceeds the memory");
 /// Requests leave the failure domain, because its runners are too few for them; with the service and the fraction.
@@ -310,7 +310,7 @@
     RELAY_CAPACITY_SHORT,
     RELAY_SPILLOVER_BEGUN,
     RELAY_SPILLOVER_ENDED,
-    RELAY_UNFINISHED_ENDED,
+    UNFINISHED_ENDED,
     BODY_LIMIT_UNREACHABLE,
 ];
 
--- a/crates/mustardgate/src/http/server.rs
+++ b/crates/mustardgate/src/http/server.rs
@@ -83,7 +83,7 @@
         let logger = logger.clone();
         let log_ended = move |ended: EndedRequests| {
             let values = o!("cause" => ended.cause, "requests" => ended.count);
-            events::RELAY_UNFINISHED_ENDED.write(&logger, values);
+            events::UNFINISHED_ENDED.write(&logger, values);
         };
         Arc::clone(&caller_slots).evict_stalled(room, log_ended)
     });
