--- a/crates/mustardgate-core/tests/relay/buffer_limits.rs
+++ b/crates/mustardgate-core/tests/relay/buffer_limits.rs
@@ -19,6 +19,7 @@
     }
 }
 
+// Guards against limits that leave the machines of deployments too few places for their callers.
 #[test]
 fn machines_of_all_sizes_have_places_and_a_queue() {
     let sizes = [SMALLEST_MB, 120, 160, 260, 512].map(|memory_mb| BufferLimits::within(memory_mb * MEGABYTE));
--- a/crates/standins/tests/untrusted_callers/main.rs
+++ b/crates/standins/tests/untrusted_callers/main.rs
@@ -1,4 +1,6 @@
 //! Tests of a node of the product with callers that nobody controls. They run apart from other load, one at a time.
+//!
+//! All of them guard against nodes that are killed for their memory, or have no place left for an ordinary caller.
 
 mod crowd;
 
