--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -13,14 +13,18 @@
 use crate::{
     client::{HOST, Received, StreamClient},
     node::{Deployment, Node, NodeAddresses},
+    plain::{PLAIN_SERVICE, PlainRunner, PlainRuns},
     record::Record,
     runner::{MODEL, RunEnd, Runner, Runs, SERVICE, StreamShape},
+    slow::SlowClient,
     store::Store,
     wire::wire,
 };
 
 /// Requests without a whole answer that the rule allows.
 const ALLOWED: usize = 3;
+/// Length of the answers of runners without models, in bytes.
+const ANSWER_BYTES: usize = 3 * 1024 * 1024;
 /// Time without disruption before the first request.
 const CALM: Duration = Duration::from_secs(4);
 
@@ -28,6 +32,7 @@
 struct Stage {
     nodes: Vec<Node>,
     runs: Runs,
+    plain_runs: PlainRuns,
     record: Arc<Record>,
     scratch: PathBuf,
 }
@@ -53,6 +58,11 @@
             let name = format!("runner-{index}");
             Runner::start(&name, *shape, &store, Arc::clone(&record), Arc::clone(&runs))?;
         }
+        let plain_runs = PlainRuns::default();
+        for index in 0..3 {
+            let (name, runs) = (format!("plain-{index}"), Arc::clone(&plain_runs));
+            PlainRunner::start(&name, ANSWER_BYTES, &store, Arc::clone(&record), runs)?;
+        }
         let deployment = Deployment {
             root: root.to_owned(),
             scratch: scratch.clone(),
@@ -62,6 +72,7 @@
         let mut stage = Self {
             nodes: Vec::new(),
             runs,
+            plain_runs,
             record,
             scratch,
         };
@@ -170,8 +181,50 @@
     Ok(stage.judge(&received, has_trouble.then_some(0)))
 }
 
+/// Clients stop reading for a while amid their answers. Returns whether the rule held.
+///
+/// # Errors
+/// The error if the case could not run.
+pub fn slow_readers(root: &Path, record: &Path, has_trouble: bool) -> io::Result<bool> {
+    const CLIENTS: usize = 16;
+    let rest = if has_trouble {
+        Duration::from_secs(5)
+    } else {
+        Duration::ZERO
+    };
+    let stage = Stage::start(root, record, &[])?;
+    let clients = (0..CLIENTS).map(|index| {
+        let record = Arc::clone(&stage.record);
+        let mut client = SlowClient::connect(stage.nodes[index % 2].addresses.callers)?;
+        Ok(thread::spawn(move || {
+            let ids = (0..2).map(|number| format!("client-{index}-{number}"));
+            let orders = ids.zip([Duration::ZERO, rest]).map(|(id, rest)| {
+                record.write(&format!("sent {id}"));
+                let answer = client.order(&id, rest);
+                record.write(&format!("answer {id}: {answer:?}"));
+                (id, answer.is_ok_and(|(status, _)| status == 200))
+            });
+            orders.collect::<Vec<_>>()
+        }))
+    });
+    let clients = clients.collect::<io::Result<Vec<_>>>()?;
+    let answered = clients
+        .into_iter()
+        .flat_map(|client| client.join().expect("no client panics"));
+    let answered: Vec<(String, bool)> = answered.collect();
+    let runs = stage.plain_runs.lock().expect("no holder panics");
+    let lost = answered
+        .iter()
+        .filter(|(id, is_whole)| !is_whole && runs.contains(id))
+        .count();
+    let text = format!("{} requests, {lost} lost, {ALLOWED} allowed", answered.len());
+    stage.record.write(&text);
+    println!("{text}");
+    Ok(lost <= ALLOWED)
+}
+
 fn configuration() -> String {
     format!(
-        r#"{{"version":1,"routes":[{{"name":"drafts","host":"{HOST}","path_prefix":"/drafts/","kind":"streaming","timeout_ms":15000,"target_latency_ms":1500,"priority":0,"service":"{SERVICE}","max_attempts":2,"session_affinity":true,"resumable":true,"target_gap_ms":400}}],"services":[{{"name":"{SERVICE}","health_path":"/healthz","max_connections":360,"protocol":"h1","tls":false,"engine":{{"slots":64,"kv_capacity_tokens":163837,"weights_mb":200000.0,"adapter_slots":8,"loads_per_s":2.4,"models":[{{"name":"{MODEL}","weights_mb":72700.0,"load_time_s":6.4,"adapters":0,"adapter_mb":66.0,"warm_s":0.6,"disk_load_s":1.3}}]}}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+        r#"{{"version":1,"routes":[{{"name":"drafts","host":"{HOST}","path_prefix":"/drafts/","kind":"streaming","timeout_ms":15000,"target_latency_ms":1500,"priority":0,"service":"{SERVICE}","max_attempts":2,"session_affinity":true,"resumable":true,"target_gap_ms":400}},{{"name":"orders","host":"{HOST}","path_prefix":"/orders/","kind":"unsafe","timeout_ms":15000,"target_latency_ms":1000,"priority":2,"service":"{PLAIN_SERVICE}","max_attempts":1,"session_affinity":false,"resumable":false}}],"services":[{{"name":"{PLAIN_SERVICE}","health_path":"/healthz","max_connections":100,"protocol":"h1","tls":false}},{{"name":"{SERVICE}","health_path":"/healthz","max_connections":360,"protocol":"h1","tls":false,"engine":{{"slots":64,"kv_capacity_tokens":163837,"weights_mb":200000.0,"adapter_slots":8,"loads_per_s":2.4,"models":[{{"name":"{MODEL}","weights_mb":72700.0,"load_time_s":6.4,"adapters":0,"adapter_mb":66.0,"warm_s":0.6,"disk_load_s":1.3}}]}}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
     )
 }
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -150,6 +150,14 @@
         self.write(&bytes)
     }
 
+    /// Fills a buffer.
+    ///
+    /// # Errors
+    /// The error if the connection ends before that.
+    pub fn read_exact(&mut self, buffer: &mut [u8]) -> io::Result<()> {
+        self.reader.read_exact(buffer)
+    }
+
     fn read_line(&mut self, line: &mut String) -> io::Result<usize> {
         let length = self.reader.read_line(line)?;
         line.truncate(line.trim_end().len());
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,8 +4,10 @@
 mod client;
 mod http;
 mod node;
+mod plain;
 mod record;
 mod runner;
+mod slow;
 mod store;
 mod wire;
 
@@ -36,6 +38,7 @@
 fn play(case: &str, root: &Path, record: &Path, has_trouble: bool) -> io::Result<bool> {
     match case {
         "broken-ends" => cases::broken_ends(root, record, has_trouble),
+        "slow-readers" => cases::slow_readers(root, record, has_trouble),
         "rising-steps" => cases::rising_steps(root, record, has_trouble),
         _ => Err(io::ErrorKind::NotFound.into()),
     }
