--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,7 +4,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 # KILL reaches the whole process group, and so every process that the case started.
-timeout --signal=KILL 110 target/review-2/standins slow-readers . review/7/record.txt
+timeout --signal=KILL 110 target/review-2/standins rising-steps . review/7/record.txt
 status=$?
 [ "$status" -le 1 ] || exit 2
 exit "$status"
--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    client::{HOST, Received, StreamClient},
+    client::{HOST, Received, Return, StreamClient},
     node::{Deployment, Node, NodeAddresses},
     plain::{PLAIN_SERVICE, PlainRunner, PlainRuns},
     record::Record,
@@ -28,12 +28,20 @@
 /// Time without disruption before the first request.
 const CALM: Duration = Duration::from_secs(4);
 
+/// Version of the runners where it does not matter.
+const VERSION: &str = "v1";
+/// Time that a route allows where it does not matter.
+const LONG_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Processes and stand-ins of a case.
-struct Stage {
-    nodes: Vec<Node>,
+pub(crate) struct Stage {
+    store: Arc<Store>,
+    /// The nodes.
+    pub(crate) nodes: Vec<Node>,
     runs: Runs,
     plain_runs: PlainRuns,
-    record: Arc<Record>,
+    /// The record.
+    pub(crate) record: Arc<Record>,
     scratch: PathBuf,
 }
 
@@ -46,13 +54,16 @@
 }
 
 impl Stage {
-    /// Starts two nodes, with a runner for each shape.
-    fn start(root: &Path, record: &Path, shapes: &[StreamShape]) -> io::Result<Self> {
+    /// Starts two nodes, with a runner for each shape and a time that the streaming route allows.
+    ///
+    /// # Errors
+    /// The error if something could not be started.
+    pub(crate) fn start(root: &Path, record: &Path, shapes: &[StreamShape], timeout: Duration) -> io::Result<Self> {
         let record = Arc::new(Record::create(record)?);
         let scratch = env::temp_dir().join(format!("mustardgate-review-{}", process::id()));
         fs::create_dir_all(&scratch)?;
         let (store, address) = Store::start()?;
-        store.put(wire("operator_topic"), "config", &configuration());
+        store.put(wire("operator_topic"), "config", &configuration(timeout));
         let runs = Runs::default();
         for (index, shape) in shapes.iter().enumerate() {
             let name = format!("runner-{index}");
@@ -70,6 +81,7 @@
             nodes: vec![NodeAddresses::free()?, NodeAddresses::free()?],
         };
         let mut stage = Self {
+            store,
             nodes: Vec::new(),
             runs,
             plain_runs,
@@ -86,7 +98,24 @@
         Ok(stage)
     }
 
-    fn client(&self, name: &str) -> StreamClient {
+    /// Starts a further runner.
+    ///
+    /// # Errors
+    /// The error if no port can be bound.
+    pub(crate) fn add_runner(&self, name: &str, shape: StreamShape) -> io::Result<()> {
+        self.record.write(&format!("{name} of {} is listed", shape.version));
+        let (record, runs) = (Arc::clone(&self.record), Arc::clone(&self.runs));
+        Runner::start(name, shape, &self.store, record, runs)
+    }
+
+    /// Removes the entry of a runner, which goes on serving.
+    pub(crate) fn remove_entry(&self, name: &str) {
+        self.record.write(&format!("the entry of {name} is removed"));
+        self.store.put(wire("runner_topic"), name, "");
+    }
+
+    /// Returns a client of the nodes.
+    pub(crate) fn client(&self, name: &str) -> StreamClient {
         let nodes = self.nodes.iter().map(|node| node.addresses.callers).collect();
         StreamClient::new(name, nodes, Arc::clone(&self.record))
     }
@@ -117,6 +146,13 @@
     }
 }
 
+fn at_once(node: usize) -> Return {
+    Return {
+        node,
+        pause: Duration::ZERO,
+    }
+}
+
 /// A faulty runner breaks a few of its streams off behind their last events. Returns whether the rule held.
 ///
 /// # Errors
@@ -128,18 +164,19 @@
         events: 8,
         pause: Duration::from_millis(10),
         step: 1,
+        version: VERSION,
         broken_one_in: 0,
     };
     let faulty = StreamShape {
         broken_one_in: if has_trouble { 20 } else { 0 },
         ..sound
     };
-    let stage = Stage::start(root, record, &[faulty, sound, sound])?;
+    let stage = Stage::start(root, record, &[faulty, sound, sound], LONG_TIMEOUT)?;
     let clients = (0..CLIENTS).map(|index| {
         let mut client = stage.client(&format!("client-{index}"));
         let (own, other) = (index % 2, (index + 1) % 2);
         thread::spawn(move || {
-            let fetched = (0..STREAMS).flat_map(|_| client.fetch(own, &[other], None));
+            let fetched = (0..STREAMS).flat_map(|_| client.fetch(own, &[at_once(other)], None));
             fetched.collect::<Vec<_>>()
         })
     });
@@ -160,13 +197,16 @@
         events: 40,
         pause: Duration::from_millis(150),
         step: 3,
+        version: VERSION,
         broken_one_in: 0,
     };
-    let mut stage = Stage::start(root, record, &[shape; 3])?;
+    let mut stage = Stage::start(root, record, &[shape; 3], LONG_TIMEOUT)?;
     let clients = (0..CLIENTS).map(|index| {
         let mut client = stage.client(&format!("client-{index}"));
         let spare = client.keep_spare(1)?;
-        Ok(thread::spawn(move || client.fetch(0, &[1, 1], Some(spare))))
+        Ok(thread::spawn(move || {
+            client.fetch(0, &[at_once(1), at_once(1)], Some(spare))
+        }))
     });
     let clients = clients.collect::<io::Result<Vec<_>>>()?;
     thread::sleep(Duration::from_millis(2_500));
@@ -192,7 +232,7 @@
     } else {
         Duration::ZERO
     };
-    let stage = Stage::start(root, record, &[])?;
+    let stage = Stage::start(root, record, &[], LONG_TIMEOUT)?;
     let clients = (0..CLIENTS).map(|index| {
         let record = Arc::clone(&stage.record);
         let mut client = SlowClient::connect(stage.nodes[index % 2].addresses.callers)?;
@@ -223,8 +263,9 @@
     Ok(lost <= ALLOWED)
 }
 
-fn configuration() -> String {
+fn configuration(timeout: Duration) -> String {
+    let timeout_ms = timeout.as_millis();
     format!(
-        r#"{{"version":1,"routes":[{{"name":"drafts","host":"{HOST}","path_prefix":"/drafts/","kind":"streaming","timeout_ms":15000,"target_latency_ms":1500,"priority":0,"service":"{SERVICE}","max_attempts":2,"session_affinity":true,"resumable":true,"target_gap_ms":400}},{{"name":"orders","host":"{HOST}","path_prefix":"/orders/","kind":"unsafe","timeout_ms":15000,"target_latency_ms":1000,"priority":2,"service":"{PLAIN_SERVICE}","max_attempts":1,"session_affinity":false,"resumable":false}}],"services":[{{"name":"{PLAIN_SERVICE}","health_path":"/healthz","max_connections":100,"protocol":"h1","tls":false}},{{"name":"{SERVICE}","health_path":"/healthz","max_connections":360,"protocol":"h1","tls":false,"engine":{{"slots":64,"kv_capacity_tokens":163837,"weights_mb":200000.0,"adapter_slots":8,"loads_per_s":2.4,"models":[{{"name":"{MODEL}","weights_mb":72700.0,"load_time_s":6.4,"adapters":0,"adapter_mb":66.0,"warm_s":0.6,"disk_load_s":1.3}}]}}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+        r#"{{"version":1,"routes":[{{"name":"drafts","host":"{HOST}","path_prefix":"/drafts/","kind":"streaming","timeout_ms":{timeout_ms},"target_latency_ms":1500,"priority":0,"service":"{SERVICE}","max_attempts":2,"session_affinity":true,"resumable":true,"target_gap_ms":400}},{{"name":"orders","host":"{HOST}","path_prefix":"/orders/","kind":"unsafe","timeout_ms":15000,"target_latency_ms":1000,"priority":2,"service":"{PLAIN_SERVICE}","max_attempts":1,"session_affinity":false,"resumable":false}}],"services":[{{"name":"{PLAIN_SERVICE}","health_path":"/healthz","max_connections":100,"protocol":"h1","tls":false}},{{"name":"{SERVICE}","health_path":"/healthz","max_connections":360,"protocol":"h1","tls":false,"engine":{{"slots":64,"kv_capacity_tokens":163837,"weights_mb":200000.0,"adapter_slots":8,"loads_per_s":2.4,"models":[{{"name":"{MODEL}","weights_mb":72700.0,"load_time_s":6.4,"adapters":0,"adapter_mb":66.0,"warm_s":0.6,"disk_load_s":1.3}}]}}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
     )
 }
--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -1,9 +1,11 @@
 //! Clients that send streaming requests and resume a stream whose connection breaks.
 
 use std::{
+    collections::BTreeSet,
     io,
     net::{SocketAddr, TcpStream},
     sync::Arc,
+    thread,
     time::{Duration, Instant},
 };
 
@@ -27,10 +29,21 @@
     pub status: Option<u16>,
     /// Identifier of the last event that the client has.
     pub last: u64,
+    /// Versions of the runners that made its events.
+    pub versions: BTreeSet<String>,
     /// Whether the answer ended as its framing says.
     pub is_whole: bool,
 }
 
+/// How a client asks for the rest of a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct Return {
+    /// Node that it asks.
+    pub node: usize,
+    /// Time after the end of the request before.
+    pub pause: Duration,
+}
+
 /// A client with a connection that it keeps.
 #[derive(Debug)]
 pub struct StreamClient {
@@ -53,19 +66,20 @@
         }
     }
 
-    /// Asks a node for a stream; while it is not whole, asks the nodes in `others` for its rest, the first on `spare`, if
+    /// Asks a node for a stream; while it is not whole, asks for its rest, the first on `spare`, if
     /// there is such a connection, and the others on new ones. Returns what came of each request.
-    pub fn fetch(&mut self, node: usize, others: &[usize], spare: Option<Connection>) -> Vec<Received> {
+    pub fn fetch(&mut self, node: usize, returns: &[Return], spare: Option<Connection>) -> Vec<Received> {
         let ends_at = Instant::now() + DEADLINE;
         let mut received = vec![self.ask(node, 0, ends_at)];
         self.kept = spare.or(self.kept.take());
-        for other in others {
+        for Return { node, pause } in returns {
             let last = received.last().expect("there is a first one");
             if last.is_whole {
                 break;
             }
             let after = last.last;
-            received.push(self.ask(*other, after, ends_at));
+            thread::sleep(*pause);
+            received.push(self.ask(*node, after, ends_at));
         }
         received
     }
@@ -140,6 +154,8 @@
                 for line in String::from_utf8_lossy(&chunk).lines() {
                     let number = line.strip_prefix("id:").and_then(|value| value.trim().parse().ok());
                     received.last = number.unwrap_or(received.last);
+                    let version = line.rsplit_once(" of ").filter(|_| line.starts_with("data:"));
+                    received.versions.extend(version.map(|(_, version)| version.to_owned()));
                 }
             }
         } else {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,6 +6,7 @@
 mod node;
 mod plain;
 mod record;
+mod release;
 mod runner;
 mod slow;
 mod store;
@@ -39,6 +40,7 @@
     match case {
         "broken-ends" => cases::broken_ends(root, record, has_trouble),
         "slow-readers" => cases::slow_readers(root, record, has_trouble),
+        "late-returns" => release::late_returns(root, record, has_trouble),
         "rising-steps" => cases::rising_steps(root, record, has_trouble),
         _ => Err(io::ErrorKind::NotFound.into()),
     }
--- a/review/standins-2/runner.rs
+++ b/review/standins-2/runner.rs
@@ -36,6 +36,8 @@
     pub pause: Duration,
     /// Difference between the identifiers of two events.
     pub step: u64,
+    /// Version of the runner's software, which each event names.
+    pub version: &'static str,
     /// One stream in so many is broken off behind its last event, before its end; none if it is zero.
     pub broken_one_in: u64,
 }
@@ -89,7 +91,7 @@
             begun: AtomicU64::new(0),
         };
         let address = serve(move |connection| runner.serve(connection))?;
-        store.put(wire("runner_topic"), name, &entry(address));
+        store.put(wire("runner_topic"), name, &entry(address, shape.version));
         Ok(())
     }
 
@@ -160,7 +162,7 @@
         for event in after / shape.step + 1..=shape.events {
             thread::sleep(shape.pause);
             let number = event * shape.step;
-            connection.write_chunk(format!("id: {number}\ndata: piece {event}\n\n").as_bytes())?;
+            connection.write_chunk(format!("id: {number}\ndata: piece {event} of {}\n\n", shape.version).as_bytes())?;
         }
         if is_broken { Ok(()) } else { connection.write_chunk(b"") }
     }
@@ -174,8 +176,8 @@
 }
 
 /// Returns the entry of a runner in the store.
-fn entry(address: SocketAddr) -> String {
+fn entry(address: SocketAddr, version: &str) -> String {
     format!(
-        r#"{{"service":"{SERVICE}","address":"{address}","zone":"east","version":"v1","slots":{SLOTS},"state":"ready","cold_left_ms":0,"stage":"colocated","models":[{{"name":"{MODEL}","version":1,"adapters":[]}}],"sequence":0,"born":{BORN_MS}}}"#
+        r#"{{"service":"{SERVICE}","address":"{address}","zone":"east","version":"{version}","slots":{SLOTS},"state":"ready","cold_left_ms":0,"stage":"colocated","models":[{{"name":"{MODEL}","version":1,"adapters":[]}}],"sequence":0,"born":{BORN_MS}}}"#
     )
 }
