--- a/crates/mustardgate-relay/src/gateway/stream/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/stream/mod.rs
@@ -1,5 +1,6 @@
 //! Answers that are event streams, passed on event by event and resumed at another runner where the route allows it.
 
+mod log;
 mod moves;
 mod timing;
 
@@ -12,8 +13,6 @@
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{Response, body::Frame};
-use metrics::counter;
-use mustardgate::events;
 use mustardgate_core::{
     clock,
     relay::{
@@ -22,8 +21,6 @@
     retry::{AttemptPlan, NextStep},
     verdict::RunVerdict,
 };
-use slog::o;
-use smol_str::SmolStr;
 use tokio::time;
 
 use self::timing::StreamTiming;
@@ -201,7 +198,10 @@
                     count += 1;
                 }
                 EventVerdict::Skip => {}
-                EventVerdict::Foreign => self.has_foreign = true,
+                EventVerdict::Foreign => {
+                    self.has_foreign = true;
+                    self.log_refused(&event);
+                }
             }
         }
         self.time_events(count);
@@ -355,30 +355,6 @@
         count_repeat(&self.plan, &resume, &opened);
         opened
     }
-
-    fn log_resumed(&self, open: &OpenAnswer, version_before: &SoftwareVersion) {
-        counter!("mustardgate_streams_resumed_total").increment(1);
-        let values = o!(
-            "version" => open.ticket.cell().listed().version.to_string(),
-            "version_before" => version_before.to_string(),
-            "last_event" => self.progress.last().map_or("none", SmolStr::as_str).to_owned(),
-            "backend" => open.ticket.cell().listed().id.to_string(),
-        );
-        let log = &self.received.context.log;
-        log.write(events::RELAY_STREAM_RESUMED, &self.received.request.id, values);
-    }
-
-    fn log_broken(&mut self, reason: &'static str) {
-        self.trace.end();
-        counter!("mustardgate_streams_broken_total").increment(1);
-        let values = o!(
-            "reason" => reason,
-            "last_event" => self.progress.last().map_or("none", SmolStr::as_str).to_owned(),
-            "route" => self.received.route.name.to_string(),
-        );
-        let log = &self.received.context.log;
-        log.write(events::RELAY_STREAM_BROKEN, &self.received.request.id, values);
-    }
 }
 
 /// What ends the wait for the next frame of an answer.
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -135,6 +135,8 @@
 pub const RELAY_ANSWER_GIVEN_UP: EventKind = event(636, Level::Info, "answer over cut link given up");
 /// A request was not passed on, because a planned stop leaves too little time for it; with the times compared.
 pub const RELAY_STOP_REFUSED: EventKind = event(637, Level::Info, "request does not fit grace period");
+/// An event of a runner's answer cannot follow those that the caller has; with its identifier and the last one.
+pub const RELAY_STREAM_EVENT_REFUSED: EventKind = event(638, Level::Info, "stream event refused");
 /// An answer of a runner was dropped and its connection closed, because nothing binds it to the request before it.
 pub const RELAY_ANSWER_DROPPED: EventKind = event(660, Level::Warning, "stray runner answer dropped");
 /// A request came as one to a runner, because the list of runners names an address of this node.
@@ -279,6 +281,7 @@
     RELAY_REQUEST_ABANDONED,
     RELAY_ANSWER_GIVEN_UP,
     RELAY_STOP_REFUSED,
+    RELAY_STREAM_EVENT_REFUSED,
     RELAY_ORIGINS_UNRECORDED,
     RELAY_ORIGINS_RECORDED,
     RELAY_CONTROL_LOAD,
