Resume streams whose identifiers leave numbers out at nodes that have seen none

Cause: StreamProgress took a first event further on than the next number for one that is not of the stream, until a stream with gaps had ended as complete in the same process. PROTOCOL promises ids that increase, not that they follow each other.

Change: evidence of how a service's version numbers its events, from the steps within single answers, whole or not. A rest that leaves a number out is refused only where three events in a row were numbered one by one and none otherwise, and passed on if a second runner leaves out the same place. It works because the refusal now rests on what was seen, not on what was not.

--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod catalogue;
 mod config;
 mod crashes;
+mod event_numbering;
 mod events;
 mod feed;
 mod feed_times;
@@ -66,6 +67,7 @@
         ChangeNumber, CrashDigest, CrashLedger, CrashObservation, CrashRecord, CrashSettings, QuarantineNotice,
         RecordNeed, RecordedCrashes, shared_parts,
     },
+    event_numbering::{EventNumbering, NumberingBook, NumberingEvidence},
     events::{EventSplitter, StreamEvent},
     feed::{FeedAllowance, FeedLimits},
     feed_times::FeedTimes,
--- a/crates/mustardgate-core/src/relay/stream_progress.rs
+++ b/crates/mustardgate-core/src/relay/stream_progress.rs
@@ -4,7 +4,10 @@
 
 use smol_str::SmolStr;
 
-use super::events::StreamEvent;
+use super::{
+    event_numbering::{EventNumbering, NumberingEvidence},
+    events::StreamEvent,
+};
 
 /// Whether an event belongs to the caller's stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,26 +38,31 @@
     is_continued: bool,
     /// Whether an event of the current answer was passed on.
     has_event: bool,
-    /// Whether identifiers of the service's events may rise by more than one.
-    has_gaps: bool,
+    /// What is known of the identifiers of the service's events, apart from `seen`.
+    known: NumberingEvidence,
+    /// What the answers of this stream say of them and was not taken yet.
+    seen: NumberingEvidence,
+    /// Identifier behind which the rest of an earlier runner began with a gap.
+    refused_after: Option<u64>,
 }
 
 impl StreamProgress {
-    /// Creates the progress of a stream of which the caller has the events up to `last`, if it takes one up; `has_gaps` says
-    /// that identifiers of the service's events are known to rise by more than one.
-    pub fn new(last: Option<SmolStr>, has_gaps: bool) -> Self {
+    /// Creates the progress of a stream of which the caller has the events up to `last`, if it takes one up; `known` is what
+    /// is known of the identifiers of the service's events.
+    pub fn new(last: Option<SmolStr>, known: NumberingEvidence) -> Self {
         Self {
             is_continued: last.is_some(),
             last,
-            has_event: false,
-            has_gaps,
+            known,
+            ..Self::default()
         }
     }
 
     /// Records that another runner's answer follows.
-    pub fn begin_answer(&mut self) {
+    pub fn begin_answer(&mut self, known: NumberingEvidence) {
         self.is_continued = self.last.is_some();
         self.has_event = false;
+        self.known = known;
     }
 
     /// Returns the identifier of the last event that the caller has.
@@ -62,9 +70,26 @@
         self.last.as_ref()
     }
 
-    /// Returns whether identifiers rose by more than one within the answer of one runner.
-    pub fn has_gaps(&self) -> bool {
-        self.has_gaps
+    fn is_empty_rest(&self) -> bool {
+        self.is_continued && !self.has_event
+    }
+
+    /// Returns what is known of how identifiers rise in streams of the service.
+    pub fn numbering(&self) -> EventNumbering {
+        self.known.merged_with(self.seen).numbering()
+    }
+
+    /// Returns whether this stream shows a gap between identifiers of which the service was not known to have any.
+    pub fn has_new_gap(&self) -> bool {
+        let is_new = self.known.numbering() != EventNumbering::Gapped;
+        is_new && self.seen.numbering() == EventNumbering::Gapped
+    }
+
+    /// Returns what the answers since the last call say of the identifiers of the service's events.
+    pub fn take_evidence(&mut self) -> NumberingEvidence {
+        let seen = std::mem::take(&mut self.seen);
+        self.known = self.known.merged_with(seen);
+        seen
     }
 
     /// Returns whether an event belongs to the stream, and takes it over if it is the next one.
@@ -74,7 +99,7 @@
         };
         let number = |text: &str| text.parse::<u64>().ok();
         if let (Some(last), Some(number)) = (self.last.as_deref().and_then(number), number(id)) {
-            let is_first_of_rest = self.is_continued && !self.has_event;
+            let is_first_of_rest = self.is_empty_rest();
             if number <= last {
                 return if is_first_of_rest {
                     EventVerdict::Foreign
@@ -82,11 +107,11 @@
                     EventVerdict::Skip
                 };
             }
-            if number - last > 1 {
-                if self.is_continued && !self.has_gaps {
-                    return EventVerdict::Foreign;
-                }
-                self.has_gaps = true;
+            if number - last > 1 && !self.allows_gap_after(last) {
+                return EventVerdict::Foreign;
+            }
+            if !is_first_of_rest {
+                self.seen.record_step(number - last);
             }
         }
         self.last = Some(id.into());
@@ -94,6 +119,20 @@
         EventVerdict::PassOn
     }
 
+    /// Returns whether an event may follow that is not the next one by number. A rest may leave numbers out, unless the service
+    /// is known to number its events one by one; two runners that both leave them out prove that it does not.
+    fn allows_gap_after(&mut self, last: u64) -> bool {
+        if !self.is_continued || self.numbering() != EventNumbering::Consecutive {
+            return true;
+        }
+        let is_confirmed = self.refused_after == Some(last);
+        if is_confirmed {
+            self.seen.record_gap();
+        }
+        self.refused_after = Some(last);
+        is_confirmed
+    }
+
     /// Returns whether an event without an identifier belongs to the stream. Only an answer that began the stream may hold what
     /// has no place in it.
     fn accept_unnumbered(&mut self, event: &StreamEvent) -> EventVerdict {
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -117,10 +117,10 @@
 }
 
 impl ReceivedRequest {
-    /// Returns the progress of the stream before the answer to this request.
-    pub(super) fn begin_progress(&self) -> StreamProgress {
-        let has_gaps = self.context.streams.has_gaps(&self.service);
-        StreamProgress::new(self.request.last_event.clone(), has_gaps)
+    /// Returns the progress of the stream before the answer to this request, which a runner of a version gives.
+    pub(super) fn begin_progress(&self, version: VersionTag) -> StreamProgress {
+        let known = self.context.streams.numbering(version);
+        StreamProgress::new(self.request.last_event.clone(), known)
     }
 
     /// Chooses a runner that was not tried yet and holds the requested adapter, or has the adapter loaded on one.
--- a/crates/mustardgate-relay/src/gateway/stream/log.rs
+++ b/crates/mustardgate-relay/src/gateway/stream/log.rs
@@ -25,7 +25,7 @@
     /// Logs an event that cannot follow those that the caller has.
     pub(super) fn log_refused(&self, event: &StreamEvent) {
         let values = o!(
-            "has_gaps" => self.progress.has_gaps(),
+            "numbering" => self.progress.numbering().to_string(),
             "last_event" => self.progress.last().map_or("none", SmolStr::as_str).to_owned(),
             "event_id" => event.id.clone().unwrap_or_else(|| "none".to_owned()),
             "backend" => self.open.as_ref().map_or("none".to_owned(), |open| open.ticket.cell().listed().id.to_string()),
--- a/crates/mustardgate-relay/src/gateway/stream/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/stream/mod.rs
@@ -1,13 +1,11 @@
 //! Answers that are event streams, passed on event by event and resumed at another runner where the route allows it.
 
+mod evidence;
 mod log;
 mod moves;
 mod timing;
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use futures::stream;
@@ -16,7 +14,7 @@
 use mustardgate_core::{
     clock,
     relay::{
-        AnswerStage, EndVerdict, EventSplitter, EventVerdict, SoftwareVersion, StreamKey, StreamProgress, shared_parts,
+        AnswerStage, EndVerdict, EventSplitter, EventVerdict, SoftwareVersion, StreamKey, StreamProgress, VersionTag,
     },
     retry::{AttemptPlan, NextStep},
     verdict::RunVerdict,
@@ -37,15 +35,7 @@
     retries::{MIN_ATTEMPT_TIME, count_repeat, log_failure, next_step},
     trace::{RequestStep, RequestTrace},
 };
-use crate::{
-    client::LastRead,
-    fleet::{AttemptOutcome, RunnerCell},
-    link::lost_answer,
-};
-
-/// Time from the head of an answer within which a runner crashes that cannot process a part of the prompt. A request may
-/// crash it at any time.
-const ANSWER_START_TIME: Duration = Duration::from_millis(500);
+use crate::{client::LastRead, fleet::AttemptOutcome, link::lost_answer};
 
 /// An event stream that is passed on from one runner, or several in turn, to a caller.
 #[derive(Debug)]
@@ -77,7 +67,7 @@
             last_read: LastRead::default(),
             timing: StreamTiming::default(),
             trace: RequestTrace::begin(Arc::clone(&received.context), &received.request, RequestStep::Answering),
-            progress: received.begin_progress(),
+            progress: received.begin_progress(open.ticket.cell().version_tag()),
             has_foreign: false,
             received,
             plan,
@@ -204,6 +194,12 @@
                 }
             }
         }
+        if self.progress.has_new_gap()
+            && let Some(open) = &self.open
+        {
+            let version = open.ticket.cell().version_tag();
+            self.record_numbering(version);
+        }
         self.time_events(count);
         Bytes::from(events)
     }
@@ -214,11 +210,12 @@
         self.open.as_mut().is_some_and(|open| open.buffers.cover(bytes).is_ok())
     }
 
-    /// Prepares for the answer of another runner.
-    fn begin_answer(&mut self) {
+    /// Prepares for the answer of another runner, of a version.
+    fn begin_answer(&mut self, version: VersionTag) {
         self.has_no_successor = false;
         self.splitter = EventSplitter::default();
-        self.progress.begin_answer();
+        let known = self.received.context.streams.numbering(version);
+        self.progress.begin_answer(known);
         self.timing.restart();
         self.has_foreign = false;
     }
@@ -236,6 +233,7 @@
     fn finish(&mut self) {
         self.record_end(true);
         let Some(mut open) = self.open.take() else { return };
+        self.record_numbering(open.ticket.cell().version_tag());
         self.trace.end();
         open.ticket.set_outcome(AttemptOutcome::Answered);
         if !closes_connection(&open.head.headers) {
@@ -243,9 +241,6 @@
                 .give_back(open.connection, keep_alive_timeout(&open.head.headers));
         }
         self.received.context.crashes.record_sound(self.received.inputs());
-        if self.progress.has_gaps() {
-            self.received.context.streams.record_gaps(&self.received.service);
-        }
         self.received
             .context
             .streams
@@ -278,7 +273,8 @@
         // once.
         drop(open);
         let version = cell.listed().version.clone();
-        self.begin_answer();
+        self.record_numbering(cell.version_tag());
+        self.begin_answer(cell.version_tag());
         if is_direct && self.record_break(&cell, started_at, reason).await {
             // Another attempt might crash the next runner.
             self.log_broken("runner_crashed");
@@ -292,19 +288,6 @@
         false
     }
 
-    /// Records what an answer that broke off says of the inputs; returns whether the runner crashed at its start.
-    async fn record_break(&self, cell: &Arc<RunnerCell>, started_at: Instant, reason: &str) -> bool {
-        if !matches!(reason, "broken_answer" | "unfinished_event") {
-            return false;
-        }
-        if has_begun(started_at) {
-            self.received.record_late_crash(cell);
-            return false;
-        }
-        let inputs = self.received.inputs();
-        self.received.record_crash(cell, &inputs).await.is_crashed()
-    }
-
     /// Opens the rest of the stream at another runner if the next step allows it; the answer before it, if still open, is
     /// dropped only then.
     async fn go_on(&mut self, mut step: NextStep, mut error: AttemptError, version: &SoftwareVersion) -> bool {
@@ -316,7 +299,7 @@
             match self.reopen(&excluded).await {
                 Ok(open) => {
                     self.log_resumed(&open, version);
-                    self.begin_answer();
+                    self.begin_answer(open.ticket.cell().version_tag());
                     self.open = Some(open);
                     return true;
                 }
@@ -326,15 +309,6 @@
         }
     }
 
-    /// Clears the parts of the prompt once the runner has answered for longer than the start of an answer takes.
-    fn record_sound(&mut self) {
-        let is_under_way = self.open.as_ref().is_some_and(|open| has_begun(open.started_at));
-        if is_under_way && !std::mem::replace(&mut self.is_sound, true) {
-            let parts = shared_parts(&self.received.request);
-            self.received.context.crashes.record_sound(parts);
-        }
-    }
-
     async fn reopen(&mut self, excluded: &[mustardgate_core::ids::BackendId]) -> Result<OpenAnswer, AttemptError> {
         let pick = self.received.choose(excluded).await?;
         let backend = pick.cell.listed().id.clone();
@@ -365,8 +339,3 @@
     /// The room for its bytes was taken.
     NoRoom,
 }
-
-/// Returns whether an answer has lasted for longer than its start takes.
-fn has_begun(started_at: Instant) -> bool {
-    clock::now().saturating_duration_since(started_at) >= ANSWER_START_TIME
-}
