Complete streams that broke off behind their last event

Callers had every event and could not know it.

Cause: StreamProgress::end took an answer without an event for a broken one whenever the caller had events before. Its head (200, event stream, seal, identifier) and its framing prove it whole.

Change: such an answer completes the stream if its end is known and no answer before it had begun another event, or had bytes left of its length. A node that reads an answer for another one says whether the runner's body was framed, since between nodes every body is; without that word, as from an earlier build, the answer is refused as before. A move whose runner has nothing to add completes the stream as well. An empty rest clears no input of suspicion.

--- a/crates/mustardgate-core/src/relay/events.rs
+++ b/crates/mustardgate-core/src/relay/events.rs
@@ -18,8 +18,7 @@
 impl StreamEvent {
     /// Returns whether it consists of comments, which keep a connection alive and say nothing.
     pub fn is_comment(&self) -> bool {
-        let mut lines = self.bytes.split(|byte| *byte == b'\n');
-        lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+        is_comment(&self.bytes)
     }
 }
 
@@ -51,6 +50,11 @@
         &self.pending
     }
 
+    /// Returns whether the bytes after the last complete event begin another one, and not only a comment.
+    pub fn has_begun_event(&self) -> bool {
+        !is_comment(&self.pending)
+    }
+
     /// Returns whether the incomplete event exceeds the largest accepted size.
     pub fn is_overlong(&self) -> bool {
         self.pending.len() > MAX_EVENT_BYTES
@@ -80,6 +84,11 @@
     }
 }
 
+fn is_comment(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| *byte == b'\n');
+    lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 fn field_id(event: &[u8]) -> Option<String> {
     event.split(|byte| *byte == b'\n').find_map(|line| {
         let value = line.strip_prefix(b"id:")?;
--- a/crates/mustardgate-core/src/relay/stream_progress.rs
+++ b/crates/mustardgate-core/src/relay/stream_progress.rs
@@ -38,6 +38,8 @@
     is_continued: bool,
     /// Whether an event of the current answer was passed on.
     has_event: bool,
+    /// Whether an earlier answer broke off within what follows the last event.
+    has_more: bool,
     /// What is known of the identifiers of the service's events, apart from `seen`.
     known: NumberingEvidence,
     /// What the answers of this stream say of them and was not taken yet.
@@ -58,10 +60,12 @@
         }
     }
 
-    /// Records that another runner's answer follows.
-    pub fn begin_answer(&mut self, known: NumberingEvidence) {
+    /// Records that another runner's answer follows; `has_more` says that the answer before it broke off within an event, or
+    /// before all the bytes that it had announced.
+    pub fn begin_answer(&mut self, known: NumberingEvidence, has_more: bool) {
         self.is_continued = self.last.is_some();
         self.has_event = false;
+        self.has_more |= has_more;
         self.known = known;
     }
 
@@ -70,7 +74,8 @@
         self.last.as_ref()
     }
 
-    fn is_empty_rest(&self) -> bool {
+    /// Returns whether the current answer goes on with the stream and has brought no event so far.
+    pub fn is_empty_rest(&self) -> bool {
         self.is_continued && !self.has_event
     }
 
@@ -116,6 +121,7 @@
         }
         self.last = Some(id.into());
         self.has_event = true;
+        self.has_more = false;
         EventVerdict::PassOn
     }
 
@@ -148,11 +154,14 @@
 
     /// Returns whether the stream is complete; `has_remainder` says that the answer ended inside an event, `is_framed` that it
     /// had a length or chunks, so that its end is known to be one.
+    ///
+    /// An answer that goes on with a stream and has no event says that none is left. It is refused if an earlier answer had
+    /// begun to write more.
     pub fn end(&self, has_remainder: bool, is_framed: bool) -> EndVerdict {
         if has_remainder {
             return EndVerdict::Broken("unfinished_event");
         }
-        if !self.has_event && (self.is_continued || !is_framed) {
+        if !self.has_event && (self.has_more || !is_framed) {
             return EndVerdict::Broken("no_event");
         }
         EndVerdict::Complete
--- a/crates/mustardgate-relay/src/gateway/attempt.rs
+++ b/crates/mustardgate-relay/src/gateway/attempt.rs
@@ -9,11 +9,7 @@
 };
 
 use bytes::Bytes;
-use hyper::{
-    body::Incoming,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
-    http::response,
-};
+use hyper::{body::Incoming, http::response};
 use mustardgate::{buffers::BufferGuard, drain::InFlightGuard, events};
 use mustardgate_core::{
     buffers::BufferSource,
@@ -97,6 +93,8 @@
     /// What follows from its head.
     pub(super) verdict: HeadVerdict,
     pub(super) head: response::Parts,
+    /// Whether the runner's body has a length or chunks, so that its end is known to be one.
+    pub(super) is_framed: bool,
     pub(super) body: Incoming,
     /// Covers the bytes of it that are buffered.
     pub(super) buffers: BufferGuard,
@@ -108,14 +106,6 @@
     pub(super) _adapter_use: Option<AdapterUseGuard>,
 }
 
-impl OpenAnswer {
-    /// Returns whether the body has a length or chunks, so that its end is known to be one.
-    pub(super) fn is_framed(&self) -> bool {
-        let headers = &self.head.headers;
-        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-    }
-}
-
 impl ReceivedRequest {
     /// Returns the progress of the stream before the answer to this request, which a runner of a version gives.
     pub(super) fn begin_progress(&self, version: VersionTag) -> StreamProgress {
@@ -190,6 +180,7 @@
         let OpenPath {
             connection,
             answer,
+            is_framed,
             is_first_answer,
             pool,
             helper,
@@ -229,6 +220,7 @@
             helper,
             verdict,
             head,
+            is_framed,
             body,
             buffers: self.context.buffers.guard(BufferSource::Runner(listed.id.clone())),
             metadata,
--- a/crates/mustardgate-relay/src/gateway/headers.rs
+++ b/crates/mustardgate-relay/src/gateway/headers.rs
@@ -35,6 +35,11 @@
     }
 }
 
+/// Returns whether a body has a length or chunks, so that its end is known to be one.
+pub(crate) fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns whether a body is an event stream, according to its `Content-Type` field.
 pub(super) fn is_event_stream(headers: &HeaderMap) -> bool {
     let value = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
--- a/crates/mustardgate-relay/src/gateway/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/mod.rs
@@ -30,7 +30,7 @@
     answer::full_body,
     body::discard_body,
     buffered::{closes_connection, keep_alive_timeout},
-    headers::remove_hop_by_hop_headers,
+    headers::{is_framed, remove_hop_by_hop_headers},
     identity::take_passed_credentials,
     path::runner_time,
     places::REJECTION_PAUSE,
--- a/crates/mustardgate-relay/src/gateway/path.rs
+++ b/crates/mustardgate-relay/src/gateway/path.rs
@@ -16,7 +16,10 @@
 };
 use smol_str::SmolStr;
 
-use super::{attempt::ReceivedRequest, headers::remove_hop_by_hop_headers};
+use super::{
+    attempt::ReceivedRequest,
+    headers::{is_framed, remove_hop_by_hop_headers},
+};
 use crate::{
     client::{ConnectionPool, RunnerConnection, SendFailure},
     fleet::RunnerCell,
@@ -37,6 +40,8 @@
 pub(super) struct OpenPath {
     pub(super) connection: RunnerConnection,
     pub(super) answer: Response<Incoming>,
+    /// Whether the runner's body has a length or chunks.
+    pub(super) is_framed: bool,
     /// Whether it is the first answer of the runner's connection; not known of another node's.
     pub(super) is_first_answer: bool,
     /// Where the connection belongs after the answer.
@@ -111,6 +116,7 @@
         Ok(OpenPath {
             is_first_answer: taken.connection.is_first_answer(),
             connection: taken.connection,
+            is_framed: is_framed(answer.headers()),
             answer,
             pool: Arc::clone(&cell.pool),
             helper: None,
@@ -182,11 +188,12 @@
         let (verdict, load) = ForwardVerdict::take(answer.headers_mut());
         node.record_load(load);
         match verdict {
-            ForwardVerdict::Answered => {
+            ForwardVerdict::Answered { is_framed } => {
                 node.record_help();
                 Ok(OpenPath {
                     connection: taken.connection,
                     answer,
+                    is_framed,
                     is_first_answer: false,
                     pool: Arc::clone(&node.pool),
                     helper: Some(helper),
--- a/crates/mustardgate-relay/src/gateway/stream/evidence.rs
+++ b/crates/mustardgate-relay/src/gateway/stream/evidence.rs
@@ -5,12 +5,13 @@
     time::{Duration, Instant},
 };
 
+use hyper::body::Body;
 use mustardgate_core::{
     clock,
     relay::{VersionTag, shared_parts},
 };
 
-use super::StreamRelay;
+use super::{super::attempt::OpenAnswer, StreamRelay};
 use crate::fleet::RunnerCell;
 
 /// Time from the head of an answer within which a runner crashes that cannot process a part of the prompt. A request may
@@ -18,6 +19,11 @@
 const ANSWER_START_TIME: Duration = Duration::from_millis(500);
 
 impl StreamRelay {
+    /// Returns whether the answer had begun to write what follows the last event that belongs to the stream.
+    pub(super) fn has_more(&self, open: &OpenAnswer) -> bool {
+        !self.has_foreign && (self.splitter.has_begun_event() || open.body.size_hint().lower() > 0)
+    }
+
     /// Records what the answers so far say of the identifiers of the service's events.
     pub(super) fn record_numbering(&mut self, version: VersionTag) {
         let evidence = self.progress.take_evidence();
--- a/crates/mustardgate-relay/src/gateway/stream/mod.rs
+++ b/crates/mustardgate-relay/src/gateway/stream/mod.rs
@@ -11,6 +11,7 @@
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{Response, body::Frame};
+use metrics::counter;
 use mustardgate_core::{
     clock,
     relay::{
@@ -21,7 +22,7 @@
 };
 use tokio::time;
 
-use self::timing::StreamTiming;
+use self::{moves::MoveOutcome, timing::StreamTiming};
 use super::{
     answer::{BrokenAnswer, RelayBody},
     attempt::{OpenAnswer, ReceivedRequest},
@@ -121,15 +122,21 @@
             };
             drop(awaited);
             if let NextFrame::LinkCut = next {
-                let Some(events) = self.move_elsewhere().await else {
-                    self.log_broken("link_cut");
-                    return Some(Err(BrokenAnswer));
-                };
-                if events.is_empty() {
-                    continue;
+                match self.move_elsewhere().await {
+                    MoveOutcome::Complete => {
+                        self.finish();
+                        return None;
+                    }
+                    MoveOutcome::Broken => {
+                        self.log_broken("link_cut");
+                        return Some(Err(BrokenAnswer));
+                    }
+                    MoveOutcome::Open(events) if events.is_empty() => continue,
+                    MoveOutcome::Open(events) => {
+                        self.record_origin();
+                        return Some(Ok(events));
+                    }
                 }
-                self.record_origin();
-                return Some(Ok(events));
             }
             let reason = match next {
                 NextFrame::Received(Ok(Some(Ok(frame)))) => {
@@ -161,7 +168,7 @@
                 NextFrame::NoRoom | NextFrame::LinkCut => "no_room",
                 NextFrame::Received(Ok(None)) => {
                     let has_remainder = !self.splitter.remainder().is_empty();
-                    match self.progress.end(has_remainder, open.is_framed()) {
+                    match self.progress.end(has_remainder, open.is_framed) {
                         EndVerdict::Complete => {
                             self.finish();
                             return None;
@@ -210,12 +217,13 @@
         self.open.as_mut().is_some_and(|open| open.buffers.cover(bytes).is_ok())
     }
 
-    /// Prepares for the answer of another runner, of a version.
-    fn begin_answer(&mut self, version: VersionTag) {
+    /// Prepares for the answer of another runner, of a version; `has_more` says that the answer before it broke off within
+    /// what follows the last event.
+    fn begin_answer(&mut self, version: VersionTag, has_more: bool) {
         self.has_no_successor = false;
         self.splitter = EventSplitter::default();
         let known = self.received.context.streams.numbering(version);
-        self.progress.begin_answer(known);
+        self.progress.begin_answer(known, has_more);
         self.timing.restart();
         self.has_foreign = false;
     }
@@ -240,7 +248,12 @@
             open.pool
                 .give_back(open.connection, keep_alive_timeout(&open.head.headers));
         }
-        self.received.context.crashes.record_sound(self.received.inputs());
+        if self.progress.is_empty_rest() {
+            // A runner with nothing left to do proves nothing of the inputs.
+            counter!("mustardgate_streams_completed_without_event_total").increment(1);
+        } else {
+            self.received.context.crashes.record_sound(self.received.inputs());
+        }
         self.received
             .context
             .streams
@@ -271,17 +284,18 @@
         }
         // The old connection is closed before another runner continues, so that the request does not run at both at
         // once.
+        let has_more = self.has_more(&open);
         drop(open);
         let version = cell.listed().version.clone();
         self.record_numbering(cell.version_tag());
-        self.begin_answer(cell.version_tag());
+        self.begin_answer(cell.version_tag(), has_more);
         if is_direct && self.record_break(&cell, started_at, reason).await {
             // Another attempt might crash the next runner.
             self.log_broken("runner_crashed");
             return false;
         }
         let step = next_step(&self.received, &mut self.plan, &error);
-        if self.go_on(step, error, &version).await {
+        if self.go_on(step, error, &version, has_more).await {
             return true;
         }
         self.log_broken(reason);
@@ -289,8 +303,14 @@
     }
 
     /// Opens the rest of the stream at another runner if the next step allows it; the answer before it, if still open, is
-    /// dropped only then.
-    async fn go_on(&mut self, mut step: NextStep, mut error: AttemptError, version: &SoftwareVersion) -> bool {
+    /// dropped only then. `has_more` says that it broke off within what follows its last event.
+    async fn go_on(
+        &mut self,
+        mut step: NextStep,
+        mut error: AttemptError,
+        version: &SoftwareVersion,
+        has_more: bool,
+    ) -> bool {
         loop {
             log_failure(&self.received, &self.plan, &error, &step);
             let NextStep::RetryElsewhere { excluded } = step else {
@@ -299,7 +319,7 @@
             match self.reopen(&excluded).await {
                 Ok(open) => {
                     self.log_resumed(&open, version);
-                    self.begin_answer(open.ticket.cell().version_tag());
+                    self.begin_answer(open.ticket.cell().version_tag(), has_more);
                     self.open = Some(open);
                     return true;
                 }
--- a/crates/mustardgate-relay/src/gateway/stream/moves.rs
+++ b/crates/mustardgate-relay/src/gateway/stream/moves.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use mustardgate_core::{
     clock,
+    relay::EndVerdict,
     retry::{NoRetries, PrepaidRetry, RetryAllowance},
     verdict::RunVerdict,
 };
@@ -26,31 +27,55 @@
 /// Reason of a move to a runner that has no event to go on with.
 const NO_EVENT_REASON: &str = "no_event";
 
+/// Course of a stream after an attempt to move it.
+#[derive(Debug)]
+pub(super) enum MoveOutcome {
+    /// It goes on with these events, if there are any, at either runner.
+    Open(Bytes),
+    /// Another runner had nothing to add.
+    Complete,
+    /// Neither runner goes on.
+    Broken,
+}
+
+impl MoveOutcome {
+    /// Returns the outcome of a move for which the former answer is not awaited any longer.
+    fn of_moved(has_moved: bool) -> Self {
+        if has_moved {
+            Self::Open(Bytes::new())
+        } else {
+            Self::Broken
+        }
+    }
+}
+
 impl StreamRelay {
     /// Goes on at another runner while the answer of the current one does not come over a cut link. The current one is
-    /// awaited further if nobody else has an event to go on with, or if it or its runner is heard of first. Returns the next
-    /// events, as far as there are any; `None` if both fail.
-    pub(super) async fn move_elsewhere(&mut self) -> Option<Bytes> {
+    /// awaited further if nobody else proves to go on, or if it or its runner is heard of first.
+    pub(super) async fn move_elsewhere(&mut self) -> MoveOutcome {
         if !self.received.allowance().spend(clock::now()) {
-            return Some(Bytes::new());
+            return MoveOutcome::Open(Bytes::new());
         }
-        let mut current = self.open.take()?;
+        let Some(mut current) = self.open.take() else {
+            return MoveOutcome::Broken;
+        };
         let cell = Arc::clone(current.ticket.cell());
         let listed = cell.listed();
         let error = AttemptError::at_runner(&listed.id, RunVerdict::MayHaveRun, "link_cut");
         let mut paid = PrepaidRetry::default();
         let step = next_step_within(&mut self.plan, &error, &mut paid);
         let (splitter, progress) = (self.splitter.clone(), self.progress.clone());
+        let has_more = self.has_more(&current);
         let (mut has_moved, mut heard) = (false, None);
         {
-            let mut moving = pin!(self.go_on(step, error, &listed.version));
+            let mut moving = pin!(self.go_on(step, error, &listed.version, has_more));
             tokio::select! {
                 moved = &mut moving => has_moved = moved,
                 frame = current.body.frame() => match frame {
-                    Some(Err(_)) => return moving.await.then(Bytes::new),
+                    Some(Err(_)) => return MoveOutcome::of_moved(moving.await),
                     frame => heard = frame.and_then(Result::ok),
                 },
-                () = current.buffers.ended() => return moving.await.then(Bytes::new),
+                () = current.buffers.ended() => return MoveOutcome::of_moved(moving.await),
             }
         }
         if has_moved {
@@ -58,17 +83,18 @@
             // All events may have come before the silence, and another runner then has none to go on with.
             let reason = tokio::select! {
                 events = self.first_events() => match events {
-                    Ok(events) => return Some(events),
+                    Ok(Some(events)) => return MoveOutcome::Open(events),
+                    Ok(None) => return MoveOutcome::Complete,
                     Err(reason) => reason,
                 },
                 frame = current.body.frame() => match frame {
-                    Some(Err(_)) => return Some(Bytes::new()),
+                    Some(Err(_)) => return MoveOutcome::Open(Bytes::new()),
                     frame => {
                         heard = frame.and_then(Result::ok);
                         ABANDONED_REASON
                     }
                 },
-                () = current.buffers.ended() => return Some(Bytes::new()),
+                () = current.buffers.ended() => return MoveOutcome::Open(Bytes::new()),
                 // Both runners would work on the stream from here on.
                 () = runner_reached(&context, &cell) => ABANDONED_REASON,
             };
@@ -80,18 +106,25 @@
             self.splitter.push(&data);
         }
         self.open = Some(current);
-        Some(self.take_events())
+        MoveOutcome::Open(self.take_events())
     }
 
-    /// Returns the first events of an answer, or the reason for which it is not the rest of the stream.
-    async fn first_events(&mut self) -> Result<Bytes, &'static str> {
+    /// Returns the first events of an answer, `None` if it says that no event is left, or the reason for which it is not the
+    /// rest of the stream.
+    async fn first_events(&mut self) -> Result<Option<Bytes>, &'static str> {
         loop {
             let time_left = self.received.time_left();
             let open = self.open.as_mut().ok_or("not_open")?;
             let frame = match self.last_read.within(time_left, open.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return Err("broken_answer"),
-                Ok(None) => return Err(NO_EVENT_REASON),
+                Ok(None) => {
+                    let has_remainder = !self.splitter.remainder().is_empty();
+                    return match self.progress.end(has_remainder, open.is_framed) {
+                        EndVerdict::Complete => Ok(None),
+                        EndVerdict::Broken(reason) => Err(reason),
+                    };
+                }
                 Err(_) => return Err("timed_out"),
             };
             if let Ok(data) = frame.into_data() {
@@ -100,7 +133,7 @@
             let events = self.take_events();
             let has_room = self.cover_buffer();
             if !events.is_empty() {
-                return Ok(events);
+                return Ok(Some(events));
             }
             if self.has_foreign {
                 return Err("foreign_event");
--- a/crates/mustardgate-relay/src/link/forward.rs
+++ b/crates/mustardgate-relay/src/link/forward.rs
@@ -37,7 +37,7 @@
     context::RelayContext,
     fleet::RunnerCell,
     gateway::{
-        BrokenAnswer, RelayBody, closes_connection, discard_body, full_body, keep_alive_timeout,
+        BrokenAnswer, RelayBody, closes_connection, discard_body, full_body, is_framed, keep_alive_timeout,
         remove_hop_by_hop_headers, runner_time, take_passed_credentials,
     },
     leader::request_permit,
@@ -191,8 +191,9 @@
     let mut response = Response::new(answer.into_body());
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
+    let is_framed = is_framed(response.headers());
     remove_hop_by_hop_headers(response.headers_mut());
-    ForwardVerdict::Answered.write(response.headers_mut(), load);
+    ForwardVerdict::Answered { is_framed }.write(response.headers_mut(), load);
     Ok(response)
 }
 
@@ -206,7 +207,7 @@
         return Err(ForwardVerdict::Refused(ForwardRefusal::NotConnected));
     }
     let mut response = Response::new(full_body(Bytes::new()));
-    ForwardVerdict::Answered.write(response.headers_mut(), load);
+    ForwardVerdict::Answered { is_framed: true }.write(response.headers_mut(), load);
     Ok(response)
 }
 
--- a/crates/mustardgate-relay/src/link/headers.rs
+++ b/crates/mustardgate-relay/src/link/headers.rs
@@ -17,6 +17,8 @@
 const VERDICT: HeaderName = HeaderName::from_static("forward-verdict");
 const DELAY_MS: HeaderName = HeaderName::from_static("forward-delay-ms");
 const LOAD: HeaderName = HeaderName::from_static("forward-load");
+/// Present if the runner's body has a length or chunks. A node of an earlier build never says so.
+const FRAMED: HeaderName = HeaderName::from_static("forward-framed");
 
 /// A request that is passed on, apart from what the runner gets.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -50,7 +52,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ForwardVerdict {
     /// The answer is the runner's.
-    Answered,
+    Answered {
+        /// Whether the runner's body has a length or chunks; between nodes every body has.
+        is_framed: bool,
+    },
     /// It was not sent.
     Refused(ForwardRefusal),
     /// It may have run, and there is no answer.
@@ -104,7 +109,7 @@
     pub fn write(self, headers: &mut HeaderMap, load: usize) {
         remove_fields(headers);
         let name = match self {
-            Self::Answered => "answered",
+            Self::Answered { .. } => "answered",
             Self::Refused(ForwardRefusal::Unavailable) => "unavailable",
             Self::Refused(ForwardRefusal::Held(_)) => "held",
             Self::Refused(ForwardRefusal::Withheld) => "withheld",
@@ -115,8 +120,10 @@
         };
         insert(headers, VERDICT, name);
         insert(headers, LOAD, load);
-        if let Self::Refused(ForwardRefusal::Held(delay)) = self {
-            insert(headers, DELAY_MS, delay.as_millis());
+        match self {
+            Self::Refused(ForwardRefusal::Held(delay)) => insert(headers, DELAY_MS, delay.as_millis()),
+            Self::Answered { is_framed: true } => insert(headers, FRAMED, 1),
+            _ => {}
         }
     }
 
@@ -126,7 +133,9 @@
             .map(Duration::from_millis)
             .unwrap_or_default();
         let verdict = match text(headers, &VERDICT).unwrap_or_default() {
-            "answered" => Self::Answered,
+            "answered" => Self::Answered {
+                is_framed: headers.contains_key(FRAMED),
+            },
             "unavailable" => Self::Refused(ForwardRefusal::Unavailable),
             "held" => Self::Refused(ForwardRefusal::Held(delay)),
             "withheld" => Self::Refused(ForwardRefusal::Withheld),
@@ -152,6 +161,7 @@
         VERDICT,
         DELAY_MS,
         LOAD,
+        FRAMED,
     ] {
         headers.remove(name);
     }
--- a/crates/mustardgate-relay/src/link/lost.rs
+++ b/crates/mustardgate-relay/src/link/lost.rs
@@ -117,7 +117,7 @@
     if is_whole {
         node.pool.give_back(taken.connection, None);
     }
-    Ok(is_whole && verdict == ForwardVerdict::Answered)
+    Ok(is_whole && matches!(verdict, ForwardVerdict::Answered { .. }))
 }
 
 /// Reads an answer to its end, and returns whether it was whole and within the limit; its bytes are dropped.
