State optional bounds in the node's environment, not in sections of the template

Cause: the template had sections for bounds that only some deployments prescribe.

The settings read again after a change are completed alike.

--- a/crates/mustardgate-relay/src/node/reload.rs
+++ b/crates/mustardgate-relay/src/node/reload.rs
@@ -52,7 +52,7 @@
             return;
         }
         let logger = self.context.log.logger();
-        match RelaySettings::parse(&text) {
+        match RelaySettings::parse_with(&text, &self.context.settings.stated) {
             Ok(settings) => {
                 let is_same = settings == self.context.settings;
                 events::RELAY_SETTINGS_CHANGED.write(
--- a/crates/mustardgate-relay/src/settings/mod.rs
+++ b/crates/mustardgate-relay/src/settings/mod.rs
@@ -4,6 +4,7 @@
 
 mod feed;
 mod paced;
+mod stated;
 
 use std::{
     collections::BTreeMap,
@@ -22,7 +23,7 @@
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
 
-pub use self::{feed::FeedSettings, paced::PacedSettings};
+pub use self::{feed::FeedSettings, paced::PacedSettings, stated::StatedBounds};
 
 /// Smallest memory with which buffers hold an answer of the largest size.
 const MIN_MEMORY_MB: u64 = 64;
@@ -51,6 +52,9 @@
     /// Log output.
     #[serde(default)]
     pub logging: LogLineSettings,
+    /// Bounds that the environment states, of which `bounds` holds those that the file lacks.
+    #[serde(skip)]
+    pub stated: StatedBounds,
 }
 
 /// Identity and location of a node.
@@ -266,14 +270,14 @@
 }
 
 impl RelaySettings {
-    /// Reads and validates a settings file.
+    /// Reads and validates a settings file; `stated` holds the bounds that the environment states.
     ///
     /// # Errors
     /// [`RelaySettingsError`] when the file cannot be read, or with the invalid field.
-    pub fn load(path: &Path) -> Result<Self, RelaySettingsError> {
+    pub fn load(path: &Path, stated: &StatedBounds) -> Result<Self, RelaySettingsError> {
         let name = path.display().to_string();
         let text = fs::read_to_string(path).context(UnreadableSnafu { path: name.clone() })?;
-        Self::parse(&text).map_err(|error| match error {
+        Self::parse_with(&text, stated).map_err(|error| match error {
             RelaySettingsError::Malformed { reason, .. } => RelaySettingsError::Malformed { path: name, reason },
             other => other,
         })
@@ -284,10 +288,25 @@
     /// # Errors
     /// [`RelaySettingsError`] with the invalid field.
     pub fn parse(text: &str) -> Result<Self, RelaySettingsError> {
-        let settings: Self = toml::from_str(text).map_err(|error| RelaySettingsError::Malformed {
+        Self::parse_with(text, &StatedBounds::default())
+    }
+
+    /// Parses and validates the text of a settings file, which the bounds that the environment states complete.
+    ///
+    /// # Errors
+    /// [`RelaySettingsError`] with the invalid field.
+    pub fn parse_with(text: &str, stated: &StatedBounds) -> Result<Self, RelaySettingsError> {
+        let malformed = |error: toml::de::Error| RelaySettingsError::Malformed {
             path: "settings".to_owned(),
             reason: error.to_string(),
-        })?;
+        };
+        let mut settings: Self = toml::from_str(text).map_err(malformed)?;
+        if !stated.is_empty() {
+            let mut table: toml::Table = toml::from_str(text).map_err(malformed)?;
+            stated.fill_in(&mut table);
+            settings = table.try_into().map_err(malformed)?;
+            settings.stated = stated.clone();
+        }
         settings.check()?;
         Ok(settings)
     }
--- a/crates/mustardgate-relay/tests/settings.rs
+++ b/crates/mustardgate-relay/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mustardgate_relay::settings::RelaySettings;
+use mustardgate_relay::settings::{RelaySettings, StatedBounds};
 
 const VALID: &str = r#"
 [node]
@@ -127,3 +127,38 @@
     let both = revoke("revoke_ms = 5000\nrevoke_fail_closed = true\n");
     assert_eq!(both, Some(Duration::from_secs(5)));
 }
+
+#[test]
+fn bounds_of_the_environment_hold_where_the_file_has_none() {
+    let mut stated = StatedBounds::default();
+    for (field, text) in [
+        ("quota_slack", " 17000 "),
+        ("quota_window_s", "8"),
+        ("revoke_ms", ""),
+        ("quota_overage", "null"),
+    ] {
+        stated.state(field, text).expect("a bound");
+    }
+    let bounds = |lines: &str| {
+        let settings = RelaySettings::parse_with(&format!("{VALID}{lines}"), &stated);
+        settings.expect("the settings are valid").bounds
+    };
+    let without = bounds("");
+    assert_eq!((without.quota_slack, without.quota_window_s), (17_000.0, 8.0));
+    assert_eq!((without.quota_overage, without.revoke_ms), (0.0, 0));
+    let own = bounds("quota_slack = 5\n");
+    assert_eq!((own.quota_slack, own.quota_window_s), (5.0, 8.0));
+    let other = RelaySettings::parse_with(&format!("{VALID}grace_s = 9\n"), &stated);
+    assert!(other.is_err(), "the file itself must be valid");
+}
+
+#[test]
+fn a_variable_that_is_no_bound_is_refused() {
+    let mut stated = StatedBounds::default();
+    for text in ["many", "\"8\"", "[1]", "1\nother = 2", "{ a = 1 }"] {
+        assert!(stated.state("quota_slack", text).is_err(), "{text}");
+    }
+    stated.state("quota_window_s", "0").expect("a number");
+    let error = RelaySettings::parse_with(VALID, &stated).expect_err("out of range");
+    assert!(error.to_string().contains("bounds.quota_window_s"), "{error}");
+}
