Remember versions for as long as callers may wait for a stream's next event

Cause: the life of a stream was twice the route's timeout. A client waits for four objectives, eight pauses or two seconds without an event, as PROTOCOL says, which may be longer.

It works because a runner serves a stream no later than drain_ms and a timeout after its last listing, and its caller comes back within the abandon time of its last event.

--- a/crates/mustardgate-core/src/relay/config.rs
+++ b/crates/mustardgate-core/src/relay/config.rs
@@ -53,6 +53,8 @@
     pub target_latency: Duration,
     /// Longest time without an event of a stream that its caller accepts, if stated.
     pub longest_pause: Option<Duration>,
+    /// Time without an event after which its caller abandons a stream, and does not take it up any more.
+    pub abandon_time: Duration,
     /// Priority, 0 being the most urgent.
     pub priority: u32,
     /// Services with their shares; never empty.
@@ -63,7 +65,20 @@
     pub allow_anonymous: bool,
 }
 
+/// Attempts for which a caller may have waited when it takes a stream up, each for the route's timeout.
+const ATTEMPTS_PER_STREAM: u32 = 2;
+
 impl RelayRoute {
+    /// Returns the longest time from the last listing of the runner that serves a stream until its caller takes the stream up:
+    /// requests reach the runner for `drain_time` after it left the list.
+    ///
+    /// The caller's own deadline is known to nobody else, so the time without an event bounds it.
+    pub fn stream_life(&self, drain_time: Duration) -> Duration {
+        let attempts = self.timeout.saturating_mul(ATTEMPTS_PER_STREAM);
+        let last_attempt = drain_time.saturating_add(self.timeout);
+        attempts.max(last_attempt.saturating_add(self.abandon_time))
+    }
+
     /// Returns the service for a random number from 0 up to the sum of the weights.
     pub fn service_for(&self, draw: u32) -> &ServiceId {
         let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
--- a/crates/mustardgate-core/tests/relay/route_targets.rs
+++ b/crates/mustardgate-core/tests/relay/route_targets.rs
@@ -24,6 +24,7 @@
         timeout: Duration::from_secs(2),
         target_latency: Duration::from_secs(1),
         longest_pause: None,
+        abandon_time: Duration::from_secs(2),
         priority: 1,
         targets: vec![WeightedTarget {
             service: service.into(),
--- a/crates/mustardgate-core/tests/relay/routes.rs
+++ b/crates/mustardgate-core/tests/relay/routes.rs
@@ -14,6 +14,7 @@
         timeout: Duration::from_secs(5),
         target_latency: Duration::from_millis(600),
         longest_pause: None,
+        abandon_time: Duration::from_secs(2),
         priority: 1,
         targets: vec![WeightedTarget {
             service: "assist".into(),
@@ -94,3 +95,26 @@
     assert_eq!(runner_rank(&last, Some(&tenant)), 2);
     assert!(runner_rank(&urgent, Some(&tenant)) < runner_rank(&urgent, None));
 }
+
+// Guards against ORDER breaks by a version that is forgotten while callers of its streams still wait.
+#[test]
+fn a_stream_lives_as_long_as_its_caller_may_wait_for_its_next_event() {
+    let drain_time = Duration::from_secs(2);
+    let life = |timeout_s, abandon_s| {
+        let route = RelayRoute {
+            timeout: Duration::from_secs(timeout_s),
+            abandon_time: Duration::from_secs(abandon_s),
+            ..route("stream", "a.example", "/")
+        };
+        route.stream_life(drain_time).as_secs()
+    };
+    assert_eq!(life(2, 6), 10);
+    assert_eq!(life(15, 6), 30);
+    assert_eq!(life(15, 40), 57);
+    let endless = RelayRoute {
+        timeout: Duration::MAX,
+        abandon_time: Duration::MAX,
+        ..route("stream", "a.example", "/")
+    };
+    assert_eq!(endless.stream_life(drain_time), Duration::MAX);
+}
--- a/crates/mustardgate-relay/src/context/routes.rs
+++ b/crates/mustardgate-relay/src/context/routes.rs
@@ -33,11 +33,8 @@
     stream_lives: StreamLives,
 }
 
-/// Attempts for which a caller may have waited when it takes a stream up, each for the route's timeout.
-const ATTEMPTS_PER_STREAM: u32 = 2;
-
 impl ActiveRoutes {
-    fn new(config: RelayConfig, former_lives: &StreamLives) -> Self {
+    fn new(config: RelayConfig, former_lives: &StreamLives, drain_time: Duration) -> Self {
         let mut urgent_targets: BTreeMap<ServiceId, Duration> = BTreeMap::new();
         let mut most_urgent: BTreeMap<ServiceId, UrgencyRank> = BTreeMap::new();
         let mut stream_lives: BTreeMap<ServiceId, Duration> = BTreeMap::new();
@@ -53,7 +50,7 @@
                 *first = urgency.min(*first);
                 if route.repeat == RepeatPolicy::Resumable {
                     let longest = stream_lives.entry(target.service.clone()).or_default();
-                    *longest = (route.timeout * ATTEMPTS_PER_STREAM).max(*longest);
+                    *longest = route.stream_life(drain_time).max(*longest);
                 }
             }
         }
@@ -125,15 +122,19 @@
     reads: RwLock<ConfigReads>,
     /// Lives of streams before the first configuration.
     first_lives: StreamLives,
+    /// Time for which requests reach a runner that left the list.
+    drain_time: Duration,
 }
 
 impl RouteHolder {
-    /// Creates a holder without a configuration; every node takes up one within `apply_time`.
-    pub fn new(apply_time: Duration) -> Self {
+    /// Creates a holder without a configuration; every node takes up one within `apply_time`, and sends nothing to a runner
+    /// that left the list after `drain_time`.
+    pub fn new(apply_time: Duration, drain_time: Duration) -> Self {
         Self {
             active: RwLock::default(),
             reads: RwLock::default(),
             first_lives: StreamLives::new(apply_time),
+            drain_time,
         }
     }
 
@@ -169,7 +170,7 @@
         let former = active
             .as_ref()
             .map_or(&self.first_lives, |current| &current.stream_lives);
-        *active = Some(Arc::new(ActiveRoutes::new(config, former)));
+        *active = Some(Arc::new(ActiveRoutes::new(config, former, self.drain_time)));
         true
     }
 }
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -91,7 +91,7 @@
         loads: LoadExchange::new(logger.clone()),
         crashes: CrashGuard::new(CrashSettings::default(), logger.clone()),
         log: RequestLog::new(logger.clone(), settings.logging.clone()),
-        routes: RouteHolder::new(settings.bounds.config_apply()),
+        routes: RouteHolder::new(settings.bounds.config_apply(), settings.bounds.drain_time()),
         keys: KeyWatch::default(),
         quotas: QuotaGuard::new(settings.bounds.quota_bounds(), logger.clone()),
         fleet: RunnerFleet::new(
--- a/crates/mustardgate-relay/src/settings/mod.rs
+++ b/crates/mustardgate-relay/src/settings/mod.rs
@@ -179,6 +179,11 @@
         Duration::from_millis(self.config_apply_ms)
     }
 
+    /// Returns the time after which nothing is sent to a runner that left the list.
+    pub fn drain_time(&self) -> Duration {
+        Duration::from_millis(self.drain_ms)
+    }
+
     /// Returns the bounds on the age of a configuration by which keys are judged.
     pub fn key_bounds(&self) -> KeyBounds {
         let has_limit = self.revoke_fail_closed && self.revoke_ms > 0;
