--- a/review/standins-3/caller.rs
+++ b/review/standins-3/caller.rs
@@ -35,6 +35,8 @@
     pub id: String,
     /// Time that the caller waits.
     pub deadline: Duration,
+    /// Model that a stream asks for instead of the declared one.
+    pub model: Option<String>,
 }
 
 impl Call {
@@ -53,7 +55,8 @@
             self.deadline.as_millis()
         );
         if self.kind == CallKind::Stream {
-            text += &format!("{}: {MODEL}\r\n{}: 1460,570\r\n", field("model"), field("token-usage"));
+            let model = self.model.as_deref().unwrap_or(MODEL);
+            text += &format!("{}: {model}\r\n{}: 1460,570\r\n", field("model"), field("token-usage"));
         }
         if !body.is_empty() {
             text += &format!("Content-Length: {}\r\n", body.len());
--- a/review/standins-3/case_places.rs
+++ b/review/standins-3/case_places.rs
@@ -47,6 +47,7 @@
         kind: CallKind::Safe,
         id,
         deadline: Duration::from_millis(1_500),
+        model: None,
     }
 }
 
--- a/review/standins-3/case_refused.rs
+++ b/review/standins-3/case_refused.rs
@@ -52,6 +52,7 @@
             kind: CallKind::Stream,
             id: format!("notes-{round}"),
             deadline: Duration::from_secs(12),
+            model: None,
         };
         let status = call_once(address, &stream).map(|head| head.status());
         record.line(&format!("{} is answered {status:?}", stream.id));
@@ -60,6 +61,7 @@
                 kind: CallKind::Once,
                 id: format!("order-{round}-{index}"),
                 deadline: Duration::from_millis(1_500),
+                model: None,
             };
             let status = call_once(address, &order).map(|head| head.status());
             record.line(&format!("{} is answered {status:?}", order.id));
@@ -87,6 +89,7 @@
                 kind: CallKind::Safe,
                 id: format!("check-{round}-{checker}-{index}"),
                 deadline: Duration::from_millis(1_500),
+                model: None,
             };
             // Only orders are judged.
             let _answer = call_once(address, &check);
--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -106,18 +106,32 @@
     /// Starts a node and waits until it is ready.
     pub fn start_node(&self, name: &str, memory_mb: u32, max_descriptors: u32) -> Node {
         let settings = NodeSettings {
-            name: name.to_owned(),
-            zone: "zone-1".to_owned(),
             memory_mb,
             max_descriptors,
-            store: self.store_address,
-            is_first_start: true,
-            seeds: Vec::new(),
+            ..self.node_settings(name, &[])
         };
-        let node = Node::start(&self.folder, &settings, NodeAddresses::choose());
+        let node = self.launch(&settings, NodeAddresses::choose());
         node.await_ready(&self.record);
         node
     }
+
+    /// Returns the settings of a node on a machine of the small deployments.
+    pub fn node_settings(&self, name: &str, seeds: &[SocketAddr]) -> NodeSettings {
+        NodeSettings {
+            name: name.to_owned(),
+            zone: "zone-1".to_owned(),
+            memory_mb: 260,
+            max_descriptors: 4_100,
+            store: self.store_address,
+            is_first_start: true,
+            seeds: seeds.to_vec(),
+        }
+    }
+
+    /// Starts a node, or starts it again, at its addresses.
+    pub fn launch(&self, settings: &NodeSettings, addresses: NodeAddresses) -> Node {
+        Node::start(&self.folder, settings, addresses)
+    }
 }
 
 impl Drop for Deployment {
--- a/review/standins-3/node.rs
+++ b/review/standins-3/node.rs
@@ -140,6 +140,14 @@
         Ok(head.map_or(0, |head| head.status()))
     }
 
+    /// Returns the resident memory of the process, in megabytes.
+    pub fn resident_mb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kilobytes.unwrap_or_default() / 1_024
+    }
+
     /// Writes the settings again with a comment more, as after a change that alters no value.
     pub fn touch_settings(&self) {
         let text = fill_template(&self.settings, self.addresses) + "# changed\n";
