Log what fills a node's link, whoever leads

"control burst" (646) is written by any node whose messages take over a quarter of its link in one direction for a second, with the bytes by kind. "listeners open" names the seeds and the link, "routes in force" the age of the page.

Measured: builds; no logic of requests or messages is changed.

--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -53,6 +53,8 @@
     pub source: PageSource,
     /// Time since the read began.
     pub elapsed: Duration,
+    /// Time since the log held nothing newer than the page.
+    pub age: Duration,
     /// Whether versions since the last one may not have been read.
     pub may_skip: bool,
 }
@@ -119,6 +121,7 @@
                 let read = ConfigRead {
                     source: page.origin.source,
                     elapsed: now.saturating_duration_since(began_at),
+                    age: page.origin.age,
                     may_skip: extent != PageExtent::Changes || skipped > 0,
                 };
                 self.apply_page(&page, extent, began_at, read);
@@ -281,6 +284,7 @@
                 events::RELAY_CONFIG_IN_FORCE.write(
                     context.log.logger(),
                     o!(
+                        "age_ms" => read.age.as_millis() as u64,
                         "elapsed_ms" => read.elapsed.as_millis() as u64,
                         "source" => read.source.to_string(),
                         "routes" => routes,
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -41,7 +41,7 @@
     let logger = build_logger(&settings.logging.logger(), &settings.node.name);
     let directory = Arc::new(PeerDirectory::new(own_member(&settings)));
     let page_time = settings.bounds.shortest_bound();
-    let load = Arc::new(ControlLoad::new(logger.clone()));
+    let load = Arc::new(ControlLoad::new(settings.node.link_bytes_per_s(), logger.clone()));
     let peers = PeerClient::new(Arc::clone(&buffers))
         .with_page_time(page_time)
         .with_load(Arc::clone(&load));
--- a/crates/mustardgate-relay/src/node/mod.rs
+++ b/crates/mustardgate-relay/src/node/mod.rs
@@ -61,7 +61,16 @@
     let logger = context.log.logger().clone();
     events::STARTING.write(&logger, o!("version" => env!("CARGO_PKG_VERSION")));
     let tasks = start(&context, path, metrics, signals.hang_up).await?;
-    events::LISTENING.write(&logger, o!("callers" => context.settings.listen.callers.to_string()));
+    let listen = &context.settings.listen;
+    let seeds: Vec<String> = listen.seeds.iter().map(ToString::to_string).collect();
+    events::LISTENING.write(
+        &logger,
+        o!(
+            "link_mbps" => context.settings.node.link_mbps,
+            "seeds" => seeds.join(","),
+            "callers" => listen.callers.to_string(),
+        ),
+    );
     let outcome = stop_node(&context, signals.stop, tasks.callers).await;
     events::STOPPED.write(&logger, o!("outcome" => format!("{outcome:?}")));
     Ok(outcome)
--- a/crates/mustardgate-relay/src/node/seeds.rs
+++ b/crates/mustardgate-relay/src/node/seeds.rs
@@ -45,6 +45,7 @@
             let read = ConfigRead {
                 source: PageSource::Neighbour,
                 elapsed: clock::now().saturating_duration_since(asked_at),
+                age: Duration::ZERO,
                 may_skip: true,
             };
             for record in cached.configuration.into_iter().map(CachedRecord::into_record) {
--- a/crates/mustardgate-relay/src/peers/traffic.rs
+++ b/crates/mustardgate-relay/src/peers/traffic.rs
@@ -14,6 +14,12 @@
 /// Time between two lines about the control load of a node that leads or that no leader answers.
 const LINE_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time over which bytes are summed to notice a burst; a full link holds up other traffic for as long.
+const BURST_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Part of the link that messages between nodes may fill in one direction within [`BURST_INTERVAL`] without a line.
+const BURST_SHARE: f64 = 0.25;
+
 /// Kind of a message between nodes, as in the metrics.
 pub type MessageKind = &'static str;
 
@@ -33,14 +39,30 @@
 #[derive(Debug)]
 pub struct ControlLoad {
     counts: Mutex<LoadCounts>,
+    burst: Mutex<BurstCounts>,
+    /// Bytes in one direction within [`BURST_INTERVAL`] above which a line is written.
+    burst_limit: u64,
     logger: Logger,
 }
 
+/// Counts of the current [`BURST_INTERVAL`].
+#[derive(Debug)]
+struct BurstCounts {
+    since: Instant,
+    bytes: MessageCounts,
+}
+
+/// Counts of messages by kind.
+#[derive(Debug, Default)]
+struct MessageCounts {
+    by_kind: BTreeMap<MessageKind, DirectedBytes>,
+}
+
 /// Counts since the last line.
 #[derive(Debug)]
 struct LoadCounts {
     since: Instant,
-    bytes: BTreeMap<MessageKind, DirectedBytes>,
+    bytes: MessageCounts,
     plans: u32,
     plan_time: Duration,
     longest_plan: Duration,
@@ -60,7 +82,7 @@
     fn new(since: Instant) -> Self {
         Self {
             since,
-            bytes: BTreeMap::new(),
+            bytes: MessageCounts::default(),
             plans: 0,
             plan_time: Duration::ZERO,
             longest_plan: Duration::ZERO,
@@ -68,10 +90,30 @@
             longest_lag: Duration::ZERO,
         }
     }
+}
+
+impl MessageCounts {
+    fn record(&mut self, kind: MessageKind, direction: MessageDirection, bytes: usize) {
+        let counted = self.by_kind.entry(kind).or_default();
+        match direction {
+            MessageDirection::Received => counted.received += bytes as u64,
+            MessageDirection::Sent => {
+                counted.messages += 1;
+                counted.sent += bytes as u64;
+            }
+        }
+    }
+
+    /// Returns the bytes of all kinds in the direction with more of them.
+    fn largest_direction(&self) -> u64 {
+        let received: u64 = self.by_kind.values().map(|bytes| bytes.received).sum();
+        let sent = self.by_kind.values().map(|bytes| bytes.sent).sum();
+        received.max(sent)
+    }
 
     /// Describes the messages of each kind: their number, and the bytes received and sent.
-    fn describe_bytes(&self) -> String {
-        let kinds = self.bytes.iter();
+    fn describe(&self) -> String {
+        let kinds = self.by_kind.iter();
         let texts: Vec<String> = kinds
             .map(|(kind, bytes)| format!("{kind}:{}:{}/{}", bytes.messages, bytes.received, bytes.sent))
             .collect();
@@ -80,10 +122,16 @@
 }
 
 impl ControlLoad {
-    /// Creates counts that begin now.
-    pub fn new(logger: Logger) -> Self {
+    /// Creates counts that begin now, for a node with a link of `link_bytes_per_s`.
+    pub fn new(link_bytes_per_s: f64, logger: Logger) -> Self {
+        let now = clock::now();
         Self {
-            counts: Mutex::new(LoadCounts::new(clock::now())),
+            counts: Mutex::new(LoadCounts::new(now)),
+            burst: Mutex::new(BurstCounts {
+                since: now,
+                bytes: MessageCounts::default(),
+            }),
+            burst_limit: (link_bytes_per_s * BURST_SHARE * BURST_INTERVAL.as_secs_f64()) as u64,
             logger,
         }
     }
@@ -95,15 +143,34 @@
             MessageDirection::Sent => "sent",
         };
         counter!("mustardgate_peer_bytes_total", "kind" => kind, "direction" => label).increment(bytes as u64);
-        let mut counts = self.lock();
-        let counted = counts.bytes.entry(kind).or_default();
-        match direction {
-            MessageDirection::Received => counted.received += bytes as u64,
-            MessageDirection::Sent => {
-                counted.messages += 1;
-                counted.sent += bytes as u64;
-            }
+        self.lock().bytes.record(kind, direction, bytes);
+        self.record_burst(kind, direction, bytes);
+    }
+
+    /// Writes a line once messages have filled a good part of the link for a while, whether or not this node leads.
+    fn record_burst(&self, kind: MessageKind, direction: MessageDirection, bytes: usize) {
+        let now = clock::now();
+        let mut burst = self.burst.lock().expect("no holder of the lock panics");
+        let elapsed = now.saturating_duration_since(burst.since);
+        let mut ended = MessageCounts::default();
+        if elapsed >= BURST_INTERVAL {
+            burst.since = now;
+            ended = std::mem::take(&mut burst.bytes);
+        }
+        burst.bytes.record(kind, direction, bytes);
+        drop(burst);
+        // A longer interval has had pauses, so its bytes say nothing of a single second.
+        if ended.largest_direction() <= self.burst_limit || elapsed >= BURST_INTERVAL * 2 {
+            return;
         }
+        events::RELAY_CONTROL_BURST.write(
+            &self.logger,
+            o!(
+                "messages" => ended.describe(),
+                "limit" => self.burst_limit,
+                "elapsed_ms" => elapsed.as_millis() as u64,
+            ),
+        );
     }
 
     /// Records a plan that took a time, during which nothing else runs on the node.
@@ -139,7 +206,7 @@
             return;
         }
         let values = o!(
-            "messages" => counts.describe_bytes(),
+            "messages" => counts.bytes.describe(),
             "longest_lag_ms" => counts.longest_lag.as_millis() as u64,
             "runners_examined" => counts.effort.runners,
             "models_examined" => counts.effort.models,
--- a/crates/mustardgate-relay/src/settings/feed.rs
+++ b/crates/mustardgate-relay/src/settings/feed.rs
@@ -5,8 +5,7 @@
 use mustardgate_core::relay::FeedLimits;
 use serde::Deserialize;
 
-/// Bytes per second in one megabit per second.
-const BYTES_PER_MEGABIT: f64 = 125_000.0;
+use super::BYTES_PER_MEGABIT;
 
 /// Part of a term for which a node with a very narrow link leaves a vacant lease to others. Followers check the lease
 /// at most a sixth of a term apart, so that a node with a wide link that is alive claims first.
--- a/crates/mustardgate/src/events/mod.rs
+++ b/crates/mustardgate/src/events/mod.rs
@@ -187,6 +187,8 @@
 pub const RELAY_LEADER_SILENT: EventKind = event(644, Level::Warning, "leader silent");
 /// A leader answers again; with how long none did.
 pub const RELAY_LEADER_ANSWERS: EventKind = event(645, Level::Info, "leader answers again");
+/// Messages between nodes filled a good part of this node's link for a second; with their bytes by kind.
+pub const RELAY_CONTROL_BURST: EventKind = event(646, Level::Info, "control burst");
 /// The settings file changed; with whether the change takes effect only after a restart.
 pub const RELAY_SETTINGS_CHANGED: EventKind = event(630, Level::Info, "settings file changed");
 /// The changed settings file has an error, so the old settings stay in force.
@@ -287,6 +289,7 @@
     RELAY_CONTROL_LOAD,
     RELAY_LEADER_SILENT,
     RELAY_LEADER_ANSWERS,
+    RELAY_CONTROL_BURST,
     RELAY_TASK_PANICKED,
     RELAY_ANSWER_DROPPED,
     RELAY_REQUEST_MISDIRECTED,
