--- a/crates/standins/src/harness/mod.rs
+++ b/crates/standins/src/harness/mod.rs
@@ -6,6 +6,7 @@
 mod child;
 mod cluster;
 mod memory;
+mod narrow_link;
 mod node;
 mod proxy;
 mod scratch;
@@ -18,6 +19,7 @@
     child::{ChildProcess, HarnessError},
     cluster::{BackendKind, BackendOptions, ClusterOptions, DomainOptions, RunningBackend, TestCluster},
     memory::{MemoryPeak, MemoryWatch},
+    narrow_link::{LinkSide, NarrowLink},
     node::{NodeAddresses, RunningNode},
     proxy::{FaultProxy, ProxyMode},
     scratch::{ScratchDirectory, free_address},
