Pages of the feeder count the time on their way as age; neighbours share and limit reads

Cause: the age of a page from the feeder was the one told when it was sent; the time on a full link counted in none. Change: the feeder tells for how long it held the call, and the rest of the call counts as age. A page without records has to be recent on receipt; one with records is taken over, and its age sends the next read to the log. The time of the oldest possible state no longer counts a call twice.

Cause: a neighbour read a whole page for each node that asked and weighed it afterwards; a refused node asked nobody else. Change: what does not fit is refused before the read, readers of the configuration share a read that is under way and learn how long it had been, two reads of a keyed topic run at once, and after a quick refusal one other neighbour is asked within the time of one call.

--- a/crates/mustardgate-core/src/ports/keyed_log.rs
+++ b/crates/mustardgate-core/src/ports/keyed_log.rs
@@ -15,7 +15,7 @@
 pub type LogEra = u64;
 
 /// A position in a topic.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TopicPosition {
     /// Era in which the offset was learnt; `None` if it holds in every era, as the start of a topic does.
     pub era: Option<LogEra>,
@@ -94,6 +94,13 @@
     /// Whether the topic held more records than the page when it was read.
     #[serde(default)]
     pub is_partial: bool,
+    /// Time for which a node that passes on what it has read held the call: until it had a change, and until there was room
+    /// on its link. `None` from earlier builds and from the log.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub waited: Option<Duration>,
+    /// Time for which a read for other nodes had been under way when this node's call joined it.
+    #[serde(default, skip_serializing_if = "Duration::is_zero")]
+    pub began_before: Duration,
     /// Where the page comes from.
     #[serde(skip)]
     pub origin: PageOrigin,
--- a/crates/mustardgate-core/src/relay/feed.rs
+++ b/crates/mustardgate-core/src/relay/feed.rs
@@ -34,6 +34,12 @@
         }
     }
 
+    /// Returns whether an answer could be sent within the longest delay; nothing is reserved.
+    pub fn has_room(&self, now: Instant) -> bool {
+        let mut allowance = *self;
+        allowance.reserve(now, 0).is_some()
+    }
+
     /// Reserves the bytes of one answer and returns the delay after which it may be sent, or `None` if the delay would
     /// exceed the limit; nothing is reserved then.
     pub fn reserve(&mut self, now: Instant, bytes: usize) -> Option<Duration> {
--- a/crates/mustardgate-core/src/relay/feed_times.rs
+++ b/crates/mustardgate-core/src/relay/feed_times.rs
@@ -40,6 +40,21 @@
         })
     }
 
+    /// Returns the age of what another node passed on in a call that took `elapsed`, at its end. The node told the age when it
+    /// sent the answer, having held the call for `waited`; the rest of the call counts as time on the way of the answer.
+    ///
+    /// A node of an earlier build does not tell for how long it waited, which was not longer than it was asked to.
+    pub fn age_on_receipt(&self, told_age: Duration, elapsed: Duration, waited: Option<Duration>) -> Duration {
+        told_age + elapsed.saturating_sub(waited.unwrap_or(self.wait))
+    }
+
+    /// Returns whether an answer is taken over that was `told_age` old when it was sent and is `age` old now. Records that
+    /// have arrived late are newer than what the reader knows; that there are none has to be recent.
+    pub fn accepts(bound: Duration, told_age: Duration, age: Duration, has_records: bool) -> bool {
+        let checked_age = if has_records { told_age } else { age };
+        checked_age <= Self::max_age(bound)
+    }
+
     /// Returns the time from which on a page of the log was under way for long.
     pub fn slow_page(bound: Duration) -> Duration {
         bound.mul_f64(SLOW_PAGE_SHARE)
--- a/crates/mustardgate-core/tests/relay/feed.rs
+++ b/crates/mustardgate-core/tests/relay/feed.rs
@@ -22,6 +22,20 @@
     assert!(allowance.reserve(now + Duration::from_millis(100), 1).is_some());
 }
 
+#[test]
+fn a_look_for_room_reserves_nothing() {
+    let now = Instant::now();
+    let mut allowance = FeedAllowance::new(LIMITS);
+    assert!(allowance.has_room(now));
+    assert!(allowance.reserve(now, 60_000).is_some());
+    assert!(!allowance.has_room(now));
+    assert!(allowance.has_room(now + Duration::from_millis(350)));
+    assert_eq!(
+        allowance.reserve(now + Duration::from_millis(350), 1),
+        Some(LIMITS.max_delay)
+    );
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(20), ..ProptestConfig::default() })]
     #[test]
--- a/crates/mustardgate-core/tests/relay/feed_times.rs
+++ b/crates/mustardgate-core/tests/relay/feed_times.rs
@@ -43,3 +43,33 @@
     let times = FeedTimes::within(BOUND, FeedTimes::max_age(BOUND)).expect("there is time");
     assert!(!times.wait.is_zero(), "{times:?}");
 }
+
+// Guards against a page that counts as current although it was under way for most of the bound.
+#[test]
+fn the_time_of_a_page_on_its_way_counts_as_age_and_the_wait_for_records_does_not() {
+    let times = FeedTimes::within(BOUND, Duration::ZERO).expect("there is time");
+    let (told_age, wait, on_way) = (Duration::from_millis(300), times.wait / 2, Duration::from_millis(700));
+    assert_eq!(
+        times.age_on_receipt(told_age, wait + on_way, Some(wait)),
+        told_age + on_way
+    );
+    assert_eq!(
+        times.age_on_receipt(told_age, on_way, Some(Duration::ZERO)),
+        told_age + on_way
+    );
+    // An earlier build waited for no longer than it was asked to.
+    assert_eq!(
+        times.age_on_receipt(told_age, times.wait + on_way, None),
+        told_age + on_way
+    );
+}
+
+#[test]
+fn that_there_are_no_records_has_to_be_recent_on_receipt() {
+    let max_age = FeedTimes::max_age(BOUND);
+    let late = max_age + Duration::from_millis(1);
+    assert!(FeedTimes::accepts(BOUND, Duration::ZERO, max_age, false));
+    assert!(!FeedTimes::accepts(BOUND, Duration::ZERO, late, false));
+    assert!(FeedTimes::accepts(BOUND, Duration::ZERO, late, true));
+    assert!(!FeedTimes::accepts(BOUND, late, late, true));
+}
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -60,7 +60,7 @@
     follow::ListRefresher,
     leader::SharedLeadership,
     link::HelperBook,
-    peers::{ControlLoad, FeedLimiter, PeerClient, PeerDirectory, StreamLogReader},
+    peers::{ControlLoad, FeedLimiter, PeerClient, PeerDirectory, SharedReads, StreamLogReader},
     ports::{AnswerKind, AnswerMetadata, CallDialect, RecordDecoder, RequestName, RunnerControl},
     request_log::{RefusalLog, RequestLog},
     settings::RelaySettings,
@@ -136,6 +136,8 @@
     pub peers: PeerClient,
     /// Limit on the bytes that this node sends to other nodes.
     pub feed: FeedLimiter,
+    /// Reads of the log for other nodes.
+    pub shared_reads: SharedReads,
     /// Bytes and plans that this node spends on control.
     pub load: Arc<ControlLoad>,
     /// Addresses of other nodes.
--- a/crates/mustardgate-relay/src/follow/mod.rs
+++ b/crates/mustardgate-relay/src/follow/mod.rs
@@ -126,7 +126,8 @@
                 };
                 self.apply_page(&page, extent, began_at, read);
                 if self.topic == LogTopic::Configuration && !page.is_partial {
-                    let read_at = oldest_read_time(&page, began_at, now, wait);
+                    let elapsed = clock::now().saturating_duration_since(started_at);
+                    let read_at = oldest_read_time(&page, (began_at, now), elapsed, wait);
                     self.context.routes.record_read(read_at, !self.is_refused);
                 }
                 if page.records.is_empty() || page.is_partial || self.topic == LogTopic::Configuration {
@@ -226,13 +227,18 @@
     }
 }
 
-/// Returns the earliest time at which the end of the topic can have been read for a page, of a read that began at
-/// `began_at` and ended at `now`.
+/// Returns the earliest time at which the end of the topic can have been read for a page, of a read that began and ended at
+/// the times of `span` and took `elapsed` without the time for which the machine was suspended.
 ///
-/// A node may be suspended between the answer and its receipt, so the page may be older than its receipt. A read without
-/// records has waited for them.
-fn oldest_read_time(page: &TopicPage, began_at: Instant, now: Instant, wait: Duration) -> Instant {
-    let waited = if page.records.is_empty() { wait } else { Duration::ZERO };
+/// A node may be suspended between the answer and its receipt, so the page may be older than its receipt. A read of the log
+/// without records has waited for them. Other nodes' pages have an age that counts the call.
+fn oldest_read_time(page: &TopicPage, span: (Instant, Instant), elapsed: Duration, wait: Duration) -> Instant {
+    let (began_at, now) = span;
+    let waited = match page.origin.source {
+        PageSource::Feeder | PageSource::Neighbour => elapsed,
+        PageSource::Log if page.records.is_empty() => wait,
+        PageSource::Log => Duration::ZERO,
+    };
     let answered_at = now.min(began_at + waited);
     answered_at.checked_sub(page.origin.age).unwrap_or(began_at)
 }
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -21,7 +21,7 @@
     follow::ListRefresher,
     leader::{BootClock, SharedLeadership},
     link::HelperBook,
-    peers::{ControlLoad, FeedLimiter, NeighbourLog, PeerClient, PeerDirectory, StreamLogReader},
+    peers::{ControlLoad, FeedLimiter, NeighbourLog, PeerClient, PeerDirectory, SharedReads, StreamLogReader},
     request_log::{RefusalLog, RequestLog},
     settings::RelaySettings,
 };
@@ -82,6 +82,7 @@
     Arc::new(RelayContext {
         buffers,
         feed: FeedLimiter::new(feed),
+        shared_reads: SharedReads::default(),
         load,
         link: RunnerLink::new(logger.clone()),
         helpers: HelperBook::default(),
--- a/crates/mustardgate-relay/src/peers/client.rs
+++ b/crates/mustardgate-relay/src/peers/client.rs
@@ -152,8 +152,21 @@
 
     /// Asks a neighbour to call the log for this node.
     pub async fn call_log(&self, neighbour: SocketAddr, call: &LogCall) -> Option<LogReply> {
-        self.call_limited(neighbour, "log", LOG_PATH, call, self.page_limits())
-            .await
+        self.call_log_within(neighbour, call, CALL_TIMEOUT).await
+    }
+
+    /// Asks a neighbour like [`PeerClient::call_log`]; the answer has to begin within `timeout`.
+    pub(super) async fn call_log_within(
+        &self,
+        neighbour: SocketAddr,
+        call: &LogCall,
+        timeout: Duration,
+    ) -> Option<LogReply> {
+        let limits = CallLimits {
+            timeout,
+            ..self.page_limits()
+        };
+        self.call_limited(neighbour, "log", LOG_PATH, call, limits).await
     }
 
     /// Asks a neighbour for the records that it has read.
--- a/crates/mustardgate-relay/src/peers/feed.rs
+++ b/crates/mustardgate-relay/src/peers/feed.rs
@@ -39,4 +39,15 @@
         }
         true
     }
+
+    /// Returns whether an answer could be sent by now or soon, before anything is read for it.
+    pub(super) fn has_room(&self) -> bool {
+        let allowance = self.allowance.lock().expect("no holder of the lock panics");
+        let has_room = allowance.has_room(clock::now());
+        drop(allowance);
+        if !has_room {
+            counter!("mustardgate_feed_refusals_total").increment(1);
+        }
+        has_room
+    }
 }
--- a/crates/mustardgate-relay/src/peers/log.rs
+++ b/crates/mustardgate-relay/src/peers/log.rs
@@ -20,12 +20,14 @@
 use serde_bytes::ByteBuf;
 use slog::{Logger, o};
 
-use super::{LogCall, LogReply, PeerClient, PeerDirectory};
+use super::{LogCall, LogReply, MAX_MESSAGE_TIME, PeerClient, PeerDirectory};
 
 /// Time after a failed call to the log before the node calls it directly again.
 const DIRECT_RETRY_INTERVAL: Duration = Duration::from_millis(900);
 /// Longest time for which a neighbour is asked to wait for records.
 const MAX_NEIGHBOUR_WAIT: Duration = Duration::from_millis(300);
+/// Time within which a refusal leaves enough of the time of a call to ask another neighbour.
+const REFUSAL_TIME: Duration = Duration::from_millis(200);
 
 /// Calls the log directly, or through a neighbour while the log refuses or does not answer this node.
 ///
@@ -91,12 +93,16 @@
         };
         let sent_at = clock::now();
         let reason = match self.peers.read_changes(feeder, &call, times.timeout).await {
-            Some(Ok((page, age))) if age <= FeedTimes::max_age(self.bound) => {
-                let source = PageSource::Feeder;
-                let origin = PageOrigin { source, age };
-                return Some(TopicPage { origin, ..page });
+            Some(Ok((page, told_age))) => {
+                let elapsed = clock::now().saturating_duration_since(sent_at);
+                let age = times.age_on_receipt(told_age, elapsed, page.waited);
+                if FeedTimes::accepts(self.bound, told_age, age, !page.records.is_empty()) {
+                    let source = PageSource::Feeder;
+                    let origin = PageOrigin { source, age };
+                    return Some(TopicPage { origin, ..page });
+                }
+                "stale"
             }
-            Some(Ok(_)) => "stale",
             Some(Err(_)) => "refused",
             None => "no_answer",
         };
@@ -162,23 +168,50 @@
         }
     }
 
-    async fn call_neighbour(&self, call: &LogCall) -> Option<LogReply> {
+    /// Returns up to `count` neighbours, by lot.
+    fn choose_neighbours(&self, count: usize) -> Vec<SocketAddr> {
         let known = self.directory.addresses();
         let neighbours = if known.is_empty() { &self.seeds } else { &known };
-        let neighbour = *neighbours.choose(&mut rand::rng())?;
-        let reply = self.peers.call_log(neighbour, call).await;
+        neighbours.choose_multiple(&mut rand::rng(), count).copied().collect()
+    }
+
+    async fn call_neighbour(&self, call: &LogCall) -> Option<LogReply> {
+        let neighbour = *self.choose_neighbours(1).first()?;
+        self.call_one(neighbour, call, MAX_MESSAGE_TIME).await
+    }
+
+    async fn call_one(&self, neighbour: SocketAddr, call: &LogCall, timeout: Duration) -> Option<LogReply> {
+        let reply = self.peers.call_log_within(neighbour, call, timeout).await;
         counter!("mustardgate_log_calls_by_neighbour_total", "is_answered" => reply.is_some().to_string()).increment(1);
         reply
     }
 
+    /// Reads through a neighbour, and through another one if the first refuses at once. The answer of the second has to
+    /// begin within the time of one call.
     async fn read_through_neighbour(&self, call: &LogCall, error: TopicError) -> Result<TopicPage, TopicError> {
+        let neighbours = self.choose_neighbours(2);
+        let mut neighbours = neighbours.into_iter();
+        let Some(first) = neighbours.next() else {
+            return Err(error);
+        };
         let asked_at = clock::now();
-        match self.call_neighbour(call).await {
+        let mut reply = self.call_one(first, call, MAX_MESSAGE_TIME).await;
+        let elapsed = clock::now().saturating_duration_since(asked_at);
+        let is_refused = matches!(reply, Some(LogReply::Page(Err(TopicError::Unavailable { .. }))));
+        if let Some(second) = neighbours.next().filter(|_| is_refused && elapsed <= REFUSAL_TIME) {
+            reply = self
+                .call_one(second, call, MAX_MESSAGE_TIME.saturating_sub(elapsed))
+                .await;
+        }
+        match reply {
             Some(LogReply::Page(page)) => {
                 let source = PageSource::Neighbour;
-                let age = clock::now().saturating_duration_since(asked_at);
-                let origin = PageOrigin { source, age };
-                page.map(|page| TopicPage { origin, ..page })
+                let elapsed = clock::now().saturating_duration_since(asked_at);
+                page.map(|page| {
+                    let age = elapsed + page.began_before;
+                    let origin = PageOrigin { source, age };
+                    TopicPage { origin, ..page }
+                })
             }
             _ => Err(error),
         }
--- a/crates/mustardgate-relay/src/peers/mod.rs
+++ b/crates/mustardgate-relay/src/peers/mod.rs
@@ -17,6 +17,7 @@
 mod origins;
 mod part_crashes;
 mod server;
+mod shared_reads;
 mod stream_log;
 mod traffic;
 mod version_log;
@@ -35,6 +36,7 @@
     origins::{NoticeTask, OriginReport, ask_origin},
     part_crashes::{PartCrash, PartCrashDigest},
     server::serve_peers,
+    shared_reads::{PageQuery, SharedReads},
     stream_log::{RecordTask, StreamLogReader},
     traffic::{ControlLoad, MessageDirection, MessageKind},
     version_log::VersionRecordTask,
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -27,6 +27,7 @@
         PERMIT_PATH, PermitRequest, QUOTA_PATH, QuotaCall, RECORDS_PATH, decode, encode,
     },
     part_crashes::PartCrashDigest,
+    shared_reads::PageQuery,
     traffic::{MessageDirection, MessageKind},
 };
 use crate::{
@@ -241,13 +242,13 @@
     let reply = match decode(body)? {
         LogCall::Read { topic, from, wait, era } => {
             let from = TopicPosition { era, offset: from };
-            LogReply::Page(context.direct_log.read(topic, from, wait).await)
+            LogReply::Page(read_page(context, topic, PageQuery::Changes(from), wait).await)
         }
         LogCall::Changes { topic, from, wait, era } => {
             let from = TopicPosition { era, offset: from };
             LogReply::Changes(read_changes(context, topic, from, wait).await)
         }
-        LogCall::Newest { topic } => LogReply::Page(context.direct_log.newest(topic).await),
+        LogCall::Newest { topic } => LogReply::Page(read_page(context, topic, PageQuery::Newest, Duration::ZERO).await),
         LogCall::AppendAt { topic, at, value, era } => {
             let at = TopicPosition { era, offset: at };
             LogReply::Appended(context.direct_log.append_at(topic, at, value).await)
@@ -260,16 +261,37 @@
     let reserved_at = context.leader.lease_time();
     let is_admitted = context.feed.admit(reply.weight()).await;
     let delay = context.leader.lease_time().saturating_duration_since(reserved_at);
-    let refusal = || TopicError::unavailable("the neighbour's link is full");
     Some(encode(&match reply {
-        LogReply::Page(_) if !is_admitted => LogReply::Page(Err(refusal())),
-        LogReply::Changes(_) if !is_admitted => LogReply::Changes(Err(refusal())),
+        LogReply::Page(_) if !is_admitted => LogReply::Page(Err(full_link())),
+        LogReply::Changes(_) if !is_admitted => LogReply::Changes(Err(full_link())),
         // The page grew older while it waited for its turn on the link.
-        LogReply::Changes(Ok((page, age))) => LogReply::Changes(Ok((page, age + delay))),
+        LogReply::Changes(Ok((page, age))) => {
+            let waited = page.waited.map(|waited| waited + delay);
+            LogReply::Changes(Ok((TopicPage { waited, ..page }, age + delay)))
+        }
         reply => reply,
     }))
 }
 
+/// Reads the log for another node, if the page can be sent on: it would come over the same link first.
+async fn read_page(
+    context: &RelayContext,
+    topic: LogTopic,
+    query: PageQuery,
+    wait: Duration,
+) -> Result<TopicPage, TopicError> {
+    if !context.feed.has_room() {
+        return Err(full_link());
+    }
+    let reading = context.shared_reads.read(&*context.direct_log, topic, query, wait);
+    let too_many = || Err(TopicError::unavailable("the neighbour reads for others"));
+    reading.await.unwrap_or_else(too_many)
+}
+
+fn full_link() -> TopicError {
+    TopicError::unavailable("the neighbour's link is full")
+}
+
 /// Returns the records that this node has read, or none if it knows no configuration or its link is full.
 async fn answer_records(context: &RelayContext) -> Vec<u8> {
     let cached = |topic| {
@@ -297,15 +319,18 @@
     from: TopicPosition,
     wait: Duration,
 ) -> Result<(TopicPage, Duration), TopicError> {
+    let asked_at = context.leader.lease_time();
     let ends_at = time::Instant::now() + wait.min(MESSAGE_TIMEOUT);
     let max_age = FeedTimes::max_age(context.settings.bounds.shortest_bound());
     loop {
         let changed = context.records.next_change();
         let (page, read_at) = context.records.changes(topic, from)?;
-        let age = context.leader.lease_time().saturating_duration_since(read_at);
+        let lease_now = context.leader.lease_time();
+        let age = lease_now.saturating_duration_since(read_at);
         let now = time::Instant::now();
         if !page.records.is_empty() || now >= ends_at || age > max_age {
-            return Ok((page, age));
+            let waited = Some(lease_now.saturating_duration_since(asked_at));
+            return Ok((TopicPage { waited, ..page }, age));
         }
         // The next iteration checks by the clock whether the wait is over or the page too old by now.
         let outdated_at = now + max_age.saturating_sub(age) + AGE_STEP;
--- a/crates/mustardgate-relay/tests/messages.rs
+++ b/crates/mustardgate-relay/tests/messages.rs
@@ -324,6 +324,8 @@
         next: u64::MAX,
         era: u64::MAX,
         records,
+        waited: Some(Duration::MAX),
+        began_before: Duration::MAX,
         ..TopicPage::default()
     };
     let age = Duration::from_nanos(u64::MAX);
