--- a/crates/mustardgate-core/src/relay/crashes/digest.rs
+++ b/crates/mustardgate-core/src/relay/crashes/digest.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ChangeNumber, CrashLedger, InputQuarantine};
+use super::{ChangeNumber, CrashLedger, InputQuarantine, PageRequest};
 use crate::{ids::RunnerProcess, relay::InputId};
 
 /// Largest number of crashes that nodes without a leader tell each other at once.
@@ -47,15 +47,6 @@
 }
 
 impl CrashLedger {
-    /// Returns what this node observed itself since a time, or all of it, for a leader that collects it.
-    pub fn own_digest(&self, now: Instant, since: Option<Instant>) -> CrashDigest {
-        let crashes = self.observations(now, |input, process, at| {
-            let is_own = self.own.contains(&(input, process.clone()));
-            is_own && since.is_none_or(|since| at >= since)
-        });
-        self.digest_of(now, crashes, |input| self.is_suspect(input))
-    }
-
     /// Returns what nodes should know of what their leader collected: inputs under which several runners crashed.
     ///
     /// Each crash breaks off many requests, and most of them are never seen again.
@@ -70,27 +61,26 @@
     /// A leader answers every node several times within a contact time; told anew each time, the crashes of a wave of lost
     /// runners fill its link.
     pub fn suspect_changes(&self, now: Instant, seen: ChangeNumber) -> (CrashDigest, ChangeNumber) {
-        // A number of another process says nothing of this one's changes.
-        let is_own = (self.changes_from..=self.last_change).contains(&seen);
-        let is_news = |input: InputId| {
-            let changed = self.changed.get(&input);
-            changed.is_some_and(|changed| !is_own || *changed > seen)
+        let request = PageRequest {
+            seen,
+            known: None,
+            max_entries: usize::MAX,
         };
-        let is_told = |input: InputId| is_news(input) && self.is_suspect(input);
-        let crashes = self.observations(now, |input, _, _| is_told(input));
-        let mut digest = self.digest_of(now, crashes, is_told);
-        digest.quarantined.retain(|notice| is_news(notice.input));
-        digest
-            .sound
-            .retain(|(input, _)| is_told(*input) || is_news(*input) && self.quarantined.contains_key(input));
-        (digest, self.last_change)
+        let page = self.suspect_page(now, request);
+        (page.digest, page.last)
     }
 
     /// Returns everything that this node knows, for nodes without a leader; of many crashes only the newest.
     pub fn digest(&self, now: Instant) -> CrashDigest {
+        self.newest_digest(now, MAX_EXCHANGED_CRASHES)
+    }
+
+    /// Returns the newest crashes that this node knows, up to a number, with all quarantines, for nodes of earlier builds
+    /// without a leader.
+    pub fn newest_digest(&self, now: Instant, max_crashes: usize) -> CrashDigest {
         let mut crashes = self.observations(now, |_, _, _| true);
         crashes.sort_by_key(|crash| crash.age);
-        crashes.truncate(MAX_EXCHANGED_CRASHES);
+        crashes.truncate(max_crashes.min(MAX_EXCHANGED_CRASHES));
         let told: BTreeSet<InputId> = crashes.iter().map(|crash| crash.input).collect();
         self.digest_of(now, crashes, |input| told.contains(&input))
     }
--- a/crates/mustardgate-core/src/relay/crashes/mod.rs
+++ b/crates/mustardgate-core/src/relay/crashes/mod.rs
@@ -1,8 +1,10 @@
 //! Inputs under which runners crash, which are parts of prompts or whole requests, and their quarantine.
 
 mod digest;
+mod pages;
 mod record;
 mod refusal;
+mod summary;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -11,7 +13,9 @@
 
 pub use self::{
     digest::{CrashDigest, CrashObservation, QuarantineNotice},
+    pages::{CrashPage, CrashReportCursor, PageRequest},
     record::{CrashRecord, RecordNeed, RecordedCrashes},
+    summary::CrashSummary,
 };
 use super::{InputId, RelayRequest};
 use crate::ids::RunnerProcess;
@@ -229,6 +233,11 @@
         self.revision
     }
 
+    /// Returns the number of the last change.
+    pub fn last_change(&self) -> ChangeNumber {
+        self.last_change
+    }
+
     /// Returns whether no crash and no quarantine is known.
     pub fn is_empty(&self) -> bool {
         self.crashes.is_empty() && self.quarantined.is_empty()
--- a/crates/mustardgate-core/src/relay/feed.rs
+++ b/crates/mustardgate-core/src/relay/feed.rs
@@ -43,11 +43,7 @@
     /// Reserves the bytes of one answer and returns the delay after which it may be sent, or `None` if the delay would
     /// exceed the limit; nothing is reserved then.
     pub fn reserve(&mut self, now: Instant, bytes: usize) -> Option<Duration> {
-        let elapsed = self
-            .updated_at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        self.updated_at = Some(now);
-        self.balance = (self.balance + elapsed.as_secs_f64() * self.limits.bytes_per_s).min(self.limits.burst_bytes);
+        self.refill(now);
         let delay = Duration::try_from_secs_f64((-self.balance / self.limits.bytes_per_s).max(0.0)).ok()?;
         if delay > self.limits.max_delay {
             return None;
@@ -55,4 +51,23 @@
         self.balance -= bytes as f64;
         Some(delay)
     }
+    /// Returns how many bytes may be sent now without a delay.
+    pub fn room(&mut self, now: Instant) -> usize {
+        self.refill(now);
+        self.balance.max(0.0) as usize
+    }
+
+    /// Counts bytes that are sent in any case, which reduces the room for others.
+    pub fn spend(&mut self, now: Instant, bytes: usize) {
+        self.refill(now);
+        self.balance = (self.balance - bytes as f64).max(-self.limits.bytes_per_s);
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let elapsed = self
+            .updated_at
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.updated_at = Some(now);
+        self.balance = (self.balance + elapsed.as_secs_f64() * self.limits.bytes_per_s).min(self.limits.burst_bytes);
+    }
 }
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -34,6 +34,7 @@
 mod processes;
 mod quotas;
 mod rate_limits;
+mod report_pace;
 mod request;
 mod retry_loans;
 mod return_times;
@@ -64,8 +65,8 @@
         WeightedTarget, request_priority, runner_rank,
     },
     crashes::{
-        ChangeNumber, CrashDigest, CrashLedger, CrashObservation, CrashRecord, CrashSettings, QuarantineNotice,
-        RecordNeed, RecordedCrashes, shared_parts,
+        ChangeNumber, CrashDigest, CrashLedger, CrashObservation, CrashPage, CrashRecord, CrashReportCursor,
+        CrashSettings, CrashSummary, PageRequest, QuarantineNotice, RecordNeed, RecordedCrashes, shared_parts,
     },
     event_numbering::{EventNumbering, NumberingBook, NumberingEvidence},
     events::{EventSplitter, StreamEvent},
@@ -90,6 +91,7 @@
         QuotaReport, QuotaRequest, QuotaSource, QuotaUse, QuotaVerdict,
     },
     rate_limits::{LimitChange, LimitLedger, LimitObservation, LimitStatement},
+    report_pace::ReportPace,
     request::{ModelName, PromptPart, RelayRequest, TokenUsage},
     retry_loans::{LoanRequest, LoanSettings, ProcessNumber, RetryLender, RetryLoan},
     return_times::{ReturnSchedule, RoomForecast},
--- a/crates/mustardgate-core/tests/relay/crashes.rs
+++ b/crates/mustardgate-core/tests/relay/crashes.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use mustardgate_core::relay::{CrashLedger, CrashSettings, InputId, RequestContent, RequestDigest};
+use mustardgate_core::relay::{
+    CrashDigest, CrashLedger, CrashReportCursor, CrashSettings, InputId, RequestContent, RequestDigest,
+};
 use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 
 const BAD: InputId = InputId::Part(7);
@@ -143,13 +145,19 @@
         let first = 1_000 * (number as u64 + 1);
         let bystanders = (first..first + BYSTANDERS).map(InputId::Part);
         witness.record_crash(start, &process(number as u64), bystanders.chain([BAD]));
-        leader.merge(start, &witness.own_digest(start, None));
+        let (told, cursor) = witness.report(start, &CrashReportCursor::default(), usize::MAX);
+        leader.merge(start, &told);
         // Its caller sends it again, and it is answered well.
         let answered = (first..first + BYSTANDERS).map(InputId::Part);
         witness.record_sound(start + STEP, answered);
-        leader.merge(start + STEP, &witness.own_digest(start + STEP, None));
+        let everything = witness.report(start + STEP, &CrashReportCursor::default(), usize::MAX);
+        leader.merge(start + STEP, &everything.0);
         // A report tells only what is new since the one before.
-        assert!(witness.own_digest(start, Some(start + STEP)).crashes.is_empty());
+        let (_, cursor) = witness.report(start + STEP, &cursor, usize::MAX);
+        assert_eq!(
+            witness.report(start + STEP, &cursor, usize::MAX).0,
+            CrashDigest::default()
+        );
     }
     let told = leader.suspect_digest(start);
     assert!(told.sound.is_empty(), "{} sound inputs", told.sound.len());
@@ -157,7 +165,8 @@
     assert!(told.iter().all(|crash| crash.input == BAD), "{} crashes", told.len());
     assert_eq!(told.len(), witnesses.len());
     // What a node only heard of is not reported as its own, and nodes without a leader tell a bounded number.
-    assert!(leader.own_digest(start, None).crashes.is_empty());
+    let reported = leader.report(start, &CrashReportCursor::default(), usize::MAX).0;
+    assert!(reported.crashes.is_empty());
     assert!(leader.digest(start).crashes.len() <= 256);
 }
 
--- a/crates/mustardgate-core/tests/relay/main.rs
+++ b/crates/mustardgate-core/tests/relay/main.rs
@@ -9,6 +9,7 @@
 mod buffers;
 mod catalogue;
 mod crash_changes;
+mod crash_pages;
 mod crash_records;
 mod crashes;
 mod engine_batch;
--- a/crates/mustardgate-relay/examples/message_sizes.rs
+++ b/crates/mustardgate-relay/examples/message_sizes.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use mustardgate_core::relay::{
-    BrittleService, CrashDigest, CrashObservation, InputId, LimitObservation, LoadStatement, LoanRequest, NodeMember,
-    OriginFinding, PartId, QuarantineNotice, QuotaAnswer, QuotaGrant, QuotaReport, QuotaUse, ReportedLoad,
+    BrittleService, CrashDigest, CrashObservation, CrashSummary, InputId, LimitObservation, LoadStatement, LoanRequest,
+    NodeMember, OriginFinding, PartId, QuarantineNotice, QuotaAnswer, QuotaGrant, QuotaReport, QuotaUse, ReportedLoad,
     RequestContent, RunnerTag, SeenVersion, SoftwareVersion, StreamKey, StreamOrigin, VersionDigest, VersionTag,
     encode_loads,
 };
@@ -171,6 +171,7 @@
         loads: Vec::new(),
         loads_seen: 1_000_000,
         crashes_seen: u64::MAX,
+        crashes_known: None,
     }
 }
 
@@ -193,6 +194,7 @@
     KnowledgeExchange {
         address: Some(node_address(1)),
         inputs,
+        known: Some(CrashSummary::default()),
         limits: limits(),
         domain: Some("domain-1".into()),
         versions: versions(),
@@ -264,6 +266,8 @@
         print_size(&format!("answer, first of a leader of {count} nodes"), &first);
     }
     print_size("exchange, no crashes", &exchange(CrashDigest::default()));
+    print_size("exchange, 48 crashes", &exchange(crashes(16)));
+    print_size("part: summary of crashes", &CrashSummary::default());
     print_size("exchange, 252 crashes", &exchange(crashes(SUSPECTS)));
     let limit = limits().remove(0);
     print_size("permit request", &PermitRequest { limit });
--- a/crates/mustardgate-relay/src/context/crashes.rs
+++ b/crates/mustardgate-relay/src/context/crashes.rs
@@ -13,7 +13,10 @@
 use mustardgate_core::{
     clock,
     ids::RequestId,
-    relay::{ChangeNumber, CrashDigest, CrashLedger, CrashSettings, InputId, ListedRunner},
+    relay::{
+        ChangeNumber, CrashDigest, CrashLedger, CrashPage, CrashReportCursor, CrashSettings, CrashSummary, InputId,
+        ListedRunner, PageRequest,
+    },
 };
 use rand::Rng;
 use slog::{Logger, o};
@@ -88,9 +91,9 @@
         self.changed.notified().await;
     }
 
-    /// Returns what this node observed itself since a time, or all of it, for the leader.
-    pub fn own_digest(&self, since: Option<Instant>) -> CrashDigest {
-        self.updated(|ledger, now| ledger.own_digest(now, since))
+    /// Returns what the leader has to be told after what it was told before, and what it knows then.
+    pub fn report(&self, cursor: &CrashReportCursor, max_entries: usize) -> (CrashDigest, CrashReportCursor) {
+        self.updated(|ledger, now| ledger.report(now, cursor, max_entries))
     }
 
     /// Returns what the nodes that this one leads should know.
@@ -98,14 +101,39 @@
         self.updated(CrashLedger::suspect_digest)
     }
 
-    /// Returns what of that changed after a change that a node has seen, with the number of the last change.
-    pub fn suspect_changes(&self, seen: ChangeNumber) -> (CrashDigest, ChangeNumber) {
-        self.updated(|ledger, now| ledger.suspect_changes(now, seen))
+    /// Returns a part of that which a node lacks.
+    pub fn suspect_page(&self, request: PageRequest<'_>) -> CrashPage {
+        self.updated(|ledger, now| ledger.suspect_page(now, request))
+    }
+
+    /// Returns a summary of what a leader tells all nodes, for a leader that has not told this node anything.
+    pub fn suspect_summary(&self) -> CrashSummary {
+        self.updated(CrashLedger::suspect_summary)
+    }
+
+    /// Returns what has become known after a change, for nodes without a leader.
+    pub fn news_page(&self, seen: ChangeNumber, max_entries: usize) -> CrashPage {
+        self.updated(|ledger, now| ledger.news_page(now, seen, max_entries))
+    }
+
+    /// Returns a summary of everything that this node knows, for nodes without a leader.
+    pub fn summary(&self) -> CrashSummary {
+        self.updated(CrashLedger::summary)
+    }
+
+    /// Returns a part of what a node with this summary lacks, for nodes without a leader.
+    pub fn missing_page(&self, known: &CrashSummary, max_entries: usize) -> CrashDigest {
+        self.updated(|ledger, now| ledger.missing_page(now, known, max_entries))
+    }
+
+    /// Returns the newest part of everything that this node knows, for nodes of earlier builds without a leader.
+    pub fn newest_digest(&self, max_crashes: usize) -> CrashDigest {
+        self.updated(|ledger, now| ledger.newest_digest(now, max_crashes))
     }
 
-    /// Returns everything that this node knows, for nodes without a leader.
-    pub fn digest(&self) -> CrashDigest {
-        self.updated(CrashLedger::digest)
+    /// Returns the number of the last change.
+    pub fn last_change(&self) -> ChangeNumber {
+        self.lock().last_change()
     }
 
     /// Returns what must outlast all nodes.
--- a/crates/mustardgate-relay/src/context/loads.rs
+++ b/crates/mustardgate-relay/src/context/loads.rs
@@ -18,6 +18,8 @@
 
 /// Largest number of statements in a report or an answer: 2 KB, or 3 KB a second.
 const MAX_STATEMENTS: usize = 210;
+/// Longest encoding of a statement, in bytes.
+const STATEMENT_BYTES: usize = 10;
 /// Largest number of statements in an exchange without a leader. A node takes part in some 12 of them each 0.7 s.
 const MAX_EXCHANGED: usize = 20;
 /// Suspended time from which statements are made older.
@@ -68,13 +70,15 @@
         count_sent(encode_loads(&own))
     }
 
-    /// Takes over a report of another node as leader, and returns what has changed after a number of loads.
-    pub fn answer(&self, now: Instant, report: &[u8], seen: u64) -> (Vec<u8>, u64) {
+    /// Takes over a report of another node as leader, and returns what has changed after a number of loads, in an answer with
+    /// room for some bytes.
+    pub fn answer(&self, now: Instant, report: &[u8], seen: u64, room: usize) -> (Vec<u8>, u64) {
         let mut state = self.lock();
         for statement in decode_loads(report) {
             state.board.record(now, &statement);
         }
-        let (known, seen) = state.board.since(now, seen, MAX_STATEMENTS);
+        let max_statements = MAX_STATEMENTS.min(room / STATEMENT_BYTES);
+        let (known, seen) = state.board.since(now, seen, max_statements);
         drop(state);
         count_received(report);
         (count_sent(encode_loads(&known)), seen)
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -60,7 +60,7 @@
     follow::ListRefresher,
     leader::SharedLeadership,
     link::HelperBook,
-    peers::{ControlLoad, FeedLimiter, PeerClient, PeerDirectory, SharedReads, StreamLogReader},
+    peers::{ControlLoad, FeedLimiter, KnowledgeLimiter, PeerClient, PeerDirectory, SharedReads, StreamLogReader},
     ports::{AnswerKind, AnswerMetadata, CallDialect, RecordDecoder, RequestName, RunnerControl},
     request_log::{RefusalLog, RequestLog},
     settings::RelaySettings,
@@ -134,8 +134,10 @@
     pub leader: SharedLeadership,
     /// Client for calls to other nodes.
     pub peers: PeerClient,
-    /// Limit on the bytes that this node sends to other nodes.
+    /// Limit on the bytes of records of the log that this node sends to other nodes.
     pub feed: FeedLimiter,
+    /// Limit on what else this node tells other nodes.
+    pub knowledge: Arc<KnowledgeLimiter>,
     /// Reads of the log for other nodes.
     pub shared_reads: SharedReads,
     /// Bytes and plans that this node spends on control.
--- a/crates/mustardgate-relay/src/leader/leadership.rs
+++ b/crates/mustardgate-relay/src/leader/leadership.rs
@@ -12,7 +12,6 @@
     ids::{BackendId, ModelId, Offset, ServiceId},
     lease::LeaseTracker,
     log::LeaseRecord,
-    placement::share::LoadAccount,
     ports::LogEra,
     relay::{AdapterEvictor, ListedRunner, ModelName, OrderClaims, PlacementPlanner, PlannerSettings},
 };
@@ -22,6 +21,7 @@
 use super::{
     LeaseClock,
     lease::{LeaseEntry, LoadAccounts},
+    load_snapshot::LoadSnapshot,
     runner_orders::RunnerOrders,
 };
 use crate::context::DemandDigest;
@@ -83,27 +83,12 @@
     planner_settings: PlannerSettings,
     /// Whether no node led before, so that no loads of a former leader are in progress.
     is_first_term: bool,
+    /// When this node's term began.
+    term_since: Option<Instant>,
     pub(super) evictor: AdapterEvictor,
     pub(super) arrivals: BTreeMap<ServiceId, BTreeMap<ModelId, f64>>,
 }
 
-/// Load accounts from one lease record.
-#[derive(Clone, Debug)]
-struct LoadSnapshot {
-    /// When the record was read, on the lease's clock.
-    read_at: Instant,
-    /// Era of the log as the record's author knew it.
-    era: LogEra,
-    by_service: LoadAccounts,
-}
-
-impl LoadSnapshot {
-    fn account(&self, lease_now: Instant, service: &ServiceId) -> Option<(Duration, &LoadAccount)> {
-        let age = lease_now.saturating_duration_since(self.read_at);
-        self.by_service.get(service).map(|account| (age, account))
-    }
-}
-
 impl SharedLeadership {
     /// Creates the state of a node that has read no lease.
     pub fn new(tracker: LeaseTracker, planner_settings: PlannerSettings, clock: Arc<dyn LeaseClock>) -> Self {
@@ -124,6 +109,7 @@
                 planners: BTreeMap::new(),
                 planner_settings,
                 is_first_term: false,
+                term_since: None,
                 evictor: AdapterEvictor::default(),
                 arrivals: BTreeMap::new(),
             }),
@@ -174,6 +160,14 @@
         self.clock.now()
     }
 
+    /// Returns whether this node's term has lasted for a time, or is the first of all.
+    pub fn has_led_for(&self, time: Duration) -> bool {
+        let now = clock::now();
+        let state = self.lock();
+        let has_lasted = |since: Instant| state.is_first_term || now.saturating_duration_since(since) >= time;
+        state.term_since.is_some_and(has_lasted)
+    }
+
     /// Returns the peer address of the leader, if known.
     pub fn leader_address(&self) -> Option<SocketAddr> {
         self.lock().leader
@@ -376,9 +370,10 @@
         (self.era << OFFSET_BITS) + claim + 1
     }
 
-    /// Records whether the term that begins is the first of all.
+    /// Records when the term that begins did, and whether it is the first of all.
     fn begin_term(&mut self, token: Option<u64>) {
         self.is_first_term = token.is_some_and(|token| self.is_first_token(token));
+        self.term_since = token.map(|_| clock::now());
     }
 
     fn is_first_token(&self, token: u64) -> bool {
--- a/crates/mustardgate-relay/src/leader/mod.rs
+++ b/crates/mustardgate-relay/src/leader/mod.rs
@@ -8,6 +8,7 @@
 mod clock;
 mod leadership;
 mod lease;
+mod load_snapshot;
 mod orders;
 mod permits;
 mod plan;
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -21,9 +21,12 @@
     follow::ListRefresher,
     leader::{BootClock, SharedLeadership},
     link::HelperBook,
-    peers::{ControlLoad, FeedLimiter, NeighbourLog, PeerClient, PeerDirectory, SharedReads, StreamLogReader},
+    peers::{
+        ControlLoad, FeedLimiter, KnowledgeLimiter, NeighbourLog, PeerClient, PeerDirectory, SharedReads,
+        StreamLogReader,
+    },
     request_log::{RefusalLog, RequestLog},
-    settings::RelaySettings,
+    settings::{RelaySettings, link_bytes_per_s},
 };
 
 /// Name of the lease, which covers the whole deployment. One leader orders all runners, because all failure domains
@@ -41,10 +44,16 @@
     let logger = build_logger(&settings.logging.logger(), &settings.node.name);
     let directory = Arc::new(PeerDirectory::new(own_member(&settings)));
     let page_time = settings.bounds.shortest_bound();
-    let load = Arc::new(ControlLoad::new(settings.node.link_bytes_per_s(), logger.clone()));
+    let load = Arc::new(ControlLoad::new(
+        link_bytes_per_s(settings.node.link_mbps),
+        logger.clone(),
+    ));
+    let knowledge = settings.feed.knowledge_limits(settings.node.link_mbps);
+    let knowledge = Arc::new(KnowledgeLimiter::new(knowledge));
     let peers = PeerClient::new(Arc::clone(&buffers))
         .with_page_time(page_time)
-        .with_load(Arc::clone(&load));
+        .with_load(Arc::clone(&load))
+        .with_knowledge(Arc::clone(&knowledge));
     let direct_log = Arc::clone(&ports.topics);
     let own = settings.listen.peers;
     let seeds = settings.listen.seeds.iter().copied().filter(|seed| Some(*seed) != own);
@@ -82,6 +91,7 @@
     Arc::new(RelayContext {
         buffers,
         feed: FeedLimiter::new(feed),
+        knowledge,
         shared_reads: SharedReads::default(),
         load,
         link: RunnerLink::new(logger.clone()),
--- a/crates/mustardgate-relay/src/peers/digests.rs
+++ b/crates/mustardgate-relay/src/peers/digests.rs
@@ -9,13 +9,16 @@
 use mustardgate::events;
 use mustardgate_core::{
     clock,
-    relay::{ChangeNumber, QuotaReport, QuotaSource},
+    relay::{ChangeNumber, CrashReportCursor, QuotaReport, QuotaSource, ReportPace},
 };
 use rand::Rng;
 use slog::o;
 use tokio::time;
 
-use super::{DemandReport, LeaderAnswer, PartCrashDigest, exchange::exchange_with_neighbours};
+use super::{
+    DemandReport, LeaderAnswer, PartCrashDigest,
+    exchange::{MAX_CRASH_ENTRIES, NeighbourExchange},
+};
 use crate::{
     context::RelayContext,
     leader::{begin_quota_report, end_quota_report, exchange_in_pool, exchange_quotas, exchange_without_leader},
@@ -24,9 +27,6 @@
 /// Time between two reports of demand.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Time after a crash in which further ones are put into the same report.
-const CRASH_BATCH_PAUSE: Duration = Duration::from_millis(20);
-
 /// Longest time between the reading of a claim and the report to the new leader.
 const MAX_CLAIM_PAUSE: Duration = Duration::from_millis(50);
 
@@ -41,6 +41,14 @@
     loads_seen: u64,
     /// Number of the newest change of what this leader knows of crashes that it returned.
     crashes_seen: ChangeNumber,
+    /// Whether it had more to tell of crashes.
+    has_more_crashes: bool,
+    /// What this leader was told of crashes.
+    crashes_told: CrashReportCursor,
+    /// Whether this leader understands crashes under all inputs, or did not answer yet.
+    knows_inputs: bool,
+    exchange: NeighbourExchange,
+    pace: ReportPace,
     /// When the last report that this leader answered was made.
     reported_at: Option<Instant>,
     /// Whether the last report reached a leader.
@@ -58,6 +66,11 @@
             seen: None,
             loads_seen: 0,
             crashes_seen: 0,
+            has_more_crashes: false,
+            crashes_told: CrashReportCursor::default(),
+            knows_inputs: true,
+            exchange: NeighbourExchange::default(),
+            pace: ReportPace::default(),
             reported_at: None,
             is_led: false,
             silent_since: None,
@@ -71,10 +84,11 @@
             tokio::select! {
                 () = time::sleep(pause) => {}
                 // Crashes under one input follow each other fast, so other nodes hear of each at once.
-                () = self.context.crashes.next_crash() => time::sleep(CRASH_BATCH_PAUSE).await,
+                () = self.context.crashes.next_crash() => time::sleep(self.crash_delay()).await,
                 // A new leader lends retries, and a node that has just started has none before.
                 () = self.context.leader.next_claim() => time::sleep(self.claim_pause()).await,
             }
+            self.pace.record_report(clock::now());
             self.report().await;
             let leader = &self.context.leader;
             let is_leading = leader.token().is_some();
@@ -102,6 +116,11 @@
         }
     }
 
+    fn crash_delay(&self) -> Duration {
+        let nodes = self.context.directory.node_count();
+        self.pace.crash_delay(clock::now(), nodes, self.is_led)
+    }
+
     /// Spreads the reports of many nodes to a new leader. Nodes that have just started are spread already.
     fn claim_pause(&self) -> Duration {
         if self.seen.is_none() {
@@ -126,11 +145,12 @@
             let (now, loans) = (leader.lease_time(), &self.context.retry_loans);
             let part = loans.lend(now, term, self.address, Some(loans.request(now)), nodes);
             self.renew_loan(self.address, now, part);
+            self.exchange.record_leader(&self.context);
             exchange_quotas(Arc::clone(&self.context), QuotaSource::Leader).await;
             return;
         }
         let Some(address) = leader.leader_address() else {
-            return exchange_with_neighbours(&self.context, self.address).await;
+            return self.exchange.run(&self.context, self.address).await;
         };
         let quotas = begin_quota_report(&self.context, QuotaSource::Leader);
         let quota_number = quotas.as_ref().map(|quotas| quotas.number);
@@ -156,6 +176,8 @@
                 .hear_leader(&self.context.fleet, &answer.loads, round_trip);
             self.loads_seen = answer.loads_seen;
             self.crashes_seen = answer.crashes_seen;
+            self.has_more_crashes = answer.has_more_crashes;
+            self.knows_inputs = answer.inputs.is_some();
             self.apply_answer(address, &answer);
             if let Some(part) = answer.loan {
                 self.renew_loan(address, asked_at, part);
@@ -181,14 +203,25 @@
 
     /// Reports to the node that is believed to lead. While it does not answer as leader, other nodes are told what this
     /// one knows as well.
-    async fn call_leader(&self, address: SocketAddr, quotas: Option<QuotaReport>) -> Option<LeaderAnswer> {
+    async fn call_leader(&mut self, address: SocketAddr, quotas: Option<QuotaReport>) -> Option<LeaderAnswer> {
         let seen = self.seen.filter(|(leader, _)| *leader == address);
-        let inputs = self.context.crashes.own_digest(self.reported_since(address));
+        let reported_since = self.reported_since(address);
+        if reported_since.is_none() {
+            self.crashes_told = CrashReportCursor::default();
+        }
+        let (inputs, crashes_told) = self.context.crashes.report(&self.crashes_told, MAX_CRASH_ENTRIES);
+        let is_catching_up = seen.is_none() || self.has_more_crashes;
+        let crashes_known = is_catching_up.then(|| self.context.crashes.suspect_summary());
         let now = self.context.leader.lease_time();
+        let earlier_crashes = if self.knows_inputs {
+            PartCrashDigest::default()
+        } else {
+            PartCrashDigest::of(&inputs)
+        };
         let report = DemandReport {
             address: self.address,
             digest: self.context.demand.take(),
-            crashes: PartCrashDigest::of(&inputs),
+            crashes: earlier_crashes,
             inputs: Some(inputs),
             limits: self.context.limits.own_observations(),
             domain: Some(self.context.settings.node.domain.clone()),
@@ -198,22 +231,25 @@
             loan: Some(self.context.retry_loans.request(now)),
             quotas,
             seen: seen.map_or(0, |(_, seen)| seen),
-            loads: self
-                .context
-                .loads
-                .report(&self.context.fleet, self.reported_since(address)),
+            loads: self.context.loads.report(&self.context.fleet, reported_since),
             loads_seen: seen.map_or(0, |_| self.loads_seen),
             crashes_seen: seen.map_or(0, |_| self.crashes_seen),
+            crashes_known,
         };
         let reporting = self.context.peers.report_demand(address, &report);
-        if !self.is_led {
-            let exchanging = exchange_with_neighbours(&self.context, self.address);
+        let answer = if self.is_led {
+            reporting.await
+        } else {
+            let exchanging = self.exchange.run(&self.context, self.address);
             let (answer, ()) = tokio::join!(reporting, exchanging);
-            return answer;
-        }
-        let answer = reporting.await;
-        if !answer.as_ref().is_some_and(|answer| answer.is_leading) {
-            exchange_with_neighbours(&self.context, self.address).await;
+            answer
+        };
+        let is_leading = answer.as_ref().is_some_and(|answer| answer.is_leading);
+        if is_leading {
+            self.crashes_told = crashes_told;
+            self.exchange.record_leader(&self.context);
+        } else if self.is_led {
+            self.exchange.run(&self.context, self.address).await;
         }
         answer
     }
--- a/crates/mustardgate-relay/src/peers/directory.rs
+++ b/crates/mustardgate-relay/src/peers/directory.rs
@@ -46,6 +46,9 @@
     domain: Option<DomainId>,
 }
 
+/// Encoded size of a node in a list, in bytes, or a little more.
+const MEMBER_BYTES: usize = 72;
+
 /// Largest number of nodes that are remembered from what leaders told.
 const MAX_TOLD: usize = 16;
 
@@ -116,10 +119,12 @@
         self.lock_members().digest()
     }
 
-    /// Returns the nodes with recent contact and this one, unless the asking node has a list with this digest.
-    pub fn changed_members(&self, seen: u64) -> Option<Vec<NodeMember>> {
+    /// Returns the nodes with recent contact and this one, unless the asking node has a list with this digest or the list
+    /// takes more than `room` bytes.
+    pub fn changed_members(&self, seen: u64, room: usize) -> Option<Vec<NodeMember>> {
         let members = self.contacts();
-        (digest(&members) != seen).then(|| members.into_iter().collect())
+        let has_room = members.len() * MEMBER_BYTES <= room;
+        (has_room && digest(&members) != seen).then(|| members.into_iter().collect())
     }
 
     fn contacts(&self) -> BTreeSet<NodeMember> {
--- a/crates/mustardgate-relay/src/peers/exchange.rs
+++ b/crates/mustardgate-relay/src/peers/exchange.rs
@@ -1,9 +1,15 @@
 //! Exchange of what binds all nodes between those that reach no leader.
+//!
+//! A node tells some others what has become known since its last exchange, and each answers with what a summary shows to be
+//! lacking. Neither grows with the number of nodes; see `docs/CAPACITY.md`, "Messages between nodes".
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use futures::future::join_all;
-use mustardgate_core::clock;
+use mustardgate_core::{
+    clock,
+    relay::{ChangeNumber, CrashDigest, CrashSummary},
+};
 use rand::seq::IteratorRandom;
 
 use super::KnowledgeExchange;
@@ -12,11 +18,71 @@
 /// Largest number of nodes with which a node exchanges at once.
 const MAX_EXCHANGES: usize = 6;
 
-/// Returns what this node, which other nodes reach at `address`, knows.
-pub(super) fn own_knowledge(context: &RelayContext, address: Option<SocketAddr>) -> KnowledgeExchange {
+/// Largest number of crashes and quarantines in one message between nodes.
+pub(super) const MAX_CRASH_ENTRIES: usize = 48;
+
+/// Encoded size of a crash or a quarantine in bytes, or a little more.
+const CRASH_ENTRY_BYTES: usize = 120;
+
+/// What this node has told others since it last reached a leader.
+#[derive(Debug, Default)]
+pub(super) struct NeighbourExchange {
+    /// Last change of what is known of crashes that was told.
+    told: ChangeNumber,
+}
+
+impl NeighbourExchange {
+    /// Counts everything that is known now as told, because a leader knows it.
+    pub(super) fn record_leader(&mut self, context: &RelayContext) {
+        self.told = context.crashes.last_change();
+    }
+
+    /// Exchanges what this node knows with some nodes that it has heard of.
+    pub(super) async fn run(&mut self, context: &RelayContext, own: SocketAddr) {
+        let news = context.crashes.news_page(self.told, MAX_CRASH_ENTRIES);
+        let known = Some(context.crashes.summary());
+        let knowledge = knowledge_of(context, Some(own), news.digest, known);
+        let calls = choose_neighbours(context, own).into_iter().map(async |address| {
+            let asked_at = clock::now();
+            let answer = context.peers.exchange_knowledge(address, &knowledge).await?;
+            context.directory.record_contact(address, answer.domain.clone());
+            let round_trip = clock::now().saturating_duration_since(asked_at);
+            take_over(context, &answer, Some(round_trip));
+            Some(())
+        });
+        let answers = join_all(calls).await;
+        if answers.iter().flatten().next().is_some() {
+            self.told = news.last;
+        }
+    }
+}
+
+/// Answers another node's exchange.
+pub(super) fn answer_knowledge(context: &RelayContext, knowledge: &KnowledgeExchange) -> KnowledgeExchange {
+    take_over(context, knowledge, None);
+    let room = crash_room(context.knowledge.room());
+    let inputs = match &knowledge.known {
+        Some(known) => context.crashes.missing_page(known, room.min(MAX_CRASH_ENTRIES)),
+        None => context.crashes.newest_digest(room),
+    };
+    knowledge_of(context, None, inputs, None)
+}
+
+/// Returns how many crashes and quarantines fit into a message with room for some bytes.
+pub(super) fn crash_room(bytes: usize) -> usize {
+    bytes / CRASH_ENTRY_BYTES
+}
+
+fn knowledge_of(
+    context: &RelayContext,
+    address: Option<SocketAddr>,
+    inputs: CrashDigest,
+    known: Option<CrashSummary>,
+) -> KnowledgeExchange {
     KnowledgeExchange {
         address,
-        inputs: context.crashes.digest(),
+        inputs,
+        known,
         limits: context.limits.own_observations(),
         domain: Some(context.settings.node.domain.clone()),
         versions: context.streams.version_digest(context.leader.lease_time()),
@@ -26,7 +92,7 @@
 }
 
 /// Takes over what another node knows; `round_trip` is the time of the call if it is an answer to this node.
-pub(super) fn take_over(context: &RelayContext, knowledge: &KnowledgeExchange, round_trip: Option<Duration>) {
+fn take_over(context: &RelayContext, knowledge: &KnowledgeExchange, round_trip: Option<Duration>) {
     context.crashes.merge(&knowledge.inputs);
     context.limits.merge(&knowledge.limits);
     let now = context.leader.lease_time();
@@ -37,29 +103,13 @@
         .hear_neighbour(&context.fleet, &knowledge.loads, round_trip);
 }
 
-/// Exchanges what this node knows with some nodes that it has heard of.
-pub(super) async fn exchange_with_neighbours(context: &RelayContext, own: SocketAddr) {
-    let knowledge = own_knowledge(context, Some(own));
-    let calls = choose_neighbours(context, own).into_iter().map(async |address| {
-        let asked_at = clock::now();
-        if let Some(answer) = context.peers.exchange_knowledge(address, &knowledge).await {
-            context.directory.record_contact(address, answer.domain.clone());
-            let round_trip = clock::now().saturating_duration_since(asked_at);
-            take_over(context, &answer, Some(round_trip));
-        }
-    });
-    join_all(calls).await;
-}
-
-/// Chooses other nodes at random; up to half of them are seeds, through which all nodes hear of each other.
+/// Chooses other nodes at random, of all that the last leader listed or that were heard of since. Seeds, through which nodes
+/// hear of each other, are chosen like others: every node has the same few.
 fn choose_neighbours(context: &RelayContext, own: SocketAddr) -> Vec<SocketAddr> {
-    let seeds: BTreeSet<SocketAddr> = context.settings.listen.seeds.iter().copied().collect();
-    let others = context.directory.neighbours().into_iter();
-    let others = others.filter(|address| !seeds.contains(address) && *address != own);
-    let other_seeds = seeds.iter().copied().filter(|address| *address != own);
-    let rng = &mut rand::rng();
-    let mut chosen = other_seeds.choose_multiple(rng, MAX_EXCHANGES / 2);
-    let room = MAX_EXCHANGES - chosen.len();
-    chosen.extend(others.choose_multiple(rng, room));
-    chosen
+    let directory = &context.directory;
+    let listed = directory.members().into_iter().map(|member| member.address);
+    let seeds = context.settings.listen.seeds.iter().copied();
+    let known: BTreeSet<SocketAddr> = directory.neighbours().into_iter().chain(listed).chain(seeds).collect();
+    let others = known.into_iter().filter(|address| *address != own);
+    others.choose_multiple(&mut rand::rng(), MAX_EXCHANGES)
 }
--- a/crates/mustardgate-relay/src/peers/feed.rs
+++ b/crates/mustardgate-relay/src/peers/feed.rs
@@ -1,6 +1,6 @@
 //! Pacing of the answers to other nodes.
 
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 
 use metrics::counter;
 use mustardgate_core::{
@@ -51,3 +51,35 @@
         has_room
     }
 }
+
+/// Limits what this node tells others of crashes, loads and nodes, which can be told in parts and later.
+///
+/// Without a limit the first answers of a new leader to all nodes, and exchanges between nodes without one, fill a narrow
+/// link, and the node's own reads of the log wait; see `docs/CAPACITY.md`, "Messages between nodes".
+#[derive(Debug)]
+pub struct KnowledgeLimiter {
+    allowance: Mutex<FeedAllowance>,
+}
+
+impl KnowledgeLimiter {
+    /// Creates a limiter with a full burst.
+    pub fn new(limits: FeedLimits) -> Self {
+        Self {
+            allowance: Mutex::new(FeedAllowance::new(limits)),
+        }
+    }
+
+    /// Returns how many bytes the next message may have beside what it needs.
+    pub(super) fn room(&self) -> usize {
+        self.lock().room(clock::now())
+    }
+
+    /// Counts a message that is sent.
+    pub(super) fn record_sent(&self, bytes: usize) {
+        self.lock().spend(clock::now(), bytes);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FeedAllowance> {
+        self.allowance.lock().expect("no holder of the lock panics")
+    }
+}
--- a/crates/mustardgate-relay/src/peers/messages.rs
+++ b/crates/mustardgate-relay/src/peers/messages.rs
@@ -6,8 +6,9 @@
     ids::{BackendId, DomainId, Offset, RunnerProcess, ServiceId},
     ports::{ConditionalAppendError, LogEra, LogTopic, TopicError, TopicPage, TopicRecord},
     relay::{
-        BrittleService, ChangeNumber, CrashDigest, LimitObservation, LoanRequest, NodeMember, OriginFinding,
-        QuotaAnswer, QuotaReport, RequestDigest, RunnerObservation, StreamKey, StreamOrigin, VersionDigest,
+        BrittleService, ChangeNumber, CrashDigest, CrashSummary, LimitObservation, LoanRequest, NodeMember,
+        OriginFinding, QuotaAnswer, QuotaReport, RequestDigest, RunnerObservation, StreamKey, StreamOrigin,
+        VersionDigest,
     },
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -96,6 +97,10 @@
     /// Number of the newest change of what the leader knows of crashes that it returned; 0 if none.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub crashes_seen: ChangeNumber,
+    /// Summary of what the node knows of suspected inputs, until the leader has told it everything that it lacks; earlier
+    /// builds do not send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub crashes_known: Option<CrashSummary>,
 }
 
 /// Answer of the called node.
@@ -149,6 +154,9 @@
     /// Number of the newest change in `inputs`.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub crashes_seen: ChangeNumber,
+    /// Whether more is left to tell than there was room for.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub has_more_crashes: bool,
 }
 
 /// What a node knows that binds all nodes. Nodes exchange it with each other while they reach no leader.
@@ -156,8 +164,11 @@
 pub struct KnowledgeExchange {
     /// Address at which the node answers other nodes.
     pub address: Option<SocketAddr>,
-    /// What the node knows of inputs under which runners crash.
+    /// What the node knows of inputs under which runners crash and the other one may lack.
     pub inputs: CrashDigest,
+    /// Summary of all that the calling node knows of them; earlier builds send everything, and want everything.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub known: Option<CrashSummary>,
     /// Rate limits that the node observed itself.
     pub limits: Vec<LimitObservation>,
     /// Failure domain of the node; earlier builds do not send it.
@@ -367,6 +378,11 @@
     *number == 0
 }
 
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "the signature is given by serde")]
+fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
 fn record_weight(key: &str, value: Option<&[u8]>) -> usize {
     RECORD_OVERHEAD + key.len() + value.map_or(0, <[u8]>::len)
 }
--- a/crates/mustardgate-relay/src/peers/mod.rs
+++ b/crates/mustardgate-relay/src/peers/mod.rs
@@ -27,7 +27,7 @@
     crash_log::CrashRecordTask,
     digests::{DigestTask, REPORT_INTERVAL},
     directory::PeerDirectory,
-    feed::FeedLimiter,
+    feed::{FeedLimiter, KnowledgeLimiter},
     log::NeighbourLog,
     messages::{
         AdapterRequest, CachedRecord, CachedRecords, DemandReport, KnowledgeExchange, LeaderAnswer, LogCall, LogReply,
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -14,13 +14,14 @@
 use mustardgate_core::{
     buffers::BufferSource,
     ports::{LogTopic, TopicError, TopicPage, TopicPosition},
-    relay::{FeedTimes, ModelName},
+    relay::{FeedTimes, ModelName, NodeMember, PageRequest},
 };
 use serde_bytes::ByteBuf;
 use tokio::{net::TcpListener, time};
 
 use super::{
-    exchange::{own_knowledge, take_over},
+    digests::REPORT_INTERVAL,
+    exchange::{MAX_CRASH_ENTRIES, answer_knowledge, crash_room},
     messages::{
         ADAPTER_PATH, AdapterRequest, CachedRecord, CachedRecords, DEMAND_PATH, DemandReport, EXCHANGE_PATH,
         KnowledgeExchange, LOG_PATH, LeaderAnswer, LogCall, LogReply, ORIGIN_PATH, OriginAnswer, OriginQuery,
@@ -40,6 +41,8 @@
 
 /// Largest number of nodes whose addresses the leader tells in one answer.
 const MAX_NEIGHBOURS: usize = 4;
+/// Time after which all nodes have reported to a new leader.
+const LIST_SETTLING_TIME: Duration = REPORT_INTERVAL.saturating_mul(2);
 /// Path at which metrics are read.
 const METRICS_PATH: &str = "/metrics";
 /// Longest message from another node, in bytes.
@@ -124,6 +127,10 @@
         .record_message(kind, MessageDirection::Received, body.len());
     if let Some(message) = &message {
         context.load.record_message(kind, MessageDirection::Sent, message.len());
+        // Records of the log have a limit of their own, by which the caller reads them elsewhere.
+        if !matches!(path.as_str(), LOG_PATH | RECORDS_PATH) {
+            context.knowledge.record_sent(message.len());
+        }
     }
     match message {
         Some(message) => bytes_answer(StatusCode::OK, None, Bytes::from(message)),
@@ -172,11 +179,18 @@
     };
     context.leader.record_demand(&report.digest);
     let (observations, seen) = context.observations.since(report.seen);
-    let (loads, loads_seen) = context.loads.answer(versions_now, &report.loads, report.loads_seen);
+    let room = context.knowledge.room();
+    let page = context.crashes.suspect_page(PageRequest {
+        seen: report.crashes_seen,
+        known: report.crashes_known.as_ref(),
+        max_entries: crash_room(room).min(MAX_CRASH_ENTRIES),
+    });
+    let (loads, loads_seen) = context
+        .loads
+        .answer(versions_now, &report.loads, report.loads_seen, room);
     // A node of an earlier build, which knows parts of prompts only, gets all of them each time.
     let earlier_build = report.inputs.is_none().then(|| context.crashes.suspect_digest());
     let crashes = earlier_build.as_ref().map(PartCrashDigest::of).unwrap_or_default();
-    let (inputs, crashes_seen) = context.crashes.suspect_changes(report.crashes_seen);
     let nodes = context.directory.count_live_nodes();
     let lent = context
         .retry_loans
@@ -188,11 +202,12 @@
         observations,
         seen,
         crashes,
-        inputs: Some(inputs),
-        crashes_seen,
+        inputs: Some(page.digest),
+        crashes_seen: page.last,
+        has_more_crashes: !page.is_complete,
         neighbours: context.directory.sample(MAX_NEIGHBOURS, report.address),
         limits: context.limits.all_observations(),
-        members: context.directory.changed_members(report.members_seen),
+        members: settled_members(context, report.members_seen),
         versions: context.streams.version_digest(versions_now),
         brittle: context.brittle.services(),
         loan: Some(lent),
@@ -204,13 +219,20 @@
     }))
 }
 
+/// Returns the list of nodes if the asking node has another one. A new leader hears of the nodes one after the other, and
+/// would tell each of them a list for each of the others.
+fn settled_members(context: &RelayContext, seen: u64) -> Option<Vec<NodeMember>> {
+    let is_settled = context.leader.has_led_for(LIST_SETTLING_TIME);
+    let changed = || context.directory.changed_members(seen, context.knowledge.room());
+    is_settled.then(changed).flatten()
+}
+
 fn answer_exchange(context: &RelayContext, body: &[u8]) -> Option<Vec<u8>> {
     let knowledge: KnowledgeExchange = decode(body)?;
     if let Some(address) = knowledge.address {
         context.directory.record_contact(address, knowledge.domain.clone());
     }
-    take_over(context, &knowledge, None);
-    Some(encode(&own_knowledge(context, None)))
+    Some(encode(&answer_knowledge(context, &knowledge)))
 }
 
 fn answer_origin_query(context: &RelayContext, body: &[u8]) -> Option<Vec<u8>> {
--- a/crates/mustardgate-relay/src/settings/feed.rs
+++ b/crates/mustardgate-relay/src/settings/feed.rs
@@ -5,7 +5,8 @@
 use mustardgate_core::relay::FeedLimits;
 use serde::Deserialize;
 
-use super::BYTES_PER_MEGABIT;
+/// Bytes per second in one megabit per second.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
 
 /// Part of a term for which a node with a very narrow link leaves a vacant lease to others. Followers check the lease
 /// at most a sixth of a term apart, so that a node with a wide link that is alive claims first.
@@ -17,6 +18,8 @@
 pub struct FeedSettings {
     /// Part of the node's link that answers to other nodes may fill.
     pub link_share: f64,
+    /// Part of the node's link that what nodes tell each other of runners, crashes and nodes may fill in one direction.
+    pub knowledge_share: f64,
     /// Time of the link that answers may fill at once, in milliseconds; it delays other traffic for that long.
     pub burst_ms: f64,
     /// Longest delay of an answer, as a part of the shortest bound on taking up a change.
@@ -29,6 +32,7 @@
     fn default() -> Self {
         Self {
             link_share: 0.4,
+            knowledge_share: 0.2,
             burst_ms: 50.0,
             delay_share: 0.1,
             leader_link_mbps: 100.0,
@@ -39,7 +43,7 @@
 impl FeedSettings {
     /// Returns the limits of a node with a link of `link_mbps` megabits per second.
     pub fn limits(&self, link_mbps: f64, shortest_bound: Duration) -> FeedLimits {
-        let link_bytes_per_s = link_mbps * BYTES_PER_MEGABIT;
+        let link_bytes_per_s = link_bytes_per_s(link_mbps);
         FeedLimits {
             bytes_per_s: link_bytes_per_s * self.link_share,
             burst_bytes: link_bytes_per_s * self.burst_ms / 1_000.0,
@@ -47,6 +51,16 @@
         }
     }
 
+    /// Returns the limits on what a node with a link of `link_mbps` tells others beside records of the log.
+    pub fn knowledge_limits(&self, link_mbps: f64) -> FeedLimits {
+        let link_bytes_per_s = link_bytes_per_s(link_mbps);
+        FeedLimits {
+            bytes_per_s: link_bytes_per_s * self.knowledge_share,
+            burst_bytes: link_bytes_per_s * self.burst_ms / 1_000.0,
+            max_delay: Duration::ZERO,
+        }
+    }
+
     /// Returns how long a node with a link of `link_mbps` leaves a vacant lease with the given term to nodes with wider
     /// links. The leader sends every change to all nodes; where its link is too narrow, they read the log themselves.
     pub fn claim_delay(&self, link_mbps: f64, term: Duration) -> Duration {
@@ -59,6 +73,9 @@
         if !(self.link_share > 0.0 && self.link_share <= 1.0) {
             return Some(("feed.link_share", "must be above 0 and at most 1"));
         }
+        if !(self.knowledge_share > 0.0 && self.knowledge_share <= 1.0) {
+            return Some(("feed.knowledge_share", "must be above 0 and at most 1"));
+        }
         if !(0.0..=1_000.0).contains(&self.burst_ms) {
             return Some(("feed.burst_ms", "must be between 0 and 1000"));
         }
@@ -71,3 +88,8 @@
         None
     }
 }
+
+/// Returns the capacity of a link of `link_mbps` megabits per second in bytes per second.
+pub fn link_bytes_per_s(link_mbps: f64) -> f64 {
+    link_mbps * BYTES_PER_MEGABIT
+}
--- a/crates/mustardgate-relay/src/settings/mod.rs
+++ b/crates/mustardgate-relay/src/settings/mod.rs
@@ -1,6 +1,4 @@
-//! Settings of a relay node, read from one TOML file and validated before use.
-//!
-//! `docs/SETTINGS.md`, "Relay nodes", describes each of them.
+//! Settings of a relay node, read from one TOML file and validated before use; see `docs/SETTINGS.md`, "Relay nodes".
 
 mod feed;
 mod paced;
@@ -23,14 +21,16 @@
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
 
-pub use self::{feed::FeedSettings, paced::PacedSettings, stated::StatedBounds};
+pub use self::{
+    feed::{FeedSettings, link_bytes_per_s},
+    paced::PacedSettings,
+    stated::StatedBounds,
+};
 
 /// Smallest memory with which buffers hold an answer of the largest size.
 const MIN_MEMORY_MB: u64 = 64;
 /// Memory assumed of a machine whose memory is not stated, in megabytes.
 const DEFAULT_MEMORY_MB: u64 = 512;
-/// Bytes per second in one megabit per second.
-const BYTES_PER_MEGABIT: f64 = 125_000.0;
 /// Bytes in a megabyte.
 const MEGABYTE: u64 = 1024 * 1024;
 
@@ -91,11 +91,6 @@
 }
 
 impl IdentitySettings {
-    /// Returns the capacity of the node's link in bytes per second.
-    pub fn link_bytes_per_s(&self) -> f64 {
-        self.link_mbps * BYTES_PER_MEGABIT
-    }
-
     /// Returns the limits on buffered bytes of a process whose environment states a memory limit, in megabytes, or none.
     pub fn buffer_limits(&self, stated_mb: Option<u64>) -> BufferLimits {
         let memory_mb = self.memory_mb.or(stated_mb).unwrap_or(DEFAULT_MEMORY_MB);
@@ -220,7 +215,7 @@
     }
 }
 
-/// Settings of a relay node's log output.
+/// Settings of the log output.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default)]
 pub struct LogLineSettings {
--- a/crates/standins/src/proof/crashing/mod.rs
+++ b/crates/standins/src/proof/crashing/mod.rs
@@ -2,6 +2,7 @@
 //! off, and that sound requests beside it go on.
 
 mod messages;
+mod node;
 mod simulation;
 
 use self::simulation::CrashSimulation;
--- a/crates/standins/src/proof/crashing/simulation.rs
+++ b/crates/standins/src/proof/crashing/simulation.rs
@@ -5,12 +5,15 @@
     time::{Duration, Instant},
 };
 
-use mustardgate_core::relay::{ChangeNumber, CrashLedger, CrashSettings, InputId, RequestContent};
+use mustardgate_core::relay::{CrashDigest, CrashLedger, CrashSettings, InputId, RequestContent};
 use rand::{Rng, SeedableRng, seq::IteratorRandom};
 use rand_chacha::ChaCha8Rng;
 use smol_str::format_smolstr;
 
-use super::messages::{MessageContent, SimulatedMessage};
+use super::{
+    messages::{MAX_ENTRIES, MessageContent, SimulatedMessage, answer},
+    node::SimulatedNode,
+};
 use crate::proof::{
     GuaranteeViolation, GuardMode,
     cadence::{CONTACT_TIME, REPORT_INTERVAL_MS, message_time},
@@ -21,8 +24,7 @@
 /// Time without faults at the end, over which sound requests are checked.
 const CALM_TIME: Duration = Duration::from_secs(10);
 const MAX_NODES: usize = 60;
-/// Nodes whose addresses all nodes know, and those that one node calls at once without a leader.
-const SEEDS: usize = 3;
+/// Nodes that one node calls at once without a leader.
 const MAX_EXCHANGES: usize = 6;
 /// The rule: crashes, and sends that are allowed from the contact time after them.
 const RULED_CRASHES: usize = 3;
@@ -32,17 +34,6 @@
 /// Longest time of a message.
 const MAX_MESSAGE_TIME: Duration = Duration::from_millis(400);
 
-#[derive(Debug)]
-struct SimulatedNode {
-    ledger: CrashLedger,
-    next_report: Instant,
-    /// Whether other nodes and the leader reach it, and since when.
-    is_cut: bool,
-    in_touch_since: Instant,
-    /// The newest change that each leader told.
-    seen: BTreeMap<usize, ChangeNumber>,
-}
-
 #[derive(Debug)]
 struct SimulatedRunner {
     starts: u64,
@@ -105,6 +96,8 @@
             is_cut: false,
             in_touch_since: start,
             seen: BTreeMap::new(),
+            told: BTreeMap::new(),
+            pushed: 0,
         });
         let nodes = nodes.collect();
         let runners = (0..rng.random_range(3..10)).map(|_| SimulatedRunner {
@@ -251,35 +244,41 @@
         if self.nodes[node].is_cut {
             return;
         }
-        let called = match self.leader {
-            Some(leader) if !self.nodes[leader].is_cut => vec![leader],
-            _ => {
-                let others = (SEEDS..self.nodes.len()).choose_multiple(&mut self.rng, MAX_EXCHANGES - SEEDS);
-                (0..SEEDS.min(self.nodes.len())).chain(others).collect()
-            }
+        self.nodes[node].ledger.update(self.now);
+        let leader = self.leader.filter(|leader| !self.nodes[*leader].is_cut);
+        let called = match leader {
+            Some(leader) => vec![leader],
+            None => (0..self.nodes.len()).choose_multiple(&mut self.rng, MAX_EXCHANGES),
         };
+        let news = self.nodes[node]
+            .ledger
+            .news_page(self.now, self.nodes[node].pushed, MAX_ENTRIES);
+        self.nodes[node].pushed = news.last;
         for other in called {
             if other == node || self.nodes[other].is_cut {
                 continue;
             }
-            self.nodes[node].ledger.update(self.now);
-            let ledger = &self.nodes[node].ledger;
-            let digest = match self.leader {
-                Some(leader) if leader == other => ledger.own_digest(self.now, None),
-                _ => ledger.digest(self.now),
+            let (digest, content) = if leader.is_some() {
+                self.nodes[node].report_to(other, self.now)
+            } else {
+                let summary = self.nodes[node].ledger.summary(self.now);
+                (news.digest.clone(), MessageContent::Exchange(summary))
             };
-            let delay = message_time(&mut self.rng, MAX_MESSAGE_TIME);
-            let seen = self.nodes[node].seen.get(&other).copied().unwrap_or_default();
-            self.messages.push(SimulatedMessage {
-                due_at: self.now + delay,
-                receiver: other,
-                sender: node,
-                digest,
-                content: MessageContent::Report(seen),
-            });
+            self.send_message(node, other, digest, content);
         }
     }
 
+    fn send_message(&mut self, sender: usize, receiver: usize, digest: CrashDigest, content: MessageContent) {
+        let delay = message_time(&mut self.rng, MAX_MESSAGE_TIME);
+        self.messages.push(SimulatedMessage {
+            due_at: self.now + delay,
+            receiver,
+            sender,
+            digest,
+            content,
+        });
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let due: Vec<_> = self.messages.extract_if(.., |message| message.due_at <= now).collect();
@@ -287,28 +286,12 @@
             let node = &mut self.nodes[message.receiver];
             node.ledger.merge(now, &message.digest);
             node.ledger.update(now);
-            let seen = match message.content {
-                MessageContent::Report(seen) => seen,
-                MessageContent::Answer(newest) => {
-                    node.seen.extend(newest.map(|newest| (message.sender, newest)));
-                    continue;
-                }
-            };
-            let (digest, newest) = match self.leader {
-                Some(leader) if leader == message.receiver => {
-                    let (changes, newest) = node.ledger.suspect_changes(now, seen);
-                    (changes, Some(newest))
-                }
-                _ => (node.ledger.digest(now), None),
-            };
-            let delay = message_time(&mut self.rng, MAX_MESSAGE_TIME);
-            self.messages.push(SimulatedMessage {
-                due_at: now + delay,
-                receiver: message.sender,
-                sender: message.receiver,
-                digest,
-                content: MessageContent::Answer(newest),
-            });
+            if let MessageContent::LeaderAnswer(last, is_complete) = message.content {
+                node.seen.insert(message.sender, (last, is_complete));
+            }
+            if let Some((digest, content)) = answer(&node.ledger, now, &message.content) {
+                self.send_message(message.receiver, message.sender, digest, content);
+            }
         }
     }
 
