--- a/crates/mustardgate-relay/src/peers/exchange.rs
+++ b/crates/mustardgate-relay/src/peers/exchange.rs
@@ -39,7 +39,8 @@
 
     /// Exchanges what this node knows with some nodes that it has heard of.
     pub(super) async fn run(&mut self, context: &RelayContext, own: SocketAddr) {
-        let news = context.crashes.news_page(self.told, MAX_CRASH_ENTRIES);
+        let max_entries = crash_room(context.knowledge.room()).min(MAX_CRASH_ENTRIES);
+        let news = context.crashes.news_page(self.told, max_entries);
         let known = Some(context.crashes.summary());
         let knowledge = knowledge_of(context, Some(own), news.digest, known);
         let calls = choose_neighbours(context, own).into_iter().map(async |address| {
