Bound what is told beside a message, not what it needs

Only crashes, loads and lists of nodes count against the room; a leader's answers hold up to 256 entries, reports 96; 200 extra reports a second; cursors move with answers of leaders that understand them; answers to exchanges name four other nodes; one summary serves for 0.5 s.

--- a/crates/mustardgate-core/src/relay/crashes/digest.rs
+++ b/crates/mustardgate-core/src/relay/crashes/digest.rs
@@ -63,8 +63,8 @@
     pub fn suspect_changes(&self, now: Instant, seen: ChangeNumber) -> (CrashDigest, ChangeNumber) {
         let request = PageRequest {
             seen,
-            known: None,
             max_entries: usize::MAX,
+            ..PageRequest::default()
         };
         let page = self.suspect_page(now, request);
         (page.digest, page.last)
--- a/crates/mustardgate-core/src/relay/crashes/mod.rs
+++ b/crates/mustardgate-core/src/relay/crashes/mod.rs
@@ -13,7 +13,7 @@
 
 pub use self::{
     digest::{CrashDigest, CrashObservation, QuarantineNotice},
-    pages::{CrashPage, CrashReportCursor, PageRequest},
+    pages::{CrashPage, CrashReportCursor, LedgerSummary, PageRequest},
     record::{CrashRecord, RecordNeed, RecordedCrashes},
     summary::CrashSummary,
 };
--- a/crates/mustardgate-core/src/relay/crashes/pages.rs
+++ b/crates/mustardgate-core/src/relay/crashes/pages.rs
@@ -32,10 +32,19 @@
     pub seen: ChangeNumber,
     /// Summary of what it knows, if it has not seen all changes before that one.
     pub known: Option<&'a CrashSummary>,
+    /// Summary of what this ledger knew at an earlier change, to compare with; made anew without one.
+    pub own: Option<&'a LedgerSummary>,
     /// Largest number of entries that it gets; the first input is told whole if there is room for any.
     pub max_entries: usize,
 }
 
+/// A summary of what a ledger tells as leader, and the last change that it holds.
+#[derive(Clone, Debug)]
+pub struct LedgerSummary {
+    summary: CrashSummary,
+    last_change: ChangeNumber,
+}
+
 /// What a node has told its leader, so that it repeats nothing.
 #[derive(Clone, Debug, Default)]
 pub struct CrashReportCursor {
@@ -79,9 +88,14 @@
 impl CrashLedger {
     /// Returns what a leader tells a node: changes of inputs under which several runners crashed, the earliest first.
     pub fn suspect_page(&self, now: Instant, request: PageRequest<'_>) -> CrashPage {
-        let own = request.known.map(|_| self.suspect_summary(now));
-        let is_lacking = |input| match (&own, request.known) {
-            (Some(own), Some(known)) => own.may_differ(known, input),
+        let is_needed = request.known.is_some() && request.own.is_none();
+        let made = is_needed.then(|| self.ledger_summary(now));
+        let own = request.own.or(made.as_ref());
+        let is_lacking = |input| match (own, request.known) {
+            (Some(own), Some(known)) => {
+                let changed = self.changed.get(&input);
+                changed.is_none_or(|number| *number > own.last_change) || own.summary.may_differ(known, input)
+            }
             _ => true,
         };
         self.page(request.seen, request.max_entries, |input| {
@@ -94,6 +108,14 @@
         })
     }
 
+    /// Returns a summary of what a leader tells all nodes, which serves for the pages of several of them.
+    pub fn ledger_summary(&self, now: Instant) -> LedgerSummary {
+        LedgerSummary {
+            summary: self.suspect_summary(now),
+            last_change: self.last_change,
+        }
+    }
+
     /// Returns all changes after a number, the earliest first, for nodes without a leader.
     pub fn news_page(&self, now: Instant, seen: ChangeNumber, max_entries: usize) -> CrashPage {
         self.page(seen, max_entries, |input| {
--- a/crates/mustardgate-core/src/relay/mod.rs
+++ b/crates/mustardgate-core/src/relay/mod.rs
@@ -66,7 +66,8 @@
     },
     crashes::{
         ChangeNumber, CrashDigest, CrashLedger, CrashObservation, CrashPage, CrashRecord, CrashReportCursor,
-        CrashSettings, CrashSummary, PageRequest, QuarantineNotice, RecordNeed, RecordedCrashes, shared_parts,
+        CrashSettings, CrashSummary, LedgerSummary, PageRequest, QuarantineNotice, RecordNeed, RecordedCrashes,
+        shared_parts,
     },
     event_numbering::{EventNumbering, NumberingBook, NumberingEvidence},
     events::{EventSplitter, StreamEvent},
--- a/crates/mustardgate-core/src/relay/report_pace.rs
+++ b/crates/mustardgate-core/src/relay/report_pace.rs
@@ -6,7 +6,7 @@
 const BATCH_PAUSE: Duration = Duration::from_millis(20);
 
 /// Reports a second that all nodes together make between their regular ones, whatever their number.
-const EXTRA_REPORTS_PER_S: u32 = 500;
+const EXTRA_REPORTS_PER_S: u32 = 200;
 
 /// Longest time for which a crash waits for the leader's next turn: a node reports that often in any case.
 const MAX_REPORT_DELAY: Duration = Duration::from_millis(700);
--- a/crates/mustardgate-relay/examples/message_sizes.rs
+++ b/crates/mustardgate-relay/examples/message_sizes.rs
@@ -200,6 +200,7 @@
         versions: versions(),
         brittle: brittle(),
         loads: loads(),
+        neighbours: Vec::new(),
     }
 }
 
--- a/crates/mustardgate-relay/src/context/crashes.rs
+++ b/crates/mustardgate-relay/src/context/crashes.rs
@@ -3,7 +3,7 @@
 use std::{
     ops::Range,
     sync::{
-        Mutex, MutexGuard,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
@@ -15,7 +15,7 @@
     ids::RequestId,
     relay::{
         ChangeNumber, CrashDigest, CrashLedger, CrashPage, CrashReportCursor, CrashSettings, CrashSummary, InputId,
-        ListedRunner, PageRequest,
+        LedgerSummary, ListedRunner, PageRequest,
     },
 };
 use rand::Rng;
@@ -26,11 +26,16 @@
 /// taken for its own.
 const FIRST_CHANGES: Range<ChangeNumber> = 1..1 << 52;
 
+/// Time for which a summary serves for the pages of other nodes.
+const SUMMARY_TIME: Duration = Duration::from_millis(500);
+
 /// Holds the crash ledger of this node, which is exchanged with other nodes.
 #[derive(Debug)]
 pub struct CrashGuard {
     ledger: Mutex<CrashLedger>,
     changed: Notify,
+    /// Summary with which those of other nodes are compared, and when it was made.
+    recent_summary: Mutex<Option<(Instant, Arc<LedgerSummary>)>>,
     /// Tells the task that keeps what must outlast all nodes.
     news: Notify,
     /// Whether that was read at the start, or could not be read for a while.
@@ -45,6 +50,7 @@
         Self {
             ledger: Mutex::new(CrashLedger::new(settings).with_changes_from(rand::rng().random_range(FIRST_CHANGES))),
             changed: Notify::new(),
+            recent_summary: Mutex::default(),
             news: Notify::new(),
             is_loaded: AtomicBool::new(false),
             started_at: clock::now(),
@@ -101,9 +107,27 @@
         self.updated(CrashLedger::suspect_digest)
     }
 
-    /// Returns a part of that which a node lacks.
+    /// Returns a part of that which a node lacks. The summaries of many nodes are compared with the same one of this node.
     pub fn suspect_page(&self, request: PageRequest<'_>) -> CrashPage {
-        self.updated(|ledger, now| ledger.suspect_page(now, request))
+        let own = request.known.map(|_| self.recent_summary());
+        self.updated(|ledger, now| {
+            let own = own.as_deref();
+            ledger.suspect_page(now, PageRequest { own, ..request })
+        })
+    }
+
+    fn recent_summary(&self) -> Arc<LedgerSummary> {
+        let mut recent = self.recent_summary.lock().expect("no holder of the lock panics");
+        let now = clock::now();
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < SUMMARY_TIME;
+        if let Some((at, summary)) = recent.as_ref()
+            && is_recent(*at)
+        {
+            return Arc::clone(summary);
+        }
+        let summary = Arc::new(self.updated(CrashLedger::ledger_summary));
+        *recent = Some((now, Arc::clone(&summary)));
+        summary
     }
 
     /// Returns a summary of what a leader tells all nodes, for a leader that has not told this node anything.
--- a/crates/mustardgate-relay/src/context/mod.rs
+++ b/crates/mustardgate-relay/src/context/mod.rs
@@ -137,7 +137,7 @@
     /// Limit on the bytes of records of the log that this node sends to other nodes.
     pub feed: FeedLimiter,
     /// Limit on what else this node tells other nodes.
-    pub knowledge: Arc<KnowledgeLimiter>,
+    pub knowledge: KnowledgeLimiter,
     /// Reads of the log for other nodes.
     pub shared_reads: SharedReads,
     /// Bytes and plans that this node spends on control.
--- a/crates/mustardgate-relay/src/node/build.rs
+++ b/crates/mustardgate-relay/src/node/build.rs
@@ -49,11 +49,9 @@
         logger.clone(),
     ));
     let knowledge = settings.feed.knowledge_limits(settings.node.link_mbps);
-    let knowledge = Arc::new(KnowledgeLimiter::new(knowledge));
     let peers = PeerClient::new(Arc::clone(&buffers))
         .with_page_time(page_time)
-        .with_load(Arc::clone(&load))
-        .with_knowledge(Arc::clone(&knowledge));
+        .with_load(Arc::clone(&load));
     let direct_log = Arc::clone(&ports.topics);
     let own = settings.listen.peers;
     let seeds = settings.listen.seeds.iter().copied().filter(|seed| Some(*seed) != own);
@@ -91,7 +89,7 @@
     Arc::new(RelayContext {
         buffers,
         feed: FeedLimiter::new(feed),
-        knowledge,
+        knowledge: KnowledgeLimiter::new(knowledge),
         shared_reads: SharedReads::default(),
         load,
         link: RunnerLink::new(logger.clone()),
--- a/crates/mustardgate-relay/src/peers/client.rs
+++ b/crates/mustardgate-relay/src/peers/client.rs
@@ -19,7 +19,6 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use super::{
-    feed::KnowledgeLimiter,
     messages::{
         ADAPTER_PATH, AdapterRequest, CachedRecords, DEMAND_PATH, DemandReport, EXCHANGE_PATH, KnowledgeExchange,
         LOG_PATH, LeaderAnswer, LogCall, LogReply, ORIGIN_PATH, OriginAnswer, OriginQuery, PERMIT_PATH, PermitAnswer,
@@ -48,7 +47,6 @@
     /// Longest time for records of which bytes keep arriving.
     page_time: Duration,
     load: Option<Arc<ControlLoad>>,
-    knowledge: Option<Arc<KnowledgeLimiter>>,
 }
 
 impl PeerClient {
@@ -58,7 +56,6 @@
             client: HttpClient::pooled(CONNECT_TIMEOUT).with_buffers(buffers, BufferSource::Server),
             page_time: CALL_TIMEOUT,
             load: None,
-            knowledge: None,
         }
     }
 
@@ -76,13 +73,6 @@
         self
     }
 
-    /// Sets the limit that calls count against, so that there is less room in answers.
-    #[must_use]
-    pub fn with_knowledge(mut self, knowledge: Arc<KnowledgeLimiter>) -> Self {
-        self.knowledge = Some(knowledge);
-        self
-    }
-
     fn record_message(&self, kind: MessageKind, direction: MessageDirection, bytes: usize) {
         if let Some(load) = &self.load {
             load.record_message(kind, direction, bytes);
@@ -242,9 +232,6 @@
     {
         let body = encode(message);
         self.record_message(kind, MessageDirection::Sent, body.len());
-        if let Some(knowledge) = &self.knowledge {
-            knowledge.record_sent(body.len());
-        }
         let mut request = Request::new(Full::new(Bytes::from(body)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = path.parse().expect("paths are constants");
--- a/crates/mustardgate-relay/src/peers/digests.rs
+++ b/crates/mustardgate-relay/src/peers/digests.rs
@@ -15,10 +15,7 @@
 use slog::o;
 use tokio::time;
 
-use super::{
-    DemandReport, LeaderAnswer, PartCrashDigest,
-    exchange::{MAX_CRASH_ENTRIES, NeighbourExchange},
-};
+use super::{DemandReport, LeaderAnswer, PartCrashDigest, exchange::NeighbourExchange};
 use crate::{
     context::RelayContext,
     leader::{begin_quota_report, end_quota_report, exchange_in_pool, exchange_quotas, exchange_without_leader},
@@ -27,6 +24,9 @@
 /// Time between two reports of demand.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Largest number of crashes and quarantines in one report.
+const MAX_REPORT_ENTRIES: usize = 96;
+
 /// Longest time between the reading of a claim and the report to the new leader.
 const MAX_CLAIM_PAUSE: Duration = Duration::from_millis(50);
 
@@ -146,10 +146,12 @@
             let part = loans.lend(now, term, self.address, Some(loans.request(now)), nodes);
             self.renew_loan(self.address, now, part);
             self.exchange.record_leader(&self.context);
+            self.is_led = false;
             exchange_quotas(Arc::clone(&self.context), QuotaSource::Leader).await;
             return;
         }
         let Some(address) = leader.leader_address() else {
+            self.is_led = false;
             return self.exchange.run(&self.context, self.address).await;
         };
         let quotas = begin_quota_report(&self.context, QuotaSource::Leader);
@@ -174,10 +176,12 @@
             self.context
                 .loads
                 .hear_leader(&self.context.fleet, &answer.loads, round_trip);
-            self.loads_seen = answer.loads_seen;
-            self.crashes_seen = answer.crashes_seen;
-            self.has_more_crashes = answer.has_more_crashes;
-            self.knows_inputs = answer.inputs.is_some();
+            if is_leading {
+                self.loads_seen = answer.loads_seen;
+                self.crashes_seen = answer.crashes_seen;
+                self.has_more_crashes = answer.has_more_crashes;
+                self.knows_inputs = answer.inputs.is_some();
+            }
             self.apply_answer(address, &answer);
             if let Some(part) = answer.loan {
                 self.renew_loan(address, asked_at, part);
@@ -209,7 +213,7 @@
         if reported_since.is_none() {
             self.crashes_told = CrashReportCursor::default();
         }
-        let (inputs, crashes_told) = self.context.crashes.report(&self.crashes_told, MAX_CRASH_ENTRIES);
+        let (inputs, crashes_told) = self.context.crashes.report(&self.crashes_told, MAX_REPORT_ENTRIES);
         let is_catching_up = seen.is_none() || self.has_more_crashes;
         let crashes_known = is_catching_up.then(|| self.context.crashes.suspect_summary());
         let now = self.context.leader.lease_time();
@@ -246,7 +250,9 @@
         };
         let is_leading = answer.as_ref().is_some_and(|answer| answer.is_leading);
         if is_leading {
-            self.crashes_told = crashes_told;
+            if answer.as_ref().is_some_and(|answer| answer.inputs.is_some()) {
+                self.crashes_told = crashes_told;
+            }
             self.exchange.record_leader(&self.context);
         } else if self.is_led {
             self.exchange.run(&self.context, self.address).await;
@@ -277,6 +283,8 @@
         let inputs = answer.crashes.or_newer(answer.inputs.as_ref());
         self.context.crashes.merge(&inputs);
         self.context.limits.merge(&answer.limits);
-        self.seen = Some((address, answer.seen));
+        if answer.is_leading {
+            self.seen = Some((address, answer.seen));
+        }
     }
 }
--- a/crates/mustardgate-relay/src/peers/directory.rs
+++ b/crates/mustardgate-relay/src/peers/directory.rs
@@ -47,7 +47,7 @@
 }
 
 /// Encoded size of a node in a list, in bytes, or a little more.
-const MEMBER_BYTES: usize = 72;
+pub(super) const MEMBER_BYTES: usize = 72;
 
 /// Largest number of nodes that are remembered from what leaders told.
 const MAX_TOLD: usize = 16;
--- a/crates/mustardgate-relay/src/peers/exchange.rs
+++ b/crates/mustardgate-relay/src/peers/exchange.rs
@@ -18,8 +18,10 @@
 /// Largest number of nodes with which a node exchanges at once.
 const MAX_EXCHANGES: usize = 6;
 
-/// Largest number of crashes and quarantines in one message between nodes.
-pub(super) const MAX_CRASH_ENTRIES: usize = 48;
+/// Largest number of crashes and quarantines in one exchange.
+const MAX_EXCHANGED_ENTRIES: usize = 48;
+/// Largest number of other nodes that an answer names.
+const MAX_NEIGHBOURS: usize = 4;
 
 /// Encoded size of a crash or a quarantine in bytes, or a little more.
 const CRASH_ENTRY_BYTES: usize = 120;
@@ -39,14 +41,19 @@
 
     /// Exchanges what this node knows with some nodes that it has heard of.
     pub(super) async fn run(&mut self, context: &RelayContext, own: SocketAddr) {
-        let max_entries = crash_room(context.knowledge.room()).min(MAX_CRASH_ENTRIES);
+        let max_entries = crash_room(context.knowledge.room()).min(MAX_EXCHANGED_ENTRIES);
         let news = context.crashes.news_page(self.told, max_entries);
         let known = Some(context.crashes.summary());
         let knowledge = knowledge_of(context, Some(own), news.digest, known);
-        let calls = choose_neighbours(context, own).into_iter().map(async |address| {
+        let neighbours = choose_neighbours(context, own);
+        context
+            .knowledge
+            .record_sent(crash_bytes(&knowledge.inputs) * neighbours.len());
+        let calls = neighbours.into_iter().map(async |address| {
             let asked_at = clock::now();
             let answer = context.peers.exchange_knowledge(address, &knowledge).await?;
             context.directory.record_contact(address, answer.domain.clone());
+            context.directory.remember(&answer.neighbours);
             let round_trip = clock::now().saturating_duration_since(asked_at);
             take_over(context, &answer, Some(round_trip));
             Some(())
@@ -63,10 +70,16 @@
     take_over(context, knowledge, None);
     let room = crash_room(context.knowledge.room());
     let inputs = match &knowledge.known {
-        Some(known) => context.crashes.missing_page(known, room.min(MAX_CRASH_ENTRIES)),
+        Some(known) => context.crashes.missing_page(known, room.min(MAX_EXCHANGED_ENTRIES)),
         None => context.crashes.newest_digest(room),
     };
-    knowledge_of(context, None, inputs, None)
+    context.knowledge.record_sent(crash_bytes(&inputs));
+    let asking = knowledge.address;
+    let neighbours = asking.map(|asking| context.directory.sample(MAX_NEIGHBOURS, asking));
+    KnowledgeExchange {
+        neighbours: neighbours.unwrap_or_default(),
+        ..knowledge_of(context, None, inputs, None)
+    }
 }
 
 /// Returns how many crashes and quarantines fit into a message with room for some bytes.
@@ -74,6 +87,11 @@
     bytes / CRASH_ENTRY_BYTES
 }
 
+/// Returns the size of a digest in bytes, or a little more.
+pub(super) fn crash_bytes(digest: &CrashDigest) -> usize {
+    (digest.crashes.len() + digest.sound.len() + digest.quarantined.len()) * CRASH_ENTRY_BYTES
+}
+
 fn knowledge_of(
     context: &RelayContext,
     address: Option<SocketAddr>,
@@ -89,6 +107,7 @@
         versions: context.streams.version_digest(context.leader.lease_time()),
         brittle: context.brittle.services(),
         loads: context.loads.knowledge(&context.fleet),
+        neighbours: Vec::new(),
     }
 }
 
--- a/crates/mustardgate-relay/src/peers/feed.rs
+++ b/crates/mustardgate-relay/src/peers/feed.rs
@@ -74,7 +74,7 @@
         self.lock().room(clock::now())
     }
 
-    /// Counts a message that is sent.
+    /// Counts what is sent beside what a message needs.
     pub(super) fn record_sent(&self, bytes: usize) {
         self.lock().spend(clock::now(), bytes);
     }
--- a/crates/mustardgate-relay/src/peers/messages.rs
+++ b/crates/mustardgate-relay/src/peers/messages.rs
@@ -97,8 +97,7 @@
     /// Number of the newest change of what the leader knows of crashes that it returned; 0 if none.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub crashes_seen: ChangeNumber,
-    /// Summary of what the node knows of suspected inputs, until the leader has told it everything that it lacks; earlier
-    /// builds do not send it.
+    /// Summary of what the node knows of suspected inputs, until the leader has told it what it lacks.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub crashes_known: Option<CrashSummary>,
 }
@@ -183,6 +182,9 @@
     /// Newest loads of runners of paced services that the node knows.
     #[serde(default, skip_serializing_if = "<[u8]>::is_empty", with = "serde_bytes")]
     pub loads: Vec<u8>,
+    /// Addresses of some other nodes, in an answer, so that nodes which know their seeds only get to know more.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub neighbours: Vec<SocketAddr>,
 }
 
 /// What a node tells others at once, in a datagram.
--- a/crates/mustardgate-relay/src/peers/server.rs
+++ b/crates/mustardgate-relay/src/peers/server.rs
@@ -21,7 +21,8 @@
 
 use super::{
     digests::REPORT_INTERVAL,
-    exchange::{MAX_CRASH_ENTRIES, answer_knowledge, crash_room},
+    directory::MEMBER_BYTES,
+    exchange::{answer_knowledge, crash_bytes, crash_room},
     messages::{
         ADAPTER_PATH, AdapterRequest, CachedRecord, CachedRecords, DEMAND_PATH, DemandReport, EXCHANGE_PATH,
         KnowledgeExchange, LOG_PATH, LeaderAnswer, LogCall, LogReply, ORIGIN_PATH, OriginAnswer, OriginQuery,
@@ -43,6 +44,8 @@
 const MAX_NEIGHBOURS: usize = 4;
 /// Time after which all nodes have reported to a new leader.
 const LIST_SETTLING_TIME: Duration = REPORT_INTERVAL.saturating_mul(2);
+/// Largest number of crashes and quarantines in one answer of a leader, which are told while there is room on the link.
+const MAX_ANSWER_ENTRIES: usize = 256;
 /// Path at which metrics are read.
 const METRICS_PATH: &str = "/metrics";
 /// Longest message from another node, in bytes.
@@ -127,10 +130,6 @@
         .record_message(kind, MessageDirection::Received, body.len());
     if let Some(message) = &message {
         context.load.record_message(kind, MessageDirection::Sent, message.len());
-        // Records of the log have a limit of their own, by which the caller reads them elsewhere.
-        if !matches!(path.as_str(), LOG_PATH | RECORDS_PATH) {
-            context.knowledge.record_sent(message.len());
-        }
     }
     match message {
         Some(message) => bytes_answer(StatusCode::OK, None, Bytes::from(message)),
@@ -183,11 +182,13 @@
     let page = context.crashes.suspect_page(PageRequest {
         seen: report.crashes_seen,
         known: report.crashes_known.as_ref(),
-        max_entries: crash_room(room).min(MAX_CRASH_ENTRIES),
+        own: None,
+        max_entries: crash_room(room).min(MAX_ANSWER_ENTRIES),
     });
     let (loads, loads_seen) = context
         .loads
         .answer(versions_now, &report.loads, report.loads_seen, room);
+    context.knowledge.record_sent(crash_bytes(&page.digest) + loads.len());
     // A node of an earlier build, which knows parts of prompts only, gets all of them each time.
     let earlier_build = report.inputs.is_none().then(|| context.crashes.suspect_digest());
     let crashes = earlier_build.as_ref().map(PartCrashDigest::of).unwrap_or_default();
@@ -224,7 +225,9 @@
 fn settled_members(context: &RelayContext, seen: u64) -> Option<Vec<NodeMember>> {
     let is_settled = context.leader.has_led_for(LIST_SETTLING_TIME);
     let changed = || context.directory.changed_members(seen, context.knowledge.room());
-    is_settled.then(changed).flatten()
+    let members = is_settled.then(changed).flatten()?;
+    context.knowledge.record_sent(members.len() * MEMBER_BYTES);
+    Some(members)
 }
 
 fn answer_exchange(context: &RelayContext, body: &[u8]) -> Option<Vec<u8>> {
--- a/crates/mustardgate-relay/src/settings/feed.rs
+++ b/crates/mustardgate-relay/src/settings/feed.rs
@@ -12,6 +12,9 @@
 /// at most a sixth of a term apart, so that a node with a wide link that is alive claims first.
 const MAX_CLAIM_DELAY_SHARE: f64 = 0.25;
 
+/// Time in seconds whose share of the link may be filled at once with what nodes tell each other.
+const KNOWLEDGE_BURST_S: f64 = 0.25;
+
 /// Settings of the limit on bytes for other nodes.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default)]
@@ -56,7 +59,7 @@
         let link_bytes_per_s = link_bytes_per_s(link_mbps);
         FeedLimits {
             bytes_per_s: link_bytes_per_s * self.knowledge_share,
-            burst_bytes: link_bytes_per_s * self.burst_ms / 1_000.0,
+            burst_bytes: link_bytes_per_s * self.knowledge_share * KNOWLEDGE_BURST_S,
             max_delay: Duration::ZERO,
         }
     }
--- a/crates/standins/src/proof/crashing/messages.rs
+++ b/crates/standins/src/proof/crashing/messages.rs
@@ -43,6 +43,7 @@
                 PageRequest {
                     seen: *seen,
                     known: known.as_ref(),
+                    own: None,
                     max_entries: MAX_ENTRIES,
                 },
             );
